Tell whole answers from cut ones, and never call a request that may have run "not run"

Cause: POCO's client streams end alike for a whole chunked body and for a cut one, so every chunked answer was refused; and a retry of an idempotent request that found a closed port replaced "outcome_unknown" by "not_run" although an earlier try may have run. Ruled out: taking an open connection after the body as proof of a whole chunked answer (a malformed chunk length leaves it open as well); own chunk parsing.

--- /dev/null
+++ b/src/waxwingfront/front/attempt_history.cc
@@ -0,0 +1,23 @@
+#include "waxwingfront/front/attempt_history.h"
+
+#include <utility>
+
+namespace waxwingfront::front {
+
+void attempt_history::OnFailure(core::error failure) {
+  const bool did_not_run = failure.code == core::error_code::kNotRun;
+  if (did_not_run && may_have_run_) return;
+  may_have_run_ = may_have_run_ || !did_not_run;
+  decisive_ = std::move(failure);
+}
+
+core::error attempt_history::Verdict(core::error reason) const {
+  if (may_have_run_) {
+    return {.code = core::error_code::kOutcomeUnknown,
+            .detail = decisive_->detail};
+  }
+  if (decisive_.has_value()) reason.detail += "; " + decisive_->detail;
+  return reason;
+}
+
+}  // namespace waxwingfront::front
--- a/src/waxwingfront/front/message.cc
+++ b/src/waxwingfront/front/message.cc
@@ -1,6 +1,6 @@
 #include "waxwingfront/front/message.h"
 
-#include <Poco/String.h>
+#include <Poco/Ascii.h>
 
 #include <algorithm>
 #include <array>
@@ -29,10 +29,19 @@
                    method) != kIdempotentMethods.end();
 }
 
+bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](char first, char second) {
+                      return Poco::Ascii::toLower(first) ==
+                             Poco::Ascii::toLower(second);
+                    });
+}
+
 bool IsHopByHop(std::string_view header) {
-  const std::string lower = Poco::toLower(std::string(header));
-  return std::find(kHopByHopHeaders.begin(), kHopByHopHeaders.end(), lower) !=
-         kHopByHopHeaders.end();
+  return std::any_of(kHopByHopHeaders.begin(), kHopByHopHeaders.end(),
+                     [header](std::string_view name) {
+                       return EqualsIgnoringCase(header, name);
+                     });
 }
 
 }  // namespace waxwingfront::front
--- a/src/waxwingfront/front/message.h
+++ b/src/waxwingfront/front/message.h
@@ -37,6 +37,9 @@
 // Whether HTTP defines `method` as idempotent.
 bool IsIdempotentMethod(std::string_view method);
 
+// Compares names of headers.
+bool EqualsIgnoringCase(std::string_view left, std::string_view right);
+
 // Whether a header concerns one connection only and is not passed on.
 bool IsHopByHop(std::string_view header);
 
--- a/src/waxwingfront/front/request_router.cc
+++ b/src/waxwingfront/front/request_router.cc
@@ -5,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include "waxwingfront/front/attempt_history.h"
 #include "waxwingfront/front/upstream.h"
 
 namespace waxwingfront::front {
@@ -18,10 +19,19 @@
   return std::uniform_int_distribution<std::size_t>(0, size - 1)(generator);
 }
 
+// Time at which a try is given up. An idempotent request leaves half of its
+// time to another executor.
+core::monotonic_time TryLimit(const service_request& request,
+                              bool may_try_more) {
+  if (!may_try_more) return request.deadline;
+  const core::monotonic_time now = core::Now();
+  return now + (request.deadline - now) / 2;
+}
+
 }  // namespace
 
 request_router::request_router(request_router_options options)
-    : options_(options) {}
+    : options_(options), retries_(options.retries) {}
 
 request_router::~request_router() = default;
 
@@ -53,14 +63,30 @@
   table_.Store(std::move(table));
 }
 
+const request_router::upstream_list* request_router::FindService(
+    const routing_table* table, std::string_view service) {
+  if (table == nullptr) return nullptr;
+  const auto found = table->services.find(service);
+  return found == table->services.end() ? nullptr : &found->second;
+}
+
 std::shared_ptr<upstream> request_router::Acquire(
     const upstream_list& candidates, const upstream_list& tried) {
   upstream_list open;
+  const core::monotonic_time now = core::Now();
+  const auto is_suspect = [now](const auto& item) {
+    return item->IsSuspect(now);
+  };
+  const auto suspects = static_cast<std::size_t>(
+      std::count_if(candidates.begin(), candidates.end(), is_suspect));
+  const bool avoid_suspects = 2 * suspects <= candidates.size();
   for (const auto& item : candidates) {
+    if (avoid_suspects && is_suspect(item)) continue;
     const bool used =
         std::find(tried.begin(), tried.end(), item) != tried.end();
-    if (!used && item->Outstanding() < item->Executor().slots)
+    if (!used && item->Outstanding() < item->Executor().slots) {
       open.push_back(item);
+    }
   }
   while (!open.empty()) {
     const std::size_t first = RandomIndex(open.size());
@@ -74,44 +100,47 @@
   return nullptr;
 }
 
-std::shared_ptr<upstream> request_router::AcquireInTime(
+core::result<std::shared_ptr<upstream>> request_router::AcquireInTime(
     const service_request& request, const upstream_list& tried) const {
   while (true) {
     const std::shared_ptr<const routing_table> table = table_.Load();
-    if (table == nullptr) return nullptr;
-    const auto found = table->services.find(request.service);
-    if (found == table->services.end() || found->second.size() <= tried.size())
-      return nullptr;
-    if (auto item = Acquire(found->second, tried)) return item;
-    if (core::Now() + kSlotPause >= request.deadline) return nullptr;
+    const upstream_list* candidates = FindService(table.get(), request.service);
+    if (candidates == nullptr || candidates->size() <= tried.size()) {
+      return core::Failure(core::error_code::kNoUpstream,
+                           "no executor of " + request.service + " is left");
+    }
+    if (auto item = Acquire(*candidates, tried)) return item;
+    if (core::Now() + kSlotPause >= request.deadline) {
+      return core::Failure(
+          core::error_code::kDeadlineExceeded,
+          "no executor of " + request.service + " had a free slot in time");
+    }
     std::this_thread::sleep_for(kSlotPause);
   }
 }
 
 core::result<service_reply> request_router::Route(
     const service_request& request) {
-  core::result<service_reply> last = core::Failure(
-      core::error_code::kNoUpstream, "no executor of " + request.service);
+  attempt_history history;
   upstream_list tried;
-  for (int attempt = 0; attempt < options_.max_tries; ++attempt) {
-    if (core::Now() >= request.deadline) {
-      // A first try that may have run keeps its answer "outcome unknown".
-      const bool may_have_run =
-          !last && last.error().code == core::error_code::kOutcomeUnknown;
-      if (may_have_run) return last;
-      return core::Failure(core::error_code::kDeadlineExceeded,
-                           "no slot in time");
-    }
-    const std::shared_ptr<upstream> target = AcquireInTime(request, tried);
-    if (target == nullptr) return last;
-    last = target->Send(request);
-    target->ReleaseSlot();
-    if (last) return last;
-    const bool did_not_run = last.error().code == core::error_code::kNotRun;
-    if (!did_not_run && !request.idempotent) return last;
-    tried.push_back(target);
+  retries_.OnFirstAttempt();
+  for (int attempt = 1; attempt <= options_.max_tries; ++attempt) {
+    const auto target = AcquireInTime(request, tried);
+    if (!target) return tl::unexpected(history.Verdict(target.error()));
+    const bool may_try_more =
+        attempt < options_.max_tries && request.idempotent;
+    core::result<service_reply> reply =
+        (*target)->Send(request, TryLimit(request, may_try_more));
+    (*target)->ReleaseSlot();
+    if (reply) return reply;
+    history.OnFailure(std::move(reply.error()));
+    if (!history.MaySendAgain(request.idempotent)) break;
+    // A try that surely did not run cost the executors nothing.
+    if (history.MayHaveRun() && !retries_.TryRetry()) break;
+    tried.push_back(*target);
   }
-  return last;
+  return tl::unexpected(history.Verdict(
+      {.code = core::error_code::kNotRun, .detail = "all tries failed"}));
 }
 
 }  // namespace waxwingfront::front
--- a/src/waxwingfront/front/request_router.h
+++ b/src/waxwingfront/front/request_router.h
@@ -6,12 +6,14 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/core/error.h"
 #include "waxwingfront/core/rcu_cell.h"
 #include "waxwingfront/front/message.h"
+#include "waxwingfront/front/retry_budget.h"
 #include "waxwingfront/hosts/host_view.h"
 
 namespace waxwingfront::front {
@@ -23,6 +25,7 @@
   std::size_t max_body_bytes = 1048576;
   // Executors tried for one request at most.
   int max_tries = 3;
+  retry_budget_options retries;
 };
 
 class request_router {
@@ -44,15 +47,20 @@
     std::map<std::string, upstream_list, std::less<>> services;
   };
 
+  // The executors of a service; null if there are none.
+  static const upstream_list* FindService(const routing_table* table,
+                                          std::string_view service);
   // Takes a slot at the better of two random executors that were not tried;
-  // null if none is free.
+  // null if none is free. Executors that fail lately are passed over as long
+  // as they are no more than half.
   static std::shared_ptr<upstream> Acquire(const upstream_list& candidates,
                                            const upstream_list& tried);
-  std::shared_ptr<upstream> AcquireInTime(const service_request& request,
-                                          const upstream_list& tried) const;
+  core::result<std::shared_ptr<upstream>> AcquireInTime(
+      const service_request& request, const upstream_list& tried) const;
 
   request_router_options options_;
   core::rcu_cell<routing_table> table_;
+  retry_budget retries_;
 };
 
 }  // namespace waxwingfront::front
--- a/src/waxwingfront/front/upstream.cc
+++ b/src/waxwingfront/front/upstream.cc
@@ -1,62 +1,58 @@
 #include "waxwingfront/front/upstream.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 
 #include <algorithm>
-#include <array>
-#include <istream>
-#include <ostream>
+#include <sstream>
 #include <utility>
 
+#include "waxwingfront/front/detail/answer_reader.h"
+#include "waxwingfront/front/detail/upstream_connection.h"
+
 namespace waxwingfront::front {
 namespace {
 
-constexpr std::string_view kNotStartedHeader = "Waxwingfront-Not-Started";
+constexpr std::string_view kNotStartedHeader = "waxwingfront-not-started";
 constexpr std::string_view kDeadlineHeader = "Waxwingfront-Deadline-Ms";
 constexpr std::string_view kRequestIdHeader = "Waxwingfront-Request-Id";
-constexpr std::size_t kReadChunkBytes = 16384;
-
-core::milliseconds TimeLeft(core::monotonic_time deadline) {
-  return std::chrono::duration_cast<core::milliseconds>(deadline - core::Now());
-}
-
-Poco::Timespan ToTimespan(core::milliseconds duration) {
-  // Poco takes zero as no limit.
-  const core::milliseconds least = std::max(duration, core::milliseconds(1));
-  return Poco::Timespan(std::chrono::microseconds(least).count());
-}
-
-tl::unexpected<core::error> Unknown(const std::string& detail) {
-  return core::Failure(core::error_code::kOutcomeUnknown, detail);
+constexpr int kHttpServiceUnavailable = 503;
+// A connection that was silent for longer may have lost its other side without
+// notice. Idempotent requests can be sent again after that; others cannot, so
+// they take a connection that answered lately or a new one.
+constexpr core::milliseconds kMaxIdleForUnsafe{1000};
+constexpr int kFailuresUntilSuspect = 3;
+constexpr core::milliseconds kSuspectPause{1000};
+
+core::milliseconds TimeLeft(core::monotonic_time limit) {
+  return std::chrono::duration_cast<core::milliseconds>(limit - core::Now());
 }
 
-Poco::Net::HTTPRequest ToHttp(const service_request& request,
-                              const std::string& address) {
+// The request as sent to `address`.
+std::string ToHttp(const service_request& request, const std::string& address) {
   Poco::Net::HTTPRequest http(request.method, request.path,
                               Poco::Net::HTTPMessage::HTTP_1_1);
   for (const auto& [name, value] : request.headers) http.add(name, value);
   http.set(std::string(kDeadlineHeader),
            std::to_string(TimeLeft(request.deadline).count()));
   http.set(std::string(kRequestIdHeader), request.id);
-  http.setHost(address);
+  http.set("Host", address);
   http.setKeepAlive(true);
   http.setContentLength(static_cast<std::streamsize>(request.body.size()));
-  return http;
+  std::ostringstream text;
+  http.write(text);
+  return text.str() + request.body;
 }
 
-}  // namespace
+bool SaysNotStarted(const service_reply& reply) {
+  if (reply.status != kHttpServiceUnavailable) return false;
+  return std::any_of(
+      reply.headers.begin(), reply.headers.end(), [](const auto& header) {
+        return EqualsIgnoringCase(header.first, kNotStartedHeader) &&
+               header.second == "1";
+      });
+}
 
-struct upstream::connection {
-  explicit connection(const Poco::Net::StreamSocket& socket)
-      : session(socket) {}
-  Poco::Net::HTTPClientSession session;
-  bool reusable = false;
-};
+}  // namespace
 
 upstream::upstream(upstream_options options) : options_(std::move(options)) {}
 
@@ -72,94 +68,97 @@
 
 void upstream::ReleaseSlot() { outstanding_.fetch_sub(1); }
 
-std::unique_ptr<upstream::connection> upstream::TakeIdle() {
+bool upstream::IsSuspect(core::monotonic_time now) const {
+  return now.time_since_epoch().count() <
+         suspect_until_.load(std::memory_order_relaxed);
+}
+
+void upstream::NoteOutcome(const core::result<service_reply>& reply) {
+  if (reply) {
+    failures_in_a_row_.store(0, std::memory_order_relaxed);
+    return;
+  }
+  if (failures_in_a_row_.fetch_add(1) + 1 < kFailuresUntilSuspect) return;
+  suspect_until_.store((core::Now() + kSuspectPause).time_since_epoch().count(),
+                       std::memory_order_relaxed);
+}
+
+upstream::connection upstream::TakeIdle(const service_request& request) {
   const std::lock_guard lock(mutex_);
   while (!idle_.empty()) {
-    std::unique_ptr<connection> candidate = std::move(idle_.back());
+    connection candidate = std::move(idle_.back());
     idle_.pop_back();
-    // An idle connection with something to read was closed, or carries an
-    // answer nobody asked for.
-    const bool quiet = !candidate->session.socket().poll(
-        Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
-    if (quiet) return candidate;
+    const bool recent =
+        core::Now() - candidate->AnsweredAt() < kMaxIdleForUnsafe;
+    // Bytes that nobody asked for, or the end, make a connection unusable.
+    if (candidate->IsQuiet() && (request.idempotent || recent)) {
+      return candidate;
+    }
   }
   return nullptr;
 }
 
-core::result<std::unique_ptr<upstream::connection>> upstream::Connect(
-    core::monotonic_time deadline) const {
-  try {
-    Poco::Net::StreamSocket socket;
-    const core::milliseconds limit =
-        std::min(options_.connect_timeout, TimeLeft(deadline));
-    socket.connect(Poco::Net::SocketAddress(options_.executor.address),
-                   ToTimespan(limit));
-    socket.setNoDelay(true);
-    auto fresh = std::make_unique<connection>(socket);
-    fresh->session.setKeepAlive(true);
-    return fresh;
-  } catch (const Poco::Exception& failure) {
-    return core::Failure(core::error_code::kNotRun,
-                         "no connection to " + options_.executor.id + ": " +
-                             failure.displayText());
-  }
+void upstream::KeepIdle(connection link) {
+  link->MarkAnswered();
+  const std::lock_guard lock(mutex_);
+  const auto limit = static_cast<std::size_t>(options_.executor.connections);
+  if (idle_.size() < limit) idle_.push_back(std::move(link));
 }
 
-core::result<service_reply> upstream::Send(const service_request& request) {
-  std::unique_ptr<connection> link = TakeIdle();
-  if (link == nullptr) {
-    auto fresh = Connect(request.deadline);
-    if (!fresh) return tl::unexpected(fresh.error());
-    link = std::move(*fresh);
-  }
-  core::result<service_reply> reply = Unknown("no answer");
-  try {
-    reply = Exchange(*link, request);
-  } catch (const std::exception& failure) {
-    return Unknown(options_.executor.id + ": " + failure.what());
-  }
-  // Only a connection whose last answer was read whole may carry another
-  // request.
-  if (link->reusable) {
-    const std::lock_guard lock(mutex_);
-    idle_.push_back(std::move(link));
+void upstream::DropIdle() {
+  const std::lock_guard lock(mutex_);
+  idle_.clear();
+}
+
+core::result<upstream::connection> upstream::TakeConnection(
+    const service_request& request, core::monotonic_time limit) {
+  if (connection idle = TakeIdle(request)) return idle;
+  return detail::upstream_connection::Connect(
+      options_.executor.address,
+      std::min(options_.connect_timeout, TimeLeft(limit)));
+}
+
+core::result<service_reply> upstream::Send(const service_request& request,
+                                           core::monotonic_time limit) {
+  core::result<connection> link = TakeConnection(request, limit);
+  core::result<service_reply> reply = tl::unexpected(core::error{});
+  if (link) {
+    reply = Exchange(std::move(*link), request, limit);
+  } else {
+    reply = tl::unexpected(std::move(link.error()));
   }
+  NoteOutcome(reply);
+  if (!reply) reply.error().detail.insert(0, options_.executor.id + ": ");
   return reply;
 }
 
-core::result<service_reply> upstream::Exchange(
-    connection& link, const service_request& request) const {
-  link.reusable = false;
-  link.session.setTimeout(ToTimespan(TimeLeft(request.deadline)));
-  Poco::Net::HTTPRequest http = ToHttp(request, options_.executor.address);
-  link.session.sendRequest(http) << request.body << std::flush;
-  Poco::Net::HTTPResponse response;
-  std::istream& stream = link.session.receiveResponse(response);
-  service_reply reply{.status = response.getStatus()};
-  std::array<char, kReadChunkBytes> chunk{};
-  while (stream.good()) {
-    stream.read(chunk.data(), chunk.size());
-    reply.body.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
-    if (reply.body.size() > options_.max_body_bytes)
-      return Unknown("the answer is too large");
-    if (TimeLeft(request.deadline).count() <= 0)
-      return Unknown("the deadline passed");
+core::result<service_reply> upstream::Exchange(connection link,
+                                               const service_request& request,
+                                               core::monotonic_time limit) {
+  const std::string text = ToHttp(request, options_.executor.address);
+  if (auto sent = link->Send(text, limit); !sent) {
+    return tl::unexpected(std::move(sent.error()));
+  }
+  detail::answer_reader reader({.has_body = request.method != "HEAD",
+                                .max_body_bytes = options_.max_body_bytes});
+  detail::answer_progress progress = detail::answer_progress::kNeedMore;
+  while (progress == detail::answer_progress::kNeedMore) {
+    const core::result<std::string> bytes = link->Receive(limit);
+    if (!bytes) {
+      // Idle connections of the same age may be lost in the same way.
+      DropIdle();
+      return tl::unexpected(bytes.error());
+    }
+    progress = reader.Feed(*bytes);
   }
-  const bool has_body = request.method != "HEAD";
-  const bool whole =
-      !has_body || (response.hasContentLength() &&
-                    static_cast<Poco::Int64>(reply.body.size()) ==
-                        response.getContentLength64());
-  if (!whole) return Unknown("the answer is not whole");
-  link.reusable = response.getKeepAlive();
-  if (response.getStatus() ==
-          Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE &&
-      response.get(std::string(kNotStartedHeader), "") == "1") {
-    return core::Failure(core::error_code::kNotRun,
-                         options_.executor.id + " did not start it");
+  if (progress == detail::answer_progress::kBroken) {
+    return core::Failure(core::error_code::kOutcomeUnknown,
+                         "the answer is malformed or too large");
   }
-  for (const auto& [name, value] : response) {
-    if (!IsHopByHop(name)) reply.headers.emplace_back(name, value);
+  if (reader.IsConnectionReusable()) KeepIdle(std::move(link));
+  service_reply reply = reader.Take();
+  if (SaysNotStarted(reply)) {
+    return core::Failure(core::error_code::kNotRun, "not started");
   }
   return reply;
 }
--- a/src/waxwingfront/front/upstream.h
+++ b/src/waxwingfront/front/upstream.h
@@ -3,9 +3,9 @@
 #define WAXWINGFRONT_FRONT_UPSTREAM_H_
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
 #include <mutex>
-#include <string>
 #include <vector>
 
 #include "waxwingfront/core/clock.h"
@@ -15,6 +15,10 @@
 
 namespace waxwingfront::front {
 
+namespace detail {
+class upstream_connection;
+}
+
 struct upstream_options {
   hosts::executor_info executor;
   core::milliseconds connect_timeout{500};
@@ -39,24 +43,35 @@
   bool TryAcquireSlot();
   void ReleaseSlot();
 
-  // Sends one request and reads the whole answer. Fails with `kNotRun` if no
-  // byte was sent or the executor says that it did not start, and with
-  // `kOutcomeUnknown` otherwise.
-  core::result<service_reply> Send(const service_request& request);
+  // Whether the last tries failed and the pause after them is not over.
+  bool IsSuspect(core::monotonic_time now) const;
+
+  // Sends one request and reads the whole answer, until `limit`. Fails with
+  // `kNotRun` if no byte was sent or the executor says that it did not start,
+  // and with `kOutcomeUnknown` otherwise.
+  core::result<service_reply> Send(const service_request& request,
+                                   core::monotonic_time limit);
 
  private:
-  struct connection;
+  using connection = std::unique_ptr<detail::upstream_connection>;
 
-  std::unique_ptr<connection> TakeIdle();
-  core::result<std::unique_ptr<connection>> Connect(
-      core::monotonic_time deadline) const;
-  core::result<service_reply> Exchange(connection& link,
-                                       const service_request& request) const;
+  core::result<connection> TakeConnection(const service_request& request,
+                                          core::monotonic_time limit);
+  connection TakeIdle(const service_request& request);
+  core::result<service_reply> Exchange(connection link,
+                                       const service_request& request,
+                                       core::monotonic_time limit);
+  void KeepIdle(connection link);
+  void DropIdle();
+  void NoteOutcome(const core::result<service_reply>& reply);
 
   upstream_options options_;
   std::atomic<int> outstanding_{0};
+  std::atomic<int> failures_in_a_row_{0};
+  // Time since the clock's epoch until which the executor is avoided.
+  std::atomic<core::monotonic_time::rep> suspect_until_{0};
   std::mutex mutex_;
-  std::vector<std::unique_ptr<connection>> idle_;
+  std::vector<connection> idle_;
 };
 
 }  // namespace waxwingfront::front
