Drain connections before an entry stops

Cause: an entry stopped accepting as soon as its notice period was over, and POCO drops connections that wait for a thread at that moment; callers on kept connections learned of the shutdown only by a closed connection. Ruled out: a longer notice period alone (a request longer than it is still cut). Now answers end their connections from the start of the shutdown, and the entry serves until no connection is left or the stated limit is over. Seen failing without the mechanism: with no waiting at all, rolling restarts of three entries under load lose requests; with the notice period alone, a request of 1,500 ms is cut at a notice of 500 ms.

--- a/src/waxwingfront/front/front_server.cc
+++ b/src/waxwingfront/front/front_server.cc
@@ -74,12 +74,22 @@
 
 int front_server::InFlight() const { return internal_->context.in_flight; }
 
+void front_server::BeginDrain() { internal_->context.draining = true; }
+
 void front_server::Drain(core::milliseconds limit) {
-  internal_->context.draining = true;
-  internal_->server->stop();
+  BeginDrain();
+  const Poco::Net::HTTPServer& server = *internal_->server;
+  const auto is_busy = [&server] {
+    return server.currentConnections() > 0 || server.queuedConnections() > 0;
+  };
   const core::monotonic_time end = core::Now() + limit;
-  while (InFlight() > 0 && core::Now() < end)
+  // Poco drops queued connections when it stops, so they are served first.
+  while (is_busy() && core::Now() < end)
     std::this_thread::sleep_for(kDrainPause);
+  internal_->server->stop();
+  while (InFlight() > 0 && core::Now() < end) {
+    std::this_thread::sleep_for(kDrainPause);
+  }
 }
 
 }  // namespace waxwingfront::front
--- a/src/waxwingfront/front/front_server.h
+++ b/src/waxwingfront/front/front_server.h
@@ -50,8 +50,12 @@
   // Requests that callers wait for.
   int InFlight() const;
 
-  // Stops accepting connections and waits for the requests in flight, at most
-  // `limit`.
+  // Goes on serving, but ends each connection with its next answer, so that
+  // callers leave before `Drain`.
+  void BeginDrain();
+
+  // Serves until no connection is left, at most `limit`, and then stops. Idle
+  // connections that stay are closed.
   void Drain(core::milliseconds limit);
 
  private:
--- a/src/waxwingfront/serve/entry.cc
+++ b/src/waxwingfront/serve/entry.cc
@@ -288,6 +288,7 @@
 
 void entry::Shutdown() {
   parts_->stopping = true;
+  parts_->front->BeginDrain();
   logging::Info(kPart, parts_->settings.entry().id(), " is shutting down");
   std::this_thread::sleep_for(
       core::milliseconds(parts_->settings.front().unready_ms()));
--- /dev/null
+++ b/tests/support/balancer.cc
@@ -0,0 +1,50 @@
+#include "support/balancer.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr core::milliseconds kProbePeriod{50};
+constexpr core::milliseconds kProbeLimit{500};
+constexpr core::milliseconds kRequestLimit{10000};
+
+}  // namespace
+
+balancer::target::target(const std::string& address)
+    : probes({.address = address, .timeout = kProbeLimit}),
+      requests({.address = address, .timeout = kRequestLimit}) {}
+
+balancer::balancer(const std::vector<std::string>& addresses)
+    : targets_([&addresses] {
+        std::vector<std::unique_ptr<target>> targets;
+        for (const std::string& address : addresses) {
+          targets.push_back(std::make_unique<target>(address));
+        }
+        return targets;
+      }()),
+      prober_(kProbePeriod, [this] { Probe(); }) {}
+
+void balancer::Probe() {
+  for (const auto& target : targets_) {
+    const auto reply = target->probes.Send("GET", "/readyz", "");
+    const bool ready = reply && reply->status == kHttpOk;
+    target->ready = ready;
+    // A connection to an entry that leaves is not kept for later requests.
+    if (!ready) target->requests.CloseIdle();
+  }
+}
+
+core::result<net::http_reply> balancer::Send(std::string_view method,
+                                             std::string_view path,
+                                             std::string_view body,
+                                             const net::http_headers& headers) {
+  for (std::size_t step = 0; step < targets_.size(); ++step) {
+    target& candidate = *targets_[next_++ % targets_.size()];
+    if (candidate.ready) {
+      return candidate.requests.Send(method, path, body, headers);
+    }
+  }
+  return core::Failure(core::error_code::kNoUpstream, "no entry is ready");
+}
+
+}  // namespace waxwingfront::tests
