--- a/tests/waxwingfront/serve/shutdown_test.cc
+++ b/tests/waxwingfront/serve/shutdown_test.cc
@@ -121,9 +121,8 @@
                        {"test-delay-ms", "1500"},
                        {"test-id", "slow"}});
   });
-  REQUIRE(AwaitCondition([&site] {
-    return site.Journal(site.ExecutorAddress(0)) == "slow\n";
-  }));
+  REQUIRE(AwaitCondition(
+      [&site] { return site.Journal(site.ExecutorAddress(0)) == "slow\n"; }));
   site.Entry(0).Signal(SIGTERM);
   CHECK(site.Entry(0).Wait() == 0);
   caller.join();
