Divide executors' slots among entries, and refuse requests that cannot finish in time

Cause: every entry used all slots and connections of every executor. With three entries over two executors of four slots, overload turned into refusals by the executors, and requests that were sent with no time left ended as "outcome_unknown". Now each slot belongs to one entry by rendezvous hashing, slots of others are used only while the executor refuses none, connections are at most an entry's part, waiting requests are bounded in all and for each customer, and a request is refused as soon as one and a half times the mean answer time no longer fits.

--- a/bench/added_latency_bench.cc
+++ b/bench/added_latency_bench.cc
@@ -36,6 +36,7 @@
   run_result result;
   std::mutex mutex;
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   const auto begin = core::Now();
   const auto period = std::chrono::nanoseconds(1000000000LL * kThreads / rate);
   const int requests = rate * kSeconds / kThreads;
--- a/bench/router_bench.cc
+++ b/bench/router_bench.cc
@@ -16,9 +16,12 @@
 upstream_list HalfBusy(std::int64_t count) {
   upstream_list list;
   for (std::int64_t index = 0; index < count; ++index) {
-    list.push_back(std::make_shared<upstream>(upstream_options{
-        .executor = {.id = std::to_string(index), .slots = kSlots}}));
-    for (int slot = 0; slot < kSlots / 2; ++slot) list.back()->TryAcquireSlot();
+    list.push_back(std::make_shared<upstream>(
+        upstream_options{.executor = {.id = std::to_string(index),
+                                      .slots = kSlots,
+                                      .connections = kSlots}}));
+    for (int slot = 0; slot < kSlots / 2; ++slot)
+      list.back()->TryAcquireSlot(kSlots);
   }
   return list;
 }
--- a/src/waxwingfront/front/attempt_history.cc
+++ b/src/waxwingfront/front/attempt_history.cc
@@ -5,7 +5,8 @@
 namespace waxwingfront::front {
 
 void attempt_history::OnFailure(core::error failure) {
-  const bool did_not_run = failure.code == core::error_code::kNotRun;
+  const bool did_not_run = failure.code == core::error_code::kNotRun ||
+                           failure.code == core::error_code::kOverloaded;
   if (did_not_run && may_have_run_) return;
   may_have_run_ = may_have_run_ || !did_not_run;
   decisive_ = std::move(failure);
--- a/src/waxwingfront/front/detail/handlers.cc
+++ b/src/waxwingfront/front/detail/handlers.cc
@@ -98,14 +98,16 @@
 
 class text_handler : public HTTPRequestHandler {
  public:
-  text_handler(int status, std::string body)
-      : status_(status), body_(std::move(body)) {}
+  text_handler(const front_context& context, int status, std::string body)
+      : context_(context), status_(status), body_(std::move(body)) {}
   void handleRequest(HTTPServerRequest& /*request*/,
                      HTTPServerResponse& response) override {
+    if (context_.draining) response.setKeepAlive(false);
     SendBody(response, status_, "text/plain; version=0.0.4", body_);
   }
 
  private:
+  const front_context& context_;
   int status_;
   std::string body_;
 };
@@ -184,7 +186,8 @@
     }
     const auto deadline = ReadDeadline(http, service->default_deadline_ms());
     if (!deadline) return tl::unexpected(deadline.error());
-    request.deadline = core::Now() + *deadline;
+    request.received = core::Now();
+    request.deadline = request.received + *deadline;
     request.idempotent = IsIdempotentMethod(request.method) ||
                          http.get("Waxwingfront-Idempotent", "") == "true";
     for (const auto& [name, value] : http) {
@@ -292,14 +295,14 @@
 HTTPRequestHandler* handler_factory::createRequestHandler(
     const HTTPServerRequest& request) {
   const std::string& uri = request.getURI();
-  if (uri == "/healthz") return new text_handler(kHttpOk, "ok\n");
+  if (uri == "/healthz") return new text_handler(context_, kHttpOk, "ok\n");
   if (uri == "/readyz") {
     const std::string reason = context_.options.unready_reason();
-    if (reason.empty()) return new text_handler(kHttpOk, "ready\n");
-    return new text_handler(kHttpServiceUnavailable, reason + "\n");
+    if (reason.empty()) return new text_handler(context_, kHttpOk, "ready\n");
+    return new text_handler(context_, kHttpServiceUnavailable, reason + "\n");
   }
   if (uri == "/metrics")
-    return new text_handler(kHttpOk, context_.metrics.Text());
+    return new text_handler(context_, kHttpOk, context_.metrics.Text());
   if (StartsWith(uri, kServicesPrefix)) return new service_handler(context_);
   if (uri == kJobsPath || StartsWith(uri, std::string(kJobsPath) + "/")) {
     return new job_handler(context_);
--- a/src/waxwingfront/front/message.h
+++ b/src/waxwingfront/front/message.h
@@ -24,6 +24,7 @@
   header_list headers;
   std::string body;
   bool idempotent = false;
+  core::monotonic_time received;
   core::monotonic_time deadline;
 };
 
--- a/src/waxwingfront/front/request_router.h
+++ b/src/waxwingfront/front/request_router.h
@@ -5,6 +5,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,7 +16,9 @@
 #include "waxwingfront/core/rcu_cell.h"
 #include "waxwingfront/front/message.h"
 #include "waxwingfront/front/retry_budget.h"
+#include "waxwingfront/front/service_time.h"
 #include "waxwingfront/front/upstream_choice.h"
+#include "waxwingfront/front/wait_room.h"
 #include "waxwingfront/hosts/host_view.h"
 
 namespace waxwingfront::front {
@@ -27,6 +31,10 @@
   // Executors tried for one request at most.
   int max_tries = 3;
   retry_budget_options retries;
+  // Requests that wait for a slot.
+  wait_room_options waiting;
+  // Id of this entry.
+  std::string entry_id;
 };
 
 class request_router {
@@ -37,25 +45,47 @@
   // Replaces the routing table. Connections to executors that stay are kept.
   void OnHosts(const hosts::host_view& view);
 
+  // Divides the executors among the live entries, this one included.
+  void OnEntries(std::span<const std::string> entries);
+
   // Routes one request. Fails with `kNoUpstream`, `kOverloaded`,
   // `kDeadlineExceeded` or `kNotRun` if it surely did not run, and with
   // `kOutcomeUnknown` otherwise.
   core::result<service_reply> Route(const service_request& request);
 
  private:
+  struct service_route {
+    upstream_list upstreams;
+    // Outlives the tables.
+    std::shared_ptr<service_time> answer_time;
+  };
   struct routing_table {
-    std::map<std::string, upstream_list, std::less<>> services;
+    std::map<std::string, service_route, std::less<>> services;
   };
 
   // The executors of a service; null if there are none.
-  static const upstream_list* FindService(const routing_table* table,
+  static const service_route* FindService(const routing_table* table,
                                           std::string_view service);
-  core::result<std::shared_ptr<upstream>> AcquireInTime(
+  core::result<std::shared_ptr<upstream>> Acquire(
       const service_request& request, const upstream_list& tried) const;
+  // As `Acquire`, but waits for a free slot while the request can be answered
+  // in time.
+  core::result<std::shared_ptr<upstream>> AcquireInTime(
+      const service_request& request, const upstream_list& tried);
+  bool IsHopeless(const service_request& request) const;
+  core::result<service_reply> Try(upstream& target,
+                                  const service_request& request,
+                                  core::monotonic_time limit) const;
+  std::shared_ptr<upstream> MakeUpstream(
+      const hosts::executor_info& info,
+      std::span<const std::string> entries) const;
 
   request_router_options options_;
   core::rcu_cell<routing_table> table_;
   retry_budget retries_;
+  wait_room waiting_;
+  std::mutex entries_mutex_;
+  std::vector<std::string> entries_;
 };
 
 }  // namespace waxwingfront::front
--- a/src/waxwingfront/front/upstream.cc
+++ b/src/waxwingfront/front/upstream.cc
@@ -8,6 +8,7 @@
 
 #include "waxwingfront/front/detail/answer_reader.h"
 #include "waxwingfront/front/detail/upstream_connection.h"
+#include "waxwingfront/front/slot_share.h"
 
 namespace waxwingfront::front {
 namespace {
@@ -22,6 +23,9 @@
 constexpr core::milliseconds kMaxIdleForUnsafe{1000};
 constexpr int kFailuresUntilSuspect = 3;
 constexpr core::milliseconds kSuspectPause{1000};
+// After a refusal the executor's other slots are taken to be busy for a few
+// service times, so that overload does not turn into refusals.
+constexpr core::milliseconds kOwnOnlyPause{100};
 
 core::milliseconds TimeLeft(core::monotonic_time limit) {
   return std::chrono::duration_cast<core::milliseconds>(limit - core::Now());
@@ -54,13 +58,33 @@
 
 }  // namespace
 
-upstream::upstream(upstream_options options) : options_(std::move(options)) {}
+upstream::upstream(upstream_options options)
+    : options_(std::move(options)),
+      own_slots_(options_.executor.slots),
+      connection_limit_(options_.executor.connections) {}
 
 upstream::~upstream() = default;
 
-bool upstream::TryAcquireSlot() {
+void upstream::Divide(std::span<const std::string> entries,
+                      std::string_view self) {
+  const hosts::executor_info& executor = options_.executor;
+  const int limit = ConnectionLimit(executor.connections, entries);
+  const int own = front::OwnSlots(executor.id, executor.slots, entries, self);
+  connection_limit_.store(limit, std::memory_order_relaxed);
+  own_slots_.store(std::min(own, limit), std::memory_order_relaxed);
+}
+
+int upstream::UsableSlots(core::monotonic_time now) const {
+  const bool own_only = now.time_since_epoch().count() <
+                        own_only_until_.load(std::memory_order_relaxed);
+  if (own_only) return OwnSlots();
+  return std::min(options_.executor.slots,
+                  connection_limit_.load(std::memory_order_relaxed));
+}
+
+bool upstream::TryAcquireSlot(int limit) {
   int taken = outstanding_.load(std::memory_order_relaxed);
-  while (taken < options_.executor.slots) {
+  while (taken < limit) {
     if (outstanding_.compare_exchange_weak(taken, taken + 1)) return true;
   }
   return false;
@@ -74,12 +98,19 @@
 }
 
 void upstream::NoteOutcome(const core::result<service_reply>& reply) {
-  if (reply) {
+  const core::monotonic_time now = core::Now();
+  if (!reply && reply.error().code == core::error_code::kOverloaded) {
+    own_only_until_.store((now + kOwnOnlyPause).time_since_epoch().count(),
+                          std::memory_order_relaxed);
+  }
+  const bool answered =
+      reply || reply.error().code == core::error_code::kOverloaded;
+  if (answered) {
     failures_in_a_row_.store(0, std::memory_order_relaxed);
     return;
   }
   if (failures_in_a_row_.fetch_add(1) + 1 < kFailuresUntilSuspect) return;
-  suspect_until_.store((core::Now() + kSuspectPause).time_since_epoch().count(),
+  suspect_until_.store((now + kSuspectPause).time_since_epoch().count(),
                        std::memory_order_relaxed);
 }
 
@@ -101,7 +132,8 @@
 void upstream::KeepIdle(connection link) {
   link->MarkAnswered();
   const std::lock_guard lock(mutex_);
-  const auto limit = static_cast<std::size_t>(options_.executor.connections);
+  const auto limit = static_cast<std::size_t>(
+      connection_limit_.load(std::memory_order_relaxed));
   if (idle_.size() < limit) idle_.push_back(std::move(link));
 }
 
@@ -158,7 +190,7 @@
   if (reader.IsConnectionReusable()) KeepIdle(std::move(link));
   service_reply reply = reader.Take();
   if (SaysNotStarted(reply)) {
-    return core::Failure(core::error_code::kNotRun, "not started");
+    return core::Failure(core::error_code::kOverloaded, "no free slot");
   }
   return reply;
 }
--- a/src/waxwingfront/front/upstream.h
+++ b/src/waxwingfront/front/upstream.h
@@ -6,6 +6,9 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "waxwingfront/core/clock.h"
@@ -39,16 +42,27 @@
   int Outstanding() const {
     return outstanding_.load(std::memory_order_relaxed);
   }
-  // Takes a slot; false if all are taken. Each success needs one `ReleaseSlot`.
-  bool TryAcquireSlot();
+  // Slots that belong to this entry.
+  int OwnSlots() const { return own_slots_.load(std::memory_order_relaxed); }
+  // Slots that this entry may use now: also those of other entries, unless the
+  // executor had none free a moment ago. No more than this entry's part of the
+  // executor's connections.
+  int UsableSlots(core::monotonic_time now) const;
+  // Divides the executor among live entries. Until it is called, this entry has
+  // the executor alone.
+  void Divide(std::span<const std::string> entries, std::string_view self);
+
+  // Takes a slot if fewer than `limit` are taken. Each success needs one
+  // `ReleaseSlot`.
+  bool TryAcquireSlot(int limit);
   void ReleaseSlot();
 
   // Whether the last tries failed and the pause after them is not over.
   bool IsSuspect(core::monotonic_time now) const;
 
   // Sends one request and reads the whole answer, until `limit`. Fails with
-  // `kNotRun` if no byte was sent or the executor says that it did not start,
-  // and with `kOutcomeUnknown` otherwise.
+  // `kNotRun` if no byte was sent, with `kOverloaded` if the executor says that
+  // it did not start, and with `kOutcomeUnknown` otherwise.
   core::result<service_reply> Send(const service_request& request,
                                    core::monotonic_time limit);
 
@@ -67,6 +81,10 @@
 
   upstream_options options_;
   std::atomic<int> outstanding_{0};
+  std::atomic<int> own_slots_;
+  std::atomic<int> connection_limit_;
+  // Time since the clock's epoch until which no slots of others are used.
+  std::atomic<core::monotonic_time::rep> own_only_until_{0};
   std::atomic<int> failures_in_a_row_{0};
   // Time since the clock's epoch until which the executor is avoided.
   std::atomic<core::monotonic_time::rep> suspect_until_{0};
--- a/src/waxwingfront/front/upstream_choice.cc
+++ b/src/waxwingfront/front/upstream_choice.cc
@@ -18,8 +18,17 @@
   return std::uniform_int_distribution<std::size_t>(0, size - 1)(generator);
 }
 
-bool IsOpen(const std::shared_ptr<upstream>& item, const upstream_list& tried) {
-  if (item->Outstanding() >= item->Executor().slots) return false;
+// Which slots of an executor are looked for.
+enum class slot_kind { kOwn, kAny };
+
+int SlotLimit(const upstream& item, slot_kind kind) {
+  return kind == slot_kind::kOwn ? item.OwnSlots()
+                                 : item.UsableSlots(core::Now());
+}
+
+bool IsOpen(const std::shared_ptr<upstream>& item, const upstream_list& tried,
+            slot_kind kind) {
+  if (item->Outstanding() >= SlotLimit(*item, kind)) return false;
   return std::find(tried.begin(), tried.end(), item) == tried.end();
 }
 
@@ -32,16 +41,19 @@
 }
 
 std::shared_ptr<upstream> AcquireFromPairs(const upstream_list& candidates,
-                                           const upstream_list& tried) {
+                                           const upstream_list& tried,
+                                           slot_kind kind) {
   const core::monotonic_time now = core::Now();
   const auto pick = [&]() -> const std::shared_ptr<upstream>* {
     const auto& item = candidates[RandomIndex(candidates.size())];
-    return IsOpen(item, tried) && !item->IsSuspect(now) ? &item : nullptr;
+    return IsOpen(item, tried, kind) && !item->IsSuspect(now) ? &item : nullptr;
   };
   for (int pair = 0; pair < kPairs; ++pair) {
     const auto* first = pick();
     const auto* chosen = LessLoaded(first, pick());
-    if (chosen != nullptr && (*chosen)->TryAcquireSlot()) return *chosen;
+    if (chosen != nullptr &&
+        (*chosen)->TryAcquireSlot(SlotLimit(**chosen, kind)))
+      return *chosen;
   }
   return nullptr;
 }
@@ -49,13 +61,15 @@
 // Looks at all executors, from a random one on.
 std::shared_ptr<upstream> AcquireFromAll(const upstream_list& candidates,
                                          const upstream_list& tried,
-                                         bool with_suspects) {
+                                         slot_kind kind, bool with_suspects) {
   const core::monotonic_time now = core::Now();
   const std::size_t begin = RandomIndex(candidates.size());
   for (std::size_t step = 0; step < candidates.size(); ++step) {
     const auto& item = candidates[(begin + step) % candidates.size()];
     if (!with_suspects && item->IsSuspect(now)) continue;
-    if (IsOpen(item, tried) && item->TryAcquireSlot()) return item;
+    if (IsOpen(item, tried, kind) &&
+        item->TryAcquireSlot(SlotLimit(*item, kind)))
+      return item;
   }
   return nullptr;
 }
@@ -65,9 +79,11 @@
 std::shared_ptr<upstream> AcquireUpstream(const upstream_list& candidates,
                                           const upstream_list& tried) {
   if (candidates.empty()) return nullptr;
-  if (auto item = AcquireFromPairs(candidates, tried)) return item;
-  if (auto item = AcquireFromAll(candidates, tried, false)) return item;
-  return AcquireFromAll(candidates, tried, true);
+  for (const slot_kind kind : {slot_kind::kOwn, slot_kind::kAny}) {
+    if (auto item = AcquireFromPairs(candidates, tried, kind)) return item;
+    if (auto item = AcquireFromAll(candidates, tried, kind, false)) return item;
+  }
+  return AcquireFromAll(candidates, tried, slot_kind::kAny, true);
 }
 
 }  // namespace waxwingfront::front
--- a/src/waxwingfront/serve/entry.cc
+++ b/src/waxwingfront/serve/entry.cc
@@ -103,7 +103,8 @@
     return {.connect_timeout =
                 core::milliseconds(settings.front().connect_timeout_ms()),
             .max_body_bytes =
-                static_cast<std::size_t>(settings.front().max_body_bytes())};
+                static_cast<std::size_t>(settings.front().max_body_bytes()),
+            .entry_id = settings.entry().id()};
   }
 
   shard::shard_core_options CoreOptions() const {
@@ -228,6 +229,7 @@
     const auto polled = manager.Poll();
     if (!polled)
       logging::Warning(kPart, "shards not read: ", polled.error().detail);
+    router.OnEntries(manager.LiveEntries());
     metrics.Gauge("waxwingfront_shards_owned")
         .Set(static_cast<std::int64_t>(manager.OwnedCount()));
   }
--- a/src/waxwingfront/shard/shard_manager.cc
+++ b/src/waxwingfront/shard/shard_manager.cc
@@ -22,7 +22,9 @@
 
 shard_manager::shard_manager(shard_manager_options options,
                              const store::store_client& store)
-    : options_(std::move(options)), store_(store) {}
+    : options_(std::move(options)),
+      store_(store),
+      live_entries_{options_.entry_id} {}
 
 core::result<void> shard_manager::Poll() {
   if (const auto renewed = RenewLease(); !renewed) return renewed;
--- a/src/waxwingfront/shard/shard_manager.h
+++ b/src/waxwingfront/shard/shard_manager.h
@@ -47,6 +47,9 @@
   // Peer address of the entry that owns `shard`, as last read.
   std::optional<std::string> OwnerAddress(std::string_view shard) const;
   std::size_t OwnedCount() const;
+  // Ids of the live entries as last read, this one included. Call it from the
+  // thread that calls `Poll`.
+  const std::vector<std::string>& LiveEntries() const { return live_entries_; }
 
  private:
   core::result<void> RenewLease();
--- a/standins/waxwingfront/standins/executor.cc
+++ b/standins/waxwingfront/standins/executor.cc
@@ -24,8 +24,10 @@
     const std::lock_guard lock(mutex_);
     return {.body = journal_};
   }
+  if (call.path == "/refused") return {.body = std::to_string(refused_)};
   if (busy_.fetch_add(1) >= slots_) {
     --busy_;
+    ++refused_;
     return {.status = kHttpUnavailable,
             .headers = {{"Waxwingfront-Not-Started", "1"}}};
   }
--- a/standins/waxwingfront/standins/executor.h
+++ b/standins/waxwingfront/standins/executor.h
@@ -24,6 +24,7 @@
   std::string id_;
   int slots_;
   std::atomic<int> busy_{0};
+  std::atomic<int> refused_{0};
   std::mutex mutex_;
   std::string journal_;
 };
--- a/tests/waxwingfront/front/request_router_test.cc
+++ b/tests/waxwingfront/front/request_router_test.cc
@@ -39,6 +39,7 @@
           .path = "/",
           .body = "order",
           .idempotent = IsIdempotentMethod(method),
+          .received = core::Now(),
           .deadline = core::Now() + time};
 }
 
--- a/tests/waxwingfront/front/upstream_choice_test.cc
+++ b/tests/waxwingfront/front/upstream_choice_test.cc
@@ -13,9 +13,9 @@
 constexpr int kSlots = 3;
 
 std::shared_ptr<upstream> WithBusySlots(int busy) {
-  auto item = std::make_shared<upstream>(
-      upstream_options{.executor = {.id = "executor", .slots = kSlots}});
-  for (int slot = 0; slot < busy; ++slot) item->TryAcquireSlot();
+  auto item = std::make_shared<upstream>(upstream_options{
+      .executor = {.id = "executor", .slots = kSlots, .connections = kSlots}});
+  for (int slot = 0; slot < busy; ++slot) item->TryAcquireSlot(kSlots);
   return item;
 }
 
