--- a/tests/waxwingfront/front/slot_share_test.cc
+++ b/tests/waxwingfront/front/slot_share_test.cc
@@ -11,6 +11,7 @@
 
 std::vector<std::string> Entries(int count) {
   std::vector<std::string> entries;
+  entries.reserve(count);
   for (int index = 0; index < count; ++index) {
     entries.push_back("entry-" + std::to_string(index));
   }
