Index bound attempts by worker

Cause: BoundTo scanned every open job for each worker at each look. A look is now proportional to the attempts of that worker. Workers without a bound attempt no longer keep an entry of zero committed sizes.

--- a/src/waxwingfront/shard/shard_core.cc
+++ b/src/waxwingfront/shard/shard_core.cc
@@ -140,11 +140,9 @@
 }
 
 void shard_core::QueueLostAttempts(core::monotonic_time now) {
-  for (const std::string& id : state_.OpenJobs()) {
-    const job_record& job = *state_.FindJob(id);
-    for (const auto& [task, bound] : job.active) {
-      if (now < Contact(bound.worker).surely_ended) continue;
-      const attempt_key key{id, task, bound.attempt};
+  for (const auto& [worker, tasks] : state_.BoundByWorker()) {
+    if (now < Contact(worker).surely_ended) continue;
+    for (const auto& [key, job] : BoundTo(worker)) {
       if (!IsConfirmed(key)) continue;
       QueueEnd(IdOf(key), schema::ATTEMPT_OUTCOME_LOST, "");
     }
@@ -279,23 +277,19 @@
       if (info.shard == options_.shard) ids.insert(id);
     }
   }
-  for (const std::string& job : state_.OpenJobs()) {
-    for (const auto& [task, bound] : state_.FindJob(job)->active)
-      ids.insert(bound.worker);
-  }
+  for (const auto& [worker, tasks] : state_.BoundByWorker()) ids.insert(worker);
   return {ids.begin(), ids.end()};
 }
 
 std::vector<std::pair<shard_core::attempt_key, const job_record*>>
 shard_core::BoundTo(std::string_view worker) const {
   std::vector<std::pair<attempt_key, const job_record*>> bound_attempts;
-  for (const std::string& id : state_.OpenJobs()) {
+  const auto tasks = state_.BoundByWorker().find(worker);
+  if (tasks == state_.BoundByWorker().end()) return bound_attempts;
+  for (const auto& [id, task] : tasks->second) {
     const job_record* job = state_.FindJob(id);
-    for (const auto& [task, bound] : job->active) {
-      if (bound.worker == worker) {
-        bound_attempts.emplace_back(attempt_key{id, task, bound.attempt}, job);
-      }
-    }
+    const std::int32_t attempt = job->active.at(task).attempt;
+    bound_attempts.emplace_back(attempt_key{id, task, attempt}, job);
   }
   return bound_attempts;
 }
--- a/src/waxwingfront/shard/shard_state.cc
+++ b/src/waxwingfront/shard/shard_state.cc
@@ -117,7 +117,7 @@
     }
     ++job.next_task;
   }
-  AddCommitted(job, bound.worker);
+  AddBound(job, id.task(), bound.worker);
   job.active.emplace(id.task(), std::move(bound));
   return {};
 }
@@ -130,7 +130,7 @@
   const auto active = job.active.find(id.task());
   const bound_attempt ended = std::move(active->second);
   job.active.erase(active);
-  SubtractCommitted(job, ended.worker);
+  RemoveBound(job, id.task(), ended.worker);
   CountOutcome(job, decision);
   if (decision.outcome() == schema::ATTEMPT_OUTCOME_FINISHED) {
     ++job.finished;
@@ -166,16 +166,22 @@
   }
 }
 
-void shard_state::AddCommitted(const job_record& job,
-                               const std::string& worker) {
+void shard_state::AddBound(const job_record& job, std::int64_t task,
+                           const std::string& worker) {
+  bound_by_worker_[worker].emplace(job.spec.id(), task);
   committed_by_worker_[worker] += job.task_size;
   committed_by_customer_[job.spec.customer()] += job.task_size;
 }
 
-void shard_state::SubtractCommitted(const job_record& job,
-                                    const std::string& worker) {
-  committed_by_worker_[worker] -= job.task_size;
+void shard_state::RemoveBound(const job_record& job, std::int64_t task,
+                              const std::string& worker) {
   committed_by_customer_[job.spec.customer()] -= job.task_size;
+  committed_by_worker_[worker] -= job.task_size;
+  task_set& bound = bound_by_worker_[worker];
+  bound.erase({job.spec.id(), task});
+  if (!bound.empty()) return;
+  bound_by_worker_.erase(worker);
+  committed_by_worker_.erase(worker);
 }
 
 const job_record* shard_state::FindJob(std::string_view id) const {
@@ -279,7 +285,7 @@
                          bound_attempt{.attempt = active.attempt(),
                                        .worker = active.worker(),
                                        .checkpoint = active.checkpoint()});
-      state.AddCommitted(job, active.worker());
+      state.AddBound(job, active.task(), active.worker());
     }
     for (const schema::waiting_task& waiting : entry.waiting()) {
       job.waiting.emplace(waiting.task(),
--- a/src/waxwingfront/shard/shard_state.h
+++ b/src/waxwingfront/shard/shard_state.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "waxwingfront/core/error.h"
 #include "waxwingfront/core/resources.h"
@@ -78,6 +79,12 @@
   core::resources CommittedTo(std::string_view worker) const;
   // Declared sizes of all bound attempts of `customer`.
   core::resources CommittedFor(std::string_view customer) const;
+  // Tasks with an attempt bound to a worker, as (job, task).
+  using task_set = std::set<std::pair<std::string, std::int64_t>>;
+  // Only workers with a bound attempt are listed.
+  const std::map<std::string, task_set, std::less<>>& BoundByWorker() const {
+    return bound_by_worker_;
+  }
   // Whether this very attempt is bound and has not ended.
   bool IsBound(const schema::attempt_id& id) const;
 
@@ -99,12 +106,15 @@
   core::result<void> ApplyEnded(const schema::attempt_ended& decision);
   static void CountOutcome(job_record& job,
                            const schema::attempt_ended& decision);
-  void AddCommitted(const job_record& job, const std::string& worker);
-  void SubtractCommitted(const job_record& job, const std::string& worker);
+  void AddBound(const job_record& job, std::int64_t task,
+                const std::string& worker);
+  void RemoveBound(const job_record& job, std::int64_t task,
+                   const std::string& worker);
 
   std::map<std::string, job_record, std::less<>> jobs_;
   std::set<std::string, std::less<>> open_jobs_;
   std::set<std::string, std::less<>> quarantined_;
+  std::map<std::string, task_set, std::less<>> bound_by_worker_;
   std::map<std::string, core::resources, std::less<>> committed_by_worker_;
   std::map<std::string, core::resources, std::less<>> committed_by_customer_;
   std::uint64_t next_order_ = 0;
