Keep attempts of a restarted worker while it runs unknown tasks

Cause: a worker that restarts may still run tasks that it no longer knows by their attempts. The owner ended the attempts it did not list, or took the answer 'evicted' to a stop of one, and bound the next attempt while the former still ran. Property 'no walk of faults breaks an invariant': after 231 walks [FreezeWithRequests, Advance, RestartKeeping, Thaw, TakeOver], and with that removed after 648 walks [Advance, RestartKeeping, Evict, Thaw]: 'task 0 of job-0 runs as attempt 1 on worker-0 and as attempt 2 on worker-1'.

--- a/src/waxwingfront/shard/shard_core.cc
+++ b/src/waxwingfront/shard/shard_core.cc
@@ -180,7 +180,8 @@
   if (state_.Quarantined().contains(info.id)) return false;
   const auto contact = contacts_.find(info.id);
   if (contact == contacts_.end() || !contact->second.answered) return false;
-  return !contact->second.leaving && now < contact->second.ticket_end;
+  if (contact->second.leaving || !contact->second.unknown.empty()) return false;
+  return now < contact->second.ticket_end;
 }
 
 core::resources shard_core::Withheld(const hosts::worker_info& info,
@@ -336,7 +337,8 @@
       *request.add_stop() = IdOf(key);
       continue;
     }
-    if (contact.running.contains(key)) continue;
+    // An unknown task there may be this very one, of an earlier incarnation.
+    if (contact.running.contains(key) || !contact.unknown.empty()) continue;
     if (static_cast<std::size_t>(request.start_size()) >= kMaxStartsPerSync)
       continue;
     schema::start_task& start = *request.add_start();
@@ -363,7 +365,12 @@
   const bool running = report.state() == schema::ATTEMPT_STATE_RUNNING;
   if (running) contact.running.insert(key);
   if (bound_here) {
-    if (!running) QueueEnd(report.id(), report.outcome(), report.checkpoint());
+    // A restarted worker answers a stop of an attempt it does not remember with
+    // "evicted", although the task may be an unknown one that still runs.
+    const bool in_doubt = report.outcome() == schema::ATTEMPT_OUTCOME_EVICTED &&
+                          !contact.unknown.empty();
+    if (!running && !in_doubt)
+      QueueEnd(report.id(), report.outcome(), report.checkpoint());
     return;
   }
   if (running) {
@@ -377,12 +384,14 @@
 }
 
 void shard_core::EndMissingAttempts(const std::string& worker,
-                                    const std::set<attempt_key>& ran_before) {
-  const worker_contact& contact = Contact(worker);
+                                    worker_contact& contact) {
+  if (contact.missing.empty() || !contact.unknown.empty()) return;
   for (const auto& [key, job] : BoundTo(worker)) {
-    if (!ran_before.contains(key) || contact.running.contains(key)) continue;
+    if (!contact.missing.contains(key) || contact.running.contains(key))
+      continue;
     QueueEnd(IdOf(key), schema::ATTEMPT_OUTCOME_LOST, "");
   }
+  contact.missing.clear();
 }
 
 void shard_core::OnSyncReply(const std::string& worker,
@@ -410,10 +419,15 @@
   contact.unknown.clear();
   contact.forget.clear();
   contact.unaccounted = {};
-  for (const schema::attempt_report& report : response.attempts()) {
-    TakeReport(report, worker, contact);
+  // What runs is taken first: it decides which ends count.
+  for (const auto state :
+       {schema::ATTEMPT_STATE_RUNNING, schema::ATTEMPT_STATE_ENDED}) {
+    for (const schema::attempt_report& report : response.attempts()) {
+      if (report.state() == state) TakeReport(report, worker, contact);
+    }
   }
-  if (restarted) EndMissingAttempts(worker, ran_before);
+  if (restarted) contact.missing.insert(ran_before.begin(), ran_before.end());
+  EndMissingAttempts(worker, contact);
 }
 
 void shard_core::OnSyncFailed(const std::string& worker,
--- a/src/waxwingfront/shard/shard_core.h
+++ b/src/waxwingfront/shard/shard_core.h
@@ -132,6 +132,8 @@
     // Attempts to stop that the log does not have, and ended ones to forget.
     std::set<attempt_key> unknown;
     std::set<attempt_key> forget;
+    // Attempts that ran before the worker restarted and are not listed since.
+    std::set<attempt_key> missing;
   };
 
   static attempt_key KeyOf(const schema::attempt_id& id);
@@ -153,9 +155,8 @@
   void TakeReport(const schema::attempt_report& report,
                   const std::string& worker, worker_contact& contact);
   // Ends attempts that a restarted worker ran before and does not list any
-  // more.
-  void EndMissingAttempts(const std::string& worker,
-                          const std::set<attempt_key>& ran_before);
+  // more, unless it runs unknown tasks: one of these may be such an attempt.
+  void EndMissingAttempts(const std::string& worker, worker_contact& contact);
   void MoveQueued(schema::log_record& record);
   void PlanInto(schema::log_record& record, core::monotonic_time now);
   bool IsCandidate(const hosts::worker_info& info,
