Pause between calls to a worker that fails or does not carry out a start

Cause: an attempt that the worker does not list was urgent at every look. A worker that did not carry out a start was asked 33 times in a 2 s period, one that could not be reached 97 times (every look), and a start refused for want of capacity stayed bound for ever. Now what a request carried is not urgent again until the next period, a failed call is followed by 500 ms without an urgent one, and after three requests that the worker did not heed the start is taken back and bound elsewhere.

--- a/src/waxwingfront/shard/shard_core.cc
+++ b/src/waxwingfront/shard/shard_core.cc
@@ -17,6 +17,12 @@
 // Keeps a worker that does not carry out a start from being asked without a
 // pause.
 constexpr core::milliseconds kMinSyncGap{50};
+// Pause after a failed call, so that a worker that is down is not called in a
+// loop while urgent work still starts within a second of a lost message.
+constexpr core::milliseconds kFailedSyncGap{500};
+// Requests after which a start that the worker does not carry out is taken
+// back.
+constexpr int kMaxRefusedStarts = 3;
 
 }  // namespace
 
@@ -310,9 +316,11 @@
   for (const auto& [key, job] : BoundTo(worker)) {
     if (!IsConfirmed(key) || ending_.contains(key)) continue;
     const bool running = contact.running.contains(key);
-    if (running == IsStopWanted(key, *job, contact)) return true;
+    const bool due = running == IsStopWanted(key, *job, contact);
+    if (due && !contact.asked.contains(key)) return true;
   }
-  return !contact.unknown.empty();
+  return !std::includes(contact.asked.begin(), contact.asked.end(),
+                        contact.unknown.begin(), contact.unknown.end());
 }
 
 std::optional<schema::sync_request> shard_core::NextSync(
@@ -351,6 +359,14 @@
     *request.add_stop() = IdOf(key);
   for (const attempt_key& key : contact.forget)
     *request.add_forget() = IdOf(key);
+  contact.asked.clear();
+  contact.starts_asked.clear();
+  for (const schema::start_task& start : request.start())
+    contact.starts_asked.insert(KeyOf(start.id()));
+  for (const schema::attempt_id& id : request.stop())
+    contact.asked.insert(KeyOf(id));
+  contact.asked.insert(contact.starts_asked.begin(),
+                       contact.starts_asked.end());
   contact.in_flight = true;
   return request;
 }
@@ -383,6 +399,19 @@
   if (!ending_.contains(key)) contact.forget.insert(key);
 }
 
+void shard_core::CountRefusedStarts(const schema::sync_response& response,
+                                    worker_contact& contact) {
+  std::map<attempt_key, int> refused;
+  for (const attempt_key& key : contact.starts_asked)
+    refused[key] = contact.refused_starts[key] + 1;
+  for (const schema::attempt_report& report : response.attempts())
+    refused.erase(KeyOf(report.id()));
+  for (const auto& [key, count] : refused) {
+    if (count >= kMaxRefusedStarts) Evict(IdOf(key));
+  }
+  contact.refused_starts = std::move(refused);
+}
+
 void shard_core::EndMissingAttempts(const std::string& worker,
                                     worker_contact& contact) {
   if (contact.missing.empty() || !contact.unknown.empty()) return;
@@ -426,6 +455,11 @@
       if (report.state() == state) TakeReport(report, worker, contact);
     }
   }
+  if (response.refusal() == schema::SYNC_REFUSAL_NONE) {
+    CountRefusedStarts(response, contact);
+  } else {
+    contact.asked.clear();
+  }
   if (restarted) contact.missing.insert(ran_before.begin(), ran_before.end());
   EndMissingAttempts(worker, contact);
 }
@@ -435,6 +469,9 @@
   worker_contact& contact = Contact(worker);
   contact.in_flight = false;
   contact.next_sync = now + options_.sync_period;
+  contact.next_urgent = now + kFailedSyncGap;
+  // What the lost request carried is urgent again.
+  contact.asked.clear();
 }
 
 }  // namespace waxwingfront::shard
--- a/src/waxwingfront/shard/shard_core.h
+++ b/src/waxwingfront/shard/shard_core.h
@@ -132,6 +132,13 @@
     // Attempts to stop that the log does not have, and ended ones to forget.
     std::set<attempt_key> unknown;
     std::set<attempt_key> forget;
+    // Attempts whose start or stop the last request carried; they are not
+    // urgent any more.
+    std::set<attempt_key> asked;
+    std::set<attempt_key> starts_asked;
+    // How many answers in a row listed neither a run nor an end of an attempt
+    // whose start they were asked for.
+    std::map<attempt_key, int> refused_starts;
     // Attempts that ran before the worker restarted and are not listed since.
     std::set<attempt_key> missing;
   };
@@ -154,6 +161,10 @@
   void QueueLostAttempts(core::monotonic_time now);
   void TakeReport(const schema::attempt_report& report,
                   const std::string& worker, worker_contact& contact);
+  // Takes starts back that the worker does not carry out again and again, for
+  // example for want of capacity.
+  void CountRefusedStarts(const schema::sync_response& response,
+                          worker_contact& contact);
   // Ends attempts that a restarted worker ran before and does not list any
   // more, unless it runs unknown tasks: one of these may be such an attempt.
   void EndMissingAttempts(const std::string& worker, worker_contact& contact);
