Command only incarnations that were met under the store lease

Cause: a restarted worker has forgotten the epochs it saw. A paused former owner within its grace could start an attempt there, while the new owner, which had reached the former incarnation and so waited T + TL only, bound the next attempt elsewhere. The test 'a former owner starts nothing on a worker that has restarted since' failed: '44000 ms: task 0 of job-0 runs as attempt 1 on worker-0 and as attempt 2 on worker-2'. Ruled out: waiting G + T + TL after every take-over, also for workers that were reached; a host lost within 11 minutes after a take-over would hold its tasks for as long. An owner now commands an incarnation only if its store lease, less 5 %, was still running after it first met it; a renewal that was asked for later is enough. During a store outage a worker that restarts gets no work until the store answers.

--- a/src/waxwingfront/shard/shard_core.cc
+++ b/src/waxwingfront/shard/shard_core.cc
@@ -83,6 +83,13 @@
   return now < lease_asked_at_ + options_.lease_ttl + options_.grace;
 }
 
+bool shard_core::IsTrusted(const worker_contact& contact) const {
+  const core::milliseconds drift =
+      WithDrift(options_.lease_ttl) - options_.lease_ttl;
+  return contact.answered && contact.incarnation_seen_at <
+                                 lease_asked_at_ + options_.lease_ttl - drift;
+}
+
 shard_core::worker_contact& shard_core::Contact(const std::string& worker) {
   const auto [found, added] = contacts_.try_emplace(worker);
   if (added) found->second.surely_ended = inherited_end_;
@@ -203,7 +210,7 @@
   if (info.shard != options_.shard || info.leaving) return false;
   if (state_.Quarantined().contains(info.id)) return false;
   const auto contact = contacts_.find(info.id);
-  if (contact == contacts_.end() || !contact->second.answered) return false;
+  if (contact == contacts_.end() || !IsTrusted(contact->second)) return false;
   if (contact->second.leaving || !contact->second.unknown.empty()) return false;
   return now < contact->second.ticket_end;
 }
@@ -328,7 +335,7 @@
 bool shard_core::HasUrgentMessage(const std::string& worker,
                                   const worker_contact& contact,
                                   core::monotonic_time now) const {
-  const bool may_act = contact.answered && now >= contact.next_urgent &&
+  const bool may_act = IsTrusted(contact) && now >= contact.next_urgent &&
                        now < contact.ticket_end;
   if (!may_act) return false;
   for (const auto& [key, job] : BoundTo(worker)) {
@@ -341,24 +348,12 @@
                         contact.unknown.begin(), contact.unknown.end());
 }
 
-std::optional<schema::sync_request> shard_core::NextSync(
-    const std::string& worker, core::monotonic_time now) {
-  // Until its epoch record is in the log, this owner may already have been
-  // replaced.
-  if (!MayCommand(now) || !epoch_applied_) return std::nullopt;
-  worker_contact& contact = Contact(worker);
-  if (contact.in_flight) return std::nullopt;
-  if (now < contact.next_sync && !HasUrgentMessage(worker, contact, now))
-    return std::nullopt;
-  schema::sync_request request;
-  request.set_owner(options_.owner);
-  request.set_shard(options_.shard);
-  request.set_epoch(epoch_);
-  request.set_ticket(contact.ticket);
+void shard_core::AddCommands(const std::string& worker,
+                             const worker_contact& contact,
+                             schema::sync_request& request) const {
   request.set_renew(!contact.ticket.empty());
   for (const auto& [key, job] : BoundTo(worker)) {
-    if (!IsConfirmed(key) || ending_.contains(key) || !contact.answered)
-      continue;
+    if (!IsConfirmed(key) || ending_.contains(key)) continue;
     if (IsStopWanted(key, *job, contact)) {
       *request.add_stop() = IdOf(key);
       continue;
@@ -377,6 +372,23 @@
     *request.add_stop() = IdOf(key);
   for (const attempt_key& key : contact.forget)
     *request.add_forget() = IdOf(key);
+}
+
+std::optional<schema::sync_request> shard_core::NextSync(
+    const std::string& worker, core::monotonic_time now) {
+  // Until its epoch record is in the log, this owner may already have been
+  // replaced.
+  if (!MayCommand(now) || !epoch_applied_) return std::nullopt;
+  worker_contact& contact = Contact(worker);
+  if (contact.in_flight) return std::nullopt;
+  if (now < contact.next_sync && !HasUrgentMessage(worker, contact, now))
+    return std::nullopt;
+  schema::sync_request request;
+  request.set_owner(options_.owner);
+  request.set_shard(options_.shard);
+  request.set_epoch(epoch_);
+  request.set_ticket(contact.ticket);
+  if (IsTrusted(contact)) AddCommands(worker, contact, request);
   contact.asked.clear();
   contact.starts_asked.clear();
   for (const schema::start_task& start : request.start())
@@ -454,6 +466,7 @@
   const bool restarted =
       contact.answered && contact.incarnation != response.incarnation();
   const core::milliseconds ticket(response.ticket_ms());
+  if (restarted || !contact.answered) contact.incarnation_seen_at = now;
   contact.answered = true;
   contact.incarnation = response.incarnation();
   contact.leaving = response.leaving();
--- a/src/waxwingfront/shard/shard_core.h
+++ b/src/waxwingfront/shard/shard_core.h
@@ -116,6 +116,7 @@
   // What the owner knows of one worker since the take-over.
   struct worker_contact {
     std::string incarnation;
+    core::monotonic_time incarnation_seen_at;
     std::string ticket;
     core::monotonic_time ticket_end;
     // Time after which nothing bound there can run if no other message is
@@ -153,6 +154,10 @@
   // The end of this epoch, prepared by `Resign`.
   schema::decision ResignDecision(core::monotonic_time now) const;
   bool MayCommand(core::monotonic_time now) const;
+  // Whether no newer owner can have spoken to this incarnation before this one
+  // did. A restarted worker has forgotten the epochs it saw, so an owner whose
+  // lease may have ended must not command an incarnation that it meets then.
+  bool IsTrusted(const worker_contact& contact) const;
   worker_contact& Contact(const std::string& worker);
   std::vector<std::pair<attempt_key, const job_record*>> BoundTo(
       std::string_view worker) const;
@@ -176,6 +181,9 @@
   void EndMissingAttempts(const std::string& worker, worker_contact& contact);
   void MoveQueued(schema::log_record& record);
   void PlanInto(schema::log_record& record, core::monotonic_time now);
+  // Adds starts, stops, renewal and what to forget.
+  void AddCommands(const std::string& worker, const worker_contact& contact,
+                   schema::sync_request& request) const;
   bool IsCandidate(const hosts::worker_info& info,
                    core::monotonic_time now) const;
   // What the worker lacks of the capacity in the host list.
--- a/tests/waxwingfront/shard/shard_core_test.cc
+++ b/tests/waxwingfront/shard/shard_core_test.cc
@@ -24,6 +24,30 @@
   for (const command& step : steps) world.Run(step);
 }
 
+// Guards against a former owner that starts work on a worker whose restart made
+// it forget the newer owner's epoch.
+TEST_CASE("a former owner starts nothing on a worker that has restarted since",
+          "[shard][rules]") {
+  shard_world world({});
+  RunAll(world, {{command_kind::kTakeOver, 0, 0},
+                 {command_kind::kAdvance, kTwoSeconds, 0},
+                 {command_kind::kSetLink, 0, kFirstWorkerDown},
+                 {command_kind::kSubmit, 0, kTwoTasksOfAMinute},
+                 {command_kind::kAdvance, kTwoSeconds, 0},
+                 {command_kind::kSetStoreLink, 0, kDown},
+                 {command_kind::kAdvance, kTwelveSeconds, 0},
+                 {command_kind::kTakeOver, 1, 0},
+                 {command_kind::kAdvance, kTwoSeconds, 0},
+                 {command_kind::kRestartWorker, 0, 0},
+                 {command_kind::kSetLink, 1, kFirstWorkerDown},
+                 {command_kind::kSetLink, 0, 0},
+                 {command_kind::kAdvance, kHalfAMinute, 0},
+                 {command_kind::kAdvance, kHalfAMinute, 0}});
+  CHECK(world.Violation().value_or("none") == "none");
+  world.CheckLiveness();
+  CHECK(world.Violation().value_or("none") == "none");
+}
+
 // Guards against a clean hand-over that hides an earlier owner which may still
 // send.
 TEST_CASE("a clean hand-over keeps the wait for the owner before it",
