--- a/src/waxwingfront/shard/shard_core.cc
+++ b/src/waxwingfront/shard/shard_core.cc
@@ -17,6 +17,12 @@
 // Keeps a worker that does not carry out a start from being asked without a
 // pause.
 constexpr core::milliseconds kMinSyncGap{50};
+// Pause after a failed call, so that a worker that is down is not called in a
+// loop while urgent work still starts within a second of a lost message.
+constexpr core::milliseconds kFailedSyncGap{500};
+// Requests after which a start that the worker does not carry out is taken
+// back.
+constexpr int kMaxRefusedStarts = 3;
 
 }  // namespace
 
@@ -30,12 +36,30 @@
       applied_through_(recovered.next_number - 1),
       lease_asked_at_(lease_asked_at),
       append_tokens_(options_.appends_per_second, options_.append_burst, now) {
-  // After a clean hand-over the former owner sends nothing, so its grace need
-  // not be waited for.
-  const core::milliseconds former_grace =
-      state_.Resigned() ? core::milliseconds(0) : options_.grace;
   inherited_end_ =
-      now + WithDrift(former_grace + options_.ticket + options_.task_lease);
+      now + WithDrift(FormerGrace() + options_.ticket + options_.task_lease);
+}
+
+core::milliseconds shard_core::FormerGrace() const {
+  // After a clean hand-over the former owner sends nothing, but one before it
+  // may: it is not contacted.
+  if (state_.Resigned()) return state_.FormerGrace();
+  // The former owner counts the lease and its grace from one instant. The store
+  // may have ended the lease earlier by the drift of its clock.
+  const core::milliseconds early =
+      WithDrift(options_.lease_ttl) - options_.lease_ttl;
+  return options_.grace + early;
+}
+
+schema::decision shard_core::ResignDecision(core::monotonic_time now) const {
+  const core::monotonic_time silent =
+      inherited_end_ - options_.ticket - options_.task_lease;
+  const auto left =
+      std::chrono::duration_cast<core::milliseconds>(silent - now);
+  schema::decision decision;
+  decision.mutable_resigned()->set_former_grace_ms(
+      std::max(left, core::milliseconds(0)).count());
+  return decision;
 }
 
 shard_core::attempt_key shard_core::KeyOf(const schema::attempt_id& id) {
@@ -59,6 +83,13 @@
   return now < lease_asked_at_ + options_.lease_ttl + options_.grace;
 }
 
+bool shard_core::IsTrusted(const worker_contact& contact) const {
+  const core::milliseconds drift =
+      WithDrift(options_.lease_ttl) - options_.lease_ttl;
+  return contact.answered && contact.incarnation_seen_at <
+                                 lease_asked_at_ + options_.lease_ttl - drift;
+}
+
 shard_core::worker_contact& shard_core::Contact(const std::string& worker) {
   const auto [found, added] = contacts_.try_emplace(worker);
   if (added) found->second.surely_ended = inherited_end_;
@@ -140,11 +171,9 @@
 }
 
 void shard_core::QueueLostAttempts(core::monotonic_time now) {
-  for (const std::string& id : state_.OpenJobs()) {
-    const job_record& job = *state_.FindJob(id);
-    for (const auto& [task, bound] : job.active) {
-      if (now < Contact(bound.worker).surely_ended) continue;
-      const attempt_key key{id, task, bound.attempt};
+  for (const auto& [worker, tasks] : state_.BoundByWorker()) {
+    if (now < Contact(worker).surely_ended) continue;
+    for (const auto& [key, job] : BoundTo(worker)) {
       if (!IsConfirmed(key)) continue;
       QueueEnd(IdOf(key), schema::ATTEMPT_OUTCOME_LOST, "");
     }
@@ -181,8 +210,20 @@
   if (info.shard != options_.shard || info.leaving) return false;
   if (state_.Quarantined().contains(info.id)) return false;
   const auto contact = contacts_.find(info.id);
-  if (contact == contacts_.end() || !contact->second.answered) return false;
-  return !contact->second.leaving && now < contact->second.ticket_end;
+  if (contact == contacts_.end() || !IsTrusted(contact->second)) return false;
+  if (contact->second.leaving || !contact->second.unknown.empty()) return false;
+  return now < contact->second.ticket_end;
+}
+
+core::resources shard_core::Withheld(const hosts::worker_info& info,
+                                     const worker_contact& contact) {
+  const core::resources missing = info.capacity - contact.capacity;
+  return contact.unaccounted +
+         core::resources{
+             .processor_milli =
+                 std::max(missing.processor_milli, std::int64_t{0}),
+             .memory_mib = std::max(missing.memory_mib, std::int64_t{0}),
+             .accelerators = std::max(missing.accelerators, std::int64_t{0})};
 }
 
 void shard_core::PlanInto(schema::log_record& record,
@@ -192,7 +233,7 @@
   for (const auto& [id, info] : hosts_->workers) {
     if (!IsCandidate(info, now)) continue;
     candidates.push_back(
-        {.info = &info, .unaccounted = contacts_[id].unaccounted});
+        {.info = &info, .unaccounted = Withheld(info, contacts_[id])});
   }
   for (schema::attempt_bound& binding :
        PlanBindings(state_, candidates, *policy_, kMaxBindingsPerRecord)) {
@@ -217,7 +258,7 @@
     QueueLostAttempts(now);
     MoveQueued(record);
     if (resigning_) {
-      record.add_decisions()->mutable_resigned();
+      *record.add_decisions() = ResignDecision(now);
       static_cast<void>(
           state_.Apply(record.decisions(record.decisions_size() - 1)));
       resigned_ = true;
@@ -268,23 +309,19 @@
       if (info.shard == options_.shard) ids.insert(id);
     }
   }
-  for (const std::string& job : state_.OpenJobs()) {
-    for (const auto& [task, bound] : state_.FindJob(job)->active)
-      ids.insert(bound.worker);
-  }
+  for (const auto& [worker, tasks] : state_.BoundByWorker()) ids.insert(worker);
   return {ids.begin(), ids.end()};
 }
 
 std::vector<std::pair<shard_core::attempt_key, const job_record*>>
 shard_core::BoundTo(std::string_view worker) const {
   std::vector<std::pair<attempt_key, const job_record*>> bound_attempts;
-  for (const std::string& id : state_.OpenJobs()) {
+  const auto tasks = state_.BoundByWorker().find(worker);
+  if (tasks == state_.BoundByWorker().end()) return bound_attempts;
+  for (const auto& [id, task] : tasks->second) {
     const job_record* job = state_.FindJob(id);
-    for (const auto& [task, bound] : job->active) {
-      if (bound.worker == worker) {
-        bound_attempts.emplace_back(attempt_key{id, task, bound.attempt}, job);
-      }
-    }
+    const std::int32_t attempt = job->active.at(task).attempt;
+    bound_attempts.emplace_back(attempt_key{id, task, attempt}, job);
   }
   return bound_attempts;
 }
@@ -298,40 +335,31 @@
 bool shard_core::HasUrgentMessage(const std::string& worker,
                                   const worker_contact& contact,
                                   core::monotonic_time now) const {
-  const bool may_act = contact.answered && now >= contact.next_urgent &&
+  const bool may_act = IsTrusted(contact) && now >= contact.next_urgent &&
                        now < contact.ticket_end;
   if (!may_act) return false;
   for (const auto& [key, job] : BoundTo(worker)) {
     if (!IsConfirmed(key) || ending_.contains(key)) continue;
     const bool running = contact.running.contains(key);
-    if (running == IsStopWanted(key, *job, contact)) return true;
+    const bool due = running == IsStopWanted(key, *job, contact);
+    if (due && !contact.asked.contains(key)) return true;
   }
-  return !contact.unknown.empty();
+  return !std::includes(contact.asked.begin(), contact.asked.end(),
+                        contact.unknown.begin(), contact.unknown.end());
 }
 
-std::optional<schema::sync_request> shard_core::NextSync(
-    const std::string& worker, core::monotonic_time now) {
-  // Until its epoch record is in the log, this owner may already have been
-  // replaced.
-  if (!MayCommand(now) || !epoch_applied_) return std::nullopt;
-  worker_contact& contact = Contact(worker);
-  if (contact.in_flight) return std::nullopt;
-  if (now < contact.next_sync && !HasUrgentMessage(worker, contact, now))
-    return std::nullopt;
-  schema::sync_request request;
-  request.set_owner(options_.owner);
-  request.set_shard(options_.shard);
-  request.set_epoch(epoch_);
-  request.set_ticket(contact.ticket);
+void shard_core::AddCommands(const std::string& worker,
+                             const worker_contact& contact,
+                             schema::sync_request& request) const {
   request.set_renew(!contact.ticket.empty());
   for (const auto& [key, job] : BoundTo(worker)) {
-    if (!IsConfirmed(key) || ending_.contains(key) || !contact.answered)
-      continue;
+    if (!IsConfirmed(key) || ending_.contains(key)) continue;
     if (IsStopWanted(key, *job, contact)) {
       *request.add_stop() = IdOf(key);
       continue;
     }
-    if (contact.running.contains(key)) continue;
+    // An unknown task there may be this very one, of an earlier incarnation.
+    if (contact.running.contains(key) || !contact.unknown.empty()) continue;
     if (static_cast<std::size_t>(request.start_size()) >= kMaxStartsPerSync)
       continue;
     schema::start_task& start = *request.add_start();
@@ -344,6 +372,31 @@
     *request.add_stop() = IdOf(key);
   for (const attempt_key& key : contact.forget)
     *request.add_forget() = IdOf(key);
+}
+
+std::optional<schema::sync_request> shard_core::NextSync(
+    const std::string& worker, core::monotonic_time now) {
+  // Until its epoch record is in the log, this owner may already have been
+  // replaced.
+  if (!MayCommand(now) || !epoch_applied_) return std::nullopt;
+  worker_contact& contact = Contact(worker);
+  if (contact.in_flight) return std::nullopt;
+  if (now < contact.next_sync && !HasUrgentMessage(worker, contact, now))
+    return std::nullopt;
+  schema::sync_request request;
+  request.set_owner(options_.owner);
+  request.set_shard(options_.shard);
+  request.set_epoch(epoch_);
+  request.set_ticket(contact.ticket);
+  if (IsTrusted(contact)) AddCommands(worker, contact, request);
+  contact.asked.clear();
+  contact.starts_asked.clear();
+  for (const schema::start_task& start : request.start())
+    contact.starts_asked.insert(KeyOf(start.id()));
+  for (const schema::attempt_id& id : request.stop())
+    contact.asked.insert(KeyOf(id));
+  contact.asked.insert(contact.starts_asked.begin(),
+                       contact.starts_asked.end());
   contact.in_flight = true;
   return request;
 }
@@ -358,7 +411,12 @@
   const bool running = report.state() == schema::ATTEMPT_STATE_RUNNING;
   if (running) contact.running.insert(key);
   if (bound_here) {
-    if (!running) QueueEnd(report.id(), report.outcome(), report.checkpoint());
+    // A restarted worker answers a stop of an attempt it does not remember with
+    // "evicted", although the task may be an unknown one that still runs.
+    const bool in_doubt = report.outcome() == schema::ATTEMPT_OUTCOME_EVICTED &&
+                          !contact.unknown.empty();
+    if (!running && !in_doubt)
+      QueueEnd(report.id(), report.outcome(), report.checkpoint());
     return;
   }
   if (running) {
@@ -371,13 +429,28 @@
   if (!ending_.contains(key)) contact.forget.insert(key);
 }
 
+void shard_core::CountRefusedStarts(const schema::sync_response& response,
+                                    worker_contact& contact) {
+  std::map<attempt_key, int> refused;
+  for (const attempt_key& key : contact.starts_asked)
+    refused[key] = contact.refused_starts[key] + 1;
+  for (const schema::attempt_report& report : response.attempts())
+    refused.erase(KeyOf(report.id()));
+  for (const auto& [key, count] : refused) {
+    if (count >= kMaxRefusedStarts) Evict(IdOf(key));
+  }
+  contact.refused_starts = std::move(refused);
+}
+
 void shard_core::EndMissingAttempts(const std::string& worker,
-                                    const std::set<attempt_key>& ran_before) {
-  const worker_contact& contact = Contact(worker);
+                                    worker_contact& contact) {
+  if (contact.missing.empty() || !contact.unknown.empty()) return;
   for (const auto& [key, job] : BoundTo(worker)) {
-    if (!ran_before.contains(key) || contact.running.contains(key)) continue;
+    if (!contact.missing.contains(key) || contact.running.contains(key))
+      continue;
     QueueEnd(IdOf(key), schema::ATTEMPT_OUTCOME_LOST, "");
   }
+  contact.missing.clear();
 }
 
 void shard_core::OnSyncReply(const std::string& worker,
@@ -393,9 +466,11 @@
   const bool restarted =
       contact.answered && contact.incarnation != response.incarnation();
   const core::milliseconds ticket(response.ticket_ms());
+  if (restarted || !contact.answered) contact.incarnation_seen_at = now;
   contact.answered = true;
   contact.incarnation = response.incarnation();
   contact.leaving = response.leaving();
+  contact.capacity = core::FromSchema(response.capacity());
   contact.ticket = response.ticket();
   contact.ticket_end = now + ticket;
   contact.surely_ended =
@@ -404,10 +479,20 @@
   contact.unknown.clear();
   contact.forget.clear();
   contact.unaccounted = {};
-  for (const schema::attempt_report& report : response.attempts()) {
-    TakeReport(report, worker, contact);
+  // What runs is taken first: it decides which ends count.
+  for (const auto state :
+       {schema::ATTEMPT_STATE_RUNNING, schema::ATTEMPT_STATE_ENDED}) {
+    for (const schema::attempt_report& report : response.attempts()) {
+      if (report.state() == state) TakeReport(report, worker, contact);
+    }
+  }
+  if (response.refusal() == schema::SYNC_REFUSAL_NONE) {
+    CountRefusedStarts(response, contact);
+  } else {
+    contact.asked.clear();
   }
-  if (restarted) EndMissingAttempts(worker, ran_before);
+  if (restarted) contact.missing.insert(ran_before.begin(), ran_before.end());
+  EndMissingAttempts(worker, contact);
 }
 
 void shard_core::OnSyncFailed(const std::string& worker,
@@ -415,6 +500,9 @@
   worker_contact& contact = Contact(worker);
   contact.in_flight = false;
   contact.next_sync = now + options_.sync_period;
+  contact.next_urgent = now + kFailedSyncGap;
+  // What the lost request carried is urgent again.
+  contact.asked.clear();
 }
 
 }  // namespace waxwingfront::shard
--- a/src/waxwingfront/shard/shard_core.h
+++ b/src/waxwingfront/shard/shard_core.h
@@ -103,7 +103,9 @@
   std::uint64_t AppliedThrough() const { return applied_through_; }
   bool IsDeposed() const { return deposed_; }
   // Whether the record of `Resign` is in the log.
-  bool HasResigned() const { return resigned_ && in_flight_ == std::nullopt; }
+  bool HasResigned() const {
+    return resigned_ && !deposed_ && !in_flight_.has_value();
+  }
   const shard_state& State() const { return state_; }
   // State as the log has it; nothing while a record's outcome is unknown.
   std::optional<schema::shard_snapshot> Snapshot() const;
@@ -114,6 +116,7 @@
   // What the owner knows of one worker since the take-over.
   struct worker_contact {
     std::string incarnation;
+    core::monotonic_time incarnation_seen_at;
     std::string ticket;
     core::monotonic_time ticket_end;
     // Time after which nothing bound there can run if no other message is
@@ -124,18 +127,37 @@
     bool answered = false;
     bool in_flight = false;
     bool leaving = false;
+    // What the worker itself says it has; the host list may be out of date.
+    core::resources capacity;
     core::resources unaccounted;
     // Attempts that the last answer listed as running.
     std::set<attempt_key> running;
     // Attempts to stop that the log does not have, and ended ones to forget.
     std::set<attempt_key> unknown;
     std::set<attempt_key> forget;
+    // Attempts whose start or stop the last request carried; they are not
+    // urgent any more.
+    std::set<attempt_key> asked;
+    std::set<attempt_key> starts_asked;
+    // How many answers in a row listed neither a run nor an end of an attempt
+    // whose start they were asked for.
+    std::map<attempt_key, int> refused_starts;
+    // Attempts that ran before the worker restarted and are not listed since.
+    std::set<attempt_key> missing;
   };
 
   static attempt_key KeyOf(const schema::attempt_id& id);
   static schema::attempt_id IdOf(const attempt_key& key);
   core::milliseconds WithDrift(core::milliseconds duration) const;
+  // For how long an earlier owner may still send, counted from the take-over.
+  core::milliseconds FormerGrace() const;
+  // The end of this epoch, prepared by `Resign`.
+  schema::decision ResignDecision(core::monotonic_time now) const;
   bool MayCommand(core::monotonic_time now) const;
+  // Whether no newer owner can have spoken to this incarnation before this one
+  // did. A restarted worker has forgotten the epochs it saw, so an owner whose
+  // lease may have ended must not command an incarnation that it meets then.
+  bool IsTrusted(const worker_contact& contact) const;
   worker_contact& Contact(const std::string& worker);
   std::vector<std::pair<attempt_key, const job_record*>> BoundTo(
       std::string_view worker) const;
@@ -150,14 +172,23 @@
   void QueueLostAttempts(core::monotonic_time now);
   void TakeReport(const schema::attempt_report& report,
                   const std::string& worker, worker_contact& contact);
+  // Takes starts back that the worker does not carry out again and again, for
+  // example for want of capacity.
+  void CountRefusedStarts(const schema::sync_response& response,
+                          worker_contact& contact);
   // Ends attempts that a restarted worker ran before and does not list any
-  // more.
-  void EndMissingAttempts(const std::string& worker,
-                          const std::set<attempt_key>& ran_before);
+  // more, unless it runs unknown tasks: one of these may be such an attempt.
+  void EndMissingAttempts(const std::string& worker, worker_contact& contact);
   void MoveQueued(schema::log_record& record);
   void PlanInto(schema::log_record& record, core::monotonic_time now);
+  // Adds starts, stops, renewal and what to forget.
+  void AddCommands(const std::string& worker, const worker_contact& contact,
+                   schema::sync_request& request) const;
   bool IsCandidate(const hosts::worker_info& info,
                    core::monotonic_time now) const;
+  // What the worker lacks of the capacity in the host list.
+  static core::resources Withheld(const hosts::worker_info& info,
+                                  const worker_contact& contact);
   bool HasUrgentMessage(const std::string& worker,
                         const worker_contact& contact,
                         core::monotonic_time now) const;
--- a/src/waxwingfront/shard/shard_state.cc
+++ b/src/waxwingfront/shard/shard_state.cc
@@ -39,6 +39,7 @@
       return ApplyEpoch(decision.epoch());
     case schema::decision::kResigned:
       resigned_ = true;
+      former_grace_ = core::milliseconds(decision.resigned().former_grace_ms());
       return {};
     case schema::decision::kAccepted:
       return ApplyAccepted(decision.accepted());
@@ -66,6 +67,7 @@
     return Contradiction("an epoch does not grow");
   epoch_ = decision.epoch();
   resigned_ = false;
+  former_grace_ = core::milliseconds(0);
   return {};
 }
 
@@ -117,7 +119,7 @@
     }
     ++job.next_task;
   }
-  AddCommitted(job, bound.worker);
+  AddBound(job, id.task(), bound.worker);
   job.active.emplace(id.task(), std::move(bound));
   return {};
 }
@@ -130,7 +132,7 @@
   const auto active = job.active.find(id.task());
   const bound_attempt ended = std::move(active->second);
   job.active.erase(active);
-  SubtractCommitted(job, ended.worker);
+  RemoveBound(job, id.task(), ended.worker);
   CountOutcome(job, decision);
   if (decision.outcome() == schema::ATTEMPT_OUTCOME_FINISHED) {
     ++job.finished;
@@ -166,16 +168,22 @@
   }
 }
 
-void shard_state::AddCommitted(const job_record& job,
-                               const std::string& worker) {
+void shard_state::AddBound(const job_record& job, std::int64_t task,
+                           const std::string& worker) {
+  bound_by_worker_[worker].emplace(job.spec.id(), task);
   committed_by_worker_[worker] += job.task_size;
   committed_by_customer_[job.spec.customer()] += job.task_size;
 }
 
-void shard_state::SubtractCommitted(const job_record& job,
-                                    const std::string& worker) {
-  committed_by_worker_[worker] -= job.task_size;
+void shard_state::RemoveBound(const job_record& job, std::int64_t task,
+                              const std::string& worker) {
   committed_by_customer_[job.spec.customer()] -= job.task_size;
+  committed_by_worker_[worker] -= job.task_size;
+  task_set& bound = bound_by_worker_[worker];
+  bound.erase({job.spec.id(), task});
+  if (!bound.empty()) return;
+  bound_by_worker_.erase(worker);
+  committed_by_worker_.erase(worker);
 }
 
 const job_record* shard_state::FindJob(std::string_view id) const {
@@ -222,6 +230,7 @@
   snapshot.set_through(through);
   snapshot.set_epoch(epoch_);
   snapshot.set_resigned(resigned_);
+  snapshot.set_former_grace_ms(former_grace_.count());
   snapshot.set_next_order(next_order_);
   for (const std::string& worker : quarantined_)
     snapshot.add_quarantined(worker);
@@ -259,6 +268,7 @@
   shard_state state;
   state.epoch_ = snapshot.epoch();
   state.resigned_ = snapshot.resigned();
+  state.former_grace_ = core::milliseconds(snapshot.former_grace_ms());
   state.next_order_ = snapshot.next_order();
   state.quarantined_.insert(snapshot.quarantined().begin(),
                             snapshot.quarantined().end());
@@ -279,7 +289,7 @@
                          bound_attempt{.attempt = active.attempt(),
                                        .worker = active.worker(),
                                        .checkpoint = active.checkpoint()});
-      state.AddCommitted(job, active.worker());
+      state.AddBound(job, active.task(), active.worker());
     }
     for (const schema::waiting_task& waiting : entry.waiting()) {
       job.waiting.emplace(waiting.task(),
--- a/src/waxwingfront/shard/shard_state.h
+++ b/src/waxwingfront/shard/shard_state.h
@@ -8,7 +8,9 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
+#include "waxwingfront/core/clock.h"
 #include "waxwingfront/core/error.h"
 #include "waxwingfront/core/resources.h"
 #include "waxwingfront/schema/gen/shard_log.pb.h"
@@ -78,12 +80,21 @@
   core::resources CommittedTo(std::string_view worker) const;
   // Declared sizes of all bound attempts of `customer`.
   core::resources CommittedFor(std::string_view customer) const;
+  // Tasks with an attempt bound to a worker, as (job, task).
+  using task_set = std::set<std::pair<std::string, std::int64_t>>;
+  // Only workers with a bound attempt are listed.
+  const std::map<std::string, task_set, std::less<>>& BoundByWorker() const {
+    return bound_by_worker_;
+  }
   // Whether this very attempt is bound and has not ended.
   bool IsBound(const schema::attempt_id& id) const;
 
   std::uint64_t Epoch() const { return epoch_; }
   // Whether the last owner ended its epoch by a resign record.
   bool Resigned() const { return resigned_; }
+  // After a resign record: for how long an owner before the last one may still
+  // send, counted from that record.
+  core::milliseconds FormerGrace() const { return former_grace_; }
 
   schema::job_status Status(std::string_view job) const;
 
@@ -99,17 +110,21 @@
   core::result<void> ApplyEnded(const schema::attempt_ended& decision);
   static void CountOutcome(job_record& job,
                            const schema::attempt_ended& decision);
-  void AddCommitted(const job_record& job, const std::string& worker);
-  void SubtractCommitted(const job_record& job, const std::string& worker);
+  void AddBound(const job_record& job, std::int64_t task,
+                const std::string& worker);
+  void RemoveBound(const job_record& job, std::int64_t task,
+                   const std::string& worker);
 
   std::map<std::string, job_record, std::less<>> jobs_;
   std::set<std::string, std::less<>> open_jobs_;
   std::set<std::string, std::less<>> quarantined_;
+  std::map<std::string, task_set, std::less<>> bound_by_worker_;
   std::map<std::string, core::resources, std::less<>> committed_by_worker_;
   std::map<std::string, core::resources, std::less<>> committed_by_customer_;
   std::uint64_t next_order_ = 0;
   std::uint64_t epoch_ = 0;
   bool resigned_ = false;
+  core::milliseconds former_grace_{0};
 };
 
 }  // namespace waxwingfront::shard
