Keep a shard's log whole while its former owner goes on

A log that ends before its epoch is reported as damaged.

An owner object that was dropped while a caller waited on it went on for as long as the caller waited; it is now halted. Callers are told a not-run type when the record surely is not in the log, store_unavailable while no record is confirmed, and never see decisions whose record is not confirmed. The epoch record is repeated instead of recovering anew, which had hidden a clean hand-over. The lease is renewed while an entry drains. A submission that the present bundle rules out is checked against jobs accepted before. A write's 503 counts as unknown, since the gateway also answers it after passing a write on.

--- a/src/waxwingfront/jobs/job_service.cc
+++ b/src/waxwingfront/jobs/job_service.cc
@@ -62,8 +62,8 @@
   return location.shard();
 }
 
-core::result<std::string> job_service::LocateOrPlace(
-    const schema::job_spec& spec) {
+core::result<std::set<std::string>> job_service::FindShards(
+    const schema::job_spec& spec) const {
   const auto policy = options_.policy();
   if (policy == nullptr) {
     return core::Failure(core::error_code::kNoBundle,
@@ -77,28 +77,64 @@
     return core::Failure(core::error_code::kNoOwner,
                          "the host list is not known yet");
   }
-  const auto shards = PlaceableShards(spec, *policy, *view);
-  if (!shards) return tl::unexpected(shards.error());
+  return PlaceableShards(spec, *policy, *view);
+}
+
+core::result<std::string> job_service::LocateOrPlace(
+    const std::string& job, const std::set<std::string>& shards) {
   schema::job_location location;
-  location.set_shard(ChooseShard(*shards, spec.id()));
-  const auto written = store_.CreateIfAbsent(LocationKey(spec.id()),
-                                             location.SerializeAsString());
+  location.set_shard(ChooseShard(shards, job));
+  const auto written =
+      store_.CreateIfAbsent(LocationKey(job), location.SerializeAsString());
   if (written && *written == store::write_outcome::kApplied)
     return location.shard();
   // The job has a location, or the answer was lost; both are settled by
   // reading. The location alone is no acceptance, so a failure here means that
   // the job did not run.
-  return Locate(spec.id());
+  auto found = Locate(job);
+  const bool absent =
+      !found && found.error().code == core::error_code::kUnknownJob;
+  if (absent && !written) {
+    return core::Failure(core::error_code::kStoreUnavailable,
+                         written.error().detail);
+  }
+  return found;
+}
+
+core::result<schema::job_status> job_service::SubmitTo(const std::string& shard,
+                                                       schema::job_spec spec) {
+  schema::peer_request request;
+  request.mutable_submit()->set_shard(shard);
+  *request.mutable_submit()->mutable_spec() = std::move(spec);
+  return Route(shard, request);
+}
+
+core::result<schema::job_status> job_service::SubmitKnown(
+    schema::job_spec spec, const core::error& refusal) {
+  // Everything else either holds whatever the bundle says, or rules nothing
+  // out.
+  const bool may_change =
+      refusal.code == core::error_code::kUnknownCustomer ||
+      refusal.code == core::error_code::kUnknownBatchClass ||
+      refusal.code == core::error_code::kUnplaceable;
+  if (!may_change) return tl::unexpected(refusal);
+  const auto status = Status(spec.id());
+  if (!status) {
+    const bool unknown = status.error().code == core::error_code::kUnknownJob;
+    return tl::unexpected(unknown ? refusal : status.error());
+  }
+  const auto shard = Locate(spec.id());
+  if (!shard) return tl::unexpected(shard.error());
+  return SubmitTo(*shard, std::move(spec));
 }
 
 core::result<schema::job_status> job_service::Submit(schema::job_spec spec) {
   if (spec.id().empty()) spec.set_id(core::RandomId());
-  const auto shard = LocateOrPlace(spec);
+  const auto shards = FindShards(spec);
+  if (!shards) return SubmitKnown(std::move(spec), shards.error());
+  const auto shard = LocateOrPlace(spec.id(), *shards);
   if (!shard) return tl::unexpected(shard.error());
-  schema::peer_request request;
-  request.mutable_submit()->set_shard(*shard);
-  *request.mutable_submit()->mutable_spec() = std::move(spec);
-  return Route(*shard, request);
+  return SubmitTo(*shard, std::move(spec));
 }
 
 core::result<schema::job_status> job_service::Status(std::string_view job) {
@@ -139,7 +175,7 @@
     case schema::peer_request::kSubmit:
       return owner.Submit(request.submit().spec(), options_.limit);
     case schema::peer_request::kStatus:
-      return owner.Status(request.status().job());
+      return owner.Status(request.status().job(), options_.limit);
     case schema::peer_request::kCancel:
       return owner.Cancel(request.cancel().job(), options_.limit);
     default:
--- a/src/waxwingfront/jobs/job_service.h
+++ b/src/waxwingfront/jobs/job_service.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -60,7 +61,17 @@
   schema::peer_response HandlePeer(const schema::peer_request& request);
 
  private:
-  core::result<std::string> LocateOrPlace(const schema::job_spec& spec);
+  // Checks the job and gives the shards that may hold it.
+  core::result<std::set<std::string>> FindShards(
+      const schema::job_spec& spec) const;
+  core::result<std::string> LocateOrPlace(const std::string& job,
+                                          const std::set<std::string>& shards);
+  // Answers a submission that the present bundle or hosts rule out: it may
+  // repeat one that was accepted before.
+  core::result<schema::job_status> SubmitKnown(schema::job_spec spec,
+                                               const core::error& refusal);
+  core::result<schema::job_status> SubmitTo(const std::string& shard,
+                                            schema::job_spec spec);
   core::result<std::string> Locate(std::string_view job) const;
   // Carries the request out here or at the shard's owner.
   core::result<schema::job_status> Route(const std::string& shard,
--- a/src/waxwingfront/serve/entry.cc
+++ b/src/waxwingfront/serve/entry.cc
@@ -224,7 +224,6 @@
   }
 
   void PollShards() {
-    if (stopping) return;
     const auto polled = manager.Poll();
     if (!polled)
       logging::Warning(kPart, "shards not read: ", polled.error().detail);
@@ -288,6 +287,9 @@
 
 void entry::Shutdown() {
   parts_->stopping = true;
+  // The lease is renewed until the shards are handed over: draining may take
+  // longer than its time to live.
+  parts_->manager.StopClaiming();
   logging::Info(kPart, parts_->settings.entry().id(), " is shutting down");
   std::this_thread::sleep_for(
       core::milliseconds(parts_->settings.front().unready_ms()));
--- a/src/waxwingfront/shard/shard_log.cc
+++ b/src/waxwingfront/shard/shard_log.cc
@@ -1,7 +1,8 @@
 #include "waxwingfront/shard/shard_log.h"
 
-#include <cstdio>
+#include <charconv>
 #include <optional>
+#include <system_error>
 #include <vector>
 
 #include "waxwingfront/store/store_client.h"
@@ -17,6 +18,14 @@
   return std::string(kNumberDigits - digits.size(), '0') + digits;
 }
 
+std::optional<std::uint64_t> ParseNumber(std::string_view digits) {
+  std::uint64_t number = 0;
+  const char* const end = digits.data() + digits.size();
+  const auto [stopped, failure] = std::from_chars(digits.data(), end, number);
+  if (failure != std::errc() || stopped != end) return std::nullopt;
+  return number;
+}
+
 core::result<recovered_shard> Damaged(std::string detail) {
   return core::Failure(core::error_code::kProtocol, std::move(detail));
 }
@@ -41,6 +50,8 @@
       {.key = key, .value = append.record.SerializeAsString()}};
   if (append.record.decisions(0).has_epoch()) {
     conditions.push_back({.key = epoch_key_, .mod_revision = epoch_revision_});
+    conditions.push_back(
+        {.key = snapshot_key_, .mod_revision = snapshot_revision_});
     items.push_back({.key = epoch_key_, .value = epoch});
   } else {
     conditions.push_back({.key = epoch_key_, .value = epoch});
@@ -61,7 +72,7 @@
   schema::log_record record;
   const bool mine = record.ParseFromString((*found)->value) &&
                     record.nonce() == append.record.nonce();
-  return mine ? append_outcome::kApplied : append_outcome::kDeposed;
+  return mine ? append_outcome::kApplied : append_outcome::kNotWritten;
 }
 
 core::result<recovered_shard> shard_log::Recover() {
@@ -71,8 +82,13 @@
   const auto epoch = store_.Get(epoch_key_);
   if (!epoch) return tl::unexpected(epoch.error());
   epoch_revision_ = epoch->has_value() ? (*epoch)->mod_revision : 0;
+  // Listed before the snapshot is read: records that a concurrent compaction
+  // deletes after this are covered by the snapshot that it wrote before.
+  const auto records = store_.List(log_prefix_);
+  if (!records) return tl::unexpected(records.error());
   const auto stored = store_.Get(snapshot_key_);
   if (!stored) return tl::unexpected(stored.error());
+  snapshot_revision_ = stored->has_value() ? (*stored)->mod_revision : 0;
   if (stored->has_value()) {
     schema::shard_snapshot snapshot;
     if (!snapshot.ParseFromString((*stored)->value))
@@ -80,8 +96,6 @@
     recovered.state = shard_state::FromSnapshot(snapshot);
     recovered.next_number = snapshot.through() + 1;
   }
-  const auto records = store_.List(log_prefix_);
-  if (!records) return tl::unexpected(records.error());
   for (const store::stored_value& item : *records) {
     if (item.key < RecordKey(recovered.next_number)) continue;
     if (item.key != RecordKey(recovered.next_number))
@@ -94,6 +108,14 @@
     }
     ++recovered.next_number;
   }
+  // The epoch key is written together with the epoch's first record, so a log
+  // that has not reached this epoch has lost records at its end.
+  if (epoch->has_value()) {
+    const auto begun = ParseNumber((*epoch)->value);
+    if (!begun.has_value()) return Damaged(epoch_key_);
+    if (recovered.state.Epoch() < *begun)
+      return Damaged(epoch_key_ + ": the log ends before this epoch");
+  }
   return recovered;
 }
 
--- a/src/waxwingfront/shard/shard_log.h
+++ b/src/waxwingfront/shard/shard_log.h
@@ -3,7 +3,9 @@
 // The key `epoch` holds the last owner's epoch, and every append has it as a
 // condition. The condition that the record's key is absent is not enough: a
 // former owner could write a number again that a newer owner has compacted
-// away.
+// away. The record that begins an epoch also has the revision of the snapshot
+// that was read as a condition: while the former owner goes on, it may append
+// and compact the very number that the new owner found free.
 #ifndef WAXWINGFRONT_SHARD_SHARD_LOG_H_
 #define WAXWINGFRONT_SHARD_SHARD_LOG_H_
 
@@ -22,7 +24,12 @@
 
 enum class append_outcome {
   kApplied,
-  // Another owner's record has this number.
+  // Another owner has taken over, and its record has this number: the record is
+  // surely not in the log.
+  kNotWritten,
+  // Another owner has taken over. The record is not in the log now; if this was
+  // not the first try, an earlier one may have written it, and the new owner
+  // may have compacted it.
   kDeposed,
 };
 
@@ -36,8 +43,8 @@
   // same record has to be written again.
   core::result<append_outcome> Append(const log_append& append) const;
 
-  // Replays the snapshot and the records after it. Fails with `kProtocol` on a
-  // damaged log.
+  // Replays the snapshot and the records after it. Fails with `kProtocol` when
+  // a record is damaged or missing.
   core::result<recovered_shard> Recover();
 
   // Replaces the snapshot by a newer one, and then deletes the records it
@@ -51,8 +58,9 @@
   std::string snapshot_key_;
   std::string log_prefix_;
   std::string epoch_key_;
-  // Revision of the epoch key at the last recovery.
+  // Revisions of the epoch key and of the snapshot at the last recovery.
   std::int64_t epoch_revision_ = 0;
+  std::int64_t snapshot_revision_ = 0;
 };
 
 }  // namespace waxwingfront::shard
--- a/src/waxwingfront/shard/shard_manager.cc
+++ b/src/waxwingfront/shard/shard_manager.cc
@@ -25,14 +25,18 @@
     : options_(std::move(options)), store_(store) {}
 
 core::result<void> shard_manager::Poll() {
+  const std::lock_guard poll_lock(poll_mutex_);
+  if (stopped_) return {};
   if (const auto renewed = RenewLease(); !renewed) return renewed;
   if (const auto read = ReadEntries(); !read) return read;
   if (const auto read = ReadOwners(); !read) return read;
   AdjustOwners();
-  ClaimShards();
+  if (claiming_) ClaimShards();
   return {};
 }
 
+void shard_manager::StopClaiming() { claiming_ = false; }
+
 core::result<void> shard_manager::RenewLease() {
   const core::monotonic_time asked_at = core::Now();
   if (lease_ != 0) {
@@ -103,6 +107,8 @@
       ++entry;
       continue;
     }
+    // A caller that waits may keep the object, so dropping it does not stop it.
+    entry->second->Halt();
     dropped.push_back(std::move(entry->second));
     entry = owned_.erase(entry);
   }
@@ -170,23 +176,29 @@
 }
 
 void shard_manager::DropAll() {
-  std::map<std::string, std::shared_ptr<shard_owner>, std::less<>> dropped;
+  owner_map dropped;
   {
     const std::lock_guard lock(mutex_);
     dropped.swap(owned_);
     owners_.clear();
   }
+  for (const auto& [shard, owner] : dropped) owner->Halt();
   nonces_.clear();
   lease_ = 0;
 }
 
 void shard_manager::Stop(core::milliseconds limit) {
-  std::map<std::string, std::shared_ptr<shard_owner>, std::less<>> owned;
+  const std::lock_guard poll_lock(poll_mutex_);
+  stopped_ = true;
+  owner_map owned;
   {
     const std::lock_guard lock(mutex_);
     owned = owned_;
   }
   const core::monotonic_time end = core::Now() + limit;
+  // All begin before the first is waited for, so that one shard whose record is
+  // not confirmed does not use up the others' time.
+  for (const auto& [shard, owner] : owned) owner->Resign(core::milliseconds(0));
   for (const auto& [shard, owner] : owned) {
     const auto left =
         std::chrono::duration_cast<core::milliseconds>(end - core::Now());
--- a/src/waxwingfront/shard/shard_manager.h
+++ b/src/waxwingfront/shard/shard_manager.h
@@ -2,6 +2,7 @@
 #ifndef WAXWINGFRONT_SHARD_SHARD_MANAGER_H_
 #define WAXWINGFRONT_SHARD_SHARD_MANAGER_H_
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -39,7 +40,11 @@
   // Call it about three times within the lease's time to live, from one thread.
   core::result<void> Poll();
 
-  // Resigns all shards and ends the lease.
+  // From now on `Poll` claims no shard; it goes on renewing the lease.
+  void StopClaiming();
+
+  // Resigns all shards and ends the lease. Waits for a `Poll` that runs; later
+  // ones do nothing.
   void Stop(core::milliseconds limit);
 
   // The owner object of a shard of this entry; null for others.
@@ -49,6 +54,9 @@
   std::size_t OwnedCount() const;
 
  private:
+  using owner_map =
+      std::map<std::string, std::shared_ptr<shard_owner>, std::less<>>;
+
   core::result<void> RenewLease();
   core::result<void> ReadOwners();
   core::result<void> ReadEntries();
@@ -61,6 +69,10 @@
 
   shard_manager_options options_;
   const store::store_client& store_;
+  std::atomic<bool> claiming_{true};
+  // Held by `Poll` and `Stop`; guards the members up to `mutex_`.
+  std::mutex poll_mutex_;
+  bool stopped_ = false;
   std::int64_t lease_ = 0;
   core::monotonic_time lease_asked_at_;
   // Nonces of ownership records written under the present lease.
@@ -70,7 +82,7 @@
   std::map<std::string, int> unowned_polls_;
   mutable std::mutex mutex_;
   std::map<std::string, schema::shard_ownership, std::less<>> owners_;
-  std::map<std::string, std::shared_ptr<shard_owner>, std::less<>> owned_;
+  owner_map owned_;
 };
 
 }  // namespace waxwingfront::shard
--- a/src/waxwingfront/shard/shard_owner.cc
+++ b/src/waxwingfront/shard/shard_owner.cc
@@ -1,10 +1,9 @@
 #include "waxwingfront/shard/shard_owner.h"
 
-#include <optional>
+#include <algorithm>
 #include <utility>
 
 #include "waxwingfront/logging/log.h"
-#include "waxwingfront/shard/shard_log.h"
 
 namespace waxwingfront::shard {
 namespace {
@@ -12,7 +11,10 @@
 constexpr std::string_view kPart = "shard";
 // Longest wait between two looks at what is due.
 constexpr core::milliseconds kTick{20};
-constexpr core::milliseconds kRetryPause{200};
+// Pauses between two tries of a store call. They grow, so that 40 shards in an
+// outage stay below 30 writes/s.
+constexpr core::milliseconds kFirstRetryPause{100};
+constexpr core::milliseconds kLongestRetryPause{1600};
 
 }  // namespace
 
@@ -29,11 +31,7 @@
 }
 
 shard_owner::~shard_owner() {
-  {
-    const std::lock_guard lock(mutex_);
-    stopping_ = true;
-  }
-  changed_.notify_all();
+  Halt();
   for (std::thread& thread : threads_) thread.join();
 }
 
@@ -43,6 +41,34 @@
   if (core_ != nullptr) core_->OnLeaseRenewed(asked_at);
 }
 
+std::optional<append_outcome> shard_owner::AppendUntilKnown(
+    const shard_log& log, const log_append& append,
+    std::unique_lock<std::mutex>& lock) {
+  core::milliseconds pause = kFirstRetryPause;
+  bool first_try = true;
+  unresolved_ = true;
+  last_sent_ = append.number;
+  while (!stopping_) {
+    lock.unlock();
+    const auto outcome = log.Append(append);
+    lock.lock();
+    if (outcome) {
+      unresolved_ = false;
+      append_failed_ = false;
+      if (*outcome == append_outcome::kDeposed && first_try)
+        return append_outcome::kNotWritten;
+      return *outcome;
+    }
+    append_failed_ = true;
+    first_try = false;
+    logging::Warning(kPart, options_.core.shard, " record ", append.number,
+                     " not confirmed: ", outcome.error().detail);
+    changed_.wait_for(lock, pause, [this] { return stopping_; });
+    pause = std::min(2 * pause, kLongestRetryPause);
+  }
+  return std::nullopt;
+}
+
 core::result<void> shard_owner::TakeOver() {
   shard_log log(store_, options_.core.shard);
   auto recovered = log.Recover();
@@ -51,14 +77,13 @@
   auto fresh = std::make_unique<shard_core>(
       options_.core, std::move(*recovered), lease_asked_at_, core::Now());
   const std::optional<log_append> epoch = fresh->NextAppend(core::Now());
-  lock.unlock();
-  const auto outcome = log.Append(*epoch);
-  if (!outcome) return tl::unexpected(outcome.error());
-  if (*outcome == append_outcome::kDeposed) {
+  // Not recovered anew after a failed try: the epoch record may be in the log
+  // then, and hides that the former owner has resigned.
+  const auto outcome = AppendUntilKnown(log, *epoch, lock);
+  if (outcome != append_outcome::kApplied) {
     return core::Failure(core::error_code::kDeposed,
                          "the log grew during the take-over");
   }
-  lock.lock();
   fresh->OnAppendApplied();
   fresh->OnLeaseRenewed(lease_asked_at_);
   core_ = std::move(fresh);
@@ -69,6 +94,7 @@
 
 void shard_owner::RunLog() {
   std::unique_lock lock(mutex_);
+  core::milliseconds pause = kFirstRetryPause;
   while (!stopping_ && core_ == nullptr) {
     lock.unlock();
     const auto taken = TakeOver();
@@ -76,46 +102,41 @@
     if (taken) break;
     logging::Warning(kPart, options_.core.shard,
                      " not taken over: ", taken.error().detail);
-    changed_.wait_for(lock, kRetryPause, [this] { return stopping_; });
+    changed_.wait_for(lock, pause, [this] { return stopping_; });
+    pause = std::min(2 * pause, kLongestRetryPause);
   }
   while (!stopping_ && !core_->IsDeposed()) {
     core_->OnBundle(options_.policy());
     core_->OnHosts(options_.hosts());
+    AppendOnce(lock);
+    changed_.notify_all();
     lock.unlock();
-    AppendOnce();
+    CompactIfDue();
     lock.lock();
-    changed_.notify_all();
     changed_.wait_for(lock, kTick, [this] { return stopping_; });
   }
 }
 
-void shard_owner::AppendOnce() {
+void shard_owner::AppendOnce(std::unique_lock<std::mutex>& lock) {
   const shard_log log(store_, options_.core.shard);
-  std::unique_lock lock(mutex_);
   const std::optional<log_append> append = core_->NextAppend(core::Now());
-  while (append.has_value() && !stopping_) {
-    lock.unlock();
-    const auto outcome = log.Append(*append);
-    lock.lock();
-    if (outcome && *outcome == append_outcome::kApplied) {
-      core_->OnAppendApplied();
-      break;
-    }
-    if (outcome) {
-      core_->OnDeposed();
-      logging::Warning(kPart, options_.core.shard, " lost to another owner");
-      return;
-    }
-    logging::Warning(kPart, options_.core.shard, " record ", append->number,
-                     " not confirmed: ", outcome.error().detail);
-    changed_.wait_for(lock, kRetryPause, [this] { return stopping_; });
+  if (!append.has_value()) return;
+  queued_jobs_.clear();
+  const auto outcome = AppendUntilKnown(log, *append, lock);
+  if (!outcome.has_value()) return;
+  if (*outcome == append_outcome::kApplied) {
+    core_->OnAppendApplied();
+    return;
   }
-  lock.unlock();
-  CompactIfDue();
+  core_->OnDeposed();
+  // The record is surely not in the log, so its callers are told so.
+  if (*outcome == append_outcome::kNotWritten) --last_sent_;
+  logging::Warning(kPart, options_.core.shard, " lost to another owner");
 }
 
 void shard_owner::CompactIfDue() {
   std::unique_lock lock(mutex_);
+  if (stopping_) return;
   if (core_->AppliedThrough() < compacted_through_ + options_.snapshot_every)
     return;
   const auto snapshot = core_->Snapshot();
@@ -170,14 +191,34 @@
   }
 }
 
+core::result<void> shard_owner::CheckActive() const {
+  if (core_ == nullptr) {
+    return core::Failure(core::error_code::kNoOwner,
+                         "the shard is being taken over");
+  }
+  if (HasEnded()) {
+    return core::Failure(core::error_code::kNoOwner, "the shard changes owner");
+  }
+  return {};
+}
+
 core::result<schema::job_status> shard_owner::AwaitApplied(
     std::uint64_t number, std::string_view job, core::milliseconds limit,
     std::unique_lock<std::mutex>& lock) {
+  // The state also has the decisions of a record whose outcome is not known
+  // yet; a caller must not see them, since they may be lost.
+  const auto is_settled = [this, number] {
+    return core_->IsApplied(number) && !IsUnresolved();
+  };
   changed_.notify_all();
-  changed_.wait_for(lock, limit, [this, number] {
-    return stopping_ || core_->IsDeposed() || core_->IsApplied(number);
-  });
-  if (!core_->IsApplied(number)) {
+  changed_.wait_for(lock, limit,
+                    [this, &is_settled] { return HasEnded() || is_settled(); });
+  if (HasEnded() && number > last_sent_) {
+    return core::Failure(core::error_code::kNoOwner,
+                         "the shard changed its owner before job " +
+                             std::string(job) + " was recorded");
+  }
+  if (HasEnded() || !is_settled()) {
     return core::Failure(core::error_code::kOutcomeUnknown,
                          "the store has not confirmed job " + std::string(job));
   }
@@ -187,20 +228,32 @@
 core::result<schema::job_status> shard_owner::Submit(
     const schema::job_spec& spec, core::milliseconds limit) {
   std::unique_lock lock(mutex_);
-  if (core_ == nullptr) {
-    return core::Failure(core::error_code::kNoOwner,
-                         "the shard is being taken over");
+  if (const auto active = CheckActive(); !active)
+    return tl::unexpected(active.error());
+  const bool known = core_->State().FindJob(spec.id()) != nullptr ||
+                     queued_jobs_.contains(spec.id());
+  if (!known && append_failed_) {
+    return core::Failure(core::error_code::kStoreUnavailable,
+                         "the store does not confirm records now");
   }
   const auto number = core_->Submit(spec);
   if (!number) return tl::unexpected(number.error());
+  if (!known) queued_jobs_.insert(spec.id());
   return AwaitApplied(*number, spec.id(), limit, lock);
 }
 
-core::result<schema::job_status> shard_owner::Status(std::string_view job) {
-  const std::lock_guard lock(mutex_);
-  if (core_ == nullptr) {
-    return core::Failure(core::error_code::kNoOwner,
-                         "the shard is being taken over");
+core::result<schema::job_status> shard_owner::Status(std::string_view job,
+                                                     core::milliseconds limit) {
+  std::unique_lock lock(mutex_);
+  if (const auto active = CheckActive(); !active)
+    return tl::unexpected(active.error());
+  changed_.wait_for(lock, limit,
+                    [this] { return HasEnded() || !IsUnresolved(); });
+  if (const auto active = CheckActive(); !active)
+    return tl::unexpected(active.error());
+  if (IsUnresolved()) {
+    return core::Failure(core::error_code::kStoreUnavailable,
+                         "the store does not confirm records now");
   }
   if (core_->State().FindJob(job) == nullptr) {
     return core::Failure(core::error_code::kUnknownJob,
@@ -212,9 +265,11 @@
 core::result<schema::job_status> shard_owner::Cancel(std::string_view job,
                                                      core::milliseconds limit) {
   std::unique_lock lock(mutex_);
-  if (core_ == nullptr) {
-    return core::Failure(core::error_code::kNoOwner,
-                         "the shard is being taken over");
+  if (const auto active = CheckActive(); !active)
+    return tl::unexpected(active.error());
+  if (append_failed_) {
+    return core::Failure(core::error_code::kStoreUnavailable,
+                         "the store does not confirm records now");
   }
   const auto number = core_->Cancel(job);
   if (!number) return tl::unexpected(number.error());
@@ -226,9 +281,16 @@
   if (core_ == nullptr) return;
   core_->Resign();
   changed_.notify_all();
-  changed_.wait_for(lock, limit, [this] {
-    return core_->IsDeposed() || core_->HasResigned();
-  });
+  changed_.wait_for(lock, limit,
+                    [this] { return HasEnded() || core_->HasResigned(); });
+}
+
+void shard_owner::Halt() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  changed_.notify_all();
 }
 
 bool shard_owner::IsDeposed() {
--- a/src/waxwingfront/shard/shard_owner.h
+++ b/src/waxwingfront/shard/shard_owner.h
@@ -8,6 +8,8 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -18,6 +20,7 @@
 #include "waxwingfront/schema/gen/job.pb.h"
 #include "waxwingfront/schema/gen/worker_protocol.pb.h"
 #include "waxwingfront/shard/shard_core.h"
+#include "waxwingfront/shard/shard_log.h"
 
 namespace waxwingfront::store {
 class store_client;
@@ -57,20 +60,26 @@
   // surely is not accepted, and with `kOutcomeUnknown` when it may be.
   core::result<schema::job_status> Submit(const schema::job_spec& spec,
                                           core::milliseconds limit);
-  core::result<schema::job_status> Status(std::string_view job);
+  // The job as the log has it. Waits while the outcome of a record is unknown.
+  core::result<schema::job_status> Status(std::string_view job,
+                                          core::milliseconds limit);
   core::result<schema::job_status> Cancel(std::string_view job,
                                           core::milliseconds limit);
 
   // Ends the epoch by a resign record, waiting for it at most `limit`.
   void Resign(core::milliseconds limit);
 
+  // Decides nothing and sends nothing any more, except what a thread has
+  // already taken out to send. Does not wait. Callers that wait are answered.
+  void Halt();
+
   bool IsDeposed();
 
  private:
   void RunLog();
   void RunSync();
   core::result<void> TakeOver();
-  void AppendOnce();
+  void AppendOnce(std::unique_lock<std::mutex>& lock);
   void CompactIfDue();
   struct pending_sync {
     std::string worker;
@@ -78,6 +87,15 @@
     schema::sync_request request;
   };
   std::optional<pending_sync> NextSync();
+  // Writes the same record until its outcome is known; nothing when stopped
+  // before that.
+  std::optional<append_outcome> AppendUntilKnown(
+      const shard_log& log, const log_append& append,
+      std::unique_lock<std::mutex>& lock);
+  // Whether a record has been sent whose outcome is not known.
+  bool IsUnresolved() const { return unresolved_; }
+  bool HasEnded() const { return stopping_ || core_->IsDeposed(); }
+  core::result<void> CheckActive() const;
   core::result<schema::job_status> AwaitApplied(
       std::uint64_t number, std::string_view job, core::milliseconds limit,
       std::unique_lock<std::mutex>& lock);
@@ -91,6 +109,14 @@
   std::unique_ptr<shard_core> core_;
   std::uint64_t compacted_through_ = 0;
   std::size_t next_worker_ = 0;
+  // Number of the last record that was sent to the store, and whether its
+  // outcome is still unknown.
+  std::uint64_t last_sent_ = 0;
+  bool unresolved_ = false;
+  // A try to write the unresolved record has failed.
+  bool append_failed_ = false;
+  // Jobs that wait for the next record.
+  std::set<std::string, std::less<>> queued_jobs_;
   bool stopping_ = false;
   std::vector<std::thread> threads_;
 };
--- a/src/waxwingfront/store/store_client.cc
+++ b/src/waxwingfront/store/store_client.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int kHttpOk = 200;
+constexpr int kHttpNotFound = 404;
 constexpr int kHttpTooManyRequests = 429;
 constexpr int kHttpUnavailable = 503;
 constexpr int kHttpPreconditionFailed = 412;
@@ -38,11 +39,19 @@
                               : core::error_code::kStoreUnavailable,
                          reply.error().detail);
   }
-  if (reply->status == kHttpTooManyRequests ||
-      reply->status == kHttpUnavailable) {
+  // The gateway answers 503 also when it gave up waiting for a write that it
+  // had passed on, so only a read is surely without effect.
+  const bool refused =
+      reply->status == kHttpTooManyRequests ||
+      (reply->status == kHttpUnavailable && kind == call_kind::kRead);
+  if (refused) {
     return core::Failure(core::error_code::kStoreUnavailable,
                          "the store refused the call");
   }
+  if (reply->status == kHttpNotFound) {
+    return core::Failure(core::error_code::kNotRun,
+                         "the store does not know the lease");
+  }
   if (reply->status == kHttpPreconditionFailed) {
     return core::Failure(core::error_code::kProtocol, reply->body);
   }
--- a/src/waxwingfront/store/store_client.h
+++ b/src/waxwingfront/store/store_client.h
@@ -61,7 +61,8 @@
   std::function<void(call_kind)> on_call = [](call_kind) {};
 };
 
-// All calls fail with `kStoreUnavailable` when nothing was done, and with
+// All calls fail with `kStoreUnavailable` when nothing was done, with `kNotRun`
+// when a write was refused because its lease has ended, and with
 // `kOutcomeUnknown` when no answer came: then a write may have taken effect,
 // and the caller has to read it back.
 class store_client {
--- a/standins/waxwingfront/standins/store.cc
+++ b/standins/waxwingfront/standins/store.cc
@@ -2,6 +2,7 @@
 
 #include <Poco/JSON/Parser.h>
 
+#include <algorithm>
 #include <thread>
 
 #include "waxwingfront/core/json.h"
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr int kHttpBadRequest = 400;
+constexpr int kHttpNotFound = 404;
 constexpr int kHttpPreconditionFailed = 412;
 constexpr int kHttpTooManyRequests = 429;
 constexpr int kHttpUnavailable = 503;
@@ -96,7 +98,14 @@
 http_answer store::Dispatch(std::string_view path, const std::string& body) {
   if (path == "/v3/kv/range")
     return Json(Range(Parse<schema::range_request>(body)));
-  if (path == "/v3/kv/txn") return Json(Txn(Parse<schema::txn_request>(body)));
+  if (path == "/v3/kv/txn") {
+    const auto request = Parse<schema::txn_request>(body);
+    if (HasUnknownLease(request)) {
+      return {.status = kHttpNotFound,
+              .body = "{\"error\":\"requested lease not found\"}"};
+    }
+    return Json(Txn(request));
+  }
   if (path == "/v3/kv/put") {
     Put(Parse<schema::put_request>(body));
     return {.body = "{}"};
@@ -224,6 +233,15 @@
   return response;
 }
 
+bool store::HasUnknownLease(const schema::txn_request& request) const {
+  return std::any_of(request.success().begin(), request.success().end(),
+                     [this](const schema::request_op& operation) {
+                       const std::int64_t lease =
+                           operation.request_put().lease();
+                       return lease != 0 && !leases_.contains(lease);
+                     });
+}
+
 schema::txn_response store::Txn(const schema::txn_request& request) {
   schema::txn_response response;
   bool holds = true;
--- a/standins/waxwingfront/standins/store.h
+++ b/standins/waxwingfront/standins/store.h
@@ -71,6 +71,8 @@
   void Put(const schema::put_request& request);
   schema::delete_range_response Delete(
       const schema::delete_range_request& request);
+  // Whether `request` would attach a key to a lease that does not exist.
+  bool HasUnknownLease(const schema::txn_request& request) const;
   schema::txn_response Txn(const schema::txn_request& request);
 
   mutable std::mutex mutex_;
--- /dev/null
+++ b/tests/support/faulty_store.cc
@@ -0,0 +1,94 @@
+#include "support/faulty_store.h"
+
+#include "waxwingfront/core/json.h"
+#include "waxwingfront/schema/gen/store_protocol.pb.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+constexpr int kHttpTooManyRequests = 429;
+
+}  // namespace
+
+faulty_store::faulty_store()
+    : client_({.post = [this](std::string_view path, std::string_view body) {
+        return Post(path, body);
+      }}) {
+  SetFate(call_fate::kAnswered);
+}
+
+void faulty_store::SetFate(
+    std::function<call_fate(std::string_view path)> fate) {
+  const std::lock_guard lock(mutex_);
+  fate_ = std::move(fate);
+}
+
+void faulty_store::SetFate(call_fate fate) {
+  SetFate([fate](std::string_view /*path*/) { return fate; });
+}
+
+standins::http_answer faulty_store::Deliver(std::string_view path,
+                                            std::string_view body) {
+  return store_.Handle({.method = "POST",
+                        .path = std::string(path),
+                        .headers = {},
+                        .body = std::string(body)});
+}
+
+core::result<net::http_reply> faulty_store::Post(std::string_view path,
+                                                 std::string_view body) {
+  std::function<call_fate(std::string_view)> decide;
+  {
+    const std::lock_guard lock(mutex_);
+    decide = fate_;
+  }
+  const auto lost = [] {
+    return core::Failure(core::error_code::kOutcomeUnknown, "no answer");
+  };
+  switch (decide(path)) {
+    case call_fate::kRefused:
+      return net::http_reply{.status = kHttpTooManyRequests, .body = "{}"};
+    case call_fate::kUnreachable:
+      return core::Failure(core::error_code::kUnreachable, "no connection");
+    case call_fate::kLostBefore:
+      return lost();
+    case call_fate::kLostAfter:
+      Deliver(path, body);
+      return lost();
+    case call_fate::kHeld: {
+      const std::lock_guard lock(mutex_);
+      held_.emplace_back(path, body);
+      return lost();
+    }
+    case call_fate::kAnswered:
+      break;
+  }
+  const standins::http_answer answer = Deliver(path, body);
+  if (answer.drop) return lost();
+  return net::http_reply{.status = answer.status, .body = answer.body};
+}
+
+void faulty_store::DeliverHeld() {
+  std::vector<std::pair<std::string, std::string>> held;
+  {
+    const std::lock_guard lock(mutex_);
+    held.swap(held_);
+  }
+  for (const auto& [path, body] : held) Deliver(path, body);
+}
+
+void faulty_store::EndLeaseOf(std::string_view key) {
+  schema::range_request request;
+  request.set_key(std::string(key));
+  schema::range_response found;
+  static_cast<void>(
+      core::FromJson(Deliver(kRangePath, core::ToJson(request)).body,
+                     core::unknown_fields::kIgnore, found));
+  for (const schema::key_value& item : found.kvs()) {
+    schema::lease_revoke_request revoke;
+    revoke.set_id(item.lease());
+    Deliver("/v3/lease/revoke", core::ToJson(revoke));
+  }
+}
+
+}  // namespace waxwingfront::tests
--- /dev/null
+++ b/tests/support/faulty_store.h
@@ -0,0 +1,70 @@
+// The stand-in store called in process, with a fate for each call.
+#ifndef WAXWINGFRONT_TESTS_SUPPORT_FAULTY_STORE_H_
+#define WAXWINGFRONT_TESTS_SUPPORT_FAULTY_STORE_H_
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "waxwingfront/core/error.h"
+#include "waxwingfront/net/http_client.h"
+#include "waxwingfront/standins/store.h"
+#include "waxwingfront/store/store_client.h"
+
+namespace waxwingfront::tests {
+
+enum class call_fate {
+  kAnswered,
+  // Answered with 429 and without effect.
+  kRefused,
+  // No connection.
+  kUnreachable,
+  // Lost on the way to the store.
+  kLostBefore,
+  // Takes effect; its answer is lost.
+  kLostAfter,
+  // Not answered; takes effect at `DeliverHeld`.
+  kHeld,
+};
+
+class faulty_store {
+ public:
+  faulty_store();
+
+  const store::store_client& Client() const { return client_; }
+
+  // Decides what becomes of each call; called before the store, without a lock.
+  void SetFate(std::function<call_fate(std::string_view path)> fate);
+  void SetFate(call_fate fate);
+
+  // Carries out all held calls, in the order in which they were made.
+  void DeliverHeld();
+
+  // Ends the lease that `key` is attached to, as if its time to live were over.
+  void EndLeaseOf(std::string_view key);
+
+  standins::store_counts Counts() const { return store_.Counts(); }
+
+ private:
+  core::result<net::http_reply> Post(std::string_view path,
+                                     std::string_view body);
+  standins::http_answer Deliver(std::string_view path, std::string_view body);
+
+  standins::store store_;
+  store::store_client client_;
+  std::mutex mutex_;
+  std::function<call_fate(std::string_view path)> fate_;
+  std::vector<std::pair<std::string, std::string>> held_;
+};
+
+// Paths of the store's calls.
+inline constexpr std::string_view kRangePath = "/v3/kv/range";
+inline constexpr std::string_view kTxnPath = "/v3/kv/txn";
+inline constexpr std::string_view kDeletePath = "/v3/kv/deleterange";
+
+}  // namespace waxwingfront::tests
+
+#endif  // WAXWINGFRONT_TESTS_SUPPORT_FAULTY_STORE_H_
