--- /dev/null
+++ b/tests/waxwingfront/shard/shard_manager_test.cc
@@ -0,0 +1,255 @@
+// Which entry owns a shard, when leases end, answers are lost and claims race.
+#include "waxwingfront/shard/shard_manager.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <future>
+#include <thread>
+
+#include "support/call_gate.h"
+#include "support/faulty_store.h"
+#include "support/owner_options.h"
+#include "waxwingfront/shard/shard_log.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+using core::error_code;
+using shard::shard_manager;
+
+constexpr std::string_view kShard = "local/0";
+constexpr std::string_view kOwnerKey = "owners/local/0";
+constexpr core::milliseconds kLong{20000};
+
+shard::shard_manager_options ManagerOptions(const std::string& id) {
+  shard::shard_owner_options owner = QuickOwnerOptions(id);
+  owner.hosts = [] { return ViewOfShards({std::string(kShard)}); };
+  return {.entry_id = id,
+          .peer_address = "address-of-" + id,
+          .failure_domain = "local",
+          .owner = std::move(owner)};
+}
+
+// Polls until `manager` owns the shard. An entry lets those before it in the
+// shard's order claim first, for one poll each.
+bool PollUntilOwned(shard_manager& manager) {
+  constexpr int kPolls = 4;
+  for (int poll = 0; poll < kPolls; ++poll) {
+    static_cast<void>(manager.Poll());
+    if (manager.Owned(kShard) != nullptr) return true;
+  }
+  return false;
+}
+
+// Guards against an owner that goes on after the store has ended its lease.
+TEST_CASE("shard manager drops its shards when the store lease has ended",
+          "[shard][manager]") {
+  faulty_store store;
+  shard_manager manager(ManagerOptions("entry-0"), store.Client());
+  REQUIRE(PollUntilOwned(manager));
+  const auto former = manager.Owned(kShard);
+  REQUIRE(AwaitActive(*former));
+  store.EndLeaseOf(kOwnerKey);
+  REQUIRE(manager.Poll().has_value());
+  // A caller that holds the object finds it without effect.
+  CHECK(former->Submit(QuickJob("late"), kLong).error().code ==
+        error_code::kNoOwner);
+  REQUIRE(PollUntilOwned(manager));
+  CHECK(manager.Owned(kShard) != former);
+  REQUIRE(AwaitActive(*manager.Owned(kShard)));
+}
+
+// Guards against an object that sends to workers although it was dropped: a
+// waiting caller keeps it alive for seconds.
+TEST_CASE("shard manager's dropped owner sends nothing while a caller has it",
+          "[shard][manager]") {
+  faulty_store store;
+  std::atomic<int> sent{0};
+  auto options = ManagerOptions("entry-0");
+  options.owner.sync = [&sent](const std::string& address,
+                               const schema::sync_request& /*request*/)
+      -> core::result<schema::sync_response> {
+    ++sent;
+    return core::Failure(error_code::kUnreachable, address);
+  };
+  shard_manager manager(options, store.Client());
+  REQUIRE(PollUntilOwned(manager));
+  const auto former = manager.Owned(kShard);
+  REQUIRE(AwaitCondition([&sent] { return sent > 0; }));
+  manager.StopClaiming();
+  store.EndLeaseOf(kOwnerKey);
+  REQUIRE(manager.Poll().has_value());
+  const int sent_before = sent;
+  // Twenty exchange periods; a message that a thread had taken out may follow.
+  std::this_thread::sleep_for(core::milliseconds(200));
+  CHECK(sent <= sent_before + options.owner.sync_threads);
+}
+
+// Guards against batch work that stops in an outage shorter than the grace, and
+// against a return without looking at the lease.
+TEST_CASE("shard manager keeps its shards while the store is down",
+          "[shard][manager]") {
+  faulty_store store;
+  shard_manager manager(ManagerOptions("entry-0"), store.Client());
+  shard_manager other(ManagerOptions("entry-1"), store.Client());
+  REQUIRE(PollUntilOwned(manager));
+  const auto owner = manager.Owned(kShard);
+  store.SetFate(call_fate::kUnreachable);
+  CHECK_FALSE(manager.Poll().has_value());
+  CHECK(manager.Owned(kShard) == owner);
+  CHECK(manager.OwnerAddress(kShard) == "address-of-entry-0");
+  store.SetFate(call_fate::kAnswered);
+  SECTION("and goes on when the lease still lives") {
+    REQUIRE(manager.Poll().has_value());
+    CHECK(manager.Owned(kShard) == owner);
+  }
+  SECTION("and gives way when another entry has claimed the shard meanwhile") {
+    store.EndLeaseOf(kOwnerKey);
+    REQUIRE(PollUntilOwned(other));
+    REQUIRE(AwaitActive(*other.Owned(kShard)));
+    REQUIRE(manager.Poll().has_value());
+    CHECK(manager.Owned(kShard) == nullptr);
+    CHECK(manager.OwnerAddress(kShard) == "address-of-entry-1");
+  }
+}
+
+// Guards against two entries that both believe to have won a shard.
+TEST_CASE("shard managers that claim at the same time get one owner",
+          "[shard][manager]") {
+  faulty_store store;
+  shard_manager first(ManagerOptions("entry-0"), store.Client());
+  shard_manager second(ManagerOptions("entry-1"), store.Client());
+  REQUIRE(second.Poll().has_value());
+  const bool second_was_first = second.Owned(kShard) != nullptr;
+  if (second_was_first) second.Stop(kLong);
+  shard_manager rival(ManagerOptions("entry-2"), store.Client());
+  int writes = 0;
+  bool inside = false;
+  bool rival_owns = false;
+  // The writes of a first poll are the lease, the entry's record and the
+  // claim; the rival claims just before the last.
+  store.SetFate([&](std::string_view path) {
+    if (!inside && path == kTxnPath && ++writes == 2) {
+      inside = true;
+      rival_owns = PollUntilOwned(rival);
+      inside = false;
+    }
+    return call_fate::kAnswered;
+  });
+  for (int poll = 0; poll < 4 && writes < 2; ++poll)
+    static_cast<void>(first.Poll());
+  store.SetFate(call_fate::kAnswered);
+  REQUIRE(rival_owns);
+  CHECK(first.Owned(kShard) == nullptr);
+  REQUIRE(first.Poll().has_value());
+  CHECK(first.Owned(kShard) == nullptr);
+  CHECK(first.OwnerAddress(kShard) == "address-of-entry-2");
+}
+
+// Guards against a shard that has an owner's key and no owner: nobody else
+// claims it while that entry renews its lease.
+TEST_CASE("shard manager recognises its claim after a lost answer",
+          "[shard][manager]") {
+  faulty_store store;
+  shard_manager manager(ManagerOptions("entry-0"), store.Client());
+  int writes = 0;
+  store.SetFate([&writes](std::string_view path) {
+    return path == kTxnPath && ++writes == 2 ? call_fate::kLostAfter
+                                             : call_fate::kAnswered;
+  });
+  REQUIRE(manager.Poll().has_value());
+  CHECK(manager.Owned(kShard) == nullptr);
+  REQUIRE(manager.Poll().has_value());
+  REQUIRE(manager.Owned(kShard) != nullptr);
+  CHECK(AwaitActive(*manager.Owned(kShard)));
+}
+
+// Guards against a claim that outlives its lease: no entry could ever claim the
+// shard again.
+TEST_CASE("shard manager's claim under an ended lease has no effect",
+          "[shard][manager]") {
+  faulty_store store;
+  shard_manager manager(ManagerOptions("entry-0"), store.Client());
+  int writes = 0;
+  store.SetFate([&](std::string_view path) {
+    if (path == kTxnPath && ++writes == 2) {
+      const auto listed = store.Client().List("entries/");
+      for (const auto& item : *listed) store.EndLeaseOf(item.key);
+    }
+    return call_fate::kAnswered;
+  });
+  REQUIRE(manager.Poll().has_value());
+  CHECK(manager.Owned(kShard) == nullptr);
+  CHECK(store.Client().List("owners/")->empty());
+  REQUIRE(PollUntilOwned(manager));
+}
+
+// Guards against a restarted entry that takes the ownership of its former
+// process for its own: it would act without the key's lease.
+TEST_CASE("shard manager does not own what its former process owned",
+          "[shard][manager]") {
+  faulty_store store;
+  auto former = std::make_unique<shard_manager>(ManagerOptions("entry-0"),
+                                                store.Client());
+  REQUIRE(PollUntilOwned(*former));
+  former.reset();
+  shard_manager restarted(ManagerOptions("entry-0"), store.Client());
+  CHECK_FALSE(PollUntilOwned(restarted));
+  store.EndLeaseOf(kOwnerKey);
+  REQUIRE(PollUntilOwned(restarted));
+  CHECK(AwaitActive(*restarted.Owned(kShard)));
+}
+
+// Guards against a hand-over after which the next owner waits for the former's
+// grace, or for its lease.
+TEST_CASE("shard manager hands its shards over when it stops",
+          "[shard][manager]") {
+  faulty_store store;
+  shard_manager leaving(ManagerOptions("entry-0"), store.Client());
+  shard_manager next(ManagerOptions("entry-1"), store.Client());
+  REQUIRE(PollUntilOwned(leaving));
+  REQUIRE(AwaitActive(*leaving.Owned(kShard)));
+  leaving.StopClaiming();
+  REQUIRE(leaving.Poll().has_value());
+  CHECK(leaving.Owned(kShard) != nullptr);
+  leaving.Stop(kLong);
+  CHECK(store.Client().List("owners/")->empty());
+  CHECK(store.Client().List("entries/")->empty());
+  const auto log = shard::shard_log(store.Client(), kShard).Recover();
+  REQUIRE(log.has_value());
+  CHECK(log->state.Resigned());
+  REQUIRE(PollUntilOwned(next));
+  CHECK(AwaitActive(*next.Owned(kShard)));
+}
+
+// Guards against an entry that claims shards just before it gives them up.
+TEST_CASE("shard manager claims nothing after it was told to stop claiming",
+          "[shard][manager]") {
+  faulty_store store;
+  shard_manager manager(ManagerOptions("entry-0"), store.Client());
+  manager.StopClaiming();
+  CHECK_FALSE(PollUntilOwned(manager));
+  CHECK(store.Client().List("entries/")->size() == 1);
+}
+
+// Guards against a poll that runs while the entry stops, and leaves a lease
+// behind or touches what `Stop` changes.
+TEST_CASE("shard manager can be polled while it stops", "[shard][manager]") {
+  faulty_store store;
+  shard_manager manager(ManagerOptions("entry-0"), store.Client());
+  REQUIRE(PollUntilOwned(manager));
+  std::atomic<bool> done{false};
+  std::thread poller([&] {
+    while (!done) static_cast<void>(manager.Poll());
+  });
+  manager.Stop(kLong);
+  CHECK(store.Client().List("entries/")->empty());
+  static_cast<void>(manager.Poll());
+  done = true;
+  poller.join();
+  CHECK(store.Client().List("entries/")->empty());
+  CHECK(manager.OwnedCount() == 0);
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
