Test batch work through deaths, freezes and store faults

Process tests read the workers' journals: no task runs in two places at once, and each finishes once. Job submissions are tested with each call lost or refused.

--- a/standins/waxwingfront/standins/worker.cc
+++ b/standins/waxwingfront/standins/worker.cc
@@ -31,7 +31,12 @@
 
 http_answer worker::Handle(const http_call& call) {
   constexpr int kHttpBadRequest = 400;
-  if (call.path == "/journal") return {.body = Journal()};
+  if (call.path == "/journal") {
+    const std::lock_guard lock(mutex_);
+    // Also lists what ended since the last exchange.
+    Advance(core::Now());
+    return {.body = journal_};
+  }
   if (call.path == "/leaving") {
     SetLeaving(call.body != "false");
     return {.body = "{}"};
--- a/tests/support/process_site.cc
+++ b/tests/support/process_site.cc
@@ -48,7 +48,7 @@
 }
 
 process_site::process_site(const process_site_options& options)
-    : folder_(Poco::TemporaryFile::tempName()) {
+    : options_(options), folder_(Poco::TemporaryFile::tempName()) {
   std::filesystem::create_directories(folder_);
   store_ = StartStandin({"store"}, store_address_);
   host_list_ = StartStandin({"host-list"}, host_list_address_);
@@ -59,12 +59,8 @@
     listed.set_rack("rack-1");
     listed.mutable_capacity()->set_processor_milli(kProcessorMilli);
     listed.mutable_capacity()->set_memory_mib(kMemoryMib);
-    workers_.push_back(StartStandin(
-        {"worker", "--processor-milli", std::to_string(kProcessorMilli),
-         "--memory-mib", std::to_string(kMemoryMib), "--ticket-ms",
-         std::to_string(options.ticket_ms), "--task-lease-ms",
-         std::to_string(options.task_lease_ms)},
-        *listed.mutable_address()));
+    *listed.mutable_address() = "127.0.0.1:0";
+    workers_.push_back(StartWorker(*listed.mutable_address()));
   }
   for (int index = 0; index < options.executors; ++index) {
     schema::listed_executor& listed = *hosts_.add_executors();
@@ -102,6 +98,16 @@
   return started;
 }
 
+std::unique_ptr<child_process> process_site::StartWorker(
+    std::string& address) const {
+  return StartStandin({"worker", "--address", address, "--processor-milli",
+                       std::to_string(kProcessorMilli), "--memory-mib",
+                       std::to_string(kMemoryMib), "--ticket-ms",
+                       std::to_string(options_.ticket_ms), "--task-lease-ms",
+                       std::to_string(options_.task_lease_ms)},
+                      address);
+}
+
 void process_site::WriteSettings(int index,
                                  const process_site_options& options) {
   std::ofstream file(folder_ + "/entry-" + std::to_string(index) + ".ini");
@@ -127,6 +133,35 @@
           folder_ + "/entry-" + std::to_string(index) + ".ini"});
 }
 
+void process_site::RestartWorker(int index) {
+  workers_[index].reset();
+  workers_[index] =
+      StartWorker(*hosts_.mutable_workers(index)->mutable_address());
+}
+
+int process_site::AwaitOwner() const {
+  int owner = -1;
+  const bool found = AwaitCondition([this, &owner] {
+    for (int index = 0; index < static_cast<int>(entries_.size()); ++index) {
+      const auto reply = Call(EntryAddress(index), "GET", "/metrics");
+      const bool owns =
+          reply &&
+          reply->body.find("waxwingfront_shards_owned 1") != std::string::npos;
+      if (owns) owner = index;
+    }
+    return owner >= 0;
+  });
+  if (!found) throw std::runtime_error("the shard has no owner");
+  return owner;
+}
+
+std::vector<std::string> process_site::Journals() const {
+  std::vector<std::string> journals;
+  for (const schema::listed_worker& worker : hosts_.workers())
+    journals.push_back(Journal(worker.address()));
+  return journals;
+}
+
 void process_site::SignOff(const std::string& bundle) const {
   net::http_client http({.address = store_address_});
   const store::store_client client(
@@ -175,16 +210,20 @@
   return reply ? reply->body : "";
 }
 
-bool process_site::AwaitReady() const {
-  return AwaitCondition([this] {
-    for (const std::string& address : entry_addresses_) {
-      const auto reply = Call(address, "GET", "/readyz");
-      if (!reply || reply->status != kHttpOk) return false;
-    }
-    return true;
+bool process_site::AwaitReady(int entry) const {
+  return AwaitCondition([this, entry] {
+    const auto reply = Call(EntryAddress(entry), "GET", "/readyz");
+    return reply && reply->status == kHttpOk;
   });
 }
 
+bool process_site::AwaitReady() const {
+  for (int entry = 0; entry < static_cast<int>(entries_.size()); ++entry) {
+    if (!AwaitReady(entry)) return false;
+  }
+  return true;
+}
+
 bool process_site::AwaitAccepted(int entry, std::string_view job_json) const {
   return AwaitCondition([this, entry, job_json] {
     const auto reply = Call(EntryAddress(entry), "POST", "/v1/jobs", job_json);
--- a/tests/support/process_site.h
+++ b/tests/support/process_site.h
@@ -54,6 +54,14 @@
 
   // Starts an entry again with the settings that it had.
   void RestartEntry(int index);
+  // Starts a worker again at its address, without memory of what it ran.
+  void RestartWorker(int index);
+
+  // The entry that owns the only shard; waits until there is one among those
+  // that answer.
+  int AwaitOwner() const;
+  // The journals of all workers.
+  std::vector<std::string> Journals() const;
 
   // Sets the store's faults; `json` is described in `standins/store.h`.
   void SetStoreFaults(std::string_view json) const;
@@ -69,6 +77,8 @@
 
   // Waits until every entry answers `/readyz` with 200.
   bool AwaitReady() const;
+  // Waits until `entry` answers `/readyz` with 200.
+  bool AwaitReady(int entry) const;
   // Submits a job through an entry until it is accepted.
   bool AwaitAccepted(int entry, std::string_view job_json) const;
   // Waits for a state of a job, as an entry reports it.
@@ -76,11 +86,13 @@
                   schema::job_state state) const;
 
  private:
+  std::unique_ptr<child_process> StartWorker(std::string& address) const;
   std::unique_ptr<child_process> StartStandin(
       const std::vector<std::string>& arguments, std::string& address) const;
   void WriteSettings(int index, const process_site_options& options);
   void SignOff(const std::string& bundle) const;
 
+  process_site_options options_;
   std::string folder_;
   std::string store_address_;
   std::string host_list_address_;
--- /dev/null
+++ b/tests/waxwingfront/jobs/job_service_test.cc
@@ -0,0 +1,192 @@
+// Submission and location of jobs, with failures of the store and of the
+// owner's entry.
+#include "waxwingfront/jobs/job_service.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+
+#include "support/faulty_store.h"
+#include "support/owner_options.h"
+#include "waxwingfront/shard/shard_owner.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+using core::error_code;
+
+constexpr core::milliseconds kLimit{1000};
+
+std::shared_ptr<const bundle::bundle_view> PolicyWithClass(
+    const std::string& name, std::int64_t version) {
+  schema::bundle content;
+  schema::batch_class_policy& batch_class = *content.add_batch_classes();
+  batch_class.set_name(name);
+  batch_class.set_host_share_percent(100);
+  batch_class.set_max_failures(3);
+  content.add_customers()->set_name("jihlava");
+  return std::make_shared<bundle::bundle_view>(content, version);
+}
+
+std::shared_ptr<const hosts::host_view> HostsOf(
+    const std::vector<std::string>& shards) {
+  auto view = std::make_shared<hosts::host_view>(*ViewOfShards(shards));
+  for (auto& [id, info] : view->workers) {
+    info.failure_domain = "local";
+    info.capacity = {.processor_milli = 1000, .memory_mib = 1000};
+  }
+  return view;
+}
+
+// An entry's job service with one owned shard, `local/0`.
+struct job_site {
+  job_site()
+      : owner(std::make_shared<shard::shard_owner>(
+            QuickOwnerOptions("entry-0"), store.Client(), core::Now())),
+        service(Options(), store.Client()) {}
+
+  jobs::job_service_options Options() {
+    return {
+        .policy = [this] { return policy; },
+        .hosts = [this] { return hosts; },
+        .owned =
+            [this](std::string_view shard) {
+              return shard == "local/0" && !moved ? owner : nullptr;
+            },
+        .owner_address =
+            [this](std::string_view /*shard*/) {
+              return moved ? std::optional<std::string>("peer") : std::nullopt;
+            },
+        .call_peer =
+            [this](const std::string& /*address*/,
+                   const schema::peer_request& request,
+                   core::milliseconds /*limit*/) { return CallPeer(request); },
+        .limit = kLimit};
+  }
+
+  // The peer is the same service as seen by the entry that owns the shard.
+  core::result<schema::peer_response> CallPeer(
+      const schema::peer_request& request) {
+    if (peer_down)
+      return core::Failure(error_code::kUnreachable, "no connection");
+    moved = false;
+    schema::peer_response response = service.HandlePeer(request);
+    moved = true;
+    if (lose_peer_answer)
+      return core::Failure(error_code::kOutcomeUnknown, "no answer");
+    if (response.has_failure()) {
+      return core::Failure(*core::ErrorFromName(response.failure().code()),
+                           response.failure().detail());
+    }
+    return response;
+  }
+
+  std::size_t JobsInLog() {
+    const auto snapshot = owner->Status("none", kLimit);
+    auto log = shard::shard_log(store.Client(), "local/0").Recover();
+    REQUIRE(log.has_value());
+    return log->state.Jobs().size();
+  }
+
+  faulty_store store;
+  std::shared_ptr<const bundle::bundle_view> policy =
+      PolicyWithClass("orders", 1);
+  std::shared_ptr<const hosts::host_view> hosts = HostsOf({"local/0"});
+  bool moved = false;
+  bool peer_down = false;
+  bool lose_peer_answer = false;
+  std::shared_ptr<shard::shard_owner> owner;
+  jobs::job_service service;
+};
+
+// Guards against a repeated submission that makes a second job, or none.
+TEST_CASE("job service makes one job of a repeated submission", "[jobs]") {
+  job_site site;
+  REQUIRE(AwaitActive(*site.owner));
+  const schema::job_spec job = QuickJob("a");
+  SECTION("after success") { REQUIRE(site.service.Submit(job).has_value()); }
+  SECTION("after the answer about the location was lost") {
+    int calls = 0;
+    site.store.SetFate([&calls](std::string_view /*path*/) {
+      return ++calls <= 2 ? call_fate::kLostAfter : call_fate::kAnswered;
+    });
+    CHECK(site.service.Submit(job).error().code ==
+          error_code::kStoreUnavailable);
+    CHECK(site.JobsInLog() == 0);
+  }
+  SECTION("after the store refused the location") {
+    int calls = 0;
+    site.store.SetFate([&calls](std::string_view /*path*/) {
+      return ++calls <= 1 ? call_fate::kRefused : call_fate::kAnswered;
+    });
+    // Not `unknown_job`: the caller asked for no job that should exist.
+    CHECK(site.service.Submit(job).error().code ==
+          error_code::kStoreUnavailable);
+  }
+  SECTION("after the owner's entry could not be reached") {
+    site.moved = site.peer_down = true;
+    CHECK(site.service.Submit(job).error().code == error_code::kUnreachable);
+    CHECK(site.JobsInLog() == 0);
+    site.moved = false;
+  }
+  SECTION("after the answer of the owner's entry was lost") {
+    site.moved = site.lose_peer_answer = true;
+    CHECK(site.service.Submit(job).error().code == error_code::kOutcomeUnknown);
+    site.lose_peer_answer = false;
+  }
+  SECTION("after the owner's record was not confirmed in time") {
+    std::atomic<int> writes{0};
+    site.store.SetFate([&writes](std::string_view path) {
+      const bool location = path == kTxnPath && writes++ == 0;
+      return location ? call_fate::kAnswered : call_fate::kLostAfter;
+    });
+    CHECK(site.service.Submit(job).error().code == error_code::kOutcomeUnknown);
+    site.store.SetFate(call_fate::kAnswered);
+  }
+  site.store.SetFate(call_fate::kAnswered);
+  REQUIRE(site.service.Submit(job).has_value());
+  CHECK(site.JobsInLog() == 1);
+}
+
+// Guards against a job whose repeated submission goes to another shard.
+TEST_CASE("job service keeps a job's shard when the hosts change", "[jobs]") {
+  job_site site;
+  REQUIRE(AwaitActive(*site.owner));
+  site.moved = site.peer_down = true;
+  CHECK_FALSE(site.service.Submit(QuickJob("a")).has_value());
+  site.moved = false;
+  site.hosts = HostsOf({"local/1", "local/2", "local/3"});
+  REQUIRE(site.service.Submit(QuickJob("a")).has_value());
+  CHECK(site.JobsInLog() == 1);
+}
+
+// Guards against "never accepted" for a job that was accepted under an earlier
+// bundle: the caller would submit the work again.
+TEST_CASE("job service knows a job that the present bundle rules out",
+          "[jobs]") {
+  job_site site;
+  REQUIRE(AwaitActive(*site.owner));
+  REQUIRE(site.service.Submit(QuickJob("a")).has_value());
+  SECTION("its class is gone") { site.policy = PolicyWithClass("other", 2); }
+  SECTION("its hosts are gone") { site.hosts = HostsOf({}); }
+  CHECK(site.service.Submit(QuickJob("a")).has_value());
+  const auto fresh = site.service.Submit(QuickJob("b"));
+  REQUIRE_FALSE(fresh.has_value());
+  const bool refused = fresh.error().code == error_code::kUnknownBatchClass ||
+                       fresh.error().code == error_code::kUnplaceable;
+  CHECK(refused);
+  CHECK(site.JobsInLog() == 1);
+}
+
+// Guards against two different jobs under one id.
+TEST_CASE("job service refuses another specification under a known id",
+          "[jobs]") {
+  job_site site;
+  REQUIRE(AwaitActive(*site.owner));
+  REQUIRE(site.service.Submit(QuickJob("a")).has_value());
+  schema::job_spec other = QuickJob("a");
+  other.set_task_count(2);
+  CHECK(site.service.Submit(other).error().code == error_code::kJobConflict);
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
--- /dev/null
+++ b/tests/waxwingfront/serve/takeover_test.cc
@@ -0,0 +1,241 @@
+// Batch work while processes die, freeze and lose the store. The workers'
+// journals tell where each attempt ran and when, on one machine's monotonic
+// clock: no task may run in two places at once, and each has to finish once.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <thread>
+
+#include "support/journal.h"
+#include "support/process_site.h"
+#include "waxwingfront/core/json.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+std::string JobJson(int tasks, int run_ms) {
+  return R"({"id": "orders", "customer": "jihlava", "batch_class": "orders",
+    "task_size": {"processor_milli": 1000, "memory_mib": 100}, "task_count": )" +
+         std::to_string(tasks) + R"(, "command": "sleep:)" +
+         std::to_string(run_ms) + R"("})";
+}
+
+// Waits until the journals show `count` attempts.
+bool AwaitStarts(const process_site& site, std::size_t count) {
+  return AwaitCondition([&site, count] {
+    return RunsOf("orders", site.Journals()).size() >= count;
+  });
+}
+
+schema::job_status StatusOf(const process_site& site, int entry) {
+  schema::job_status status;
+  const auto reply =
+      site.Call(site.EntryAddress(entry), "GET", "/v1/jobs/orders");
+  REQUIRE(reply.has_value());
+  REQUIRE(core::FromJson(reply->body, core::unknown_fields::kIgnore, status)
+              .has_value());
+  return status;
+}
+
+int OtherThan(int entry) { return entry == 0 ? 1 : 0; }
+
+// Checks the journals after the job is reported finished.
+void RequireFinishedOnce(const process_site& site, int entry, int tasks) {
+  REQUIRE(site.AwaitState(entry, "orders", schema::JOB_STATE_FINISHED));
+  CHECK(FindFaults(RunsOf("orders", site.Journals()), tasks).empty());
+  CHECK(StatusOf(site, entry).tasks_finished() == tasks);
+}
+
+void Sleep(int ms) { std::this_thread::sleep_for(core::milliseconds(ms)); }
+
+// Guards against a new owner that starts running tasks a second time.
+TEST_CASE("a job survives the death of its owner", "[process][takeover]") {
+  constexpr int kTasks = 12;
+  process_site site({.entries = 2, .workers = 2, .executors = 0});
+  REQUIRE(site.AwaitReady());
+  REQUIRE(site.AwaitAccepted(0, JobJson(kTasks, 2500)));
+  REQUIRE(AwaitStarts(site, 8));
+  const int owner = site.AwaitOwner();
+  site.Entry(owner).Signal(SIGKILL);
+  RequireFinishedOnce(site, OtherThan(owner), kTasks);
+}
+
+// Guards against acknowledged work that only the entries' memory held.
+TEST_CASE("a job survives the death of all entries", "[process][takeover]") {
+  constexpr int kTasks = 12;
+  process_site site({.entries = 2, .workers = 2, .executors = 0});
+  REQUIRE(site.AwaitReady());
+  REQUIRE(site.AwaitAccepted(0, JobJson(kTasks, 2500)));
+  SECTION("right after it is accepted") {}
+  SECTION("while its tasks run") { REQUIRE(AwaitStarts(site, 8)); }
+  for (int entry : {0, 1}) site.Entry(entry).Signal(SIGKILL);
+  for (int entry : {0, 1}) site.RestartEntry(entry);
+  RequireFinishedOnce(site, 0, kTasks);
+}
+
+// Guards against messages of a frozen owner that take effect after the tasks
+// were bound elsewhere: the frozen worker's socket buffers hold its starts.
+TEST_CASE("commands of a frozen owner have no effect when they arrive late",
+          "[process][takeover]") {
+  constexpr int kTasks = 8;
+  process_site site({.entries = 2, .workers = 2, .executors = 0});
+  REQUIRE(site.AwaitReady());
+  const int owner = site.AwaitOwner();
+  const int other = OtherThan(owner);
+  // Lets the owner contact both workers.
+  REQUIRE(site.AwaitAccepted(other, R"({"id": "first", "customer": "jihlava",
+        "batch_class": "orders", "command": "sleep:1", "task_count": 8,
+        "task_size": {"processor_milli": 1000, "memory_mib": 100}})"));
+  REQUIRE(site.AwaitState(other, "first", schema::JOB_STATE_FINISHED));
+  site.Worker(0).Signal(SIGSTOP);
+  REQUIRE(site.AwaitAccepted(other, JobJson(kTasks, 2500)));
+  Sleep(100);
+  site.Entry(owner).Signal(SIGSTOP);
+  // The owner's lease (1 s) ends, and the next owner's wait of G + T + TL plus
+  // 5 % (3.3 s) for what was bound to the frozen worker.
+  REQUIRE(AwaitCondition([&site] {
+    const auto runs = RunsOf("orders", {site.Journal(site.WorkerAddress(1))});
+    return std::any_of(runs.begin(), runs.end(),
+                       [](const attempt_run& run) { return run.attempt > 1; });
+  }));
+  site.Worker(0).Signal(SIGCONT);
+  site.Entry(owner).Signal(SIGCONT);
+  RequireFinishedOnce(site, other, kTasks);
+}
+
+// Guards against a thawed owner that goes on as if nothing had happened.
+TEST_CASE("an owner frozen past lease and grace does no harm when it goes on",
+          "[process][takeover]") {
+  constexpr int kTasks = 40;
+  process_site site({.entries = 2, .workers = 2, .executors = 0});
+  REQUIRE(site.AwaitReady());
+  REQUIRE(site.AwaitAccepted(0, JobJson(kTasks, 700)));
+  REQUIRE(AwaitStarts(site, 8));
+  const int owner = site.AwaitOwner();
+  site.Entry(owner).Signal(SIGSTOP);
+  // Lease 1 s, grace 1 s.
+  Sleep(2500);
+  site.Entry(owner).Signal(SIGCONT);
+  RequireFinishedOnce(site, OtherThan(owner), kTasks);
+  CHECK(site.AwaitState(owner, "orders", schema::JOB_STATE_FINISHED));
+}
+
+// Guards against attempts that start while their binding is not in the log, and
+// against a job that does not go on after an outage.
+TEST_CASE("a job survives a store outage during its placement",
+          "[process][takeover]") {
+  constexpr int kTasks = 40;
+  process_site site({.entries = 2, .workers = 2, .executors = 0});
+  REQUIRE(site.AwaitReady());
+  REQUIRE(site.AwaitAccepted(0, JobJson(kTasks, 300)));
+  REQUIRE(AwaitStarts(site, 12));
+  site.SetStoreFaults(R"({"down": true})");
+  SECTION("shorter than lease and grace") { Sleep(800); }
+  SECTION("longer than lease, grace and task lease") { Sleep(5000); }
+  SECTION("in which the owner dies") {
+    const int owner = site.AwaitOwner();
+    Sleep(300);
+    site.Entry(owner).Signal(SIGKILL);
+    site.RestartEntry(owner);
+    Sleep(300);
+  }
+  site.SetStoreFaults("{}");
+  RequireFinishedOnce(site, 0, kTasks);
+}
+
+// Guards against records that are written twice, or given up, because their
+// answer was lost.
+TEST_CASE("a job survives lost answers of the store", "[process][takeover]") {
+  constexpr int kTasks = 40;
+  process_site site({.entries = 2, .workers = 2, .executors = 0});
+  REQUIRE(site.AwaitReady());
+  REQUIRE(site.AwaitAccepted(0, JobJson(kTasks, 200)));
+  for (std::size_t starts = 8; starts <= 32; starts += 8) {
+    REQUIRE(AwaitStarts(site, starts));
+    site.SetStoreFaults(R"({"lose_write_answers": 4})");
+  }
+  RequireFinishedOnce(site, 0, kTasks);
+}
+
+// Guards against a restart that interrupts batch work: a clean hand-over lets
+// every attempt run on.
+TEST_CASE("a job survives a rolling restart of all entries",
+          "[process][takeover]") {
+  constexpr int kTasks = 120;
+  process_site site(
+      {.entries = 3,
+       .workers = 2,
+       .executors = 0,
+       .more_settings = QuickBatchSettings() + "[front]\nunready_ms = 1500\n"});
+  REQUIRE(site.AwaitReady());
+  REQUIRE(site.AwaitAccepted(0, JobJson(kTasks, 500)));
+  REQUIRE(AwaitStarts(site, 8));
+  for (int entry : {0, 1, 2}) {
+    site.Entry(entry).Signal(SIGTERM);
+    CHECK(site.Entry(entry).Wait() == 0);
+    site.RestartEntry(entry);
+    REQUIRE(site.AwaitReady(entry));
+  }
+  RequireFinishedOnce(site, 0, kTasks);
+  const schema::job_status status = StatusOf(site, 0);
+  CHECK(status.attempts_lost() == 0);
+  CHECK(status.attempts_evicted() == 0);
+}
+
+// Guards against tasks that stay bound to a worker that is gone.
+TEST_CASE("a job survives the death of a worker", "[process][takeover]") {
+  constexpr int kTasks = 8;
+  process_site site({.entries = 2, .workers = 2, .executors = 0});
+  REQUIRE(site.AwaitReady());
+  REQUIRE(site.AwaitAccepted(0, JobJson(kTasks, 2500)));
+  REQUIRE(AwaitStarts(site, kTasks));
+  std::vector<attempt_run> former =
+      RunsOf("orders", {site.Journal(site.WorkerAddress(0))});
+  REQUIRE_FALSE(former.empty());
+  site.Worker(0).Signal(SIGKILL);
+  site.Worker(0).Wait();
+  const auto died_ms = std::chrono::duration_cast<core::milliseconds>(
+                           core::Now().time_since_epoch())
+                           .count();
+  SECTION("that does not come back") {}
+  SECTION("that comes back without memory") { site.RestartWorker(0); }
+  REQUIRE(site.AwaitState(0, "orders", schema::JOB_STATE_FINISHED));
+  std::vector<attempt_run> runs = RunsOf("orders", site.Journals());
+  for (attempt_run& run : former) {
+    run.end_ms = std::min(run.end_ms, died_ms);
+    runs.push_back(run);
+  }
+  CHECK(FindFaults(runs, kTasks).empty());
+  CHECK(StatusOf(site, 0).tasks_finished() == kTasks);
+}
+
+// Guards against tasks that run on at a worker nobody reaches while they are
+// bound elsewhere, and against their late reports.
+TEST_CASE("a job survives a worker that is reachable again later",
+          "[process][takeover]") {
+  constexpr int kTasks = 8;
+  process_site site({.entries = 2, .workers = 2, .executors = 0});
+  REQUIRE(site.AwaitReady());
+  REQUIRE(site.AwaitAccepted(0, JobJson(kTasks, 4000)));
+  REQUIRE(AwaitStarts(site, kTasks));
+  const std::string address = site.WorkerAddress(0);
+  site.ChangeHosts([](schema::host_list& hosts) {
+    hosts.mutable_workers(0)->set_address(FreeAddress());
+  });
+  SECTION("after its tasks were bound elsewhere") {
+    REQUIRE(AwaitCondition([&site] {
+      const auto runs = RunsOf("orders", {site.Journal(site.WorkerAddress(1))});
+      return std::any_of(runs.begin(), runs.end(), [](const attempt_run& run) {
+        return run.attempt > 1;
+      });
+    }));
+  }
+  SECTION("before its task leases end") { Sleep(300); }
+  site.ChangeHosts([&address](schema::host_list& hosts) {
+    hosts.mutable_workers(0)->set_address(address);
+  });
+  RequireFinishedOnce(site, 0, kTasks);
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
