Report every problem of a bundle with its path

protobuf's JSON parser stops at the first unknown field or wrong type, lets the last of two equal keys win, and gave no path. A walk over the document (Poco's parser) now reports all of them; the content's checks add bounds on sizes and amounts (INT64_MAX reserves overflowed the capacity sums), repeated names in lists, zero weights, and urgent with preemptible. Documents are bounded to 512 KiB: a store value and an nng message may each have 1 MB.

--- a/src/waxwingfront/bundle/bundle_check.cc
+++ b/src/waxwingfront/bundle/bundle_check.cc
@@ -1,25 +1,61 @@
 #include "waxwingfront/bundle/bundle_check.h"
 
+#include <array>
+#include <cmath>
+#include <cstdint>
 #include <set>
+#include <string>
+#include <utility>
 
 #include "waxwingfront/core/json.h"
-#include "waxwingfront/core/resources.h"
 
 namespace waxwingfront::bundle {
 namespace {
 
-constexpr int kMaxNameLength = 64;
+constexpr std::size_t kMaxNameLength = 64;
 constexpr int kFullPercent = 100;
 constexpr std::string_view kNameCharacters =
     "abcdefghijklmnopqrstuvwxyz0123456789-";
+// Ten times the 68 teams and 20 failure domains of the design target, rounded
+// up.
+constexpr int kMaxServices = 256;
+constexpr int kMaxBatchClasses = 256;
+constexpr int kMaxCustomers = 1024;
+constexpr int kMaxFailureDomains = 256;
+// Sums of amounts up to this stay far from the end of 64 bits.
+constexpr std::int64_t kMaxAmount = 1'000'000'000'000;
+// The longest deadline that a request may ask for, in milliseconds.
+constexpr std::int64_t kMaxTimeMs = 600'000;
+constexpr int kMaxWeight = 1'000'000;
+constexpr int kMaxFailuresLimit = 1'000'000;
 
 using problems = std::vector<bundle_problem>;
+using names = google::protobuf::RepeatedPtrField<std::string>;
 
 std::string Path(std::string_view list, int index, std::string_view field) {
   return std::string(list) + "[" + std::to_string(index) + "]." +
          std::string(field);
 }
 
+std::string Range(std::int64_t lowest, std::int64_t highest) {
+  return std::to_string(lowest) + " to " + std::to_string(highest);
+}
+
+void CheckRange(std::int64_t number, std::int64_t lowest, std::int64_t highest,
+                const std::string& path, const std::string& unit,
+                problems& found) {
+  if (number >= lowest && number <= highest) return;
+  found.push_back({.field = path, .allowed = Range(lowest, highest) + unit});
+}
+
+void CheckCount(int count, int highest, const std::string& path,
+                problems& found) {
+  if (count <= highest) return;
+  found.push_back(
+      {.field = path,
+       .allowed = "at most " + std::to_string(highest) + " entries"});
+}
+
 bool IsName(std::string_view text) {
   const bool fits = !text.empty() && text.size() <= kMaxNameLength;
   return fits &&
@@ -38,84 +74,122 @@
   }
 }
 
-void CheckNonNegative(const schema::resources& amount, const std::string& path,
-                      problems& found) {
-  if (!core::FromSchema(amount).IsNonNegative()) {
-    found.push_back({.field = path, .allowed = "amounts of 0 or more"});
+// Checks a list whose entries are names, each of which occurs once.
+void CheckNames(const names& list, const std::string& path, problems& found) {
+  std::set<std::string> seen;
+  for (int index = 0; index < list.size(); ++index) {
+    CheckName(list.Get(index), path + "[" + std::to_string(index) + "]", seen,
+              found);
   }
 }
 
-void CheckWeights(const schema::measure_weights& weights, problems& found) {
-  const bool valid = weights.tail_latency() >= 0 &&
-                     weights.batch_throughput() >= 0 &&
-                     weights.evictions() >= 0;
-  if (!valid)
-    found.push_back({.field = "weights", .allowed = "numbers of 0 or more"});
+void CheckFailureDomains(const names& list, const std::string& path,
+                         problems& found) {
+  CheckCount(list.size(), kMaxFailureDomains, path, found);
+  CheckNames(list, path, found);
+}
+
+void CheckAmounts(const schema::resources& amount, const std::string& path,
+                  problems& found) {
+  CheckRange(amount.processor_milli(), 0, kMaxAmount, path + ".processor_milli",
+             " thousandths of a processor", found);
+  CheckRange(amount.memory_mib(), 0, kMaxAmount, path + ".memory_mib", " MiB",
+             found);
+  CheckRange(amount.accelerators(), 0, kMaxAmount, path + ".accelerators",
+             " accelerators", found);
+}
+
+void CheckWeights(const schema::bundle& content, problems& found) {
+  if (!content.has_weights()) return;
+  const schema::measure_weights& weights = content.weights();
+  const std::array fields = {
+      std::pair{"tail_latency", weights.tail_latency()},
+      std::pair{"batch_throughput", weights.batch_throughput()},
+      std::pair{"evictions", weights.evictions()}};
+  bool any_positive = false;
+  for (const auto& [name, weight] : fields) {
+    any_positive = any_positive || weight > 0;
+    if (std::isfinite(weight) && weight >= 0) continue;
+    found.push_back({.field = std::string("weights.") + name,
+                     .allowed = "a number of 0 or more"});
+  }
+  if (!any_positive) {
+    found.push_back({.field = "weights",
+                     .allowed = "at least one weight above 0, or no weights"});
+  }
 }
 
 void CheckServices(const schema::bundle& content, problems& found) {
-  std::set<std::string> names;
+  CheckCount(content.services_size(), kMaxServices, "services", found);
+  std::set<std::string> seen;
   for (int index = 0; index < content.services_size(); ++index) {
     const schema::service_policy& service = content.services(index);
-    CheckName(service.name(), Path("services", index, "name"), names, found);
-    CheckNonNegative(service.reserve_per_executor(),
-                     Path("services", index, "reserve_per_executor"), found);
-    if (service.latency_target_ms() < 0) {
-      found.push_back({.field = Path("services", index, "latency_target_ms"),
-                       .allowed = "milliseconds, 0 or more"});
-    }
-    if (service.default_deadline_ms() < 0) {
-      found.push_back({.field = Path("services", index, "default_deadline_ms"),
-                       .allowed = "milliseconds, 0 or more"});
-    }
+    const auto path = [index](std::string_view field) {
+      return Path("services", index, field);
+    };
+    CheckName(service.name(), path("name"), seen, found);
+    CheckFailureDomains(service.failure_domains(), path("failure_domains"),
+                        found);
+    CheckAmounts(service.reserve_per_executor(), path("reserve_per_executor"),
+                 found);
+    CheckRange(service.latency_target_ms(), 0, kMaxTimeMs,
+               path("latency_target_ms"), " ms", found);
+    CheckRange(service.default_deadline_ms(), 0, kMaxTimeMs,
+               path("default_deadline_ms"), " ms", found);
   }
 }
 
 void CheckSharedServices(const schema::bundle& content, int index,
                          problems& found) {
+  const std::string path = Path("batch_classes", index, "shares_hosts_with");
+  const names& shared = content.batch_classes(index).shares_hosts_with();
+  CheckCount(shared.size(), kMaxServices, path, found);
+  CheckNames(shared, path, found);
   std::set<std::string> services;
   for (const auto& service : content.services())
     services.insert(service.name());
-  for (const std::string& name :
-       content.batch_classes(index).shares_hosts_with()) {
-    if (!services.contains(name)) {
-      found.push_back(
-          {.field = Path("batch_classes", index, "shares_hosts_with"),
-           .allowed = "names of services of this bundle, not " + name});
-    }
+  for (int position = 0; position < shared.size(); ++position) {
+    if (services.contains(shared.Get(position))) continue;
+    found.push_back({.field = path + "[" + std::to_string(position) + "]",
+                     .allowed = "the name of a service of this bundle"});
   }
 }
 
 void CheckBatchClasses(const schema::bundle& content, problems& found) {
-  std::set<std::string> names;
+  CheckCount(content.batch_classes_size(), kMaxBatchClasses, "batch_classes",
+             found);
+  std::set<std::string> seen;
   for (int index = 0; index < content.batch_classes_size(); ++index) {
     const schema::batch_class_policy& item = content.batch_classes(index);
-    CheckName(item.name(), Path("batch_classes", index, "name"), names, found);
+    const auto path = [index](std::string_view field) {
+      return Path("batch_classes", index, field);
+    };
+    CheckName(item.name(), path("name"), seen, found);
+    CheckFailureDomains(item.failure_domains(), path("failure_domains"), found);
     CheckSharedServices(content, index, found);
-    if (item.host_share_percent() < 1 ||
-        item.host_share_percent() > kFullPercent) {
+    CheckRange(item.host_share_percent(), 1, kFullPercent,
+               path("host_share_percent"), " percent", found);
+    CheckRange(item.max_failures(), 1, kMaxFailuresLimit, path("max_failures"),
+               " failed attempts", found);
+    if (item.urgent() && item.preemptible()) {
       found.push_back(
-          {.field = Path("batch_classes", index, "host_share_percent"),
-           .allowed = "1 to 100 percent"});
-    }
-    if (item.max_failures() < 1) {
-      found.push_back({.field = Path("batch_classes", index, "max_failures"),
-                       .allowed = "1 or more failed attempts"});
+          {.field = path("preemptible"),
+           .allowed = "false for an urgent class, which preempts others"});
     }
   }
 }
 
 void CheckCustomers(const schema::bundle& content, problems& found) {
-  std::set<std::string> names;
+  CheckCount(content.customers_size(), kMaxCustomers, "customers", found);
+  std::set<std::string> seen;
   for (int index = 0; index < content.customers_size(); ++index) {
     const schema::customer_policy& customer = content.customers(index);
-    CheckName(customer.name(), Path("customers", index, "name"), names, found);
-    CheckNonNegative(customer.quota(), Path("customers", index, "quota"),
-                     found);
-    if (customer.weight() < 1) {
-      found.push_back({.field = Path("customers", index, "weight"),
-                       .allowed = "1 or more"});
-    }
+    const auto path = [index](std::string_view field) {
+      return Path("customers", index, field);
+    };
+    CheckName(customer.name(), path("name"), seen, found);
+    CheckAmounts(customer.quota(), path("quota"), found);
+    CheckRange(customer.weight(), 1, kMaxWeight, path("weight"), "", found);
   }
 }
 
@@ -123,6 +197,15 @@
 
 checked_bundle CheckBundle(std::string_view json) {
   checked_bundle checked;
+  if (json.size() > kMaxDocumentBytes) {
+    checked.problems.push_back(
+        {.field = "document",
+         .allowed = "at most " + std::to_string(kMaxDocumentBytes) + " bytes"});
+    return checked;
+  }
+  checked.problems = CheckDocument(json, *schema::bundle::descriptor());
+  // The content's checks need values of the right kinds.
+  if (!checked.problems.empty()) return checked;
   const auto parsed =
       core::FromJson(json, core::unknown_fields::kRefuse, checked.content);
   if (!parsed) {
@@ -134,7 +217,7 @@
     checked.problems.push_back(
         {.field = "site", .allowed = "1 to 64 characters of a-z, 0-9 and '-'"});
   }
-  CheckWeights(checked.content.weights(), checked.problems);
+  CheckWeights(checked.content, checked.problems);
   CheckServices(checked.content, checked.problems);
   CheckBatchClasses(checked.content, checked.problems);
   CheckCustomers(checked.content, checked.problems);
--- a/src/waxwingfront/bundle/bundle_check.h
+++ b/src/waxwingfront/bundle/bundle_check.h
@@ -2,21 +2,18 @@
 #ifndef WAXWINGFRONT_BUNDLE_BUNDLE_CHECK_H_
 #define WAXWINGFRONT_BUNDLE_BUNDLE_CHECK_H_
 
-#include <string>
+#include <cstddef>
 #include <string_view>
 #include <vector>
 
+#include "waxwingfront/bundle/document_check.h"
 #include "waxwingfront/schema/gen/bundle.pb.h"
 
 namespace waxwingfront::bundle {
 
-// Something in a bundle that has to be changed before it can be signed off.
-struct bundle_problem {
-  // Path of the field, for example "batch_classes[1].host_share_percent".
-  std::string field;
-  // What is allowed there.
-  std::string allowed;
-};
+// Largest document, in bytes. A store value may have 1 MB and a message between
+// entries 1 MB; half of that leaves room for what is around the document.
+inline constexpr std::size_t kMaxDocumentBytes = 524288;
 
 struct checked_bundle {
   schema::bundle content;
