Settle sign-offs after lost answers and repeats, and serve all contents to peers

Sign-off faults found in the code before: a write without an answer followed by a refused read was reported as store_unavailable although the version may exist; five refused writes were reported as outcome_unknown although nothing was written; a repeated command after a lost answer made a second version or a conflict with the operator's own name; the history could be written over once the head was gone. A request now carries a nonce and the expected version, and history records are created only where absent.

Follower: it kept only its own failure domain's content, so a peer of another domain could not start from it during a store outage; it ignored peers after the first answer, so an entry that heard an old peer first stayed there; and it did not check a head's plausibility. A peer's reply now carries the head and one content that was asked for; heads are asked from all peers at once.

The two parts are one commit since they share VersionFor and the check of heads.

--- a/src/waxwingfront/bundle/bundle_repository.cc
+++ b/src/waxwingfront/bundle/bundle_repository.cc
@@ -1,6 +1,9 @@
 #include "waxwingfront/bundle/bundle_repository.h"
 
 #include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
 
 #include "waxwingfront/bundle/bundle_check.h"
 #include "waxwingfront/core/hash.h"
@@ -15,6 +18,7 @@
 // Decimal digits of a version in its key, so that keys sort by version.
 constexpr std::size_t kVersionDigits = 12;
 constexpr int kMaxWriteTries = 5;
+constexpr std::size_t kDigestDigits = 64;
 
 std::string HistoryKey(std::int64_t version) {
   const std::string digits = std::to_string(version);
@@ -33,13 +37,6 @@
       winner + " has signed off version " + std::to_string(version) + " first");
 }
 
-std::int64_t NewestVersion(const schema::bundle_head& head) {
-  std::int64_t newest = head.version();
-  for (const auto& domain : head.domains())
-    newest = std::max(newest, domain.version());
-  return newest;
-}
-
 void SetDomainVersion(schema::bundle_head& head,
                       const std::string& failure_domain,
                       const schema::sign_off& signed_off) {
@@ -72,8 +69,84 @@
   return head;
 }
 
+// A read that got no answer has changed nothing.
+core::error AsUnavailable(core::error failure) {
+  if (failure.code == core::error_code::kOutcomeUnknown)
+    failure.code = core::error_code::kStoreUnavailable;
+  return failure;
+}
+
+schema::sign_off SignOffOf(const sign_off_request& request) {
+  schema::sign_off wanted;
+  wanted.set_digest(request.digest);
+  wanted.set_operator_name(request.operator_name);
+  wanted.set_nonce(request.nonce);
+  for (const std::string& domain : request.failure_domains)
+    wanted.add_failure_domains(domain);
+  return wanted;
+}
+
+bool HasSameEffect(const schema::sign_off& left,
+                   const schema::sign_off& right) {
+  const std::set<std::string> left_domains(left.failure_domains().begin(),
+                                           left.failure_domains().end());
+  const std::set<std::string> right_domains(right.failure_domains().begin(),
+                                            right.failure_domains().end());
+  return left.digest() == right.digest() && left_domains == right_domains &&
+         left.operator_name() == right.operator_name();
+}
+
+bool IsDigest(std::string_view text) {
+  return text.size() == kDigestDigits &&
+         text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
 }  // namespace
 
+schema::domain_version VersionFor(const schema::bundle_head& head,
+                                  std::string_view failure_domain) {
+  for (const auto& domain : head.domains()) {
+    if (domain.failure_domain() == failure_domain) return domain;
+  }
+  schema::domain_version general;
+  general.set_failure_domain(std::string(failure_domain));
+  general.set_version(head.version());
+  general.set_digest(head.digest());
+  return general;
+}
+
+std::int64_t NewestVersion(const schema::bundle_head& head) {
+  std::int64_t newest = head.version();
+  for (const auto& domain : head.domains())
+    newest = std::max(newest, domain.version());
+  return newest;
+}
+
+core::result<void> CheckHead(const schema::bundle_head& head) {
+  bool valid = head.generation() > 0 &&
+               head.generation() == NewestVersion(head) &&
+               (head.version() == 0) == head.digest().empty() &&
+               (head.version() == 0 || IsDigest(head.digest()));
+  for (const auto& domain : head.domains()) {
+    valid =
+        valid && IsDigest(domain.digest()) && domain.version() > head.version();
+  }
+  if (valid) return {};
+  return core::Failure(core::error_code::kProtocol,
+                       "the bundle head is damaged");
+}
+
+core::result<schema::bundle_head> ParseHead(const std::string& bytes) {
+  schema::bundle_head head;
+  if (!head.ParseFromString(bytes)) {
+    return core::Failure(core::error_code::kProtocol,
+                         "the bundle head is damaged");
+  }
+  const auto checked = CheckHead(head);
+  if (!checked) return tl::unexpected(checked.error());
+  return head;
+}
+
 bundle_repository::bundle_repository(const store::store_client& store)
     : store_(store) {}
 
@@ -86,96 +159,138 @@
                          first.field + ": allowed is " + first.allowed);
   }
   std::string digest = core::Sha256Hex(json);
-  // The key names the content, so an existing value or a lost answer is not a
-  // conflict.
-  const auto written = store_.CreateIfAbsent(ContentKey(digest), json);
-  if (!written) return tl::unexpected(written.error());
-  return digest;
+  // The key names the content, so an existing value is not a conflict and a
+  // write that was not answered may be sent again.
+  core::error failure;
+  for (int attempt = 0; attempt < kMaxWriteTries; ++attempt) {
+    const auto written = store_.CreateIfAbsent(ContentKey(digest), json);
+    if (written) return digest;
+    failure = written.error();
+    if (failure.code != core::error_code::kOutcomeUnknown) break;
+  }
+  return tl::unexpected(failure);
 }
 
 core::result<schema::sign_off> bundle_repository::SignOff(
     const sign_off_request& request) const {
   const auto content = Content(request.digest);
   if (!content) return tl::unexpected(content.error());
-  const auto stored = store_.Get(kHeadKey);
-  if (!stored) return tl::unexpected(stored.error());
-  schema::bundle_head head;
-  std::int64_t revision = 0;
-  if (stored->has_value()) {
-    if (!head.ParseFromString((*stored)->value)) {
-      return core::Failure(core::error_code::kProtocol,
-                           "the bundle head is damaged");
+  const auto base = ReadHead();
+  if (!base) return tl::unexpected(base.error());
+  const std::int64_t newest = NewestVersion(base->head);
+  const auto earlier = FindEarlier(request, newest);
+  if (!earlier) return tl::unexpected(earlier.error());
+  if (earlier->has_value()) return **earlier;
+  const std::int64_t expected = request.expected_version.value_or(newest);
+  if (expected > newest) {
+    return core::Failure(core::error_code::kInvalidRequest,
+                         "the newest version is " + std::to_string(newest) +
+                             ", not " + std::to_string(expected));
+  }
+  if (expected < newest) return Conflict(base->head.operator_name(), newest);
+  schema::sign_off wanted = SignOffOf(request);
+  wanted.set_version(newest + 1);
+  return Write(wanted, *base);
+}
+
+core::result<std::optional<schema::sign_off>> bundle_repository::FindEarlier(
+    const sign_off_request& request, std::int64_t newest) const {
+  const schema::sign_off wanted = SignOffOf(request);
+  // A try on top of the expected version can only have made the next one.
+  const std::int64_t tried = request.expected_version.value_or(newest) + 1;
+  for (const std::int64_t version : {tried, newest}) {
+    if (version < 1 || version > newest) continue;
+    const auto found = ReadSignOff(version);
+    if (!found) return tl::unexpected(found.error());
+    if (!found->has_value()) continue;
+    const bool same_nonce = (*found)->nonce() == request.nonce;
+    const bool same_effect = HasSameEffect(**found, wanted);
+    if (same_nonce && !same_effect) {
+      return core::Failure(core::error_code::kInvalidRequest,
+                           "the nonce belongs to another sign-off, version " +
+                               std::to_string(version));
     }
-    revision = (*stored)->mod_revision;
-  }
-  const std::int64_t newest = NewestVersion(head);
-  if (request.expected_version.has_value() &&
-      *request.expected_version != newest) {
-    return Conflict(head.operator_name(), newest);
-  }
-  schema::sign_off signed_off;
-  signed_off.set_version(newest + 1);
-  signed_off.set_digest(request.digest);
-  signed_off.set_operator_name(request.operator_name);
-  signed_off.set_nonce(core::RandomNonce());
-  for (const std::string& domain : request.failure_domains) {
-    signed_off.add_failure_domains(domain);
-  }
-  const store::write_condition unchanged{.key = std::string(kHeadKey),
-                                         .mod_revision = revision};
-  const std::vector<store::stored_item> items{
-      {.key = std::string(kHeadKey),
-       .value = NextHead(head, signed_off).SerializeAsString()},
-      {.key = HistoryKey(signed_off.version()),
-       .value = signed_off.SerializeAsString()}};
+    if (same_nonce || (same_effect && version == newest)) return **found;
+  }
+  return std::nullopt;
+}
+
+core::result<schema::sign_off> bundle_repository::Write(
+    const schema::sign_off& wanted, const stored_head& base) const {
+  // The second condition keeps the history if the head was deleted by mistake.
+  const std::array conditions{
+      store::write_condition{.key = std::string(kHeadKey),
+                             .mod_revision = base.revision},
+      store::write_condition{.key = HistoryKey(wanted.version())}};
+  const std::array items{
+      store::stored_item{
+          .key = std::string(kHeadKey),
+          .value = NextHead(base.head, wanted).SerializeAsString()},
+      store::stored_item{.key = HistoryKey(wanted.version()),
+                         .value = wanted.SerializeAsString()}};
+  // Whether a try may still take effect, or has.
+  bool may_apply = false;
   for (int attempt = 0; attempt < kMaxWriteTries; ++attempt) {
-    const auto written = store_.WriteIf({&unchanged, 1}, items);
-    if (written && *written == store::write_outcome::kApplied)
-      return signed_off;
-    if (written || written.error().code == core::error_code::kOutcomeUnknown) {
-      const auto settled = SettleSignOff(signed_off);
-      const bool absent =
-          !settled && settled.error().code == core::error_code::kUnknownVersion;
-      if (!absent) return settled;
+    const auto written = store_.WriteIf(conditions, items);
+    if (written && *written == store::write_outcome::kApplied) return wanted;
+    if (!written && written.error().code != core::error_code::kOutcomeUnknown)
+      continue;
+    may_apply = may_apply || !written;
+    const auto found = ReadSignOff(wanted.version());
+    if (!found) continue;
+    if (!found->has_value()) {
+      if (!written) continue;
+      return core::Failure(core::error_code::kProtocol,
+                           "the bundle head changed without a sign-off");
     }
+    const bool own =
+        (*found)->nonce() == wanted.nonce() || HasSameEffect(**found, wanted);
+    if (own) return **found;
+    return Conflict((*found)->operator_name(), (*found)->version());
   }
-  return core::Failure(core::error_code::kOutcomeUnknown,
-                       "the store did not confirm version " +
-                           std::to_string(signed_off.version()));
+  if (may_apply) {
+    return core::Failure(core::error_code::kOutcomeUnknown,
+                         "the store did not confirm version " +
+                             std::to_string(wanted.version()));
+  }
+  return core::Failure(core::error_code::kStoreUnavailable,
+                       "the store refused the sign-off; nothing was changed");
 }
 
-core::result<schema::sign_off> bundle_repository::SettleSignOff(
-    const schema::sign_off& wanted) const {
-  const auto stored = store_.Get(HistoryKey(wanted.version()));
-  if (!stored) return tl::unexpected(stored.error());
-  if (!stored->has_value()) {
-    return core::Failure(core::error_code::kUnknownVersion,
-                         "the version is not there");
-  }
+core::result<std::optional<schema::sign_off>> bundle_repository::ReadSignOff(
+    std::int64_t version) const {
+  const auto stored = store_.Get(HistoryKey(version));
+  if (!stored) return tl::unexpected(AsUnavailable(stored.error()));
+  if (!stored->has_value()) return std::nullopt;
   schema::sign_off found;
   if (!found.ParseFromString((*stored)->value)) {
     return core::Failure(core::error_code::kProtocol, "a sign-off is damaged");
   }
-  if (found.nonce() == wanted.nonce()) return wanted;
-  return Conflict(found.operator_name(), found.version());
+  return found;
 }
 
-core::result<std::optional<schema::bundle_head>> bundle_repository::Head()
+core::result<bundle_repository::stored_head> bundle_repository::ReadHead()
     const {
   const auto stored = store_.Get(kHeadKey);
+  if (!stored) return tl::unexpected(AsUnavailable(stored.error()));
+  if (!stored->has_value()) return stored_head{};
+  auto head = ParseHead((*stored)->value);
+  if (!head) return tl::unexpected(head.error());
+  return stored_head{.head = std::move(*head),
+                     .revision = (*stored)->mod_revision};
+}
+
+core::result<std::optional<schema::bundle_head>> bundle_repository::Head()
+    const {
+  auto stored = ReadHead();
   if (!stored) return tl::unexpected(stored.error());
-  if (!stored->has_value()) return std::nullopt;
-  schema::bundle_head head;
-  if (!head.ParseFromString((*stored)->value)) {
-    return core::Failure(core::error_code::kProtocol,
-                         "the bundle head is damaged");
-  }
-  return head;
+  if (stored->revision == 0) return std::nullopt;
+  return std::move(stored->head);
 }
 
 core::result<std::vector<schema::sign_off>> bundle_repository::History() const {
   const auto stored = store_.List(kHistoryPrefix);
-  if (!stored) return tl::unexpected(stored.error());
+  if (!stored) return tl::unexpected(AsUnavailable(stored.error()));
   std::vector<schema::sign_off> history;
   for (const store::stored_value& item : *stored) {
     schema::sign_off signed_off;
@@ -191,7 +306,7 @@
 core::result<std::string> bundle_repository::Content(
     std::string_view digest) const {
   const auto stored = store_.Get(ContentKey(digest));
-  if (!stored) return tl::unexpected(stored.error());
+  if (!stored) return tl::unexpected(AsUnavailable(stored.error()));
   if (!stored->has_value()) {
     return core::Failure(
         core::error_code::kUnknownVersion,
--- a/src/waxwingfront/serve/entry.cc
+++ b/src/waxwingfront/serve/entry.cc
@@ -3,6 +3,7 @@
 #include <Poco/StringTokenizer.h>
 
 #include <atomic>
+#include <future>
 #include <map>
 #include <mutex>
 #include <string>
@@ -96,7 +97,11 @@
 
   bundle::bundle_follower_options FollowerOptions() {
     return {.failure_domain = settings.entry().failure_domain(),
-            .ask_peers = [this] { return AskPeersForBundle(); }};
+            .peer_heads = [this] { return AskPeersForHeads(); },
+            .peer_content =
+                [this](const std::string& address, const std::string& digest) {
+                  return AskPeerForContent(address, digest);
+                }};
   }
 
   front::request_router_options RouterOptions() const {
@@ -182,25 +187,54 @@
   schema::peer_response HandlePeer(const schema::peer_request& request) {
     if (!request.has_bundle()) return jobs.HandlePeer(request);
     schema::peer_response response;
-    *response.mutable_bundle() = follower.Reply();
+    *response.mutable_bundle() = follower.Reply(request.bundle().digest());
     return response;
   }
 
-  std::vector<schema::bundle_reply> AskPeersForBundle() {
-    std::vector<schema::bundle_reply> replies;
+  core::result<schema::bundle_reply> AskPeer(const std::string& address,
+                                             const std::string& digest) {
     schema::peer_request request;
-    request.mutable_bundle();
+    request.mutable_bundle()->set_digest(digest);
+    const auto response = peers.Call(address, request, kPeerBundleLimit);
+    if (!response) return tl::unexpected(response.error());
+    return response->bundle();
+  }
+
+  // Asks all peers at once, since each that is down takes the whole limit.
+  std::vector<bundle::peer_head> AskPeersForHeads() {
     const Poco::StringTokenizer addresses(
         settings.entry().peers(), ",",
         Poco::StringTokenizer::TOK_TRIM |
             Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+    std::vector<
+        std::pair<std::string, std::future<core::result<schema::bundle_reply>>>>
+        calls;
     for (const std::string& address : addresses) {
       if (address == settings.entry().peer_address()) continue;
-      const auto response = peers.Call(address, request, kPeerBundleLimit);
-      if (response && response->has_bundle())
-        replies.push_back(response->bundle());
+      calls.emplace_back(address,
+                         std::async(std::launch::async, [this, address] {
+                           return AskPeer(address, "");
+                         }));
+    }
+    std::vector<bundle::peer_head> heads;
+    for (auto& [address, call] : calls) {
+      const auto reply = call.get();
+      if (!reply || reply->head().generation() == 0) continue;
+      heads.push_back({.address = address, .head = reply->head()});
+    }
+    return heads;
+  }
+
+  core::result<std::string> AskPeerForContent(const std::string& address,
+                                              const std::string& digest) {
+    const auto reply = AskPeer(address, digest);
+    if (!reply) return tl::unexpected(reply.error());
+    const auto found = reply->contents().find(digest);
+    if (found == reply->contents().end()) {
+      return core::Failure(core::error_code::kNoBundle,
+                           address + " does not have the content " + digest);
     }
-    return replies;
+    return found->second;
   }
 
   void PollHosts() {
