Sharpen the follower's property

Removing the check of generations, of digests or the order of peers did not fail any test: a second check on versions hid the first, the damage left the content's meaning as it was, and no test had the older peer first. The property now also follows the generation that peers are told, damage changes a customer's name, and a test has an older and a newer peer.

--- a/tests/waxwingfront/bundle/bundle_follower_test.cc
+++ b/tests/waxwingfront/bundle/bundle_follower_test.cc
@@ -138,7 +138,7 @@
     if (fault == read_fault::kNoContent && !is_head)
       return net::http_reply{.status = 503};
     if (fault == read_fault::kDamagedContent && !is_head)
-      item.mutable_value()->back() ^= 1;
+      item.mutable_value()->replace(item.value().find("\"c"), 2, "\"x");
     if (fault == read_fault::kDamagedHead && is_head)
       item.mutable_value()->resize(item.value().size() / 2);
     if (fault == read_fault::kStaleHead && is_head && !heads_.empty())
@@ -152,7 +152,8 @@
       if (peer == asking || !peers_up_[peer]) continue;
       schema::bundle_reply reply = followers_[peer]->Reply("");
       if (reply.head().generation() == 0) continue;
-      if (damaged_peers_.contains(peer))
+      // Some damage the contents only.
+      if (damaged_peers_.contains(peer) && peer % 2 == 1)
         reply.mutable_head()->set_generation(reply.head().generation() + 5);
       heads.push_back({.address = std::to_string(peer), .head = reply.head()});
     }
@@ -164,7 +165,10 @@
     const auto found = reply.contents().find(digest);
     if (!peers_up_[peer] || found == reply.contents().end())
       return core::Failure(error_code::kUnreachable, "no content");
-    return damaged_peers_.contains(peer) ? found->second + " " : found->second;
+    std::string content = found->second;
+    if (damaged_peers_.contains(peer))
+      content.replace(content.find("\"c"), 2, "\"x");
+    return content;
   }
 
   standins::store store_;
@@ -186,13 +190,15 @@
 }
 
 // One generated event; polls are most of them.
-void DoAnyEvent(site& tested, std::vector<std::int64_t>& lowest_allowed) {
+void DoAnyEvent(site& tested, std::vector<std::int64_t>& lowest_allowed,
+                std::vector<std::int64_t>& lowest_generation) {
   const int entry = AnyBelow(kEntries);
   const int kind = AnyBelow(12);
   if (kind == 0) {
     // A restarted entry may know less than before while the store is down.
     tested.Restart(entry);
     lowest_allowed[entry] = 0;
+    lowest_generation[entry] = 0;
   } else if (kind == 1) {
     tested.SetFault(
         entry,
@@ -226,14 +232,20 @@
     constexpr int kMaxEvents = 150;
     site tested;
     std::vector<std::int64_t> lowest_allowed(kEntries, 0);
+    std::vector<std::int64_t> lowest_generation(kEntries, 0);
     const int events = AnyBelow(kMaxEvents);
     for (int event = 0; event < events; ++event) {
-      DoAnyEvent(tested, lowest_allowed);
+      DoAnyEvent(tested, lowest_allowed, lowest_generation);
       for (int entry = 0; entry < kEntries; ++entry) {
         const std::int64_t version = tested.VersionAt(entry);
         RC_ASSERT(version >= lowest_allowed[entry]);
         RC_ASSERT(version <= tested.Wanted(site::DomainOf(entry)));
         lowest_allowed[entry] = version;
+        // What peers are told must not go back either.
+        const std::int64_t generation =
+            tested.Entry(entry).Reply("").head().generation();
+        RC_ASSERT(generation >= lowest_generation[entry]);
+        lowest_generation[entry] = generation;
         if (version == 0) continue;
         const std::string customer =
             "c" + std::to_string(tested.DocumentAt(version));
@@ -295,6 +307,23 @@
   CHECK(tested.VersionAt(0) == 2);
 }
 
+// Guards against taking the bundle of whichever peer answers first.
+TEST_CASE("the newest bundle of all peers is taken", "[bundle][follower]") {
+  site tested;
+  tested.SignOff(1, {});
+  REQUIRE(tested.Entry(1).Poll());
+  tested.SignOff(2, {});
+  REQUIRE(tested.Entry(3).Poll());
+  tested.SetFault(0, read_fault::kDown);
+  REQUIRE(tested.Entry(0).Poll());
+  CHECK(tested.VersionAt(0) == 2);
+
+  tested.Restart(0);
+  tested.SetPeerUp(3, false);
+  REQUIRE(tested.Entry(0).Poll());
+  CHECK(tested.VersionAt(0) == 1);
+}
+
 TEST_CASE("without the store and peers there is no bundle",
           "[bundle][follower]") {
   site tested;
