Escape outside text in logs and keep large metric sums exact

A caller's name or path could carry control characters into a log line and forge one; core::Printable now writes every byte outside printable ASCII as \xNN, and logging::Write applies it to each line, cut at 2000 bytes. Sums of seconds were printed with 6 digits, so that a sum above a million seconds no longer showed single requests. Adds the error types that refusals need.

--- a/src/waxwingfront/core/error.cc
+++ b/src/waxwingfront/core/error.cc
@@ -14,6 +14,10 @@
 constexpr std::array kErrorRows = {
     error_row{error_code::kInvalidRequest, "invalid_request", 400},
     error_row{error_code::kRequestTooLarge, "request_too_large", 413},
+    error_row{error_code::kRequestTimeout, "request_timeout", 408},
+    error_row{error_code::kLengthRequired, "length_required", 411},
+    error_row{error_code::kUnknownPath, "unknown_path", 404},
+    error_row{error_code::kMethodNotAllowed, "method_not_allowed", 405},
     error_row{error_code::kUnknownCustomer, "unknown_customer", 403},
     error_row{error_code::kUnknownService, "unknown_service", 404},
     error_row{error_code::kUnknownBatchClass, "unknown_batch_class", 400},
--- a/src/waxwingfront/core/error.h
+++ b/src/waxwingfront/core/error.h
@@ -14,6 +14,10 @@
   // The caller's input is at fault.
   kInvalidRequest,
   kRequestTooLarge,
+  kRequestTimeout,
+  kLengthRequired,
+  kUnknownPath,
+  kMethodNotAllowed,
   kUnknownCustomer,
   kUnknownService,
   kUnknownBatchClass,
--- a/src/waxwingfront/logging/log.cc
+++ b/src/waxwingfront/logging/log.cc
@@ -2,9 +2,14 @@
 
 #include <glog/logging.h>
 
+#include "waxwingfront/core/text.h"
+
 namespace waxwingfront::logging {
 namespace {
 
+// A caller's text may be in a line; it must not fill the log.
+constexpr std::size_t kMaxLineBytes = 2000;
+
 int Severity(level severity) {
   switch (severity) {
     case level::kInfo:
@@ -29,7 +34,7 @@
   // The source location would always be this file, so the line carries the
   // part's name instead.
   google::LogMessage(part.data(), 0, Severity(severity)).stream()
-      << part << ": " << sentence;
+      << part << ": " << core::Printable(sentence, kMaxLineBytes);
 }
 
 }  // namespace waxwingfront::logging
--- a/src/waxwingfront/logging/log.h
+++ b/src/waxwingfront/logging/log.h
@@ -13,7 +13,8 @@
 // Starts logging to standard error. Call once, before threads start.
 void Start(level lowest);
 
-// Writes one line. `part` is the module's fixed prefix.
+// Writes one line. `part` is the module's fixed prefix. Bytes outside printable
+// ASCII are written as \xNN, so that a caller's text cannot forge a line.
 void Write(level severity, std::string_view part, std::string_view sentence);
 
 template <typename... Words>
--- a/src/waxwingfront/metrics/registry.cc
+++ b/src/waxwingfront/metrics/registry.cc
@@ -1,5 +1,6 @@
 #include "waxwingfront/metrics/registry.h"
 
+#include <limits>
 #include <sstream>
 
 namespace waxwingfront::metrics {
@@ -77,6 +78,8 @@
 std::string registry::Text() const {
   const std::lock_guard lock(mutex_);
   std::ostringstream out;
+  // The default of 6 digits would freeze a sum of seconds once it is large.
+  out.precision(std::numeric_limits<double>::digits10);
   for (const auto& [name, members] : counters_) {
     out << "# TYPE " << name << " counter\n";
     for (const auto& [labels, metric] : members.members) {
--- /dev/null
+++ b/tests/waxwingfront/core/text_test.cc
@@ -0,0 +1,27 @@
+#include "waxwingfront/core/text.h"
+
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace waxwingfront::core {
+namespace {
+
+// Guards against forged log lines and invalid UTF-8 in JSON errors.
+TEST_CASE("text from outside becomes one line of printable characters",
+          "[core]") {
+  CHECK(Printable("a plain id-1") == "a plain id-1");
+  CHECK(Printable("a\nI1204 front: forged") == "a\\x0AI1204 front: forged");
+  CHECK(Printable(std::string("\0\x1b\xff", 3)) == "\\x00\\x1B\\xFF");
+  CHECK(Printable("abcdef", 3) == "abc...");
+  rc::prop("no byte outside printable ASCII is left", [](std::string text) {
+    const std::string safe = Printable(text);
+    RC_ASSERT(std::all_of(safe.begin(), safe.end(), [](char symbol) {
+      return symbol >= ' ' && symbol <= '~';
+    }));
+  });
+}
+
+}  // namespace
+}  // namespace waxwingfront::core
