Report repeated, unknown and contradictory settings

Poco's INI reader keeps the last of equal keys, ignores the case of letters, expands ${...} and drops sections without keys; its parser writes to its map directly, so overriding setRaw does not show repetitions (tried: the override is never called). The lines are read here instead. Poco's number parser took "1,0" as 10 and "+10" as 10; std::from_chars takes plain numbers only.

Contradictions are found as a whole: ticket_ms and sync_ms, task_lease_ms and ticket_ms, entry_lease_s and store_timeout_ms, connect_timeout_ms and default_deadline_ms, addresses of this entry that are used twice. The quick settings of process_site broke the third rule (lease 1 s, store calls of up to 1 s), so it now sets store_timeout_ms = 333.

--- a/src/waxwingfront/settings/settings_loader.cc
+++ b/src/waxwingfront/settings/settings_loader.cc
@@ -1,14 +1,17 @@
 #include "waxwingfront/settings/settings_loader.h"
 
-#include <Poco/AutoPtr.h>
-#include <Poco/Exception.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/NumberParser.h>
-#include <Poco/StringTokenizer.h>
-#include <Poco/Util/IniFileConfiguration.h>
-
+#include <charconv>
 #include <cstdint>
+#include <fstream>
+#include <map>
+#include <set>
 #include <string_view>
+#include <utility>
+
+#include "waxwingfront/core/text.h"
+#include "waxwingfront/settings/address.h"
+#include "waxwingfront/settings/contradictions.h"
+#include "waxwingfront/settings/ini_file.h"
 
 namespace waxwingfront::settings {
 namespace {
@@ -16,9 +19,10 @@
 using google::protobuf::Descriptor;
 using google::protobuf::FieldDescriptor;
 using google::protobuf::Message;
-using ini_file = Poco::AutoPtr<Poco::Util::IniFileConfiguration>;
 
 constexpr std::size_t kMaxNameLength = 64;
+// Longest part of a value that an error repeats.
+constexpr std::size_t kMaxShownBytes = 100;
 constexpr std::string_view kNameCharacters =
     "abcdefghijklmnopqrstuvwxyz0123456789-";
 
@@ -28,30 +32,6 @@
          text.find_first_not_of(kNameCharacters) == std::string_view::npos;
 }
 
-bool IsAddress(const std::string& text) {
-  // Host names are refused, so that no start depends on a name service.
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return false;
-  Poco::Net::IPAddress host;
-  int port = 0;
-  constexpr int kMaxPort = 65535;
-  const bool parsed =
-      Poco::Net::IPAddress::tryParse(text.substr(0, colon), host) &&
-      Poco::NumberParser::tryParse(text.substr(colon + 1), port);
-  return parsed && port >= 0 && port <= kMaxPort;
-}
-
-bool AreAddresses(const std::string& text) {
-  const Poco::StringTokenizer parts(
-      text, ",",
-      Poco::StringTokenizer::TOK_TRIM |
-          Poco::StringTokenizer::TOK_IGNORE_EMPTY);
-  for (const std::string& part : parts) {
-    if (!IsAddress(part)) return false;
-  }
-  return true;
-}
-
 bool HasShape(const std::string& text, const std::string& shape) {
   if (shape == "name") return IsName(text);
   if (shape == "address") return IsAddress(text);
@@ -64,7 +44,8 @@
 std::string ShapeText(const std::string& shape) {
   if (shape == "name") return "1 to 64 characters of a-z, 0-9 and '-'";
   if (shape == "address")
-    return "an IP address with a port, such as 127.0.0.1:8080";
+    return "an IP address with a port from 1 to 65535, such as 127.0.0.1:8080 "
+           "or [::1]:8080";
   if (shape == "addresses")
     return "IP addresses with ports, separated by commas";
   if (shape == "log_level") return "info, warning or error";
@@ -80,123 +61,182 @@
          " to " + std::to_string(rule.maximum()) + ", in " + rule.unit();
 }
 
-// Checks the keys of one section and moves their values into a message.
-class section_reader {
+// "a, b, c": the names of a message's fields.
+std::string FieldNames(const Descriptor& type) {
+  std::string names;
+  for (int index = 0; index < type.field_count(); ++index) {
+    if (index > 0) names += ", ";
+    names += type.field(index)->name();
+  }
+  return names;
+}
+
+// Checks the lines of a file and moves their values into the settings.
+class settings_reader {
  public:
-  section_reader(const ini_file& file, std::string path,
-                 const FieldDescriptor& section, loaded_settings& loaded)
-      : file_(file),
-        path_(std::move(path)),
-        section_(section),
-        loaded_(loaded) {}
-
-  void Read() {
-    const Descriptor& type = *section_.message_type();
-    Message& message = *loaded_.values.GetReflection()->MutableMessage(
-        &loaded_.values, &section_);
+  settings_reader(std::string path, loaded_settings& loaded)
+      : path_(std::move(path)), loaded_(loaded) {}
+
+  void Read(const std::vector<ini_line>& lines) {
+    for (const ini_line& line : lines) Collect(line);
+    const Descriptor& type = *schema::settings::descriptor();
     for (int index = 0; index < type.field_count(); ++index) {
-      ReadKey(*type.field(index), message);
-    }
-    Poco::Util::AbstractConfiguration::Keys keys;
-    file_->keys(section_.name(), keys);
-    for (const std::string& key : keys) {
-      if (type.FindFieldByName(key) == nullptr) AddProblem(key, "unknown key");
+      ReadSection(*type.field(index));
     }
+    CheckTogether();
   }
 
  private:
-  void ReadKey(const FieldDescriptor& field, Message& message) {
-    const schema::setting_rule& rule =
-        field.options().GetExtension(schema::rule);
-    const std::string full_key = section_.name() + "." + field.name();
-    const bool present = file_->hasProperty(full_key);
-    if (!present && rule.required()) {
-      AddProblem(field.name(), "missing; " + AllowedText(field));
+  using full_key = std::pair<std::string, std::string>;
+
+  // Keeps the value of a known key; reports unknown and repeated ones.
+  void Collect(const ini_line& line) {
+    if (line.kind == ini_line_kind::kMalformed) {
+      AddProblem(line.section, line.key,
+                 "malformed line; allowed are [section] and key = value");
+      return;
+    }
+    const Descriptor& type = *schema::settings::descriptor();
+    const FieldDescriptor* section = type.FindFieldByName(line.section);
+    if (section == nullptr) {
+      const bool outside =
+          line.section.empty() && line.kind == ini_line_kind::kKey;
+      const std::string what =
+          outside ? "the key is outside any section" : "unknown section";
+      AddProblem(line.section, line.key,
+                 what + "; allowed are the sections " + FieldNames(type));
       return;
     }
-    const std::string text =
-        present ? file_->getString(full_key) : rule.default_value();
-    if (field.cpp_type() == FieldDescriptor::CPPTYPE_STRING) {
-      SetText(field, text, message);
-    } else {
-      SetNumber(field, text, message);
+    if (line.kind == ini_line_kind::kHeader) return;
+    const Descriptor& keys = *section->message_type();
+    if (keys.FindFieldByName(line.key) == nullptr) {
+      AddProblem(line.section, line.key,
+                 "unknown key; allowed are the keys " + FieldNames(keys));
+      return;
+    }
+    const full_key key{line.section, line.key};
+    if (!values_.emplace(key, line.value).second) {
+      AddProblem(line.section, line.key,
+                 "repeated; allowed is each key once in a file");
+    }
+  }
+
+  void ReadSection(const FieldDescriptor& section) {
+    const Descriptor& type = *section.message_type();
+    Message& message = *loaded_.values.GetReflection()->MutableMessage(
+        &loaded_.values, &section);
+    for (int index = 0; index < type.field_count(); ++index) {
+      ReadKey(section.name(), *type.field(index), message);
     }
   }
 
-  void SetText(const FieldDescriptor& field, const std::string& text,
+  void ReadKey(const std::string& section, const FieldDescriptor& field,
                Message& message) {
     const schema::setting_rule& rule =
         field.options().GetExtension(schema::rule);
-    if (!HasShape(text, rule.shape())) {
-      AddProblem(field.name(),
-                 "'" + text + "' is not valid; " + AllowedText(field));
+    const auto found = values_.find({section, field.name()});
+    if (found == values_.end() && rule.required()) {
+      AddProblem(section, field.name(), "missing; " + AllowedText(field));
       return;
     }
+    const std::string& text =
+        found == values_.end() ? rule.default_value() : found->second;
+    const bool valid = field.cpp_type() == FieldDescriptor::CPPTYPE_STRING
+                           ? SetText(field, text, message)
+                           : SetNumber(field, text, message);
+    if (!valid) {
+      AddProblem(section, field.name(),
+                 "'" + core::Printable(text, kMaxShownBytes) +
+                     "' is not valid; " + AllowedText(field));
+    }
+  }
+
+  static bool SetText(const FieldDescriptor& field, const std::string& text,
+                      Message& message) {
+    const schema::setting_rule& rule =
+        field.options().GetExtension(schema::rule);
+    if (!HasShape(text, rule.shape())) return false;
     message.GetReflection()->SetString(&message, &field, text);
+    return true;
   }
 
-  void SetNumber(const FieldDescriptor& field, const std::string& text,
-                 Message& message) {
+  // Poco's number parser would take "1,0" as 10, with ',' as a thousands
+  // separator.
+  static bool SetNumber(const FieldDescriptor& field, const std::string& text,
+                        Message& message) {
     const schema::setting_rule& rule =
         field.options().GetExtension(schema::rule);
-    Poco::Int64 number = 0;
-    const bool valid = Poco::NumberParser::tryParse64(text, number) &&
+    std::int64_t number = 0;
+    const char* end = text.data() + text.size();
+    const auto [rest, failure] = std::from_chars(text.data(), end, number);
+    const bool valid = failure == std::errc() && rest == end &&
                        number >= rule.minimum() && number <= rule.maximum();
-    if (!valid) {
-      AddProblem(field.name(),
-                 "'" + text + "' is not valid; " + AllowedText(field));
-      return;
-    }
+    if (!valid) return false;
     message.GetReflection()->SetInt64(&message, &field, number);
+    return true;
   }
 
-  void AddProblem(const std::string& key, std::string detail) {
+  // Checks rules over several settings, where each of them is valid alone.
+  void CheckTogether() {
+    for (contradiction& item : FindContradictions(loaded_.values)) {
+      const bool judged =
+          faulty_.contains({item.section, item.key}) ||
+          faulty_.contains({item.other_section, item.other_key});
+      if (judged) continue;
+      loaded_.problems.push_back({.file = path_,
+                                  .section = std::move(item.section),
+                                  .key = std::move(item.key),
+                                  .detail = std::move(item.detail)});
+    }
+  }
+
+  void AddProblem(const std::string& section, const std::string& key,
+                  std::string detail) {
+    faulty_.insert({section, key});
     loaded_.problems.push_back({.file = path_,
-                                .section = section_.name(),
+                                .section = section,
                                 .key = key,
                                 .detail = std::move(detail)});
   }
 
-  const ini_file& file_;
   std::string path_;
-  const FieldDescriptor& section_;
   loaded_settings& loaded_;
+  std::map<full_key, std::string> values_;
+  std::set<full_key> faulty_;
 };
 
-void CheckSections(const ini_file& file, const std::string& path,
-                   loaded_settings& loaded) {
-  Poco::Util::AbstractConfiguration::Keys sections;
-  file->keys(sections);
-  for (const std::string& section : sections) {
-    if (schema::settings::descriptor()->FindFieldByName(section) != nullptr)
-      continue;
-    loaded.problems.push_back(
-        {.file = path, .section = section, .detail = "unknown section"});
-  }
-}
-
 }  // namespace
 
-loaded_settings LoadSettings(const std::string& path) {
+loaded_settings ParseSettings(const std::string& path, std::istream& text) {
   loaded_settings loaded;
-  try {
-    const ini_file file(new Poco::Util::IniFileConfiguration(path));
-    CheckSections(file, path, loaded);
-    const Descriptor& type = *schema::settings::descriptor();
-    for (int index = 0; index < type.field_count(); ++index) {
-      section_reader(file, path, *type.field(index), loaded).Read();
-    }
-  } catch (const Poco::Exception& failure) {
-    loaded.problems.push_back({.file = path, .detail = failure.displayText()});
-  }
+  settings_reader(path, loaded).Read(ReadIniFile(text));
   return loaded;
 }
 
+loaded_settings LoadSettings(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  // A folder opens as a file and fails at the first read.
+  if (!file || file.peek() == std::ifstream::traits_type::eof()) {
+    loaded_settings loaded;
+    loaded.problems.push_back(
+        {.file = path,
+         .detail = "the file cannot be read or is empty; allowed is an INI "
+                   "file with the sections " +
+                   FieldNames(*schema::settings::descriptor())});
+    return loaded;
+  }
+  return ParseSettings(path, file);
+}
+
 std::string Describe(const settings_problem& problem) {
-  std::string text = problem.file + ":";
-  if (!problem.section.empty()) text += " [" + problem.section + "]";
-  if (!problem.key.empty()) text += " " + problem.key;
-  return text + ": " + problem.detail;
+  std::string text = core::Printable(problem.file) + ": ";
+  if (!problem.section.empty() || !problem.key.empty()) {
+    text += "[" + core::Printable(problem.section, kMaxShownBytes) + "]";
+    if (!problem.key.empty())
+      text += " " + core::Printable(problem.key, kMaxShownBytes);
+    text += ": ";
+  }
+  return text + problem.detail;
 }
 
 }  // namespace waxwingfront::settings
--- a/src/waxwingfront/settings/settings_loader.h
+++ b/src/waxwingfront/settings/settings_loader.h
@@ -2,6 +2,7 @@
 #ifndef WAXWINGFRONT_SETTINGS_SETTINGS_LOADER_H_
 #define WAXWINGFRONT_SETTINGS_SETTINGS_LOADER_H_
 
+#include <istream>
 #include <string>
 #include <vector>
 
@@ -24,10 +25,13 @@
   std::vector<settings_problem> problems;
 };
 
-// Reads the file at `path`. Absent keys get their defaults; an unknown section
-// or key is a problem.
+// Reads the file at `path`. Absent keys get their defaults. Unknown sections
+// and keys, repeated keys and settings that contradict each other are problems.
 loaded_settings LoadSettings(const std::string& path);
 
+// The same for text that was read already; `path` is for the problems only.
+loaded_settings ParseSettings(const std::string& path, std::istream& text);
+
 // "file: [section] key: detail".
 std::string Describe(const settings_problem& problem);
 
--- a/tests/support/process_site.cc
+++ b/tests/support/process_site.cc
@@ -110,9 +110,10 @@
        << entry_addresses_[index]
        << "\npeer_address = " << peer_addresses_[index] << "\npeers = ";
   for (const std::string& peer : peer_addresses_) file << peer << ",";
-  file << "\n[platform]\nstore_address = " << store_address_
-       << "\nhost_list_address = " << host_list_address_
-       << "\nhost_poll_ms = 100\nbundle_poll_ms = 100\n";
+  file
+      << "\n[platform]\nstore_address = " << store_address_
+      << "\nhost_list_address = " << host_list_address_
+      << "\nstore_timeout_ms = 333\nhost_poll_ms = 100\nbundle_poll_ms = 100\n";
   file << (options.more_settings.empty() ? QuickBatchSettings()
                                          : options.more_settings);
 }
--- /dev/null
+++ b/tests/waxwingfront/settings/settings_loader_test.cc
@@ -0,0 +1,321 @@
+#include "waxwingfront/settings/settings_loader.h"
+
+#include <google/protobuf/util/message_differencer.h>
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <charconv>
+#include <set>
+#include <sstream>
+#include <string>
+
+#include "waxwingfront/settings/address.h"
+
+namespace waxwingfront::settings {
+namespace {
+
+using google::protobuf::FieldDescriptor;
+
+constexpr std::string_view kEntry =
+    "[entry]\nid = entry-1\nfailure_domain = trebic\n"
+    "caller_address = 127.0.0.1:8080\npeer_address = 127.0.0.1:8180\n";
+constexpr std::string_view kPlatform =
+    "[platform]\nstore_address = 127.0.0.1:2379\n"
+    "host_list_address = 127.0.0.1:2380\n";
+
+loaded_settings Parse(const std::string& text) {
+  std::istringstream stream(text);
+  return ParseSettings("entry.ini", stream);
+}
+
+// The required keys and `more` after them.
+loaded_settings ParseWith(const std::string& more) {
+  return Parse(std::string(kEntry) + std::string(kPlatform) + more);
+}
+
+// The description of the only problem; fails if there is another number.
+std::string OnlyProblem(const loaded_settings& loaded) {
+  REQUIRE(loaded.problems.size() == 1);
+  return Describe(loaded.problems.front());
+}
+
+// Guards against errors from which an operator cannot tell what to change.
+TEST_CASE("a settings error names file, section, key and what is allowed",
+          "[settings]") {
+  SECTION("a number outside its range, with the unit") {
+    CHECK(OnlyProblem(ParseWith("[front]\nthreads = 5000\n")) ==
+          "entry.ini: [front] threads: '5000' is not valid; allowed is a whole "
+          "number from 1 to 4096, in threads");
+  }
+  SECTION("a number with a unit, a separator or a sign of its own") {
+    for (const std::string text : {"10ms", "1,0", "+10", "0x10", "1e3", ""}) {
+      CAPTURE(text);
+      const std::string problem =
+          OnlyProblem(ParseWith("[front]\nconnect_timeout_ms = " + text));
+      CHECK(problem.find("[front] connect_timeout_ms: '" + text + "'") !=
+            std::string::npos);
+      CHECK(problem.find("from 1 to 60000, in ms") != std::string::npos);
+    }
+  }
+  SECTION("a missing key") {
+    CHECK(OnlyProblem(Parse(std::string(kEntry) +
+                            "[platform]\nstore_address = 127.0.0.1:2379\n")) ==
+          "entry.ini: [platform] host_list_address: missing; allowed is an IP "
+          "address with a port from 1 to 65535, such as 127.0.0.1:8080 or "
+          "[::1]:8080");
+  }
+  SECTION("an unknown key") {
+    const std::string problem = OnlyProblem(ParseWith("[log]\nlevle = info\n"));
+    CHECK(problem ==
+          "entry.ini: [log] levle: unknown key; allowed are the keys level");
+  }
+  SECTION("a key in other letters") {
+    const std::string problem = OnlyProblem(ParseWith("[log]\nLevel = info\n"));
+    CHECK(problem.find("[log] Level: unknown key") != std::string::npos);
+  }
+  SECTION("an unknown section without a key") {
+    const std::string problem = OnlyProblem(ParseWith("[fornt]\n"));
+    CHECK(problem ==
+          "entry.ini: [fornt]: unknown section; allowed are the sections "
+          "entry, platform, front, batch, log");
+  }
+  SECTION("a key outside any section") {
+    const std::string problem = OnlyProblem(
+        Parse("threads = 5\n" + std::string(kEntry) + std::string(kPlatform)));
+    CHECK(problem.find("[] threads: the key is outside any section") !=
+          std::string::npos);
+  }
+  SECTION("lines that are neither a section nor a key") {
+    CHECK(OnlyProblem(ParseWith("[front]\nthreads\n")) ==
+          "entry.ini: [front] threads: malformed line; allowed are [section] "
+          "and key = value");
+    CHECK(OnlyProblem(ParseWith("[front\n")).find("[] [front: malformed") !=
+          std::string::npos);
+  }
+  SECTION("a name, an address and a level of the wrong shape") {
+    CHECK(OnlyProblem(ParseWith("[log]\nlevel = debug\n"))
+              .find("allowed is info, warning or error") != std::string::npos);
+    const loaded_settings loaded = Parse(
+        "[entry]\nid = Entry 1\nfailure_domain = trebic\n"
+        "caller_address = localhost:8080\npeer_address = 127.0.0.1:0\n" +
+        std::string(kPlatform));
+    REQUIRE(loaded.problems.size() == 3);
+    CHECK(loaded.problems[0].key == "id");
+    CHECK(loaded.problems[1].key == "caller_address");
+    CHECK(loaded.problems[2].key == "peer_address");
+  }
+  SECTION("a file that is not there") {
+    const loaded_settings loaded = LoadSettings("/nowhere/entry.ini");
+    CHECK(OnlyProblem(loaded).find("/nowhere/entry.ini: ") == 0);
+  }
+}
+
+// Guards against Poco's rule that the last of equal keys wins silently.
+TEST_CASE("a repeated key is an error", "[settings]") {
+  SECTION("in one section") {
+    CHECK(OnlyProblem(ParseWith("[front]\nthreads = 5\nthreads = 6\n")) ==
+          "entry.ini: [front] threads: repeated; allowed is each key once in a "
+          "file");
+  }
+  SECTION("in a section that is opened again") {
+    CHECK(OnlyProblem(ParseWith("[front]\nthreads = 5\n[log]\nlevel = info\n"
+                                "[front]\nthreads = 5\n"))
+              .find("[front] threads: repeated") != std::string::npos);
+  }
+}
+
+// Guards against settings that pass one by one and break the system together.
+TEST_CASE("settings that contradict each other are errors", "[settings]") {
+  SECTION("a ticket that does not outlast two exchanges") {
+    CHECK(OnlyProblem(ParseWith("[batch]\nticket_ms = 4000\n")) ==
+          "entry.ini: [batch] ticket_ms: 4000 ms contradicts [batch] sync_ms; "
+          "allowed is more than twice sync_ms, that is above 4000 ms");
+    CHECK(ParseWith("[batch]\nticket_ms = 4001\n").problems.empty());
+  }
+  SECTION("a task lease that does not outlast a ticket") {
+    CHECK(OnlyProblem(ParseWith("[batch]\ntask_lease_ms = 6000\n"))
+              .find("[batch] task_lease_ms: 6000 ms contradicts [batch] "
+                    "ticket_ms") != std::string::npos);
+    CHECK(ParseWith("[batch]\ntask_lease_ms = 6001\n").problems.empty());
+  }
+  SECTION("an entry lease too short for three renewals") {
+    CHECK(OnlyProblem(ParseWith("[batch]\nentry_lease_s = 2\n"))
+              .find("[batch] entry_lease_s: 2 s contradicts [platform] "
+                    "store_timeout_ms; allowed is time for three renewals, "
+                    "that is at least 3000 ms") != std::string::npos);
+    CHECK(ParseWith("[batch]\nentry_lease_s = 3\n").problems.empty());
+  }
+  SECTION("a connect timeout above the default deadline") {
+    CHECK(OnlyProblem(ParseWith("[front]\nconnect_timeout_ms = 20000\n"))
+              .find("[front] connect_timeout_ms") != std::string::npos);
+  }
+  SECTION("addresses of this entry that are used twice") {
+    const loaded_settings loaded = Parse(
+        "[entry]\nid = entry-1\nfailure_domain = trebic\n"
+        "caller_address = 127.0.0.1:8080\npeer_address = 127.0.0.1:8080\n" +
+        std::string(kPlatform));
+    CHECK(OnlyProblem(loaded).find("[entry] peer_address: 127.0.0.1:8080 "
+                                   "contradicts [entry] caller_address") !=
+          std::string::npos);
+  }
+  SECTION("no second error about a value that has one") {
+    CHECK(OnlyProblem(ParseWith("[batch]\nticket_ms = 1\n"))
+              .find("from 100 to 60000, in ms") != std::string::npos);
+  }
+}
+
+TEST_CASE("a valid file gets all defaults", "[settings]") {
+  const loaded_settings loaded =
+      ParseWith("; a comment\n[front]\nread_timeout_ms = 2500\n");
+  REQUIRE(loaded.problems.empty());
+  CHECK(loaded.values.front().read_timeout_ms() == 2500);
+  CHECK(loaded.values.front().idle_timeout_ms() == 30000);
+  CHECK(loaded.values.batch().ticket_ms() == 6000);
+  CHECK(loaded.values.log().level() == "info");
+}
+
+// Guards against an error message that carries a terminal's control codes.
+TEST_CASE("a settings error shows control characters as escapes",
+          "[settings]") {
+  const std::string problem =
+      OnlyProblem(ParseWith("[log]\nlevel = \x1b[31mred\n"));
+  CHECK(problem.find("'\\x1B[31mred'") != std::string::npos);
+}
+
+TEST_CASE("an address is an IP address with a port", "[settings]") {
+  CHECK(IsAddress("127.0.0.1:1"));
+  CHECK(IsAddress("[::1]:65535"));
+  for (const std::string text :
+       {"", ":", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536",
+        "127.0.0.1: 80", "127.0.0.1:+80", "localhost:80", "::1:80",
+        "[127.0.0.1]:80", "[]:80"}) {
+    CAPTURE(text);
+    CHECK_FALSE(IsAddress(text));
+  }
+}
+
+// Distinct numeric keys with values within their own rules.
+rc::Gen<std::string> GenNumbersInRange() {
+  return rc::gen::exec([] {
+    std::string text;
+    const auto& type = *schema::settings::descriptor();
+    for (int index = 0; index < type.field_count(); ++index) {
+      text += "[" + type.field(index)->name() + "]\n";
+      const auto& keys = *type.field(index)->message_type();
+      for (int key = 0; key < keys.field_count(); ++key) {
+        const FieldDescriptor& field = *keys.field(key);
+        const auto& rule = field.options().GetExtension(schema::rule);
+        const bool set = field.cpp_type() == FieldDescriptor::CPPTYPE_INT64 &&
+                         *rc::gen::inRange(0, 4) == 0;
+        if (!set) continue;
+        text += field.name() + " = " +
+                std::to_string(*rc::gen::inRange<std::int64_t>(
+                    rule.minimum(), rule.maximum() + 1)) +
+                "\n";
+      }
+    }
+    return text;
+  });
+}
+
+// Text of lines that are close to valid ones, so that both outcomes occur.
+rc::Gen<std::string> GenFile() {
+  const auto section = rc::gen::element<std::string>(
+      "entry", "platform", "front", "batch", "log", "fornt", "");
+  std::vector<std::string> names{"", "x", "Threads", "a.b"};
+  const auto& type = *schema::settings::descriptor();
+  for (int index = 0; index < type.field_count(); ++index) {
+    const auto& keys = *type.field(index)->message_type();
+    for (int key = 0; key < keys.field_count(); ++key)
+      names.push_back(keys.field(key)->name());
+  }
+  const auto value = rc::gen::oneOf(
+      rc::gen::element<std::string>("127.0.0.1:8080", "127.0.0.1:9", "entry-1",
+                                    "info", "${x}", "1,0", "", "[front]"),
+      rc::gen::map(rc::gen::arbitrary<std::int64_t>(),
+                   [](std::int64_t number) { return std::to_string(number); }),
+      rc::gen::map(rc::gen::inRange(0, 30000),
+                   [](int number) { return std::to_string(number); }),
+      rc::gen::string<std::string>());
+  const auto key_line = rc::gen::map(
+      rc::gen::pair(rc::gen::elementOf(names), value),
+      [](const auto& pair) { return pair.first + " = " + pair.second + "\n"; });
+  const auto header = rc::gen::map(
+      section, [](const std::string& name) { return "[" + name + "]\n"; });
+  const auto lines = rc::gen::map(
+      rc::gen::container<std::vector<std::string>>(
+          rc::gen::weightedOneOf<std::string>({{4, key_line}, {1, header}})),
+      [](const std::vector<std::string>& parts) {
+        std::string text;
+        for (const std::string& part : parts) text += part;
+        return text;
+      });
+  // With the required keys in front, some files are valid.
+  return rc::gen::oneOf(lines,
+                        rc::gen::map(rc::gen::oneOf(lines, GenNumbersInRange()),
+                                     [](const std::string& more) {
+                                       return std::string(kEntry) +
+                                              std::string(kPlatform) + more;
+                                     }));
+}
+
+void CheckWithinRule(const FieldDescriptor& field,
+                     const google::protobuf::Message& section) {
+  const schema::setting_rule& rule = field.options().GetExtension(schema::rule);
+  const auto& reflection = *section.GetReflection();
+  if (field.cpp_type() == FieldDescriptor::CPPTYPE_INT64) {
+    const std::int64_t value = reflection.GetInt64(section, &field);
+    RC_ASSERT(value >= rule.minimum());
+    RC_ASSERT(value <= rule.maximum());
+  } else if (rule.required()) {
+    RC_ASSERT(!reflection.GetString(section, &field).empty());
+  }
+}
+
+// Guards against a file that is accepted in part, or refused without a place.
+TEST_CASE("any file is accepted whole or refused with section and key",
+          "[settings][property]") {
+  rc::prop("accepted values keep their rules, problems name their place", [] {
+    const loaded_settings loaded = Parse(*GenFile());
+    RC_CLASSIFY(loaded.problems.empty(), "accepted");
+    for (const settings_problem& problem : loaded.problems) {
+      const bool is_section =
+          problem.detail.find("section") != std::string::npos;
+      const bool names_key = !problem.section.empty() || !problem.key.empty();
+      RC_ASSERT(problem.file == "entry.ini");
+      RC_ASSERT(is_section || names_key);
+      RC_ASSERT(problem.detail.find("allowed") != std::string::npos);
+    }
+    if (!loaded.problems.empty()) return;
+    const auto& type = *schema::settings::descriptor();
+    const auto& reflection = *loaded.values.GetReflection();
+    for (int index = 0; index < type.field_count(); ++index) {
+      const auto& section =
+          reflection.GetMessage(loaded.values, type.field(index));
+      const auto& keys = *type.field(index)->message_type();
+      for (int key = 0; key < keys.field_count(); ++key)
+        CheckWithinRule(*keys.field(key), section);
+    }
+    RC_ASSERT(loaded.values.batch().ticket_ms() >
+              2 * loaded.values.batch().sync_ms());
+    RC_ASSERT(loaded.values.batch().task_lease_ms() >
+              loaded.values.batch().ticket_ms());
+    RC_ASSERT(loaded.values.entry().caller_address() !=
+              loaded.values.entry().peer_address());
+  });
+  // Each value alone: accepted exactly if it is a plain number in its range.
+  rc::prop("a number is accepted exactly within its range", [] {
+    const std::string text = *rc::gen::oneOf(
+        rc::gen::map(rc::gen::arbitrary<std::int64_t>(),
+                     [](std::int64_t value) { return std::to_string(value); }),
+        rc::gen::map(rc::gen::inRange(-10, 5000),
+                     [](int value) { return std::to_string(value); }));
+    const std::int64_t number = std::stoll(text);
+    const bool accepted =
+        ParseWith("[front]\nthreads = " + text + "\n").problems.empty();
+    RC_ASSERT(accepted == (number >= 1 && number <= 4096));
+  });
+}
+
+}  // namespace
+}  // namespace waxwingfront::settings
