Refuse bad caller input with a type and bound its time

Poco's HTTP server answers a malformed or over-long head with an empty 400, takes a head that is cut short in a header's value and a chunked body that is cut short for whole ones, reads a POST without a length until the connection ends, and bounds single reads only, so that a caller that sends a byte from time to time holds its thread for ever. caller_connection and caller_request take its server's place: every refusal has a JSON error type, a chunked body is refused as length_required, and connection_watch ends a request that has not arrived whole within read_timeout_ms. Closing with unread input reset the connection before the caller read the refusal, so a closing connection takes the rest for up to 1 s.

--- a/src/waxwingfront/cli/dev_command.cc
+++ b/src/waxwingfront/cli/dev_command.cc
@@ -24,6 +24,8 @@
 
 constexpr int kHttpOk = 200;
 constexpr int kEntries = 2;
+// Four ports in a row end at 65535.
+constexpr int kLastFirstPort = 65532;
 constexpr core::milliseconds kDemoLimit{30000};
 constexpr core::milliseconds kDemoPause{100};
 
@@ -67,6 +69,9 @@
   settings.mutable_front()->set_default_deadline_ms(5000);
   settings.mutable_front()->set_connect_timeout_ms(500);
   settings.mutable_front()->set_drain_ms(2000);
+  settings.mutable_front()->set_read_timeout_ms(10000);
+  settings.mutable_front()->set_write_timeout_ms(30000);
+  settings.mutable_front()->set_idle_timeout_ms(30000);
   settings.mutable_batch()->set_shards_per_domain(1);
   settings.mutable_batch()->set_entry_lease_s(3);
   settings.mutable_batch()->set_grace_ms(60000);
@@ -174,8 +179,15 @@
   CLI::App& dev = *app.add_subcommand("dev",
                                       "Runs a small site with stand-ins of the "
                                       "platform on loopback, in one process");
+  dev.footer(
+      "Starts a store, a host list, workers, executors and two entries, signs "
+      "off a bundle,\nanswers a request and finishes a job, and prints how to "
+      "send more.\nExamples:\n"
+      "  waxwingfront dev\n"
+      "  waxwingfront dev --port 9000 --once");
   dev.add_option("--port", arguments->port, "First of four ports in a row")
-      ->capture_default_str();
+      ->capture_default_str()
+      ->check(CLI::Range(1, kLastFirstPort));
   dev.add_flag("--once", arguments->once, "Ends after the demonstration");
   dev.callback([arguments, &action] {
     action = [arguments] { return RunDev(*arguments); };
--- /dev/null
+++ b/src/waxwingfront/front/detail/caller_connection.cc
@@ -0,0 +1,124 @@
+#include "waxwingfront/front/detail/caller_connection.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/NetException.h>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "waxwingfront/core/json.h"
+#include "waxwingfront/core/text.h"
+#include "waxwingfront/front/detail/caller_request.h"
+#include "waxwingfront/logging/log.h"
+#include "waxwingfront/metrics/registry.h"
+#include "waxwingfront/schema/gen/common.pb.h"
+
+namespace waxwingfront::front::detail {
+namespace {
+
+constexpr std::string_view kPart = "front";
+// Longest time for which a closing connection still takes what the caller
+// sends.
+constexpr core::milliseconds kCloseLimit{1000};
+constexpr std::size_t kDiscardBytes = 16384;
+
+}  // namespace
+
+caller_connection::caller_connection(const Poco::Net::StreamSocket& socket,
+                                     Poco::Net::HTTPServerParams::Ptr params,
+                                     front_context& context,
+                                     connection_watch& watch)
+    : TCPServerConnection(socket),
+      params_(std::move(params)),
+      context_(context),
+      handlers_(context),
+      watch_(watch) {}
+
+void caller_connection::run() {
+  watched_connection watched(watch_, socket());
+  try {
+    Poco::Net::HTTPServerSession session(socket(), params_);
+    // The watch alone bounds reads and writes: a limit of the socket's own
+    // could end a phase first, and the caller would not learn why.
+    socket().setReceiveTimeout(Poco::Timespan(0));
+    socket().setSendTimeout(Poco::Timespan(0));
+    while (session.hasMoreRequests() && ServeOne(session, watched)) {
+    }
+    Close(watched);
+  } catch (const Poco::Exception& /*failure*/) {
+    // The caller has closed the connection or let the time for its response
+    // pass.
+    return;
+  }
+}
+
+bool caller_connection::ServeOne(Poco::Net::HTTPServerSession& session,
+                                 watched_connection& watched) {
+  watched.Begin(watched_phase::kReading, context_.options.read_timeout);
+  Poco::Net::HTTPServerResponseImpl response(session);
+  std::optional<caller_request> request;
+  try {
+    request.emplace(response, session, *params_, watched);
+  } catch (const Poco::Net::NoMessageException& /*closed*/) {
+    if (watched.End()) RefuseHead(session, watched, "");
+    return false;
+  } catch (const Poco::Net::MessageException& failure) {
+    RefuseHead(session, watched, failure.displayText());
+    return false;
+  }
+  response.setVersion(request->getVersion());
+  response.setKeepAlive(request->getKeepAlive() && session.canKeepAlive());
+  const std::unique_ptr<Poco::Net::HTTPRequestHandler> handler(
+      handlers_.createRequestHandler(*request));
+  handler->handleRequest(*request, response);
+  watched.End();
+  session.setKeepAlive(response.getKeepAlive());
+  return request->IsReadWhole() && response.getKeepAlive();
+}
+
+void caller_connection::RefuseHead(Poco::Net::HTTPServerSession& session,
+                                   watched_connection& watched,
+                                   const std::string& detail) {
+  core::error failure{
+      .code = core::error_code::kInvalidRequest,
+      .detail = detail +
+                "; allowed are a URI of up to 16384 bytes and up to 100 "
+                "headers with names of up to 256 and values of up to 8192 "
+                "bytes"};
+  if (watched.End()) {
+    failure = {.code = core::error_code::kRequestTimeout,
+               .detail = "the head did not arrive in time"};
+  }
+  CountRefusal(context_, failure);
+  logging::Info(kPart, "request head refused as ",
+                core::ErrorName(failure.code), ": ", failure.detail);
+  schema::error_body body;
+  body.set_type(std::string(core::ErrorName(failure.code)));
+  body.set_detail(core::Printable(failure.detail));
+  const std::string text = core::ToJson(body);
+  Poco::Net::HTTPServerResponseImpl response(session);
+  response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+  response.setKeepAlive(false);
+  response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(
+      core::HttpStatus(failure.code)));
+  response.setContentType("application/json");
+  response.setContentLength64(static_cast<Poco::Int64>(text.size()));
+  watched.Begin(watched_phase::kWriting, context_.options.write_timeout);
+  response.send() << text << std::flush;
+}
+
+void caller_connection::Close(watched_connection& watched) {
+  // Closing a socket with unread input resets the connection, and the caller
+  // might lose the response that tells why its request was refused.
+  socket().shutdownSend();
+  watched.Begin(watched_phase::kReading, kCloseLimit);
+  std::array<char, kDiscardBytes> discarded{};
+  while (socket().receiveBytes(discarded.data(), discarded.size()) > 0) {
+  }
+}
+
+}  // namespace waxwingfront::front::detail
--- /dev/null
+++ b/src/waxwingfront/front/detail/caller_request.h
@@ -0,0 +1,70 @@
+// One request as it is read from a caller's connection.
+#ifndef WAXWINGFRONT_FRONT_DETAIL_CALLER_REQUEST_H_
+#define WAXWINGFRONT_FRONT_DETAIL_CALLER_REQUEST_H_
+
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <istream>
+#include <memory>
+#include <string>
+
+#include "waxwingfront/core/clock.h"
+#include "waxwingfront/core/error.h"
+#include "waxwingfront/front/detail/connection_watch.h"
+
+namespace waxwingfront::front::detail {
+
+// Takes the place of Poco's request class, which takes a head that is cut short
+// in a header's value for a whole one.
+class caller_request : public Poco::Net::HTTPServerRequest {
+ public:
+  // Reads the head. Throws Poco::Net::MessageException if it is malformed, too
+  // long or cut short. The references must outlive this object.
+  caller_request(Poco::Net::HTTPServerResponse& response,
+                 Poco::Net::HTTPServerSession& session,
+                 const Poco::Net::HTTPServerParams& params,
+                 watched_connection& watched);
+
+  std::istream& stream() override { return *stream_; }
+  const Poco::Net::SocketAddress& clientAddress() const override {
+    return client_address_;
+  }
+  const Poco::Net::SocketAddress& serverAddress() const override {
+    return server_address_;
+  }
+  const Poco::Net::HTTPServerParams& serverParams() const override {
+    return params_;
+  }
+  Poco::Net::HTTPServerResponse& response() const override { return response_; }
+  bool secure() const override { return false; }
+
+  // Whether all bytes of the request were read, so that the connection may
+  // carry another one.
+  bool IsReadWhole() const { return read_whole_; }
+
+  // Reads the whole body. Fails with `kLengthRequired`, `kRequestTooLarge` (at
+  // more than `limit` bytes), `kRequestTimeout` or `kInvalidRequest` (cut
+  // short).
+  core::result<std::string> ReadBody(std::size_t limit);
+
+  // Sends a whole response with the headers that it has so far; the caller has
+  // `limit` to take it.
+  void Respond(int status, const std::string& body, core::milliseconds limit);
+
+ private:
+  Poco::Net::HTTPServerResponse& response_;
+  const Poco::Net::HTTPServerParams& params_;
+  watched_connection& watched_;
+  std::unique_ptr<std::istream> stream_;
+  Poco::Net::SocketAddress client_address_;
+  Poco::Net::SocketAddress server_address_;
+  bool read_whole_ = false;
+};
+
+}  // namespace waxwingfront::front::detail
+
+#endif  // WAXWINGFRONT_FRONT_DETAIL_CALLER_REQUEST_H_
--- a/src/waxwingfront/front/detail/handlers.cc
+++ b/src/waxwingfront/front/detail/handlers.cc
@@ -3,17 +3,18 @@
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/NumberParser.h>
 
-#include <array>
-#include <optional>
+#include <charconv>
 #include <string_view>
 #include <utility>
 
 #include "waxwingfront/core/hash.h"
 #include "waxwingfront/core/json.h"
+#include "waxwingfront/core/text.h"
+#include "waxwingfront/front/detail/caller_request.h"
 #include "waxwingfront/front/message.h"
 #include "waxwingfront/front/request_router.h"
+#include "waxwingfront/jobs/job_check.h"
 #include "waxwingfront/jobs/job_service.h"
 #include "waxwingfront/logging/log.h"
 #include "waxwingfront/metrics/registry.h"
@@ -29,57 +30,43 @@
 constexpr std::string_view kPart = "front";
 constexpr std::string_view kServicesPrefix = "/v1/services/";
 constexpr std::string_view kJobsPath = "/v1/jobs";
-constexpr std::size_t kReadChunkBytes = 16384;
+constexpr std::string_view kRequestIdHeader = "Waxwingfront-Request-Id";
+// Longest part of a caller's name that an error repeats.
+constexpr std::size_t kMaxShownBytes = 64;
 constexpr int kHttpOk = 200;
 constexpr int kHttpServiceUnavailable = 503;
 // Longest deadline that a caller may ask for, in milliseconds.
 constexpr int kMaxDeadlineMs = 600000;
 
-void SendBody(HTTPServerResponse& response, int status, const std::string& type,
-              const std::string& body) {
-  response.setStatus(static_cast<HTTPServerResponse::HTTPStatus>(status));
-  response.setReason(
-      HTTPServerResponse::getReasonForStatus(response.getStatus()));
-  response.setContentType(type);
-  response.sendBuffer(body.data(), body.size());
+// All requests come from `caller_connection`.
+caller_request& FromCaller(HTTPServerRequest& request) {
+  return static_cast<caller_request&>(request);
 }
 
-void SendError(HTTPServerResponse& response, const core::error& failure,
-               const std::string& id) {
+void SendText(front_context& context, HTTPServerRequest& request, int status,
+              const std::string& type, const std::string& text) {
+  request.response().setContentType(type);
+  FromCaller(request).Respond(status, text, context.options.write_timeout);
+}
+
+void SendError(front_context& context, HTTPServerRequest& request,
+               const core::error& failure, std::string_view id) {
   schema::error_body body;
   body.set_type(std::string(core::ErrorName(failure.code)));
-  body.set_detail(failure.detail);
-  body.set_id(id);
-  SendBody(response, core::HttpStatus(failure.code), "application/json",
+  body.set_detail(core::Printable(failure.detail));
+  body.set_id(core::Printable(id, jobs::kMaxJobIdLength));
+  SendText(context, request, core::HttpStatus(failure.code), "application/json",
            core::ToJson(body));
 }
 
-// Reads a body of at most `limit` bytes.
-core::result<std::string> ReadBody(HTTPServerRequest& request,
-                                   std::size_t limit) {
-  const auto too_large = [limit] {
-    return core::Failure(core::error_code::kRequestTooLarge,
-                         "a body may have " + std::to_string(limit) + " bytes");
-  };
-  if (request.hasContentLength() &&
-      request.getContentLength64() > static_cast<Poco::Int64>(limit)) {
-    return too_large();
-  }
-  std::string body;
-  std::array<char, kReadChunkBytes> chunk{};
-  std::istream& stream = request.stream();
-  while (stream.good()) {
-    stream.read(chunk.data(), chunk.size());
-    body.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
-    if (body.size() > limit) return too_large();
-  }
-  const bool whole =
-      !request.hasContentLength() ||
-      static_cast<Poco::Int64>(body.size()) == request.getContentLength64();
-  if (!whole)
-    return core::Failure(core::error_code::kInvalidRequest,
-                         "the body is cut short");
-  return body;
+// Refuses a request whose path allows other methods only.
+void SendMethodError(front_context& context, HTTPServerRequest& request,
+                     const std::string& allowed) {
+  const core::error failure{.code = core::error_code::kMethodNotAllowed,
+                            .detail = "allowed are " + allowed};
+  CountRefusal(context, failure);
+  request.response().set("Allow", allowed);
+  SendError(context, request, failure, "");
 }
 
 // Counts a request for as long as the caller waits.
@@ -98,29 +85,41 @@
 
 class text_handler : public HTTPRequestHandler {
  public:
-  text_handler(int status, std::string body)
-      : status_(status), body_(std::move(body)) {}
-  void handleRequest(HTTPServerRequest& /*request*/,
-                     HTTPServerResponse& response) override {
-    SendBody(response, status_, "text/plain; version=0.0.4", body_);
+  text_handler(front_context& context, int status, std::string type,
+               std::string text)
+      : context_(context),
+        status_(status),
+        type_(std::move(type)),
+        text_(std::move(text)) {}
+  void handleRequest(HTTPServerRequest& request,
+                     HTTPServerResponse& /*response*/) override {
+    const std::string& method = request.getMethod();
+    if (method != "GET" && method != "HEAD") {
+      SendMethodError(context_, request, "GET, HEAD");
+      return;
+    }
+    SendText(context_, request, status_, type_, text_);
   }
 
  private:
+  front_context& context_;
   int status_;
-  std::string body_;
+  std::string type_;
+  std::string text_;
 };
 
 class error_handler : public HTTPRequestHandler {
  public:
-  explicit error_handler(core::error failure) : failure_(std::move(failure)) {}
-  void handleRequest(HTTPServerRequest& /*request*/,
-                     HTTPServerResponse& response) override {
-    // The body was not read, so the connection cannot carry another request.
-    response.setKeepAlive(false);
-    SendError(response, failure_, "");
+  error_handler(front_context& context, core::error failure)
+      : context_(context), failure_(std::move(failure)) {}
+  void handleRequest(HTTPServerRequest& request,
+                     HTTPServerResponse& /*response*/) override {
+    CountRefusal(context_, failure_);
+    SendError(context_, request, failure_, "");
   }
 
  private:
+  front_context& context_;
   core::error failure_;
 };
 
@@ -133,31 +132,31 @@
     const in_flight_guard guard(context_.in_flight);
     if (context_.draining) response.setKeepAlive(false);
     const core::monotonic_time begin = core::Now();
-    core::result<service_request> parsed = Parse(request);
+    const std::string id = core::RandomId();
+    response.set(std::string(kRequestIdHeader), id);
+    core::result<service_request> parsed = Parse(request, id);
     if (!parsed) {
-      response.setKeepAlive(false);
-      SendError(response, parsed.error(), "");
+      CountRefusal(context_, parsed.error());
+      SendError(context_, request, parsed.error(), id);
       return;
     }
     const core::result<service_reply> reply = context_.router.Route(*parsed);
     Record(*parsed, reply, core::Now() - begin);
     if (!reply) {
-      SendError(response, reply.error(), parsed->id);
+      SendError(context_, request, reply.error(), id);
       return;
     }
     for (const auto& [name, value] : reply->headers) response.add(name, value);
-    response.set("Waxwingfront-Request-Id", parsed->id);
-    response.setStatus(
-        static_cast<HTTPServerResponse::HTTPStatus>(reply->status));
-    response.setReason(
-        HTTPServerResponse::getReasonForStatus(response.getStatus()));
-    response.sendBuffer(reply->body.data(), reply->body.size());
+    response.set(std::string(kRequestIdHeader), id);
+    FromCaller(request).Respond(reply->status, reply->body,
+                                context_.options.write_timeout);
   }
 
  private:
-  core::result<service_request> Parse(HTTPServerRequest& http) {
+  core::result<service_request> Parse(HTTPServerRequest& http,
+                                      const std::string& id) {
     service_request request;
-    request.id = core::RandomId();
+    request.id = id;
     request.method = http.getMethod();
     const std::string_view rest =
         std::string_view(http.getURI()).substr(kServicesPrefix.size());
@@ -175,12 +174,15 @@
     if (service == nullptr) {
       return core::Failure(
           core::error_code::kUnknownService,
-          "the bundle has no service '" + request.service + "'");
+          "the bundle has no service '" +
+              core::Printable(request.service, kMaxShownBytes) + "'");
     }
     if (policy->FindCustomer(request.customer) == nullptr) {
       return core::Failure(
           core::error_code::kUnknownCustomer,
-          "the bundle has no customer '" + request.customer + "'");
+          "the bundle has no customer '" +
+              core::Printable(request.customer, kMaxShownBytes) +
+              "'; the header Waxwingfront-Customer names one");
     }
     const auto deadline = ReadDeadline(http, service->default_deadline_ms());
     if (!deadline) return tl::unexpected(deadline.error());
@@ -190,7 +192,7 @@
     for (const auto& [name, value] : http) {
       if (!IsHopByHop(name)) request.headers.emplace_back(name, value);
     }
-    auto body = ReadBody(http, context_.options.max_body_bytes);
+    auto body = FromCaller(http).ReadBody(context_.options.max_body_bytes);
     if (!body) return tl::unexpected(body.error());
     request.body = std::move(*body);
     return request;
@@ -202,13 +204,17 @@
       return of_service > 0 ? core::milliseconds(of_service)
                             : context_.options.default_deadline;
     }
+    const std::string& text = http.get("Waxwingfront-Deadline-Ms");
+    const char* end = text.data() + text.size();
     int deadline_ms = 0;
-    const bool valid = Poco::NumberParser::tryParse(
-                           http.get("Waxwingfront-Deadline-Ms"), deadline_ms) &&
+    const auto [rest, failure] = std::from_chars(text.data(), end, deadline_ms);
+    const bool valid = failure == std::errc() && rest == end &&
                        deadline_ms >= 1 && deadline_ms <= kMaxDeadlineMs;
     if (!valid) {
-      return core::Failure(core::error_code::kInvalidRequest,
-                           "Waxwingfront-Deadline-Ms: 1 to 600000 ms");
+      return core::Failure(
+          core::error_code::kInvalidRequest,
+          "Waxwingfront-Deadline-Ms: allowed is a whole number "
+          "from 1 to 600000, in ms");
     }
     return core::milliseconds(deadline_ms);
   }
@@ -246,38 +252,79 @@
     const in_flight_guard guard(context_.in_flight);
     if (context_.draining) response.setKeepAlive(false);
     std::string job(request.getURI().substr(kJobsPath.size()));
-    if (!job.empty()) job.erase(0, 1);
-    const core::result<schema::job_status> status = Carry(request, job);
+    const bool is_list = job.empty();
+    if (!is_list) job.erase(0, 1);
+    const std::string& method = request.getMethod();
+    if (is_list && method != "POST") {
+      SendMethodError(context_, request, "POST");
+      return;
+    }
+    if (!is_list && method != "GET" && method != "DELETE") {
+      SendMethodError(context_, request, "GET, DELETE");
+      return;
+    }
+    const core::result<schema::job_status> status =
+        is_list ? Submit(request, job) : Find(method, job);
     if (!status) {
-      response.setKeepAlive(false);
-      SendError(response, status.error(), job);
+      CountRefusal(context_, status.error());
+      logging::Info(kPart, "job ", core::Printable(job, jobs::kMaxJobIdLength),
+                    " ", method, " ended as ",
+                    core::ErrorName(status.error().code), ": ",
+                    status.error().detail);
+      SendError(context_, request, status.error(), job);
       return;
     }
-    SendBody(response, kHttpOk, "application/json", core::ToJson(*status));
+    SendText(context_, request, kHttpOk, "application/json",
+             core::ToJson(*status));
   }
 
  private:
-  core::result<schema::job_status> Carry(HTTPServerRequest& request,
-                                         std::string& job) {
-    const std::string& method = request.getMethod();
-    if (job.empty() && method == "POST") return Submit(request, job);
-    if (!job.empty() && method == "GET") return context_.jobs.Status(job);
-    if (!job.empty() && method == "DELETE") return context_.jobs.Cancel(job);
-    return core::Failure(
-        core::error_code::kInvalidRequest,
-        "use POST /v1/jobs, GET /v1/jobs/<id> or DELETE /v1/jobs/<id>");
+  core::result<schema::job_status> Find(const std::string& method,
+                                        const std::string& job) {
+    if (!jobs::IsJobId(job)) {
+      return core::Failure(core::error_code::kInvalidRequest,
+                           std::string(jobs::kJobIdRule));
+    }
+    return method == "GET" ? context_.jobs.Status(job)
+                           : context_.jobs.Cancel(job);
   }
 
   core::result<schema::job_status> Submit(HTTPServerRequest& request,
                                           std::string& job) {
-    const auto body = ReadBody(request, context_.options.max_body_bytes);
+    const core::monotonic_time begin = core::Now();
+    const auto body =
+        FromCaller(request).ReadBody(context_.options.max_body_bytes);
     if (!body) return tl::unexpected(body.error());
     schema::job_spec spec;
     const auto parsed =
         core::FromJson(*body, core::unknown_fields::kRefuse, spec);
     if (!parsed) return tl::unexpected(parsed.error());
     job = spec.id();
-    return context_.jobs.Submit(std::move(spec));
+    const std::string batch_class = spec.batch_class();
+    core::result<schema::job_status> status =
+        context_.jobs.Submit(std::move(spec));
+    if (status) job = status->id();
+    Record(batch_class, status, core::Now() - begin);
+    return status;
+  }
+
+  // The label comes from the caller, so only names of the bundle are counted.
+  void Record(const std::string& batch_class,
+              const core::result<schema::job_status>& status,
+              core::monotonic_time::duration taken) {
+    const auto policy = context_.options.policy();
+    if (policy == nullptr || policy->FindBatchClass(batch_class) == nullptr)
+      return;
+    const std::string outcome =
+        status ? "accepted" : std::string(core::ErrorName(status.error().code));
+    context_.metrics
+        .Counter("waxwingfront_job_submissions_total",
+                 {{"batch_class", batch_class}, {"outcome", outcome}})
+        .Add();
+    context_.metrics
+        .Histogram("waxwingfront_job_submission_seconds",
+                   {{"batch_class", batch_class}})
+        .Observe(std::chrono::duration<double>(taken).count());
   }
 
   front_context& context_;
@@ -287,26 +334,43 @@
   return text.substr(0, prefix.size()) == prefix;
 }
 
+HTTPRequestHandler* MakeText(front_context& context, std::string text) {
+  return new text_handler(context, kHttpOk, "text/plain", std::move(text));
+}
+
 }  // namespace
 
+void CountRefusal(front_context& context, const core::error& failure) {
+  context.metrics
+      .Counter("waxwingfront_refusals_total",
+               {{"type", std::string(core::ErrorName(failure.code))}})
+      .Add();
+}
+
 HTTPRequestHandler* handler_factory::createRequestHandler(
     const HTTPServerRequest& request) {
   const std::string& uri = request.getURI();
-  if (uri == "/healthz") return new text_handler(kHttpOk, "ok\n");
+  if (uri == "/healthz") return MakeText(context_, "ok\n");
   if (uri == "/readyz") {
     const std::string reason = context_.options.unready_reason();
-    if (reason.empty()) return new text_handler(kHttpOk, "ready\n");
-    return new text_handler(kHttpServiceUnavailable, reason + "\n");
+    if (reason.empty()) return MakeText(context_, "ready\n");
+    return new text_handler(context_, kHttpServiceUnavailable, "text/plain",
+                            reason + "\n");
+  }
+  if (uri == "/metrics") {
+    return new text_handler(context_, kHttpOk,
+                            "text/plain; version=0.0.4; charset=utf-8",
+                            context_.metrics.Text());
   }
-  if (uri == "/metrics")
-    return new text_handler(kHttpOk, context_.metrics.Text());
   if (StartsWith(uri, kServicesPrefix)) return new service_handler(context_);
   if (uri == kJobsPath || StartsWith(uri, std::string(kJobsPath) + "/")) {
     return new job_handler(context_);
   }
   return new error_handler(
-      {.code = core::error_code::kInvalidRequest,
-       .detail = "unknown path; use /v1/services/<name>/ or /v1/jobs"});
+      context_,
+      {.code = core::error_code::kUnknownPath,
+       .detail = "allowed are /v1/services/<service>/<path>, /v1/jobs, "
+                 "/v1/jobs/<id>, /healthz, /readyz and /metrics"});
 }
 
 }  // namespace waxwingfront::front::detail
--- a/src/waxwingfront/front/detail/handlers.h
+++ b/src/waxwingfront/front/detail/handlers.h
@@ -21,6 +21,9 @@
   std::atomic<bool> draining{false};
 };
 
+// Counts a refusal of a request that reached no service or job.
+void CountRefusal(front_context& context, const core::error& failure);
+
 // Makes a handler for each request by its path.
 class handler_factory : public Poco::Net::HTTPRequestHandlerFactory {
  public:
--- a/src/waxwingfront/front/front_server.cc
+++ b/src/waxwingfront/front/front_server.cc
@@ -2,15 +2,17 @@
 
 #include <Poco/AutoPtr.h>
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
 #include <thread>
 #include <utility>
 
+#include "waxwingfront/front/detail/caller_connection.h"
+#include "waxwingfront/front/detail/connection_watch.h"
 #include "waxwingfront/front/detail/handlers.h"
 
 namespace waxwingfront::front {
@@ -19,7 +21,10 @@
 // Connections that wait for a thread; more are refused.
 constexpr int kMaxQueuedConnections = 256;
 constexpr core::milliseconds kDrainPause{5};
-constexpr int kIdleConnectionSeconds = 30;
+
+Poco::Timespan ToTimespan(core::milliseconds duration) {
+  return Poco::Timespan(std::chrono::microseconds(duration).count());
+}
 
 }  // namespace
 
@@ -33,8 +38,9 @@
         threads(1, context.options.threads) {}
 
   detail::front_context context;
+  detail::connection_watch watch;
   Poco::ThreadPool threads;
-  std::unique_ptr<Poco::Net::HTTPServer> server;
+  std::unique_ptr<Poco::Net::TCPServer> server;
 };
 
 core::result<std::unique_ptr<front_server>> front_server::Start(
@@ -49,10 +55,13 @@
     params->setMaxThreads(parts->context.options.threads);
     params->setMaxQueued(kMaxQueuedConnections);
     params->setKeepAlive(true);
-    params->setKeepAliveTimeout(Poco::Timespan(kIdleConnectionSeconds, 0));
-    parts->server = std::make_unique<Poco::Net::HTTPServer>(
-        new detail::handler_factory(parts->context), parts->threads, socket,
-        params);
+    params->setTimeout(ToTimespan(parts->context.options.idle_timeout));
+    params->setKeepAliveTimeout(
+        ToTimespan(parts->context.options.idle_timeout));
+    parts->server = std::make_unique<Poco::Net::TCPServer>(
+        new detail::caller_connection_factory(params, parts->context,
+                                              parts->watch),
+        parts->threads, socket, params);
     parts->server->start();
   } catch (const Poco::Exception& failure) {
     return core::Failure(
@@ -66,7 +75,8 @@
     : internal_(std::move(parts)) {}
 
 front_server::~front_server() {
-  internal_->server->stopAll(true);
+  internal_->server->stop();
+  internal_->watch.CloseAll();
   internal_->threads.joinAll();
 }
 
--- a/src/waxwingfront/front/front_server.h
+++ b/src/waxwingfront/front/front_server.h
@@ -28,6 +28,11 @@
   int threads = 128;
   std::size_t max_body_bytes = 1048576;
   core::milliseconds default_deadline{10000};
+  // Time for a caller to send a whole request, and to receive a whole response.
+  core::milliseconds read_timeout{10000};
+  core::milliseconds write_timeout{30000};
+  // Time that a connection is kept without a request.
+  core::milliseconds idle_timeout{30000};
   std::function<std::shared_ptr<const bundle::bundle_view>()> policy;
   // Type of the reason why this entry is not ready; nothing if it is.
   std::function<std::string()> unready_reason;
--- a/src/waxwingfront/jobs/job_check.cc
+++ b/src/waxwingfront/jobs/job_check.cc
@@ -9,7 +9,6 @@
 namespace waxwingfront::jobs {
 namespace {
 
-constexpr std::size_t kMaxIdLength = 128;
 constexpr std::size_t kMaxCommandBytes = 4096;
 constexpr std::int64_t kMaxTasks = 1000000;
 constexpr std::string_view kIdCharacters =
@@ -20,12 +19,7 @@
 }
 
 core::result<void> CheckShape(const schema::job_spec& spec) {
-  const bool valid_id =
-      !spec.id().empty() && spec.id().size() <= kMaxIdLength &&
-      spec.id().find_first_not_of(kIdCharacters) == std::string::npos;
-  if (!valid_id)
-    return Invalid(
-        "id: 1 to 128 characters of a-z, A-Z, 0-9, '-', '_' and '.'");
+  if (!IsJobId(spec.id())) return Invalid(std::string(kJobIdRule));
   if (spec.task_count() < 1 || spec.task_count() > kMaxTasks) {
     return Invalid("task_count: 1 to 1000000");
   }
@@ -41,6 +35,11 @@
 
 }  // namespace
 
+bool IsJobId(std::string_view id) {
+  const bool fits = !id.empty() && id.size() <= kMaxJobIdLength;
+  return fits && id.find_first_not_of(kIdCharacters) == std::string_view::npos;
+}
+
 core::result<void> CheckJob(const schema::job_spec& spec,
                             const bundle::bundle_view& policy) {
   if (const auto shape = CheckShape(spec); !shape) return shape;
--- a/src/waxwingfront/jobs/job_check.h
+++ b/src/waxwingfront/jobs/job_check.h
@@ -4,6 +4,7 @@
 
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "waxwingfront/bundle/bundle_view.h"
 #include "waxwingfront/core/error.h"
@@ -12,6 +13,13 @@
 
 namespace waxwingfront::jobs {
 
+inline constexpr std::size_t kMaxJobIdLength = 128;
+inline constexpr std::string_view kJobIdRule =
+    "id: 1 to 128 characters of a-z, A-Z, 0-9, '-', '_' and '.'";
+
+// Whether `id` keeps `kJobIdRule`.
+bool IsJobId(std::string_view id);
+
 // Checks a job against the bundle alone: names, sizes, counts and the
 // customer's quota.
 core::result<void> CheckJob(const schema::job_spec& spec,
--- a/src/waxwingfront/serve/entry.cc
+++ b/src/waxwingfront/serve/entry.cc
@@ -152,14 +152,19 @@
   }
 
   front::front_server_options FrontOptions() {
-    return {.address = settings.entry().caller_address(),
-            .threads = static_cast<int>(settings.front().threads()),
-            .max_body_bytes =
-                static_cast<std::size_t>(settings.front().max_body_bytes()),
-            .default_deadline =
-                core::milliseconds(settings.front().default_deadline_ms()),
-            .policy = [this] { return follower.InForce(); },
-            .unready_reason = [this] { return UnreadyReason(); }};
+    return {
+        .address = settings.entry().caller_address(),
+        .threads = static_cast<int>(settings.front().threads()),
+        .max_body_bytes =
+            static_cast<std::size_t>(settings.front().max_body_bytes()),
+        .default_deadline =
+            core::milliseconds(settings.front().default_deadline_ms()),
+        .read_timeout = core::milliseconds(settings.front().read_timeout_ms()),
+        .write_timeout =
+            core::milliseconds(settings.front().write_timeout_ms()),
+        .idle_timeout = core::milliseconds(settings.front().idle_timeout_ms()),
+        .policy = [this] { return follower.InForce(); },
+        .unready_reason = [this] { return UnreadyReason(); }};
   }
 
   peer::peer_server_options PeerOptions() {
--- /dev/null
+++ b/tests/waxwingfront/front/caller_input_test.cc
@@ -0,0 +1,310 @@
+// Input of callers that an entry refuses.
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "support/process_site.h"
+#include "support/raw_caller.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+constexpr int kBodyLimit = 2048;
+
+process_site_options SiteOptions() {
+  return {.entries = 1,
+          .workers = 1,
+          .executors = 1,
+          .more_settings = QuickBatchSettings() +
+                           "[front]\nread_timeout_ms = 400\n"
+                           "idle_timeout_ms = 400\nmax_body_bytes = " +
+                           std::to_string(kBodyLimit) + "\n"};
+}
+
+// A request with headers of its own and a body with its length.
+std::string Request(const std::string& line, const std::string& headers = "",
+                    const std::string& body = "") {
+  return line + " HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string kCustomer = "Waxwingfront-Customer: jihlava\r\n";
+const std::string kService = "/v1/services/dispatch/orders";
+
+std::string JobBody(const std::string& id, const std::string& batch_class,
+                    const std::string& customer, int processor_milli,
+                    const std::string& more = "") {
+  return R"({"id": ")" + id + R"(", "customer": ")" + customer +
+         R"(", "batch_class": ")" + batch_class +
+         R"(", "task_count": 1, "command": "sleep:60000", "task_size":
+         {"processor_milli": )" +
+         std::to_string(processor_milli) + "}" + more + "}";
+}
+
+bool Has(const std::string& text, std::string_view part) {
+  return text.find(part) != std::string::npos;
+}
+
+// Checks the status and the error type of a refusal.
+void CheckRefusal(const std::string& answer, int status,
+                  const std::string& type) {
+  CAPTURE(answer);
+  CHECK(answer.rfind("HTTP/1.1 " + std::to_string(status) + " ", 0) == 0);
+  CHECK(Has(answer, "Content-Type: application/json"));
+  CHECK(Has(answer, "{\"type\":\"" + type + "\",\"detail\":\""));
+}
+
+// Checks that the entry still answers requests.
+void CheckServes(const process_site& site) {
+  const std::string answer = RawCall(
+      site.EntryAddress(0), Request("POST " + kService, kCustomer, "next"));
+  CAPTURE(answer);
+  CHECK(Has(answer, "HTTP/1.1 200 "));
+  CHECK(Has(answer, "executor-0 POST /orders next"));
+}
+
+struct refusal {
+  std::string name;
+  std::string request;
+  int status;
+  std::string type;
+};
+
+// Guards against input that is answered without a type, or runs.
+TEST_CASE("bad requests to services are refused with their type",
+          "[front][process]") {
+  const process_site site(SiteOptions());
+  REQUIRE(site.AwaitReady());
+  const std::string id = "test-id: refused\r\n";
+  const auto with_deadline = [&id](const std::string& value) {
+    return Request(
+        "POST " + kService,
+        kCustomer + id + "Waxwingfront-Deadline-Ms: " + value + "\r\n");
+  };
+  const auto with_length = [&id](const std::string& lengths) {
+    return "POST " + kService + " HTTP/1.1\r\n" + kCustomer + id + lengths +
+           "\r\nab";
+  };
+  std::string many_headers;
+  for (int index = 0; index < 101; ++index)
+    many_headers += "x-" + std::to_string(index) + ": 1\r\n";
+  const std::vector<refusal> refusals = {
+      {"unknown path", Request("GET /nothing", id), 404, "unknown_path"},
+      {"unknown service",
+       Request("POST /v1/services/nothing/orders", kCustomer + id), 404,
+       "unknown_service"},
+      {"unknown customer",
+       Request("POST " + kService, "Waxwingfront-Customer: nobody\r\n" + id),
+       403, "unknown_customer"},
+      {"no customer", Request("POST " + kService, id), 403, "unknown_customer"},
+      {"deadline 0", with_deadline("0"), 400, "invalid_request"},
+      {"deadline too long", with_deadline("600001"), 400, "invalid_request"},
+      {"deadline with separator", with_deadline("1,0"), 400, "invalid_request"},
+      {"deadline of letters", with_deadline("soon"), 400, "invalid_request"},
+      {"body too large",
+       Request("POST " + kService, kCustomer + id,
+               std::string(kBodyLimit + 1, 'a')),
+       413, "request_too_large"},
+      {"body far too large",
+       Request("POST " + kService, kCustomer + id, std::string(1000000, 'a')),
+       413, "request_too_large"},
+      {"chunked body",
+       "POST " + kService + " HTTP/1.1\r\n" + kCustomer + id +
+           "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+       411, "length_required"},
+      {"two lengths", with_length("Content-Length: 2\r\nContent-Length: 0\r\n"),
+       400, "invalid_request"},
+      {"length of letters", with_length("Content-Length: two\r\n"), 400,
+       "invalid_request"},
+      {"length with separator", with_length("Content-Length: 0,2\r\n"), 400,
+       "invalid_request"},
+      {"negative length", with_length("Content-Length: -2\r\n"), 400,
+       "invalid_request"},
+      {"long URI",
+       Request("POST " + kService + std::string(20000, 'a'), kCustomer + id),
+       400, "invalid_request"},
+      {"long header value",
+       Request("POST " + kService,
+               kCustomer + id + "x: " + std::string(9000, 'a') + "\r\n"),
+       400, "invalid_request"},
+      {"long header name",
+       Request("POST " + kService,
+               kCustomer + id + std::string(300, 'a') + ": 1\r\n"),
+       400, "invalid_request"},
+      {"many headers",
+       Request("POST " + kService, kCustomer + id + many_headers), 400,
+       "invalid_request"},
+      {"no HTTP", std::string(20000, 'x') + "\r\n\r\n", 400, "invalid_request"},
+      {"control characters",
+       Request("POST /v1/services/\x1b[31m\xff/x", kCustomer + id), 404,
+       "unknown_service"}};
+  for (const refusal& item : refusals) {
+    CAPTURE(item.name);
+    CheckRefusal(RawCall(site.EntryAddress(0), item.request), item.status,
+                 item.type);
+    CheckServes(site);
+  }
+  CHECK_FALSE(Has(site.Journal(site.ExecutorAddress(0)), "refused"));
+}
+
+TEST_CASE("bad job calls are refused with their type", "[front][process]") {
+  const process_site site(SiteOptions());
+  REQUIRE(site.AwaitReady());
+  REQUIRE(site.AwaitAccepted(0, JobBody("orders-1", "orders", "jihlava", 100)));
+  const auto submit = [](const std::string& body) {
+    return Request("POST /v1/jobs", "", body);
+  };
+  const std::vector<refusal> refusals = {
+      {"malformed JSON", submit("{\"id\": "), 400, "invalid_request"},
+      {"no JSON", submit(""), 400, "invalid_request"},
+      {"unknown field",
+       submit(JobBody("a", "orders", "jihlava", 100, R"(, "colour": 1)")), 400,
+       "invalid_request"},
+      {"unknown customer", submit(JobBody("a", "orders", "nobody", 100)), 403,
+       "unknown_customer"},
+      {"unknown batch class", submit(JobBody("a", "none", "jihlava", 100)), 400,
+       "unknown_batch_class"},
+      {"invalid id", submit(JobBody("a/b", "orders", "jihlava", 100)), 400,
+       "invalid_request"},
+      {"no host is large enough",
+       submit(JobBody("a", "orders", "jihlava", 1000000)), 422, "unplaceable"},
+      {"conflicting resubmission",
+       submit(JobBody("orders-1", "orders", "jihlava", 200)), 409,
+       "job_conflict"},
+      {"too large", submit(std::string(kBodyLimit + 1, ' ')), 413,
+       "request_too_large"},
+      {"unknown job", Request("GET /v1/jobs/nothing"), 404, "unknown_job"},
+      {"cancel of an unknown job", Request("DELETE /v1/jobs/nothing"), 404,
+       "unknown_job"},
+      {"invalid id in the path", Request("GET /v1/jobs/a%20b"), 400,
+       "invalid_request"},
+      {"no id in the path", Request("GET /v1/jobs/"), 400, "invalid_request"},
+      {"wrong method for jobs", Request("GET /v1/jobs"), 405,
+       "method_not_allowed"},
+      {"wrong method for a job", Request("PUT /v1/jobs/orders-1"), 405,
+       "method_not_allowed"},
+      {"wrong method for health", Request("POST /healthz"), 405,
+       "method_not_allowed"}};
+  for (const refusal& item : refusals) {
+    CAPTURE(item.name);
+    const std::string answer = RawCall(site.EntryAddress(0), item.request);
+    CheckRefusal(answer, item.status, item.type);
+    CHECK(Has(answer, "Allow: ") == (item.status == 405));
+    // The accepted job is still there.
+    CHECK(Has(RawCall(site.EntryAddress(0), Request("GET /v1/jobs/orders-1")),
+              "HTTP/1.1 200 "));
+  }
+  // A refused submission leaves nothing behind: the id can still be used.
+  CHECK(Has(RawCall(site.EntryAddress(0),
+                    submit(JobBody("a", "orders", "jihlava", 100))),
+            "HTTP/1.1 200 "));
+}
+
+// Guards against a request that runs although its end never arrived, and a
+// slow caller that holds a thread.
+TEST_CASE("requests that do not arrive whole are refused", "[front][process]") {
+  const process_site site(SiteOptions());
+  REQUIRE(site.AwaitReady());
+  const std::string head = "POST " + kService + " HTTP/1.1\r\n" + kCustomer +
+                           "test-id: partial\r\nContent-Length: 4\r\n";
+  const std::string& address = site.EntryAddress(0);
+  const auto cut_after = [&address](const std::string& part) {
+    raw_caller caller(address);
+    caller.Send(part);
+    caller.EndOutput();
+    return caller.ReadAll();
+  };
+  const auto stop_after = [&address](const std::string& part) {
+    return RawCall(address, part);
+  };
+  CheckRefusal(cut_after(head + "\r\nab"), 400, "invalid_request");
+  // A head that ends in a header's value, with no body to come.
+  CheckRefusal(cut_after("POST " + kService + " HTTP/1.1\r\n" + kCustomer +
+                         "test-id: partial"),
+               400, "invalid_request");
+  CheckRefusal(cut_after("POST " + kService + " HTTP/1.1\r\n" + kCustomer +
+                         "test-id: partial\r\n"),
+               400, "invalid_request");
+  CheckRefusal(stop_after(head), 408, "request_timeout");
+  CheckRefusal(stop_after(head + "\r\nab"), 408, "request_timeout");
+
+  // Every byte comes well within the time limit of a single read.
+  raw_caller slow(address);
+  constexpr int kMostBytes = 1000;
+  const std::string endless = "POST /" + std::string(kMostBytes, 'a');
+  int sent = 0;
+  while (sent < kMostBytes && !slow.HasInput()) {
+    slow.Send(endless.substr(static_cast<std::size_t>(sent), 1));
+    std::this_thread::sleep_for(core::milliseconds(20));
+    ++sent;
+  }
+  CHECK(sent < kMostBytes);
+  CheckRefusal(slow.ReadAll(), 408, "request_timeout");
+
+  // An idle connection is closed without an answer.
+  raw_caller idle(address);
+  CHECK(idle.ReadAll().empty());
+  CHECK(idle.HasInput());
+
+  CheckServes(site);
+  CHECK_FALSE(Has(site.Journal(site.ExecutorAddress(0)), "partial"));
+}
+
+// Guards against a connection whose next request is read from the rest of the
+// last one.
+TEST_CASE("a connection serves the next request after a refusal",
+          "[front][process]") {
+  const process_site site(SiteOptions());
+  REQUIRE(site.AwaitReady());
+  const std::string first =
+      "GET /v1/services/nothing/x HTTP/1.1\r\n" + kCustomer + "\r\n";
+  // The body of a refused request is not taken for a request.
+  const std::string hidden = "GET /healthz HTTP/1.1\r\n\r\n";
+  raw_caller caller(site.EntryAddress(0));
+  caller.Send(first + first +
+              Request("POST /v1/services/nothing/x", kCustomer, hidden));
+  const std::string answers = caller.ReadAll();
+  CAPTURE(answers);
+  std::size_t count = 0;
+  for (std::size_t at = answers.find("unknown_service");
+       at != std::string::npos; at = answers.find("unknown_service", at + 1))
+    ++count;
+  CHECK(count == 3);
+  CHECK_FALSE(Has(answers, " 200 "));
+}
+
+// Guards against metrics that grow with the names that callers make up.
+TEST_CASE("metrics have names of the bundle only", "[front][process]") {
+  const process_site site(SiteOptions());
+  REQUIRE(site.AwaitReady());
+  const std::string& address = site.EntryAddress(0);
+  REQUIRE(site.AwaitAccepted(0, JobBody("orders-1", "orders", "jihlava", 100)));
+  CheckServes(site);
+  for (const std::string name : {"made-up-1", "made-up-2"}) {
+    RawCall(address, Request("POST /v1/services/" + name + "/x", kCustomer));
+    RawCall(address, Request("POST " + kService,
+                             "Waxwingfront-Customer: " + name + "\r\n"));
+    RawCall(address,
+            Request("POST /v1/jobs", "", JobBody("a", name, "jihlava", 100)));
+    RawCall(address, Request("GET /" + name));
+    RawCall(address, Request(name + " /healthz"));
+  }
+  const std::string metrics = RawCall(address, Request("GET /metrics"));
+  CHECK(Has(metrics, "Content-Type: text/plain; version=0.0.4"));
+  CHECK_FALSE(Has(metrics, "made-up"));
+  CHECK(Has(metrics,
+            "waxwingfront_request_seconds_count{service=\"dispatch\","
+            "customer=\"jihlava\"} 1\n"));
+  CHECK(Has(metrics,
+            "waxwingfront_job_submission_seconds_bucket{batch_class=\"orders\","
+            "le=\"+Inf\"}"));
+  CHECK(
+      Has(metrics, "waxwingfront_refusals_total{type=\"unknown_service\"} 2"));
+  const std::string head = RawCall(address, Request("HEAD /healthz"));
+  CHECK(Has(head, "HTTP/1.1 200 "));
+  CHECK(head.substr(head.size() - 4) == "\r\n\r\n");
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
