Make help, exit codes and argument checks of commands complete

Addresses and job ids are checked before they are used: a host name gave exit code 1 from a failed connection, an id with a blank a broken request. job_conflict now gives exit code 3. Every command's help has an example or says what it prints.

--- a/src/waxwingfront/cli/bundle_commands.cc
+++ b/src/waxwingfront/cli/bundle_commands.cc
@@ -9,6 +9,7 @@
 #include "waxwingfront/bundle/bundle_check.h"
 #include "waxwingfront/bundle/bundle_repository.h"
 #include "waxwingfront/cli/output.h"
+#include "waxwingfront/cli/validators.h"
 #include "waxwingfront/core/json.h"
 #include "waxwingfront/net/http_client.h"
 #include "waxwingfront/store/store_client.h"
@@ -45,21 +46,32 @@
   bundle::bundle_repository repository_;
 };
 
-exit_code Check(const bundle_arguments& arguments) {
-  const auto json = ReadFile(arguments.file);
-  if (!json) return ReportFailure(json.error());
+// Prints every problem of a bundle file; gives its content if there is none.
+core::result<std::string> ReadBundle(const std::string& path) {
+  auto json = ReadFile(path);
+  if (!json) return json;
   const bundle::checked_bundle checked = bundle::CheckBundle(*json);
   for (const bundle::bundle_problem& problem : checked.problems) {
-    std::cerr << arguments.file << ": " << problem.field << ": allowed is "
+    std::cerr << path << ": " << problem.field << ": allowed is "
               << problem.allowed << "\n";
   }
-  if (!checked.problems.empty()) return exit_code::kInvalidInput;
+  if (!checked.problems.empty()) {
+    return core::Failure(
+        core::error_code::kInvalidBundle,
+        std::to_string(checked.problems.size()) + " problems in " + path);
+  }
+  return json;
+}
+
+exit_code Check(const bundle_arguments& arguments) {
+  const auto json = ReadBundle(arguments.file);
+  if (!json) return ReportFailure(json.error());
   std::cout << arguments.file << " is valid\n";
   return exit_code::kOk;
 }
 
 exit_code Submit(const bundle_arguments& arguments) {
-  const auto json = ReadFile(arguments.file);
+  const auto json = ReadBundle(arguments.file);
   if (!json) return ReportFailure(json.error());
   const connected_repository repository(arguments.store_address);
   const auto digest = repository->Submit(*json);
@@ -103,8 +115,9 @@
 void AddStoreOption(CLI::App& command, const shared_arguments& arguments) {
   command
       .add_option("--store", arguments->store_address,
-                  "Address of the store, IP:PORT")
-      ->required();
+                  "Address of the platform's store, IP:PORT")
+      ->required()
+      ->check(CheckAddress);
 }
 
 }  // namespace
@@ -113,10 +126,21 @@
   const auto arguments = std::make_shared<bundle_arguments>();
   CLI::App& bundle =
       *app.add_subcommand("bundle", "Checks, signs off and shows bundles");
+  bundle.footer(
+      "A bundle takes effect in three steps:\n"
+      "  waxwingfront bundle check bundle.json\n"
+      "  waxwingfront bundle submit --store 127.0.0.1:2379 bundle.json\n"
+      "  waxwingfront bundle sign-off --store 127.0.0.1:2379 --operator NAME "
+      "DIGEST\n"
+      "A rollback is the sign-off of an earlier digest, which `history` "
+      "shows.");
   bundle.require_subcommand(1);
 
   CLI::App& check =
       *bundle.add_subcommand("check", "Reports every problem of a bundle file");
+  check.footer(
+      "Prints one line per problem to standard error: the field and what is "
+      "allowed.\nExit code 2 if there is any. Needs no store.");
   check.add_option("file", arguments->file, "Bundle in JSON")->required();
   check.callback([arguments, &action] {
     action = [arguments] { return Check(*arguments); };
@@ -124,6 +148,9 @@
 
   CLI::App& submit =
       *bundle.add_subcommand("submit", "Stores a bundle and prints its digest");
+  submit.footer(
+      "The bundle has no effect until its digest is signed off. Submitting the "
+      "same file\nagain is harmless.");
   AddStoreOption(submit, arguments);
   submit.add_option("file", arguments->file, "Bundle in JSON")->required();
   submit.callback([arguments, &action] {
@@ -133,6 +160,17 @@
   CLI::App& sign_off = *bundle.add_subcommand(
       "sign-off",
       "Makes a submitted bundle the next version; an earlier one rolls back");
+  sign_off.footer(
+      "Examples:\n"
+      "  to one failure domain first:\n"
+      "    waxwingfront bundle sign-off --store 127.0.0.1:2379 --operator NAME "
+      "--domain trebic DIGEST\n"
+      "  to all, unless another operator was faster than version 7:\n"
+      "    waxwingfront bundle sign-off --store 127.0.0.1:2379 --operator NAME "
+      "--expect 7 DIGEST\n"
+      "Exit code 3 and the winner's name if another sign-off came first; 4 if "
+      "the outcome is\nunknown: `bundle history` shows whether it took "
+      "effect.");
   AddStoreOption(sign_off, arguments);
   sign_off
       .add_option("digest", arguments->sign_off.digest,
@@ -142,12 +180,17 @@
       .add_option("--operator", arguments->sign_off.operator_name,
                   "Name of the operator")
       ->required();
-  sign_off.add_option(
-      "--domain", arguments->sign_off.failure_domains,
-      "Failure domain to roll out to; may be repeated; all if absent");
-  sign_off.add_option(
-      "--expect", arguments->expected_version,
-      "Newest version the operator knows; a newer one is a conflict");
+  // Without the limit of one value each, --domain would take the digest too.
+  sign_off
+      .add_option(
+          "--domain", arguments->sign_off.failure_domains,
+          "Failure domain to roll out to; may be repeated; all if absent")
+      ->allow_extra_args(false);
+  sign_off
+      .add_option("--expect", arguments->expected_version,
+                  "Newest version the operator knows, 0 for none; another one "
+                  "is a conflict")
+      ->check(CLI::NonNegativeNumber);
   sign_off.callback([arguments, &action] {
     action = [arguments] { return SignOff(*arguments); };
   });
@@ -155,6 +198,10 @@
   CLI::App& status =
       *bundle.add_subcommand("status", "Shows the versions in force");
   AddStoreOption(status, arguments);
+  status.footer(
+      "Prints the head in JSON: generation, version and digest, and the "
+      "failure "
+      "domains\nwhose version differs.");
   status.callback([arguments, &action] {
     action = [arguments] { return Status(*arguments); };
   });
@@ -162,6 +209,7 @@
   CLI::App& history =
       *bundle.add_subcommand("history", "Lists all sign-offs, oldest first");
   AddStoreOption(history, arguments);
+  history.footer("Prints one JSON object per line.");
   history.callback([arguments, &action] {
     action = [arguments] { return History(*arguments); };
   });
--- a/src/waxwingfront/cli/command_line.h
+++ b/src/waxwingfront/cli/command_line.h
@@ -10,9 +10,9 @@
   // The command was carried out and failed; standard error has the error's
   // type.
   kFailed = 1,
-  // The command line, a settings file or a bundle is not valid.
+  // The command line, a settings file, a bundle or a job is not valid.
   kInvalidInput = 2,
-  // Another operator's sign-off came first.
+  // Another operator's sign-off came first, or the job's id is taken.
   kConflict = 3,
   // It is not known whether the command took effect.
   kOutcomeUnknown = 4,
--- a/src/waxwingfront/cli/job_commands.cc
+++ b/src/waxwingfront/cli/job_commands.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "waxwingfront/cli/output.h"
+#include "waxwingfront/cli/validators.h"
 #include "waxwingfront/core/json.h"
 #include "waxwingfront/net/http_client.h"
 #include "waxwingfront/schema/gen/common.pb.h"
@@ -54,8 +55,9 @@
 void AddEntryOption(CLI::App& command, const shared_arguments& arguments) {
   command
       .add_option("--entry", arguments->entry_address,
-                  "Address of an entry, IP:PORT")
-      ->required();
+                  "Caller address of an entry, IP:PORT")
+      ->required()
+      ->check(CheckAddress);
 }
 
 }  // namespace
@@ -64,6 +66,15 @@
   const auto arguments = std::make_shared<job_arguments>();
 
   CLI::App& submit = *app.add_subcommand("submit", "Submits a batch job");
+  submit.footer(
+      "The file has one JSON object, for example:\n"
+      "  {\"id\": \"orders-7\", \"customer\": \"demo\", \"batch_class\": "
+      "\"orders\", \"task_count\": 4,\n"
+      "   \"task_size\": {\"processor_milli\": 1000, \"memory_mib\": 512}, "
+      "\"command\": \"...\"}\n"
+      "Prints the job's status in JSON. With an id, a repeated submission is "
+      "harmless: after\nexit code 4 (outcome unknown) submit the same file "
+      "again. Exit code 3 if the id\nbelongs to a different job.");
   AddEntryOption(submit, arguments);
   submit.add_option("file", arguments->file, "Job in JSON")->required();
   submit.callback([arguments, &action] {
@@ -71,8 +82,12 @@
   });
 
   CLI::App& status = *app.add_subcommand("status", "Shows a batch job");
+  status.footer(
+      "Prints the job's state and its counts of tasks and attempts in JSON.");
   AddEntryOption(status, arguments);
-  status.add_option("job", arguments->job, "Id of the job")->required();
+  status.add_option("job", arguments->job, "Id of the job")
+      ->required()
+      ->check(CheckJobId);
   status.callback([arguments, &action] {
     action = [arguments] {
       return Call(*arguments, "GET", "/v1/jobs/" + arguments->job, "");
@@ -80,8 +95,13 @@
   });
 
   CLI::App& cancel = *app.add_subcommand("cancel", "Cancels a batch job");
+  cancel.footer(
+      "Running tasks are stopped. Prints the job's status in JSON; a finished "
+      "job stays finished.");
   AddEntryOption(cancel, arguments);
-  cancel.add_option("job", arguments->job, "Id of the job")->required();
+  cancel.add_option("job", arguments->job, "Id of the job")
+      ->required()
+      ->check(CheckJobId);
   cancel.callback([arguments, &action] {
     action = [arguments] {
       return Call(*arguments, "DELETE", "/v1/jobs/" + arguments->job, "");
--- a/src/waxwingfront/cli/output.cc
+++ b/src/waxwingfront/cli/output.cc
@@ -2,20 +2,25 @@
 
 #include <fstream>
 #include <iostream>
-#include <iterator>
+#include <sstream>
+
+#include "waxwingfront/core/text.h"
 
 namespace waxwingfront::cli {
 
 exit_code ReportFailure(const core::error& failure) {
-  std::cerr << core::ErrorName(failure.code) << ": " << failure.detail << "\n";
+  std::cerr << core::ErrorName(failure.code) << ": "
+            << core::Printable(failure.detail) << "\n";
   switch (failure.code) {
     case core::error_code::kSignOffConflict:
+    case core::error_code::kJobConflict:
       return exit_code::kConflict;
     case core::error_code::kOutcomeUnknown:
       return exit_code::kOutcomeUnknown;
     case core::error_code::kInvalidBundle:
     case core::error_code::kInvalidSettings:
     case core::error_code::kInvalidRequest:
+    case core::error_code::kRequestTooLarge:
       return exit_code::kInvalidInput;
     default:
       return exit_code::kFailed;
@@ -27,7 +32,13 @@
   if (!file)
     return core::Failure(core::error_code::kInvalidRequest,
                          path + " cannot be read");
-  return std::string(std::istreambuf_iterator<char>(file), {});
+  std::ostringstream content;
+  content << file.rdbuf();
+  // A folder opens as a file and fails at the first read.
+  if (!file || !content)
+    return core::Failure(core::error_code::kInvalidRequest,
+                         path + " is empty or cannot be read");
+  return content.str();
 }
 
 }  // namespace waxwingfront::cli
--- a/src/waxwingfront/cli/serve_command.cc
+++ b/src/waxwingfront/cli/serve_command.cc
@@ -59,6 +59,14 @@
   const auto file = std::make_shared<std::string>();
   CLI::App& serve =
       *app.add_subcommand("serve", "Runs an entry until SIGTERM or SIGINT");
+  serve.footer(
+      "Example:\n"
+      "  waxwingfront serve --config /etc/waxwingfront/entry.ini\n"
+      "Writes its log to standard error. On SIGTERM the entry becomes not "
+      "ready, goes on\nserving for front.unready_ms, finishes its requests "
+      "within front.drain_ms, hands its\nshards over and exits with 0. Exit "
+      "code 2 if the settings are not valid or an address\ncannot be "
+      "listened on.");
   serve.add_option("--config", *file, "Settings file in INI")->required();
   serve.callback([file, &action] { action = [file] { return Serve(*file); }; });
 
@@ -66,6 +74,11 @@
   config.require_subcommand(1);
   CLI::App& check = *config.add_subcommand(
       "check", "Reports every problem, or shows all settings in force");
+  check.footer(
+      "Prints one line per problem to standard error: file, section, key, what "
+      "is allowed and\nits unit; then exit code 2. A valid file is printed in "
+      "JSON with all defaults.\nExample:\n  waxwingfront config check "
+      "examples/entry.ini");
   check.add_option("file", *file, "Settings file in INI")->required();
   check.callback(
       [file, &action] { action = [file] { return CheckSettings(*file); }; });
