--- a/src/waxwingfront/shard/shard_state.cc
+++ b/src/waxwingfront/shard/shard_state.cc
@@ -117,6 +117,7 @@
     }
     ++job.next_task;
   }
+  bound.order = next_binding_++;
   AddCommitted(job, bound.worker);
   job.active.emplace(id.task(), std::move(bound));
   return {};
@@ -223,6 +224,7 @@
   snapshot.set_epoch(epoch_);
   snapshot.set_resigned(resigned_);
   snapshot.set_next_order(next_order_);
+  snapshot.set_next_binding(next_binding_);
   for (const std::string& worker : quarantined_)
     snapshot.add_quarantined(worker);
   for (const auto& [id, job] : jobs_) {
@@ -242,6 +244,7 @@
       active.set_attempt(bound.attempt);
       active.set_worker(bound.worker);
       active.set_checkpoint(bound.checkpoint);
+      active.set_order(bound.order);
     }
     for (const auto& [task, waiting] : job.waiting) {
       schema::waiting_task& item = *entry.add_waiting();
@@ -260,6 +263,7 @@
   state.epoch_ = snapshot.epoch();
   state.resigned_ = snapshot.resigned();
   state.next_order_ = snapshot.next_order();
+  state.next_binding_ = snapshot.next_binding();
   state.quarantined_.insert(snapshot.quarantined().begin(),
                             snapshot.quarantined().end());
   for (const schema::job_snapshot& entry : snapshot.jobs()) {
@@ -278,7 +282,8 @@
       job.active.emplace(active.task(),
                          bound_attempt{.attempt = active.attempt(),
                                        .worker = active.worker(),
-                                       .checkpoint = active.checkpoint()});
+                                       .checkpoint = active.checkpoint(),
+                                       .order = active.order()});
       state.AddCommitted(job, active.worker());
     }
     for (const schema::waiting_task& waiting : entry.waiting()) {
--- a/src/waxwingfront/shard/shard_state.h
+++ b/src/waxwingfront/shard/shard_state.h
@@ -21,6 +21,8 @@
   std::string worker;
   // Position that the attempt resumes from.
   std::string checkpoint;
+  // Position in the order of all bindings of the shard.
+  std::uint64_t order = 0;
 };
 
 // A task whose last attempt ended without finishing it.
@@ -108,6 +110,7 @@
   std::map<std::string, core::resources, std::less<>> committed_by_worker_;
   std::map<std::string, core::resources, std::less<>> committed_by_customer_;
   std::uint64_t next_order_ = 0;
+  std::uint64_t next_binding_ = 0;
   std::uint64_t epoch_ = 0;
   bool resigned_ = false;
 };
