--- a/src/waxwingfront/shard/token_bucket.h
+++ b/src/waxwingfront/shard/token_bucket.h
@@ -11,8 +11,8 @@
   // Starts full. `rate` is in tokens per second.
   token_bucket(double rate, int burst, core::monotonic_time now);
 
-  // Takes one token if there is one.
-  bool Take(core::monotonic_time now);
+  // Takes one token if `keep` more than that are there.
+  bool Take(core::monotonic_time now, int keep = 0);
   // Gives back a token that was taken and not used.
   void Return();
 
