--- a/standins/waxwingfront/standins/worker.cc
+++ b/standins/waxwingfront/standins/worker.cc
@@ -48,6 +48,11 @@
   leaving_ = leaving;
 }
 
+void worker::SetBroken(bool broken) {
+  const std::lock_guard lock(mutex_);
+  broken_ = broken;
+}
+
 std::string worker::Journal() const {
   const std::lock_guard lock(mutex_);
   return journal_;
@@ -124,6 +129,10 @@
       task.fails ? kFail.size() : kSleep.size());
   task.total = core::milliseconds(ToNumber(digits));
   task.done_before = core::milliseconds(ToNumber(start.checkpoint()));
+  if (broken_) {
+    task.fails = true;
+    task.total = task.done_before;
+  }
   Write("start", key, now, start.checkpoint());
   running_.emplace(key, std::move(task));
 }
--- a/standins/waxwingfront/standins/worker.h
+++ b/standins/waxwingfront/standins/worker.h
@@ -37,6 +37,8 @@
   schema::sync_response Sync(const schema::sync_request& request,
                              core::monotonic_time now);
   void SetLeaving(bool leaving);
+  // Tasks that start while the worker is broken fail at once.
+  void SetBroken(bool broken);
   std::string Journal() const;
 
  private:
@@ -77,6 +79,7 @@
   std::map<attempt_key, running_task> running_;
   std::map<attempt_key, ended_task> ended_;
   bool leaving_ = false;
+  bool broken_ = false;
   std::string journal_;
 };
 
