--- /dev/null
+++ b/src/waxwingfront/shard/retry_schedule.h
@@ -0,0 +1,48 @@
+// When a task whose attempt ended without finishing may be bound again.
+#ifndef WAXWINGFRONT_SHARD_RETRY_SCHEDULE_H_
+#define WAXWINGFRONT_SHARD_RETRY_SCHEDULE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "waxwingfront/core/clock.h"
+#include "waxwingfront/schema/gen/shard_log.pb.h"
+
+namespace waxwingfront::shard {
+
+// Waits after failures double from 1 s to 5 min, after other ends from 250 ms
+// to 30 s: work that was evicted or lost did nothing wrong, but a task that
+// loses its worker at each attempt must not be bound without a pause.
+inline constexpr core::milliseconds kFirstFailureDelay{1000};
+inline constexpr core::milliseconds kLongestFailureDelay{300000};
+inline constexpr core::milliseconds kFirstOtherDelay{250};
+inline constexpr core::milliseconds kLongestOtherDelay{30000};
+
+// Wait before the attempt after `id`: the doubled wait less up to a half of it,
+// by a hash of the id, so that tasks that ended together are not bound
+// together.
+core::milliseconds RetryDelay(const schema::attempt_id& id,
+                              schema::attempt_outcome outcome);
+
+// Kept in the owner's memory only: after a take-over all tasks are due.
+class retry_schedule {
+ public:
+  void OnEnded(const schema::attempt_id& id, schema::attempt_outcome outcome,
+               core::monotonic_time now);
+  bool IsDue(std::string_view job, std::int64_t task,
+             core::monotonic_time now) const;
+  // Forgets the waits that are over.
+  void Prune(core::monotonic_time now);
+  std::size_t Size() const { return due_.size(); }
+
+ private:
+  std::map<std::string, std::map<std::int64_t, core::monotonic_time>,
+           std::less<>>
+      due_;
+};
+
+}  // namespace waxwingfront::shard
+
+#endif  // WAXWINGFRONT_SHARD_RETRY_SCHEDULE_H_
