Run the policy in the shard's owner

Urgent tasks that fit nowhere evict through Evict and find the room held for them; half of the append burst is kept for them, since a busy shard has used all other tokens when one arrives. A pass without any change since the last one runs at most every 500 ms; before, a waiting job that fitted nowhere caused one in every 20 ms tick.

--- a/src/waxwingfront/cli/dev_command.cc
+++ b/src/waxwingfront/cli/dev_command.cc
@@ -75,6 +75,7 @@
   settings.mutable_batch()->set_sync_ms(200);
   settings.mutable_batch()->set_appends_per_s(5);
   settings.mutable_batch()->set_append_burst(5);
+  settings.mutable_batch()->set_job_retention_s(86400);
   return settings;
 }
 
--- a/src/waxwingfront/serve/entry.cc
+++ b/src/waxwingfront/serve/entry.cc
@@ -116,6 +116,7 @@
             .sync_period = core::milliseconds(batch.sync_ms()),
             .appends_per_second = static_cast<double>(batch.appends_per_s()),
             .append_burst = static_cast<int>(batch.append_burst()),
+            .job_retention = std::chrono::seconds(batch.job_retention_s()),
             .nonce = core::RandomNonce};
   }
 
--- a/src/waxwingfront/shard/preemption.cc
+++ b/src/waxwingfront/shard/preemption.cc
@@ -222,6 +222,7 @@
     }
     std::sort(found.begin(), found.end());
     std::vector<const job_record*> jobs;
+    jobs.reserve(found.size());
     for (const auto& item : found)
       jobs.push_back(std::get<const job_record*>(item));
     return jobs;
--- a/src/waxwingfront/shard/shard_core.cc
+++ b/src/waxwingfront/shard/shard_core.cc
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "waxwingfront/shard/planner.h"
+#include "waxwingfront/shard/placement_reason.h"
+#include "waxwingfront/shard/preemption.h"
 
 namespace waxwingfront::shard {
 namespace {
@@ -17,6 +18,16 @@
 // Keeps a worker that does not carry out a start from being asked without a
 // pause.
 constexpr core::milliseconds kMinSyncGap{50};
+// Passes without any change since the last one, for retries and probes that
+// become due.
+constexpr core::milliseconds kPlanPeriod{500};
+// Bounds the deletions in the store that one look for ended jobs causes.
+constexpr std::size_t kMaxDropsAtOnce = 64;
+// Bounds the evictions of one pass.
+constexpr std::size_t kMaxPreemptions = 64;
+// A worker that has not made room by then does not answer; the urgent task then
+// gets room on another one.
+constexpr core::milliseconds kPreemptionLimit{5000};
 
 }  // namespace
 
@@ -36,6 +47,7 @@
       state_.Resigned() ? core::milliseconds(0) : options_.grace;
   inherited_end_ =
       now + WithDrift(former_grace + options_.ticket + options_.task_lease);
+  for (const auto& [id, job] : state_.Jobs()) NoteIfClosed(id, now);
 }
 
 shard_core::attempt_key shard_core::KeyOf(const schema::attempt_id& id) {
@@ -70,10 +82,12 @@
 }
 
 void shard_core::OnHosts(std::shared_ptr<const hosts::host_view> view) {
+  plan_changed_ = plan_changed_ || hosts_ != view;
   hosts_ = std::move(view);
 }
 
 void shard_core::OnBundle(std::shared_ptr<const bundle::bundle_view> policy) {
+  plan_changed_ = plan_changed_ || policy_ != policy;
   policy_ = std::move(policy);
 }
 
@@ -121,6 +135,23 @@
   return next_number_;
 }
 
+std::vector<std::string> shard_core::ExpiredJobs(
+    core::monotonic_time now) const {
+  std::vector<std::string> expired;
+  for (const auto& [id, closed_at] : closed_at_) {
+    if (expired.size() >= kMaxDropsAtOnce) break;
+    if (now >= closed_at + options_.job_retention) expired.push_back(id);
+  }
+  return expired;
+}
+
+void shard_core::Drop(std::string_view job) {
+  if (deposed_ || resigning_ || !closed_at_.contains(job)) return;
+  schema::decision decision;
+  decision.mutable_dropped()->set_job(std::string(job));
+  queued_.push_back(std::move(decision));
+}
+
 void shard_core::Evict(const schema::attempt_id& id) {
   if (state_.IsBound(id)) evictions_.insert(KeyOf(id));
 }
@@ -151,35 +182,111 @@
   }
 }
 
-void shard_core::MoveQueued(schema::log_record& record) {
+bool shard_core::ApplyTo(schema::log_record& record,
+                         const schema::decision& decision) {
+  // A queued decision that the state overtook, such as a second cancellation,
+  // is dropped.
+  if (!state_.Apply(decision)) return false;
+  *record.add_decisions() = decision;
+  return true;
+}
+
+void shard_core::JudgeEnd(schema::attempt_ended& ended,
+                          schema::log_record& record,
+                          core::monotonic_time now) {
+  if (!state_.IsBound(ended.id())) return;
+  const std::string& job_id = ended.id().job();
+  const job_record& job = *state_.FindJob(job_id);
+  const std::string worker = job.active.at(ended.id().task()).worker;
+  const bool quarantined = state_.Quarantined().contains(worker);
+  schema::decision change;
+  if (ended.outcome() == schema::ATTEMPT_OUTCOME_FINISHED) {
+    health_.OnSuccess(worker, job_id);
+    if (quarantined) change.mutable_released()->set_worker(worker);
+  }
+  if (ended.outcome() == schema::ATTEMPT_OUTCOME_FAILED) {
+    const std::size_t workers = hosts_ == nullptr ? 0 : Workers().size();
+    const quarantine_use use{.this_worker = quarantined,
+                             .quarantined = state_.Quarantined().size(),
+                             .workers = workers};
+    const auto verdict = health_.OnFailure(worker, job_id, use, now);
+    if (verdict == failure_verdict::kQuarantine)
+      change.mutable_quarantined()->set_worker(worker);
+    if (verdict != failure_verdict::kJob)
+      ended.set_outcome(schema::ATTEMPT_OUTCOME_WORKER_FAULT);
+  }
+  if (change.kind_case() != schema::decision::KIND_NOT_SET)
+    ApplyTo(record, change);
+  if (ended.outcome() == schema::ATTEMPT_OUTCOME_FAILED && policy_ != nullptr) {
+    const auto* batch_class = policy_->FindBatchClass(job.spec.batch_class());
+    const auto failures = job.failures.find(ended.id().task());
+    const int failed_before =
+        failures == job.failures.end() ? 0 : failures->second;
+    ended.set_fails_job(batch_class != nullptr &&
+                        failed_before + 1 >= batch_class->max_failures());
+  }
+  retries_.OnEnded(ended.id(), ended.outcome(), now);
+}
+
+void shard_core::MoveQueued(schema::log_record& record,
+                            core::monotonic_time now) {
+  plan_changed_ = plan_changed_ || !queued_.empty();
   for (schema::decision& decision : queued_) {
-    if (decision.has_ended() &&
-        decision.ended().outcome() == schema::ATTEMPT_OUTCOME_FAILED &&
-        policy_ != nullptr) {
-      const job_record& job = *state_.FindJob(decision.ended().id().job());
-      const auto* batch_class = policy_->FindBatchClass(job.spec.batch_class());
-      const auto failures = job.failures.find(decision.ended().id().task());
-      const int failed_before =
-          failures == job.failures.end() ? 0 : failures->second;
-      decision.mutable_ended()->set_fails_job(batch_class != nullptr &&
-                                              failed_before + 1 >=
-                                                  batch_class->max_failures());
-    }
-    // A queued decision that the state overtook, such as a second cancellation,
-    // is dropped.
-    if (!state_.Apply(decision)) continue;
+    if (decision.has_ended()) JudgeEnd(*decision.mutable_ended(), record, now);
+    if (!ApplyTo(record, decision)) continue;
     if (decision.has_accepted())
       unconfirmed_jobs_.insert(decision.accepted().spec().id());
-    *record.add_decisions() = std::move(decision);
+    if (decision.has_ended()) NoteIfClosed(decision.ended().id().job(), now);
+    if (decision.has_cancelled()) NoteIfClosed(decision.cancelled().job(), now);
+    if (decision.has_dropped()) closed_at_.erase(decision.dropped().job());
   }
   queued_.clear();
   queued_jobs_.clear();
 }
 
+bool shard_core::IsUrgent(const schema::job_spec& spec) const {
+  const auto* batch_class = policy_->FindBatchClass(spec.batch_class());
+  return batch_class != nullptr && batch_class->urgent();
+}
+
+bool shard_core::HasUrgentDecision() const {
+  if (policy_ == nullptr) return false;
+  return std::any_of(
+      queued_.begin(), queued_.end(), [this](const schema::decision& decision) {
+        if (decision.has_accepted())
+          return IsUrgent(decision.accepted().spec());
+        const auto& id = decision.ended().id();
+        return decision.has_ended() && state_.IsBound(id) &&
+               holds_.IsOn(
+                   state_.FindJob(id.job())->active.at(id.task()).worker);
+      });
+}
+
+void shard_core::NoteIfClosed(const std::string& job,
+                              core::monotonic_time now) {
+  if (!state_.FindJob(job)->IsClosed()) return;
+  health_.Forget(job);
+  closed_at_.try_emplace(job, now);
+}
+
+bool shard_core::IsPlanDue(core::monotonic_time now) const {
+  return plan_changed_ || now >= planned_at_ + kPlanPeriod;
+}
+
+schema::job_status shard_core::Status(std::string_view job) const {
+  schema::job_status status = state_.Status(job);
+  const job_record* record = state_.FindJob(job);
+  const bool waits = record != nullptr && record->HasUnboundTask();
+  if (waits && policy_ != nullptr && hosts_ != nullptr) {
+    status.set_waiting_reason(
+        UnplaceableReason(record->spec, *policy_, *hosts_, options_.shard));
+  }
+  return status;
+}
+
 bool shard_core::IsCandidate(const hosts::worker_info& info,
                              core::monotonic_time now) const {
   if (info.shard != options_.shard || info.leaving) return false;
-  if (state_.Quarantined().contains(info.id)) return false;
   const auto contact = contacts_.find(info.id);
   if (contact == contacts_.end() || !contact->second.answered) return false;
   return !contact->second.leaving && now < contact->second.ticket_end;
@@ -188,20 +295,57 @@
 void shard_core::PlanInto(schema::log_record& record,
                           core::monotonic_time now) {
   if (hosts_ == nullptr || policy_ == nullptr || !MayCommand(now)) return;
+  if (!IsPlanDue(now)) return;
+  planned_at_ = now;
+  plan_changed_ = false;
   std::vector<candidate_worker> candidates;
   for (const auto& [id, info] : hosts_->workers) {
     if (!IsCandidate(info, now)) continue;
-    candidates.push_back(
-        {.info = &info, .unaccounted = contacts_[id].unaccounted});
+    candidates.push_back({.info = &info,
+                          .unaccounted = contacts_[id].unaccounted,
+                          .probe = health_.MayProbe(id, now)});
   }
+  const auto may_hold = [this, now](std::string_view worker) {
+    const auto info = hosts_->workers.find(worker);
+    return info != hosts_->workers.end() && IsCandidate(info->second, now) &&
+           !state_.Quarantined().contains(info->first);
+  };
+  holds_.Prune(state_, may_hold, now);
+  retries_.Prune(now);
+  const auto is_due = [this, now](std::string_view job, std::int64_t task) {
+    return retries_.IsDue(job, task, now);
+  };
   for (schema::attempt_bound& binding :
-       PlanBindings(state_, candidates, *policy_, kMaxBindingsPerRecord)) {
+       PlanBindings(state_, candidates, *policy_, kMaxBindingsPerRecord,
+                    {.held = holds_.All(), .is_due = is_due})) {
+    holds_.OnBound(binding.id().job(), binding.worker());
+    aging_.OnBound(binding.id().job(), now);
     schema::decision decision;
     *decision.mutable_bound() = std::move(binding);
     if (!state_.Apply(decision)) continue;
     unconfirmed_.insert(KeyOf(decision.bound().id()));
     *record.add_decisions() = std::move(decision);
   }
+  Preempt(candidates, now);
+  const auto aged =
+      aging_.Choose(state_, candidates, *policy_, holds_.All(), now);
+  if (aged.has_value()) holds_.Add(*aged, core::monotonic_time::max());
+}
+
+void shard_core::Preempt(const std::vector<candidate_worker>& candidates,
+                         core::monotonic_time now) {
+  const auto is_ending = [this](const schema::attempt_id& id) {
+    const job_record& job = *state_.FindJob(id.job());
+    return job.cancelled || job.failed || evictions_.contains(KeyOf(id)) ||
+           ending_.contains(KeyOf(id));
+  };
+  const auto planned =
+      PlanPreemptions(state_, candidates, *policy_, kMaxPreemptions,
+                      {.held = holds_.All(), .is_ending = is_ending});
+  for (const preemption& item : planned) {
+    holds_.Add(item.held, now + kPreemptionLimit);
+    for (const schema::attempt_id& victim : item.victims) Evict(victim);
+  }
 }
 
 std::optional<log_append> shard_core::NextAppend(core::monotonic_time now) {
@@ -213,9 +357,12 @@
     epoch.set_owner(options_.owner);
     static_cast<void>(state_.Apply(record.decisions(0)));
   } else {
-    if (!append_tokens_.Take(now)) return std::nullopt;
+    // Half of the burst is kept for urgent tasks: a busy shard has no other
+    // token left when one arrives.
+    const int kept = HasUrgentDecision() ? 0 : options_.append_burst / 2;
+    if (!append_tokens_.Take(now, kept)) return std::nullopt;
     QueueLostAttempts(now);
-    MoveQueued(record);
+    MoveQueued(record, now);
     if (resigning_) {
       record.add_decisions()->mutable_resigned();
       static_cast<void>(
@@ -393,6 +540,10 @@
   const bool restarted =
       contact.answered && contact.incarnation != response.incarnation();
   const core::milliseconds ticket(response.ticket_ms());
+  const core::resources unaccounted_before = contact.unaccounted;
+  plan_changed_ = plan_changed_ || !contact.answered ||
+                  now >= contact.ticket_end ||
+                  contact.leaving != response.leaving();
   contact.answered = true;
   contact.incarnation = response.incarnation();
   contact.leaving = response.leaving();
@@ -407,6 +558,7 @@
   for (const schema::attempt_report& report : response.attempts()) {
     TakeReport(report, worker, contact);
   }
+  plan_changed_ = plan_changed_ || contact.unaccounted != unaccounted_before;
   if (restarted) EndMissingAttempts(worker, ran_before);
 }
 
--- a/src/waxwingfront/shard/shard_core.h
+++ b/src/waxwingfront/shard/shard_core.h
@@ -21,8 +21,13 @@
 #include "waxwingfront/hosts/host_view.h"
 #include "waxwingfront/schema/gen/shard_log.pb.h"
 #include "waxwingfront/schema/gen/worker_protocol.pb.h"
+#include "waxwingfront/shard/aging.h"
+#include "waxwingfront/shard/capacity_holds.h"
+#include "waxwingfront/shard/planner.h"
+#include "waxwingfront/shard/retry_schedule.h"
 #include "waxwingfront/shard/shard_state.h"
 #include "waxwingfront/shard/token_bucket.h"
+#include "waxwingfront/shard/worker_health.h"
 
 namespace waxwingfront::shard {
 
@@ -39,6 +44,8 @@
   core::milliseconds sync_period{2000};
   double appends_per_second = 2;
   int append_burst = 4;
+  // Time after its end during which a job is kept in the state.
+  core::milliseconds job_retention{86400000};
   std::function<std::uint64_t()> nonce;
 };
 
@@ -72,6 +79,11 @@
   core::result<std::uint64_t> Submit(const schema::job_spec& spec);
   // Queues a cancellation; otherwise as `Submit`.
   core::result<std::uint64_t> Cancel(std::string_view job);
+  // Some jobs that ended longer ago than the retention. The caller deletes
+  // their locations in the store and then calls `Drop` for each: in this order
+  // no location outlives its job.
+  std::vector<std::string> ExpiredJobs(core::monotonic_time now) const;
+  void Drop(std::string_view job);
   // Asks for an attempt to be stopped with a checkpoint and its task to be
   // bound again.
   void Evict(const schema::attempt_id& id);
@@ -105,6 +117,8 @@
   // Whether the record of `Resign` is in the log.
   bool HasResigned() const { return resigned_ && in_flight_ == std::nullopt; }
   const shard_state& State() const { return state_; }
+  // The job's status with the reason why it cannot be placed, if there is one.
+  schema::job_status Status(std::string_view job) const;
   // State as the log has it; nothing while a record's outcome is unknown.
   std::optional<schema::shard_snapshot> Snapshot() const;
 
@@ -154,8 +168,21 @@
   // more.
   void EndMissingAttempts(const std::string& worker,
                           const std::set<attempt_key>& ran_before);
-  void MoveQueued(schema::log_record& record);
+  void MoveQueued(schema::log_record& record, core::monotonic_time now);
+  // Settles whose fault an end is, and quarantines or releases the worker.
+  void JudgeEnd(schema::attempt_ended& ended, schema::log_record& record,
+                core::monotonic_time now);
+  // Gives whether the state took the decision.
+  bool ApplyTo(schema::log_record& record, const schema::decision& decision);
   void PlanInto(schema::log_record& record, core::monotonic_time now);
+  // Makes room for urgent tasks that the plan left over.
+  void Preempt(const std::vector<candidate_worker>& candidates,
+               core::monotonic_time now);
+  // Whether a queued decision brings an urgent task nearer to its start.
+  bool HasUrgentDecision() const;
+  bool IsUrgent(const schema::job_spec& spec) const;
+  void NoteIfClosed(const std::string& job, core::monotonic_time now);
+  bool IsPlanDue(core::monotonic_time now) const;
   bool IsCandidate(const hosts::worker_info& info,
                    core::monotonic_time now) const;
   bool HasUrgentMessage(const std::string& worker,
@@ -185,6 +212,17 @@
   // Attempts bound by the record in flight.
   std::set<attempt_key> unconfirmed_;
   std::set<attempt_key> evictions_;
+  capacity_holds holds_;
+  retry_schedule retries_;
+  worker_health health_;
+  aging aging_;
+  // Ended jobs, by the time at which this owner first saw them so. The log has
+  // no times, so a take-over starts the retention anew.
+  std::map<std::string, core::monotonic_time, std::less<>> closed_at_;
+  // Time of the last planning pass, and whether something that it depends on
+  // has changed since then.
+  core::monotonic_time planned_at_;
+  bool plan_changed_ = true;
   std::optional<log_append> in_flight_;
   bool epoch_applied_ = false;
   bool resigning_ = false;
--- a/src/waxwingfront/shard/shard_owner.cc
+++ b/src/waxwingfront/shard/shard_owner.cc
@@ -5,6 +5,7 @@
 
 #include "waxwingfront/logging/log.h"
 #include "waxwingfront/shard/shard_log.h"
+#include "waxwingfront/store/store_client.h"
 
 namespace waxwingfront::shard {
 namespace {
@@ -13,6 +14,9 @@
 // Longest wait between two looks at what is due.
 constexpr core::milliseconds kTick{20};
 constexpr core::milliseconds kRetryPause{200};
+// Time between two looks for jobs that ended long ago: 64 jobs each time are
+// far more than the 14,000 jobs per day of the whole fleet.
+constexpr core::milliseconds kDropPeriod{10000};
 
 }  // namespace
 
@@ -112,6 +116,23 @@
   }
   lock.unlock();
   CompactIfDue();
+  DropExpiredJobs();
+}
+
+void shard_owner::DropExpiredJobs() {
+  std::unique_lock lock(mutex_);
+  if (core::Now() < next_drop_) return;
+  next_drop_ = core::Now() + kDropPeriod;
+  const std::vector<std::string> expired = core_->ExpiredJobs(core::Now());
+  lock.unlock();
+  for (const std::string& job : expired) {
+    const std::string key = "jobs/" + job;
+    // A job whose location could not be deleted is found again later.
+    if (!store_.DeleteRange(key, key + '\0')) return;
+    lock.lock();
+    core_->Drop(job);
+    lock.unlock();
+  }
 }
 
 void shard_owner::CompactIfDue() {
@@ -181,7 +202,7 @@
     return core::Failure(core::error_code::kOutcomeUnknown,
                          "the store has not confirmed job " + std::string(job));
   }
-  return core_->State().Status(job);
+  return core_->Status(job);
 }
 
 core::result<schema::job_status> shard_owner::Submit(
@@ -206,7 +227,7 @@
     return core::Failure(core::error_code::kUnknownJob,
                          "no job " + std::string(job));
   }
-  return core_->State().Status(job);
+  return core_->Status(job);
 }
 
 core::result<schema::job_status> shard_owner::Cancel(std::string_view job,
--- a/src/waxwingfront/shard/shard_owner.h
+++ b/src/waxwingfront/shard/shard_owner.h
@@ -72,6 +72,7 @@
   core::result<void> TakeOver();
   void AppendOnce();
   void CompactIfDue();
+  void DropExpiredJobs();
   struct pending_sync {
     std::string worker;
     std::string address;
@@ -91,6 +92,7 @@
   std::unique_ptr<shard_core> core_;
   std::uint64_t compacted_through_ = 0;
   std::size_t next_worker_ = 0;
+  core::monotonic_time next_drop_;
   bool stopping_ = false;
   std::vector<std::thread> threads_;
 };
--- a/src/waxwingfront/shard/shard_state.cc
+++ b/src/waxwingfront/shard/shard_state.cc
@@ -54,6 +54,8 @@
     case schema::decision::kReleased:
       quarantined_.erase(decision.released().worker());
       return {};
+    case schema::decision::kDropped:
+      return ApplyDropped(decision.dropped());
     case schema::decision::KIND_NOT_SET:
       break;
   }
@@ -147,6 +149,17 @@
   return {};
 }
 
+core::result<void> shard_state::ApplyDropped(
+    const schema::job_dropped& decision) {
+  const auto found = jobs_.find(decision.job());
+  if (found == jobs_.end())
+    return Contradiction("unknown job " + decision.job());
+  if (!found->second.IsClosed())
+    return Contradiction("job " + decision.job() + " has not ended");
+  jobs_.erase(found);
+  return {};
+}
+
 void shard_state::CountOutcome(job_record& job,
                                const schema::attempt_ended& decision) {
   switch (decision.outcome()) {
--- a/src/waxwingfront/shard/shard_state.h
+++ b/src/waxwingfront/shard/shard_state.h
@@ -99,6 +99,7 @@
   core::result<void> ApplyCancelled(const schema::job_cancelled& decision);
   core::result<void> ApplyBound(const schema::attempt_bound& decision);
   core::result<void> ApplyEnded(const schema::attempt_ended& decision);
+  core::result<void> ApplyDropped(const schema::job_dropped& decision);
   static void CountOutcome(job_record& job,
                            const schema::attempt_ended& decision);
   void AddCommitted(const job_record& job, const std::string& worker);
--- a/tests/support/planning_scene.cc
+++ b/tests/support/planning_scene.cc
@@ -20,8 +20,8 @@
 }
 
 core::resources DrawSize(int scale) {
-  return {.processor_milli = 500 * Draw(0, 3 * scale),
-          .memory_mib = 500 * Draw(1, 3 * scale),
+  return {.processor_milli = 500L * Draw(0, 3 * scale),
+          .memory_mib = 500L * Draw(1, 3 * scale),
           .accelerators = Draw(0, 5) == 0 ? Draw(0, scale) : 0};
 }
 
@@ -60,8 +60,8 @@
 
 // Room for about ten tasks.
 core::resources DrawCapacity() {
-  return {.processor_milli = 500 * Draw(4, 40),
-          .memory_mib = 500 * Draw(4, 40),
+  return {.processor_milli = 500L * Draw(4, 40),
+          .memory_mib = 500L * Draw(4, 40),
           .accelerators = Draw(0, 4)};
 }
 
--- a/tests/waxwingfront/shard/planner_test.cc
+++ b/tests/waxwingfront/shard/planner_test.cc
@@ -27,6 +27,7 @@
 std::vector<std::string> Texts(
     const std::vector<schema::attempt_bound>& bindings) {
   std::vector<std::string> texts;
+  texts.reserve(bindings.size());
   for (const auto& binding : bindings)
     texts.push_back(binding.SerializeAsString());
   return texts;
--- a/tests/waxwingfront/shard/preemption_test.cc
+++ b/tests/waxwingfront/shard/preemption_test.cc
@@ -50,6 +50,7 @@
 
 std::vector<core::resources> DrawSizes(int count) {
   std::vector<core::resources> sizes;
+  sizes.reserve(count);
   for (int index = 0; index < count; ++index) {
     sizes.push_back({.processor_milli = Draw(0, 9),
                      .memory_mib = Draw(0, 9),
@@ -74,15 +75,15 @@
   scene.policy = std::make_unique<bundle::bundle_view>(content, 1);
   tests::Accept(scene.state,
                 tests::MakeSpec("urgent", "customer-0", "class-0",
-                                {.processor_milli = 500 * Draw(1, 6),
-                                 .memory_mib = 500 * Draw(1, 6)},
+                                {.processor_milli = 500L * Draw(1, 6),
+                                 .memory_mib = 500L * Draw(1, 6)},
                                 Draw(1, 4)));
   for (int index = 0; index < 3; ++index) {
     tests::Accept(scene.state,
                   tests::MakeSpec("filler-" + std::to_string(index),
                                   "customer-0", "filler",
-                                  {.processor_milli = 500 * Draw(0, 3),
-                                   .memory_mib = 500 * Draw(1, 3)},
+                                  {.processor_milli = 500L * Draw(0, 3),
+                                   .memory_mib = 500L * Draw(1, 3)},
                                   Draw(5, 30)));
   }
   const auto first =
--- /dev/null
+++ b/tests/waxwingfront/shard/worker_health_test.cc
@@ -0,0 +1,175 @@
+// Quarantine of workers that fail everything.
+#include "waxwingfront/shard/worker_health.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <string>
+
+#include "support/planning_scene.h"
+#include "support/policy_site.h"
+
+namespace waxwingfront::shard {
+namespace {
+
+constexpr core::monotonic_time kStart{std::chrono::hours(1)};
+
+int Draw(int low, int high) {
+  return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(low, high + 1));
+}
+
+std::string Job(int index) { return "job-" + std::to_string(index); }
+std::string Worker(int index) { return "worker-" + std::to_string(index); }
+
+// What an owner does with the verdicts.
+struct shard_model {
+  int workers = 0;
+  worker_health health;
+  std::set<int> quarantined;
+
+  failure_verdict Fail(int worker, int job) {
+    const auto verdict =
+        health.OnFailure(Worker(worker), Job(job),
+                         {.this_worker = quarantined.contains(worker),
+                          .quarantined = quarantined.size(),
+                          .workers = static_cast<std::size_t>(workers)},
+                         kStart);
+    if (verdict == failure_verdict::kQuarantine) quarantined.insert(worker);
+    return verdict;
+  }
+  void Succeed(int worker, int job) {
+    health.OnSuccess(Worker(worker), Job(job));
+    quarantined.erase(worker);
+  }
+};
+
+// Guards against a worker that fails everything and takes every job in turn.
+TEST_CASE("a worker that fails different jobs in a row is quarantined",
+          "[shard][quarantine]") {
+  rc::prop("the third of three different jobs does it, and no earlier", [] {
+    shard_model shard{.workers = 8};
+    const int broken = Draw(0, 7);
+    std::set<int> failed;
+    while (shard.quarantined.empty()) {
+      const int job = Draw(0, 5);
+      failed.insert(job);
+      const auto verdict = shard.Fail(broken, job);
+      RC_ASSERT((failed.size() >= kFailuresToQuarantine) ==
+                (verdict == failure_verdict::kQuarantine));
+    }
+    RC_ASSERT(shard.Fail(broken, 7) == failure_verdict::kWorker);
+    RC_ASSERT(!shard.health.MayProbe(Worker(broken), kStart));
+    RC_ASSERT(shard.health.MayProbe(Worker(broken), kStart + kProbePause));
+  });
+  rc::prop("a success in between starts the count anew", [] {
+    shard_model shard{.workers = 8};
+    for (int step = 0; step < 30; ++step) {
+      const int failures = Draw(0, static_cast<int>(kFailuresToQuarantine) - 1);
+      for (int job = 0; job < failures; ++job)
+        RC_ASSERT(shard.Fail(0, step * 10 + job) == failure_verdict::kJob);
+      shard.Succeed(0, step * 10 + 9);
+    }
+  });
+}
+
+// Guards against bad jobs that take the workers of a shard out of service.
+TEST_CASE("bad jobs do not quarantine a shard", "[shard][quarantine]") {
+  rc::prop("one bad job quarantines no worker and is charged", [] {
+    shard_model shard{.workers = Draw(1, 40)};
+    for (int step = 0; step < 200; ++step) {
+      RC_ASSERT(shard.Fail(Draw(0, shard.workers - 1), 0) ==
+                failure_verdict::kJob);
+    }
+  });
+  rc::prop("the quarantined part is bounded whatever fails", [] {
+    shard_model shard{.workers = Draw(1, 40)};
+    for (int step = 0; step < 300; ++step) {
+      const int worker = Draw(0, shard.workers - 1);
+      Draw(0, 5) == 0 ? shard.Succeed(worker, Draw(0, 100))
+                      : static_cast<void>(shard.Fail(worker, Draw(0, 100)));
+      RC_ASSERT(shard.quarantined.size() <= 1 ||
+                shard.quarantined.size() * 100 <=
+                    shard.workers * kMaxQuarantinedPercent);
+    }
+  });
+  rc::prop("each bad job helps to quarantine at most two workers", [] {
+    shard_model shard{.workers = 40};
+    const int bad_jobs = Draw(3, 6);
+    std::map<int, int> blamed_elsewhere;
+    for (int worker = 0; worker < 40; ++worker) {
+      for (int job = 0; job < bad_jobs; ++job) {
+        const bool in_service = !shard.quarantined.contains(worker);
+        const auto verdict = shard.Fail(worker, job);
+        // From the third worker in service on, the job is charged.
+        blamed_elsewhere[job] += in_service ? 1 : 0;
+        RC_ASSERT(blamed_elsewhere[job] <
+                      static_cast<int>(kWorkersForOwnFault) ||
+                  verdict == failure_verdict::kJob);
+      }
+    }
+    RC_ASSERT(shard.quarantined.size() * kFailuresToQuarantine <=
+              (kWorkersForOwnFault - 1) * static_cast<std::size_t>(bad_jobs));
+  });
+}
+
+schema::bundle MakeBundle() {
+  schema::bundle content;
+  auto& item = *content.add_batch_classes();
+  item.set_name("orders");
+  item.set_host_share_percent(100);
+  item.set_max_failures(2);
+  auto& customer = *content.add_customers();
+  customer.set_name("jihlava");
+  customer.set_weight(1);
+  return content;
+}
+
+// Guards against an owner that does not act on the verdicts: jobs that fail
+// because of a broken worker, and a repaired worker that is never used again.
+TEST_CASE("an owner quarantines a broken worker and lets it back",
+          "[shard][quarantine]") {
+  tests::policy_site site({.workers = 4, .policy = MakeBundle()});
+  site.Worker(0).SetBroken(true);
+  constexpr int kJobs = 12;
+  for (int job = 0; job < kJobs; ++job) {
+    schema::job_spec spec =
+        tests::MakeSpec(Job(job), "jihlava", "orders",
+                        {.processor_milli = 4000, .memory_mib = 100}, 4);
+    spec.set_command("sleep:3000");
+    site.Submit(spec);
+  }
+  REQUIRE(site.RunUntil(
+      [&] { return site.State().Quarantined().contains(Worker(0)); },
+      core::milliseconds(20000)));
+  REQUIRE(site.RunUntil(
+      [&] {
+        for (int job = 0; job < kJobs; ++job) {
+          if (site.Status(Job(job)).state() != schema::JOB_STATE_FINISHED)
+            return false;
+        }
+        return true;
+      },
+      core::milliseconds(120000)));
+  CHECK(site.State().Quarantined().contains(Worker(0)));
+
+  site.Worker(0).SetBroken(false);
+  schema::job_spec spec =
+      tests::MakeSpec("later", "jihlava", "orders",
+                      {.processor_milli = 8000, .memory_mib = 100}, 400);
+  spec.set_command("sleep:3000");
+  site.Submit(spec);
+  // One probe while it is quarantined, more tasks after its success.
+  site.Run(core::milliseconds(2900));
+  CHECK(site.StartsOn(0, "later") <= 1);
+  REQUIRE(site.RunUntil(
+      [&] { return !site.State().Quarantined().contains(Worker(0)); },
+      core::milliseconds(60000)));
+  CHECK(site.StartsOn(0, "later") == 1);
+  CHECK(site.RunUntil([&] { return site.StartsOn(0, "later") > 1; },
+                      core::milliseconds(10000)));
+}
+
+}  // namespace
+}  // namespace waxwingfront::shard
