--- a/src/waxwingfront/shard/shard_owner.cc
+++ b/src/waxwingfront/shard/shard_owner.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "waxwingfront/logging/log.h"
+#include "waxwingfront/store/store_client.h"
 
 namespace waxwingfront::shard {
 namespace {
@@ -15,6 +16,9 @@
 // outage stay below 30 writes/s.
 constexpr core::milliseconds kFirstRetryPause{100};
 constexpr core::milliseconds kLongestRetryPause{1600};
+// Time between two looks for jobs that ended long ago: 64 jobs each time are
+// far more than the 14,000 jobs per day of the whole fleet.
+constexpr core::milliseconds kDropPeriod{10000};
 
 }  // namespace
 
@@ -112,6 +116,7 @@
     changed_.notify_all();
     lock.unlock();
     CompactIfDue();
+    DropExpiredJobs();
     lock.lock();
     changed_.wait_for(lock, kTick, [this] { return stopping_; });
   }
@@ -134,6 +139,22 @@
   logging::Warning(kPart, options_.core.shard, " lost to another owner");
 }
 
+void shard_owner::DropExpiredJobs() {
+  std::unique_lock lock(mutex_);
+  if (core::Now() < next_drop_) return;
+  next_drop_ = core::Now() + kDropPeriod;
+  const std::vector<std::string> expired = core_->ExpiredJobs(core::Now());
+  lock.unlock();
+  for (const std::string& job : expired) {
+    const std::string key = "jobs/" + job;
+    // A job whose location could not be deleted is found again later.
+    if (!store_.DeleteRange(key, key + '\0')) return;
+    lock.lock();
+    core_->Drop(job);
+    lock.unlock();
+  }
+}
+
 void shard_owner::CompactIfDue() {
   std::unique_lock lock(mutex_);
   if (stopping_) return;
@@ -222,7 +243,7 @@
     return core::Failure(core::error_code::kOutcomeUnknown,
                          "the store has not confirmed job " + std::string(job));
   }
-  return core_->State().Status(job);
+  return core_->Status(job);
 }
 
 core::result<schema::job_status> shard_owner::Submit(
@@ -259,7 +280,7 @@
     return core::Failure(core::error_code::kUnknownJob,
                          "no job " + std::string(job));
   }
-  return core_->State().Status(job);
+  return core_->Status(job);
 }
 
 core::result<schema::job_status> shard_owner::Cancel(std::string_view job,
--- a/src/waxwingfront/shard/shard_owner.h
+++ b/src/waxwingfront/shard/shard_owner.h
@@ -81,6 +81,7 @@
   core::result<void> TakeOver();
   void AppendOnce(std::unique_lock<std::mutex>& lock);
   void CompactIfDue();
+  void DropExpiredJobs();
   struct pending_sync {
     std::string worker;
     std::string address;
@@ -117,6 +118,7 @@
   bool append_failed_ = false;
   // Jobs that wait for the next record.
   std::set<std::string, std::less<>> queued_jobs_;
+  core::monotonic_time next_drop_;
   bool stopping_ = false;
   std::vector<std::thread> threads_;
 };
--- a/src/waxwingfront/shard/shard_state.cc
+++ b/src/waxwingfront/shard/shard_state.cc
@@ -55,6 +55,8 @@
     case schema::decision::kReleased:
       quarantined_.erase(decision.released().worker());
       return {};
+    case schema::decision::kDropped:
+      return ApplyDropped(decision.dropped());
     case schema::decision::KIND_NOT_SET:
       break;
   }
@@ -119,6 +121,7 @@
     }
     ++job.next_task;
   }
+  bound.order = next_binding_++;
   AddBound(job, id.task(), bound.worker);
   job.active.emplace(id.task(), std::move(bound));
   return {};
@@ -148,6 +151,17 @@
   return {};
 }
 
+core::result<void> shard_state::ApplyDropped(
+    const schema::job_dropped& decision) {
+  const auto found = jobs_.find(decision.job());
+  if (found == jobs_.end())
+    return Contradiction("unknown job " + decision.job());
+  if (!found->second.IsClosed())
+    return Contradiction("job " + decision.job() + " has not ended");
+  jobs_.erase(found);
+  return {};
+}
+
 void shard_state::CountOutcome(job_record& job,
                                const schema::attempt_ended& decision) {
   switch (decision.outcome()) {
@@ -232,6 +246,7 @@
   snapshot.set_resigned(resigned_);
   snapshot.set_former_grace_ms(former_grace_.count());
   snapshot.set_next_order(next_order_);
+  snapshot.set_next_binding(next_binding_);
   for (const std::string& worker : quarantined_)
     snapshot.add_quarantined(worker);
   for (const auto& [id, job] : jobs_) {
@@ -251,6 +266,7 @@
       active.set_attempt(bound.attempt);
       active.set_worker(bound.worker);
       active.set_checkpoint(bound.checkpoint);
+      active.set_order(bound.order);
     }
     for (const auto& [task, waiting] : job.waiting) {
       schema::waiting_task& item = *entry.add_waiting();
@@ -270,6 +286,7 @@
   state.resigned_ = snapshot.resigned();
   state.former_grace_ = core::milliseconds(snapshot.former_grace_ms());
   state.next_order_ = snapshot.next_order();
+  state.next_binding_ = snapshot.next_binding();
   state.quarantined_.insert(snapshot.quarantined().begin(),
                             snapshot.quarantined().end());
   for (const schema::job_snapshot& entry : snapshot.jobs()) {
@@ -288,7 +305,8 @@
       job.active.emplace(active.task(),
                          bound_attempt{.attempt = active.attempt(),
                                        .worker = active.worker(),
-                                       .checkpoint = active.checkpoint()});
+                                       .checkpoint = active.checkpoint(),
+                                       .order = active.order()});
       state.AddBound(job, active.task(), active.worker());
     }
     for (const schema::waiting_task& waiting : entry.waiting()) {
--- a/src/waxwingfront/shard/shard_state.h
+++ b/src/waxwingfront/shard/shard_state.h
@@ -23,6 +23,8 @@
   std::string worker;
   // Position that the attempt resumes from.
   std::string checkpoint;
+  // Position in the order of all bindings of the shard.
+  std::uint64_t order = 0;
 };
 
 // A task whose last attempt ended without finishing it.
@@ -108,6 +110,7 @@
   core::result<void> ApplyCancelled(const schema::job_cancelled& decision);
   core::result<void> ApplyBound(const schema::attempt_bound& decision);
   core::result<void> ApplyEnded(const schema::attempt_ended& decision);
+  core::result<void> ApplyDropped(const schema::job_dropped& decision);
   static void CountOutcome(job_record& job,
                            const schema::attempt_ended& decision);
   void AddBound(const job_record& job, std::int64_t task,
@@ -122,6 +125,7 @@
   std::map<std::string, core::resources, std::less<>> committed_by_worker_;
   std::map<std::string, core::resources, std::less<>> committed_by_customer_;
   std::uint64_t next_order_ = 0;
+  std::uint64_t next_binding_ = 0;
   std::uint64_t epoch_ = 0;
   bool resigned_ = false;
   core::milliseconds former_grace_{0};
