Test delayed starts after an eviction and ends that are not in the log yet

When the owner lets the worker forget an end that is not in the log, 'an eviction during a change of owner is recorded once' fails at its second repeat.

--- a/tests/waxwingfront/shard/shard_core_test.cc
+++ b/tests/waxwingfront/shard/shard_core_test.cc
@@ -13,6 +13,7 @@
 
 // Arguments of the commands; see `shard_world::Run`.
 constexpr int kTwoLongTasks = 9;
+constexpr int kHalfASecond = 1;
 constexpr int kTwoSeconds = 2;
 constexpr int kSevenSeconds = 3;
 constexpr int kTwelveSeconds = 4;
@@ -341,6 +342,27 @@
   CHECK_FALSE(owner.core.State().FindJob("orders")->HasUnboundTask());
 }
 
+// Guards against a worker that carries out a delayed start of an attempt whose
+// end is already in the log (rule 5).
+TEST_CASE("a start that arrives after its eviction is refused",
+          "[shard][eviction]") {
+  constexpr int kFirstWorkerHolds = 6;
+  shard_world world({});
+  RunAll(world, {{command_kind::kTakeOver, 0, 0},
+                 {command_kind::kAdvance, kTwoSeconds, 0},
+                 {command_kind::kAdvance, kHalfASecond, 0},
+                 {command_kind::kSetLink, 0, kFirstWorkerHolds},
+                 {command_kind::kSubmit, 0, kTwoLongTasks},
+                 {command_kind::kSetLink, 0, 0},
+                 {command_kind::kEvict, 0, 0},
+                 {command_kind::kAdvance, kTwoSeconds, 0},
+                 {command_kind::kAdvance, kTwoSeconds, 0},
+                 {command_kind::kRelease, 0, 0},
+                 {command_kind::kAdvance, kTwoSeconds, 0}});
+  CHECK(world.Truth().FindJob("job-0")->evicted_attempts == 1);
+  CHECK(Outcome(world) == "none");
+}
+
 // Guards against an eviction that the former owner asked for and the new one
 // counts twice or without its checkpoint.
 TEST_CASE("an eviction during a change of owner is recorded once",
@@ -351,15 +373,22 @@
                kStart);
   const auto append = owner.core.NextAppend(kStart);
   REQUIRE(append);
-  // The worker repeats the end while the record is on its way.
-  const core::monotonic_time later = kStart + milliseconds(3000);
-  const auto request = owner.Ask(later);
-  REQUIRE(request);
-  CHECK(request->forget_size() == 0);
-  owner.Answer(schema::ATTEMPT_STATE_ENDED, schema::ATTEMPT_OUTCOME_EVICTED,
-               later);
+  // The worker repeats the end while the record is on its way, and must keep
+  // it until the record is in the log.
+  const auto repeat_at = [&owner](core::monotonic_time now) {
+    const auto request = owner.Ask(now);
+    REQUIRE(request);
+    owner.Answer(schema::ATTEMPT_STATE_ENDED, schema::ATTEMPT_OUTCOME_EVICTED,
+                 now);
+    return request->forget_size();
+  };
+  constexpr milliseconds kPeriod{2000};
+  CHECK(repeat_at(kStart + kPeriod) == 0);
+  CHECK(repeat_at(kStart + 2 * kPeriod) == 0);
   owner.core.OnAppendApplied();
-  CHECK_FALSE(owner.Append(later));
+  CHECK_FALSE(owner.Append(kStart + 2 * kPeriod));
+  CHECK(repeat_at(kStart + 3 * kPeriod) == 0);
+  CHECK(repeat_at(kStart + 4 * kPeriod) == 1);
   const shard::job_record& job = *owner.core.State().FindJob("orders");
   CHECK(job.evicted_attempts == 1);
   REQUIRE(job.waiting.size() == 1);
--- a/tests/waxwingfront/shard/shard_world.cc
+++ b/tests/waxwingfront/shard/shard_world.cc
@@ -53,7 +53,9 @@
   return std::make_shared<const bundle::bundle_view>(content, 1);
 }
 
-std::int64_t ClockOffsetMs(int index) { return 1000000 * (index + 1); }
+std::int64_t ClockOffsetMs(int index) {
+  return std::int64_t{1000000} * (index + 1);
+}
 
 }  // namespace
 
