--- a/src/waxwingfront/net/http_client.cc
+++ b/src/waxwingfront/net/http_client.cc
@@ -59,8 +59,11 @@
     socket.connect(Poco::Net::SocketAddress(options_.address),
                    ToTimespan(options_.timeout));
     socket.setNoDelay(true);
+    // On the socket itself: a session applies its own time limits only to
+    // connections that it opens.
+    socket.setReceiveTimeout(ToTimespan(options_.timeout));
+    socket.setSendTimeout(ToTimespan(options_.timeout));
     auto fresh = std::make_unique<connection>(socket);
-    fresh->session.setTimeout(ToTimespan(options_.timeout));
     fresh->session.setKeepAlive(true);
     return fresh;
   } catch (const Poco::Exception& failure) {
--- a/src/waxwingfront/peer/detail/nng_call.cc
+++ b/src/waxwingfront/peer/detail/nng_call.cc
@@ -12,6 +12,8 @@
   nng_ctx_close(context_);
 }
 
+void nng_context::Close() { nng_ctx_close(context_); }
+
 bool nng_context::Send(std::string_view body, nng_duration limit_ms) {
   nng_msg* message = nullptr;
   if (nng_msg_alloc(&message, 0) != 0) return false;
--- a/src/waxwingfront/peer/detail/nng_call.h
+++ b/src/waxwingfront/peer/detail/nng_call.h
@@ -21,6 +21,8 @@
   nng_context& operator=(const nng_context&) = delete;
   ~nng_context();
 
+  // Ends the operation that waits in another thread; later ones fail.
+  void Close();
   // False on a time-out or a closed socket. Times are in milliseconds.
   bool Send(std::string_view body, nng_duration limit_ms);
   // Nothing on a time-out or a closed socket.
--- a/src/waxwingfront/peer/peer_server.cc
+++ b/src/waxwingfront/peer/peer_server.cc
@@ -15,11 +15,13 @@
 struct peer_server::internal {
   peer_server_options options;
   nng_socket socket = NNG_SOCKET_INITIALIZER;
+  // One for each thread. Opened before the threads begin: nng waits for ever in
+  // closing a socket on which a context is opened at the same time.
+  std::vector<std::unique_ptr<detail::nng_context>> contexts;
   std::vector<std::thread> threads;
 
-  // Answers one request after another until the socket is closed.
-  void Serve() const {
-    detail::nng_context context(socket);
+  // Answers one request after another until the context is closed.
+  void Serve(detail::nng_context& context) const {
     while (true) {
       const std::optional<std::string> body =
           context.Receive(NNG_DURATION_INFINITE);
@@ -32,8 +34,10 @@
         response.mutable_failure()->set_code(
             std::string(core::ErrorName(core::error_code::kProtocol)));
       }
-      if (!context.Send(response.SerializeAsString(), detail::kSendLimitMs))
-        return;
+      // A peer that does not read its replies costs one of them, not this
+      // thread.
+      static_cast<void>(
+          context.Send(response.SerializeAsString(), detail::kSendLimitMs));
     }
   }
 };
@@ -51,7 +55,12 @@
                          parts->options.address + ": " + nng_strerror(status));
   }
   for (int index = 0; index < parts->options.threads; ++index) {
-    parts->threads.emplace_back([running = parts.get()] { running->Serve(); });
+    parts->contexts.push_back(
+        std::make_unique<detail::nng_context>(parts->socket));
+  }
+  for (const auto& context : parts->contexts) {
+    parts->threads.emplace_back(
+        [running = parts.get(), &context] { running->Serve(*context); });
   }
   return std::unique_ptr<peer_server>(new peer_server(std::move(parts)));
 }
@@ -60,8 +69,10 @@
     : internal_(std::move(parts)) {}
 
 peer_server::~peer_server() {
-  nng_close(internal_->socket);
+  for (const auto& context : internal_->contexts) context->Close();
   for (std::thread& thread : internal_->threads) thread.join();
+  internal_->contexts.clear();
+  nng_close(internal_->socket);
 }
 
 }  // namespace waxwingfront::peer
--- a/standins/waxwingfront/standins/worker.cc
+++ b/standins/waxwingfront/standins/worker.cc
@@ -32,10 +32,9 @@
 http_answer worker::Handle(const http_call& call) {
   constexpr int kHttpBadRequest = 400;
   if (call.path == "/journal") {
-    const std::lock_guard lock(mutex_);
     // Also lists what ended since the last exchange.
     Advance(core::Now());
-    return {.body = journal_};
+    return {.body = Journal()};
   }
   if (call.path == "/leaving") {
     SetLeaving(call.body != "false");
@@ -89,6 +88,11 @@
 }
 
 void worker::Advance(core::monotonic_time now) {
+  const std::lock_guard lock(mutex_);
+  AdvanceLocked(now);
+}
+
+void worker::AdvanceLocked(core::monotonic_time now) {
   std::vector<std::pair<
       attempt_key, std::pair<schema::attempt_outcome, core::monotonic_time>>>
       due;
@@ -153,7 +157,7 @@
 schema::sync_response worker::Sync(const schema::sync_request& request,
                                    core::monotonic_time now) {
   const std::lock_guard lock(mutex_);
-  Advance(now);
+  AdvanceLocked(now);
   schema::sync_response response;
   response.set_incarnation(incarnation_);
   response.set_leaving(leaving_);
--- a/standins/waxwingfront/standins/worker.h
+++ b/standins/waxwingfront/standins/worker.h
@@ -37,6 +37,8 @@
   schema::sync_response Sync(const schema::sync_request& request,
                              core::monotonic_time now);
   void SetLeaving(bool leaving);
+  // Ends what is over at `now`.
+  void Advance(core::monotonic_time now);
   std::string Journal() const;
 
  private:
@@ -59,7 +61,7 @@
     core::monotonic_time recorded_at;
   };
 
-  void Advance(core::monotonic_time now);
+  void AdvanceLocked(core::monotonic_time now);
   void End(const attempt_key& key, schema::attempt_outcome outcome,
            core::monotonic_time at);
   void Start(const schema::start_task& start, core::monotonic_time now);
--- a/tests/support/journal.cc
+++ b/tests/support/journal.cc
@@ -45,6 +45,7 @@
     }
   }
   std::vector<attempt_run> in_order;
+  in_order.reserve(runs.size());
   for (const auto& [key, run] : runs) in_order.push_back(run);
   return in_order;
 }
--- /dev/null
+++ b/tests/waxwingfront/net/http_client_test.cc
@@ -0,0 +1,73 @@
+// What the HTTP client says about calls that fail.
+#include "waxwingfront/net/http_client.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+
+#include "support/call_gate.h"
+#include "support/child_process.h"
+#include "waxwingfront/standins/http_service.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+using core::error_code;
+
+// Guards against "nothing was sent" for a call that the other side may have
+// carried out, and against a hidden second try.
+TEST_CASE("http client tells a call that was not sent from one without answer",
+          "[net]") {
+  SECTION("nobody listens") {
+    net::http_client client({.address = FreeAddress()});
+    CHECK(client.Send("POST", "/", "{}").error().code ==
+          error_code::kUnreachable);
+  }
+  SECTION("the connection is closed without an answer") {
+    std::atomic<int> calls{0};
+    const standins::http_service service(
+        "127.0.0.1:0", [&calls](const standins::http_call& /*call*/) {
+          ++calls;
+          return standins::http_answer{.drop = true};
+        });
+    net::http_client client({.address = service.Address()});
+    CHECK(client.Send("POST", "/", "{}").error().code ==
+          error_code::kOutcomeUnknown);
+    CHECK(calls == 1);
+  }
+  SECTION("the answer does not come in time") {
+    call_gate gate;
+    const standins::http_service service(
+        "127.0.0.1:0", [&gate](const standins::http_call& /*call*/) {
+          gate.Pass();
+          return standins::http_answer{};
+        });
+    net::http_client client(
+        {.address = service.Address(), .timeout = core::milliseconds(100)});
+    CHECK(client.Send("POST", "/", "{}").error().code ==
+          error_code::kOutcomeUnknown);
+    gate.Open();
+  }
+}
+
+// Guards against an answer that is given to a later call of the same
+// connection.
+TEST_CASE("http client does not reuse a connection with an open answer",
+          "[net]") {
+  call_gate gate;
+  const standins::http_service service(
+      "127.0.0.1:0", [&gate](const standins::http_call& call) {
+        if (call.path == "/slow") gate.Pass();
+        return standins::http_answer{.body = call.path};
+      });
+  net::http_client client(
+      {.address = service.Address(), .timeout = core::milliseconds(300)});
+  REQUIRE(client.Send("GET", "/first", "").has_value());
+  CHECK_FALSE(client.Send("GET", "/slow", "").has_value());
+  gate.Open();
+  const auto reply = client.Send("GET", "/next", "");
+  REQUIRE(reply.has_value());
+  CHECK(reply->body == "/next");
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
--- a/tests/waxwingfront/serve/takeover_test.cc
+++ b/tests/waxwingfront/serve/takeover_test.cc
@@ -9,6 +9,8 @@
 #include "support/journal.h"
 #include "support/process_site.h"
 #include "waxwingfront/core/json.h"
+#include "waxwingfront/schema/gen/shard_log.pb.h"
+#include "waxwingfront/store/store_client.h"
 
 namespace waxwingfront::tests {
 namespace {
@@ -60,6 +62,42 @@
   RequireFinishedOnce(site, OtherThan(owner), kTasks);
 }
 
+// Guards against a new owner that binds a task elsewhere while a worker that it
+// cannot reach still runs it.
+TEST_CASE("a job survives the loss of its owner and of a worker at once",
+          "[process][takeover]") {
+  constexpr int kTasks = 8;
+  constexpr int kTaskLeaseMs = 4000;
+  process_site site(
+      {.entries = 2,
+       .workers = 3,
+       .executors = 0,
+       .more_settings =
+           "[batch]\nentry_lease_s = 1\ngrace_ms = 1000\nticket_ms = 600\n"
+           "task_lease_ms = 4000\nsync_ms = 100\nappends_per_s = 50\n"
+           "append_burst = 50\n",
+       .task_lease_ms = kTaskLeaseMs});
+  REQUIRE(site.AwaitReady());
+  // Longer than the task lease, so that no attempt ends where nobody learns it.
+  REQUIRE(site.AwaitAccepted(0, JobJson(kTasks, kTaskLeaseMs + 1000)));
+  REQUIRE(AwaitStarts(site, kTasks));
+  int lost = 0;
+  while (RunsOf("orders", {site.Journal(site.WorkerAddress(lost))}).empty())
+    ++lost;
+  const int owner = site.AwaitOwner();
+  site.Entry(owner).Signal(SIGKILL);
+  const std::string address = site.WorkerAddress(lost);
+  site.ChangeHosts([lost](schema::host_list& hosts) {
+    hosts.mutable_workers(lost)->set_address(FreeAddress());
+  });
+  REQUIRE(
+      site.AwaitState(OtherThan(owner), "orders", schema::JOB_STATE_FINISHED));
+  site.ChangeHosts([lost, &address](schema::host_list& hosts) {
+    hosts.mutable_workers(lost)->set_address(address);
+  });
+  RequireFinishedOnce(site, OtherThan(owner), kTasks);
+}
+
 // Guards against acknowledged work that only the entries' memory held.
 TEST_CASE("a job survives the death of all entries", "[process][takeover]") {
   constexpr int kTasks = 12;
@@ -129,6 +167,11 @@
   REQUIRE(site.AwaitReady());
   REQUIRE(site.AwaitAccepted(0, JobJson(kTasks, 300)));
   REQUIRE(AwaitStarts(site, 12));
+  SECTION("in which the store hangs") {
+    site.Store().Signal(SIGSTOP);
+    Sleep(4000);
+    site.Store().Signal(SIGCONT);
+  }
   site.SetStoreFaults(R"({"down": true})");
   SECTION("shorter than lease and grace") { Sleep(800); }
   SECTION("longer than lease, grace and task lease") { Sleep(5000); }
@@ -182,6 +225,32 @@
   CHECK(status.attempts_evicted() == 0);
 }
 
+// Guards against an entry whose lease ends while it drains: the next owner
+// would have to wait for its grace.
+TEST_CASE("an entry that drains for longer than its lease hands over cleanly",
+          "[process][takeover]") {
+  process_site site(
+      {.entries = 2,
+       .workers = 1,
+       .executors = 0,
+       .more_settings = QuickBatchSettings() + "[front]\nunready_ms = 2500\n"});
+  REQUIRE(site.AwaitReady());
+  const int owner = site.AwaitOwner();
+  site.Entry(owner).Signal(SIGTERM);
+  site.Entry(owner).Wait();
+  net::http_client http({.address = site.StoreAddress()});
+  const store::store_client client(
+      {.post = [&http](std::string_view path, std::string_view body) {
+        return http.Send("POST", path, body);
+      }});
+  const auto records = client.List("shards/local/0/log/");
+  REQUIRE(records.has_value());
+  schema::log_record second;
+  REQUIRE(records->size() >= 2);
+  REQUIRE(second.ParseFromString((*records)[1].value));
+  CHECK(second.decisions(0).has_resigned());
+}
+
 // Guards against tasks that stay bound to a worker that is gone.
 TEST_CASE("a job survives the death of a worker", "[process][takeover]") {
   constexpr int kTasks = 8;
--- a/tests/waxwingfront/shard/shard_log_test.cc
+++ b/tests/waxwingfront/shard/shard_log_test.cc
@@ -315,6 +315,7 @@
     std::set<int> deposed;
     std::set<int> active;
     acknowledged_log told;
+    writers.reserve(kWriters);
     for (int index = 0; index < kWriters; ++index) writers.emplace_back(store);
     for (int step = 0; step < kSteps; ++step) {
       store.SetFate([](std::string_view /*path*/) { return RandomFate(); });
--- a/tests/waxwingfront/shard/shard_manager_test.cc
+++ b/tests/waxwingfront/shard/shard_manager_test.cc
@@ -123,8 +123,9 @@
   const bool second_was_first = second.Owned(kShard) != nullptr;
   if (second_was_first) second.Stop(kLong);
   shard_manager rival(ManagerOptions("entry-2"), store.Client());
-  int writes = 0;
-  bool inside = false;
+  // Owners' threads call the store as well.
+  std::atomic<int> writes{0};
+  std::atomic<bool> inside{false};
   bool rival_owns = false;
   // The writes of a first poll are the lease, the entry's record and the
   // claim; the rival claims just before the last.
@@ -152,7 +153,7 @@
           "[shard][manager]") {
   faulty_store store;
   shard_manager manager(ManagerOptions("entry-0"), store.Client());
-  int writes = 0;
+  std::atomic<int> writes{0};
   store.SetFate([&writes](std::string_view path) {
     return path == kTxnPath && ++writes == 2 ? call_fate::kLostAfter
                                              : call_fate::kAnswered;
@@ -170,7 +171,7 @@
           "[shard][manager]") {
   faulty_store store;
   shard_manager manager(ManagerOptions("entry-0"), store.Client());
-  int writes = 0;
+  std::atomic<int> writes{0};
   store.SetFate([&](std::string_view path) {
     if (path == kTxnPath && ++writes == 2) {
       const auto listed = store.Client().List("entries/");
