Make the frozen peer's second reply surely unsent in its test

The client's request could overtake it, so the test passed also with the server thread ending at a reply that cannot be sent. The test of a frozen owner also checks the log by a restart of all entries.

--- a/tests/waxwingfront/peer/peer_test.cc
+++ b/tests/waxwingfront/peer/peer_test.cc
@@ -3,11 +3,13 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <array>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <string>
 
 #include "support/call_gate.h"
 #include "support/child_process.h"
+#include "support/process_site.h"
 #include "waxwingfront/peer/peer_client.h"
 #include "waxwingfront/peer/peer_server.h"
 #include "waxwingfront/schema/gen/peer.pb.h"
@@ -85,10 +87,12 @@
   const std::string address = FreeAddress();
   // Larger than the sockets' buffers together.
   constexpr std::size_t kReplyBytes = 16U << 20U;
+  std::atomic<int> unread{0};
   const auto server = peer::peer_server::Start(
       {.address = address,
        .threads = 1,
-       .handle = [](const schema::peer_request& request) {
+       .handle = [&unread](const schema::peer_request& request) {
+         if (request.status().job() == "a") ++unread;
          schema::peer_response response;
          response.mutable_status()->set_id(request.status().job() == "a"
                                                ? std::string(kReplyBytes, 'x')
@@ -99,6 +103,8 @@
   Poco::Net::StreamSocket frozen;
   frozen.connect(Poco::Net::SocketAddress(address));
   SendWithoutReading(frozen, 3);
+  // The first reply fills the buffers; the second one cannot be sent.
+  REQUIRE(AwaitCondition([&unread] { return unread >= 2; }));
   peer::peer_client client;
   const auto response = client.Call(address, StatusRequest("b"), kLimit);
   REQUIRE(response.has_value());
--- a/tests/waxwingfront/serve/takeover_test.cc
+++ b/tests/waxwingfront/serve/takeover_test.cc
@@ -156,6 +156,10 @@
   site.Entry(owner).Signal(SIGCONT);
   RequireFinishedOnce(site, OtherThan(owner), kTasks);
   CHECK(site.AwaitState(owner, "orders", schema::JOB_STATE_FINISHED));
+  // The log is whole: entries without memory find the same in it.
+  for (int entry : {0, 1}) site.Entry(entry).Signal(SIGKILL);
+  for (int entry : {0, 1}) site.RestartEntry(entry);
+  CHECK(site.AwaitState(owner, "orders", schema::JOB_STATE_FINISHED));
 }
 
 // Guards against attempts that start while their binding is not in the log, and
