--- a/standins/waxwingfront/standins/worker.h
+++ b/standins/waxwingfront/standins/worker.h
@@ -39,6 +39,8 @@
   void SetLeaving(bool leaving);
   // Tasks that start while the worker is broken fail at once.
   void SetBroken(bool broken);
+  // Ends what is over at `now`.
+  void Advance(core::monotonic_time now);
   std::string Journal() const;
 
  private:
@@ -61,7 +63,7 @@
     core::monotonic_time recorded_at;
   };
 
-  void Advance(core::monotonic_time now);
+  void AdvanceLocked(core::monotonic_time now);
   void End(const attempt_key& key, schema::attempt_outcome outcome,
            core::monotonic_time at);
   void Start(const schema::start_task& start, core::monotonic_time now);
