Serialise log lines where the thread sanitizer can see it

tools/test tsan failed in "job commands and serve give their exit codes": a race in tzset between two threads that log their first line. The C library guards tzset with a lock that the sanitizer does not see. glog takes a lock of its own to write each line, so one around it costs no parallelism that was there. After it the report is gone; 32 of 32 tests pass under tsan.

--- a/src/waxwingfront/logging/log.cc
+++ b/src/waxwingfront/logging/log.cc
@@ -2,6 +2,8 @@
 
 #include <glog/logging.h>
 
+#include <mutex>
+
 #include "waxwingfront/core/text.h"
 
 namespace waxwingfront::logging {
@@ -31,6 +33,10 @@
 }
 
 void Write(level severity, std::string_view part, std::string_view sentence) {
+  // glog converts each line's time with tzset, whose lock inside the C library
+  // the thread sanitizer does not see.
+  static std::mutex mutex;
+  const std::lock_guard lock(mutex);
   // The source location would always be this file, so the line carries the
   // part's name instead.
   google::LogMessage(part.data(), 0, Severity(severity)).stream()
