Bound idle connections by the watch too

Setting the accepted socket's own timeouts to none read the socket object from this code, and tsan reported its deletion in Poco's accept thread, whose reference counts it does not see. Waiting for a request is now a phase of the watch as well, so no other time limit is needed. A closing connection takes the rest of a request for up to read_timeout_ms, formerly 1 s.

Two tests passed without their mechanism: the one for unread bodies asked for "Connection: close" itself, and none sent on after a refusal. The first now leaves the close to the entry and fails without the rule; the second case is new.

--- a/src/waxwingfront/front/detail/caller_connection.cc
+++ b/src/waxwingfront/front/detail/caller_connection.cc
@@ -21,9 +21,6 @@
 namespace {
 
 constexpr std::string_view kPart = "front";
-// Longest time for which a closing connection still takes what the caller
-// sends.
-constexpr core::milliseconds kCloseLimit{1000};
 constexpr std::size_t kDiscardBytes = 16384;
 
 }  // namespace
@@ -42,11 +39,7 @@
   watched_connection watched(watch_, socket());
   try {
     Poco::Net::HTTPServerSession session(socket(), params_);
-    // The watch alone bounds reads and writes: a limit of the socket's own
-    // could end a phase first, and the caller would not learn why.
-    socket().setReceiveTimeout(Poco::Timespan(0));
-    socket().setSendTimeout(Poco::Timespan(0));
-    while (session.hasMoreRequests() && ServeOne(session, watched)) {
+    while (AwaitRequest(session, watched) && ServeOne(session, watched)) {
     }
     Close(watched);
   } catch (const Poco::Exception& /*failure*/) {
@@ -56,6 +49,14 @@
   }
 }
 
+bool caller_connection::AwaitRequest(Poco::Net::HTTPServerSession& session,
+                                     watched_connection& watched) {
+  watched.Begin(watched_phase::kReading, context_.options.idle_timeout);
+  const bool arrived = session.hasMoreRequests();
+  const bool late = watched.End();
+  return arrived && !late;
+}
+
 bool caller_connection::ServeOne(Poco::Net::HTTPServerSession& session,
                                  watched_connection& watched) {
   watched.Begin(watched_phase::kReading, context_.options.read_timeout);
@@ -115,7 +116,7 @@
   // Closing a socket with unread input resets the connection, and the caller
   // might lose the response that tells why its request was refused.
   socket().shutdownSend();
-  watched.Begin(watched_phase::kReading, kCloseLimit);
+  watched.Begin(watched_phase::kReading, context_.options.read_timeout);
   std::array<char, kDiscardBytes> discarded{};
   while (socket().receiveBytes(discarded.data(), discarded.size()) > 0) {
   }
--- a/src/waxwingfront/front/detail/caller_connection.h
+++ b/src/waxwingfront/front/detail/caller_connection.h
@@ -22,6 +22,9 @@
   void run() override;
 
  private:
+  // Waits for the first byte of a request; returns whether one came in time.
+  bool AwaitRequest(Poco::Net::HTTPServerSession& session,
+                    watched_connection& watched);
   // Reads and answers one request; returns whether another may follow.
   bool ServeOne(Poco::Net::HTTPServerSession& session,
                 watched_connection& watched);
--- a/src/waxwingfront/front/front_server.cc
+++ b/src/waxwingfront/front/front_server.cc
@@ -22,10 +22,6 @@
 constexpr int kMaxQueuedConnections = 256;
 constexpr core::milliseconds kDrainPause{5};
 
-Poco::Timespan ToTimespan(core::milliseconds duration) {
-  return Poco::Timespan(std::chrono::microseconds(duration).count());
-}
-
 }  // namespace
 
 struct front_server::internal {
@@ -55,9 +51,10 @@
     params->setMaxThreads(parts->context.options.threads);
     params->setMaxQueued(kMaxQueuedConnections);
     params->setKeepAlive(true);
-    params->setTimeout(ToTimespan(parts->context.options.idle_timeout));
-    params->setKeepAliveTimeout(
-        ToTimespan(parts->context.options.idle_timeout));
+    // The watch alone bounds waiting, reading and writing: a limit of Poco's
+    // own could end a phase first, and the caller would not learn why.
+    params->setTimeout(Poco::Timespan(Poco::Timespan::DAYS));
+    params->setKeepAliveTimeout(Poco::Timespan(Poco::Timespan::DAYS));
     parts->server = std::make_unique<Poco::Net::TCPServer>(
         new detail::caller_connection_factory(params, parts->context,
                                               parts->watch),
--- a/tests/waxwingfront/front/caller_input_test.cc
+++ b/tests/waxwingfront/front/caller_input_test.cc
@@ -10,16 +10,17 @@
 namespace waxwingfront::tests {
 namespace {
 
-constexpr int kBodyLimit = 2048;
+constexpr std::size_t kBodyLimit = 2048;
 
-process_site_options SiteOptions() {
+process_site_options SiteOptions(int read_timeout_ms = 400) {
   return {.entries = 1,
           .workers = 1,
           .executors = 1,
-          .more_settings = QuickBatchSettings() +
-                           "[front]\nread_timeout_ms = 400\n"
-                           "idle_timeout_ms = 400\nmax_body_bytes = " +
-                           std::to_string(kBodyLimit) + "\n"};
+          .more_settings =
+              QuickBatchSettings() +
+              "[front]\nread_timeout_ms = " + std::to_string(read_timeout_ms) +
+              "\nidle_timeout_ms = 400\nmax_body_bytes = " +
+              std::to_string(kBodyLimit) + "\n"};
 }
 
 // A request with headers of its own and a body with its length.
@@ -262,8 +263,9 @@
   // The body of a refused request is not taken for a request.
   const std::string hidden = "GET /healthz HTTP/1.1\r\n\r\n";
   raw_caller caller(site.EntryAddress(0));
-  caller.Send(first + first +
-              Request("POST /v1/services/nothing/x", kCustomer, hidden));
+  caller.Send(first + first + "POST /v1/services/nothing/x HTTP/1.1\r\n" +
+              kCustomer + "Content-Length: " + std::to_string(hidden.size()) +
+              "\r\n\r\n" + hidden);
   const std::string answers = caller.ReadAll();
   CAPTURE(answers);
   std::size_t count = 0;
@@ -274,6 +276,23 @@
   CHECK_FALSE(Has(answers, " 200 "));
 }
 
+// Guards against a connection that is reset while the caller still sends: most
+// HTTP clients then report the reset and never read the refusal.
+TEST_CASE("a caller can send the rest of a refused request",
+          "[front][process]") {
+  const process_site site(SiteOptions(20000));
+  REQUIRE(site.AwaitReady());
+  const std::string request =
+      Request("POST " + kService, kCustomer, std::string(2 * kBodyLimit, 'a'));
+  raw_caller caller(site.EntryAddress(0));
+  CHECK(caller.Send(request.substr(0, request.size() - 2)));
+  // The entry has ended its output here, and still takes the caller's.
+  CheckRefusal(caller.ReadAll(), 413, "request_too_large");
+  // A closed connection is seen by the second byte after its close.
+  CHECK_FALSE(AwaitCondition([&caller] { return !caller.Send("a"); },
+                             core::milliseconds(300)));
+}
+
 // Guards against metrics that grow with the names that callers make up.
 TEST_CASE("metrics have names of the bundle only", "[front][process]") {
   const process_site site(SiteOptions());
--- a/tests/waxwingfront/front/detail/connection_watch_test.cc
+++ b/tests/waxwingfront/front/detail/connection_watch_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr core::milliseconds kLimit{3600000};
+constexpr int kFailureSeconds = 5;
 
 // Guards against a phase without an end: a slow caller would keep its thread.
 TEST_CASE("a watched connection ends when its phase takes too long",
@@ -19,6 +20,8 @@
       Poco::Net::SocketAddress("127.0.0.1", server.address().port()));
   Poco::Net::ServerSocket acceptor(server);
   Poco::Net::StreamSocket accepted = acceptor.acceptConnection();
+  // A watch that fails must not block the test.
+  accepted.setReceiveTimeout(Poco::Timespan(kFailureSeconds, 0));
   connection_watch watch;
   watched_connection watched(watch, accepted);
   char symbol = 0;
