--- a/tests/waxwingfront/cli/command_line_test.cc
+++ b/tests/waxwingfront/cli/command_line_test.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <string>
@@ -156,6 +157,17 @@
             .exit_code == 2);
 }
 
+// Guards against examples that no longer pass the checks.
+TEST_CASE("the examples are valid", "[cli]") {
+  const std::filesystem::path root =
+      std::filesystem::path(WAXWINGFRONT_TRACES).parent_path().parent_path();
+  const std::string examples = root / "examples";
+  const run_result settings = Run({"config", "check", examples + "/entry.ini"});
+  CAPTURE(settings.err);
+  CHECK(settings.exit_code == 0);
+  CHECK(Run({"bundle", "check", examples + "/bundle.json"}).exit_code == 0);
+}
+
 TEST_CASE("commands to a store that does not answer fail", "[cli]") {
   const run_result result = Run({"bundle", "status", "--store", FreeAddress()});
   CHECK(result.exit_code == 1);
--- a/tests/waxwingfront/core/error_test.cc
+++ b/tests/waxwingfront/core/error_test.cc
@@ -1,7 +1,11 @@
 #include "waxwingfront/core/error.h"
 
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <set>
+#include <string>
 
 namespace waxwingfront::core {
 namespace {
@@ -24,5 +28,21 @@
   CHECK_FALSE(ErrorFromName("nothing").has_value());
 }
 
+// Guards against an error type that callers meet and cannot look up.
+TEST_CASE("every error type is on the interface page", "[core]") {
+  const auto root =
+      std::filesystem::path(WAXWINGFRONT_TRACES).parent_path().parent_path();
+  std::ifstream file(root / "docs" / "interface.md");
+  const std::string page(std::istreambuf_iterator<char>(file), {});
+  REQUIRE_FALSE(page.empty());
+  for (int number = 0; number <= static_cast<int>(error_code::kInternal);
+       ++number) {
+    const auto code = static_cast<error_code>(number);
+    const std::string name(ErrorName(code));
+    CAPTURE(name);
+    CHECK(page.find("`" + name + "`") != std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace waxwingfront::core
