--- a/src/waxwingfront/cli/bundle_commands.cc
+++ b/src/waxwingfront/cli/bundle_commands.cc
@@ -1,16 +1,23 @@
 #include "waxwingfront/cli/bundle_commands.h"
 
 #include <CLI/CLI.hpp>
+#include <cstdint>
+#include <future>
 #include <iostream>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "waxwingfront/bundle/bundle_check.h"
+#include "waxwingfront/bundle/bundle_diff.h"
 #include "waxwingfront/bundle/bundle_repository.h"
+#include "waxwingfront/bundle/bundle_status.h"
 #include "waxwingfront/cli/output.h"
 #include "waxwingfront/core/json.h"
 #include "waxwingfront/net/http_client.h"
+#include "waxwingfront/peer/peer_client.h"
 #include "waxwingfront/store/store_client.h"
 
 namespace waxwingfront::cli {
@@ -19,10 +26,19 @@
 struct bundle_arguments {
   std::string store_address;
   std::string file;
+  // File or digest of a bundle to compare.
+  std::string bundle;
+  std::string failure_domain;
   bundle::sign_off_request sign_off;
   std::int64_t expected_version = -1;
+  std::uint64_t retry_nonce = 0;
+  bool json = false;
 };
 
+// Longest wait for an entry's answer.
+constexpr core::milliseconds kEntryLimit{1000};
+constexpr std::string_view kEntriesPrefix = "entries/";
+
 using shared_arguments = std::shared_ptr<bundle_arguments>;
 
 // A repository over a connection of its own.
@@ -38,6 +54,7 @@
 
   const bundle::bundle_repository& operator*() const { return repository_; }
   const bundle::bundle_repository* operator->() const { return &repository_; }
+  const store::store_client& Store() const { return store_; }
 
  private:
   net::http_client http_;
@@ -68,26 +85,167 @@
   return exit_code::kOk;
 }
 
-exit_code SignOff(bundle_arguments& arguments) {
-  if (arguments.expected_version >= 0) {
-    arguments.sign_off.expected_version = arguments.expected_version;
+// The bundle with a digest, parsed. An empty digest gives an empty bundle.
+core::result<schema::bundle> ReadBundle(
+    const bundle::bundle_repository& repository, const std::string& digest) {
+  if (digest.empty()) return schema::bundle();
+  const auto json = repository.Content(digest);
+  if (!json) return tl::unexpected(json.error());
+  return bundle::CheckBundle(*json).content;
+}
+
+// Head for comparisons; empty before the first sign-off.
+core::result<schema::bundle_head> ReadHead(
+    const bundle::bundle_repository& repository) {
+  const auto head = repository.Head();
+  if (!head) return tl::unexpected(head.error());
+  return head->value_or(schema::bundle_head());
+}
+
+// Prints what `after` changes in one failure domain; an empty name means those
+// without a version of their own.
+core::result<void> PrintChanges(const bundle::bundle_repository& repository,
+                                const schema::bundle_head& head,
+                                const std::string& failure_domain,
+                                const schema::bundle& after) {
+  const schema::domain_version former =
+      bundle::VersionFor(head, failure_domain);
+  const auto before = ReadBundle(repository, former.digest());
+  if (!before) return tl::unexpected(before.error());
+  std::cout << "changes against version " << former.version();
+  if (!failure_domain.empty()) std::cout << " in " << failure_domain;
+  std::cout << ":\n" << bundle::ToText(bundle::DiffBundles(*before, after));
+  return {};
+}
+
+exit_code Diff(const bundle_arguments& arguments) {
+  const connected_repository repository(arguments.store_address);
+  const auto file = ReadFile(arguments.bundle);
+  schema::bundle after;
+  if (file) {
+    bundle::checked_bundle checked = bundle::CheckBundle(*file);
+    if (!checked.problems.empty()) {
+      const bundle::bundle_problem& first = checked.problems.front();
+      return ReportFailure(
+          {.code = core::error_code::kInvalidBundle,
+           .detail = first.field + ": allowed is " + first.allowed});
+    }
+    after = std::move(checked.content);
+  } else {
+    auto stored = ReadBundle(*repository, arguments.bundle);
+    if (!stored) return ReportFailure(stored.error());
+    after = std::move(*stored);
+  }
+  const auto head = ReadHead(*repository);
+  if (!head) return ReportFailure(head.error());
+  const auto printed =
+      PrintChanges(*repository, *head, arguments.failure_domain, after);
+  return printed ? exit_code::kOk : ReportFailure(printed.error());
+}
+
+// Prints what is about to be signed off. Refuses another site's bundle.
+core::result<void> PrintSignOff(const bundle::bundle_repository& repository,
+                                const schema::bundle_head& head,
+                                const bundle::sign_off_request& request) {
+  const auto after = ReadBundle(repository, request.digest);
+  if (!after) return tl::unexpected(after.error());
+  std::cout << "site: " << after->site() << "\nfailure domains:";
+  if (request.failure_domains.empty()) std::cout << " all";
+  for (const std::string& domain : request.failure_domains)
+    std::cout << " " << domain;
+  std::cout << "\n";
+  std::set<std::string> compared(request.failure_domains.begin(),
+                                 request.failure_domains.end());
+  if (compared.empty()) {
+    compared.insert("");
+    for (const auto& domain : head.domains())
+      compared.insert(domain.failure_domain());
+  }
+  for (const std::string& domain : compared) {
+    const auto printed = PrintChanges(repository, head, domain, *after);
+    if (!printed) return printed;
+    const auto before =
+        ReadBundle(repository, bundle::VersionFor(head, domain).digest());
+    if (before && !before->site().empty() && before->site() != after->site()) {
+      return core::Failure(core::error_code::kInvalidBundle,
+                           "the bundle is for site " + after->site() +
+                               ", the one in force is for " + before->site());
+    }
   }
+  return {};
+}
+
+exit_code SignOff(bundle_arguments& arguments) {
+  bundle::sign_off_request& request = arguments.sign_off;
+  if (arguments.retry_nonce != 0) request.nonce = arguments.retry_nonce;
   const connected_repository repository(arguments.store_address);
-  const auto signed_off = repository->SignOff(arguments.sign_off);
-  if (!signed_off) return ReportFailure(signed_off.error());
+  const auto head = ReadHead(*repository);
+  if (!head) return ReportFailure(head.error());
+  // Without `--expect` the sign-off applies to the head that is shown.
+  request.expected_version = arguments.expected_version >= 0
+                                 ? arguments.expected_version
+                                 : bundle::NewestVersion(*head);
+  const auto printed = PrintSignOff(*repository, *head, request);
+  if (!printed) return ReportFailure(printed.error());
+  const auto signed_off = repository->SignOff(request);
+  if (!signed_off) {
+    const exit_code code = ReportFailure(signed_off.error());
+    if (code == exit_code::kOutcomeUnknown) {
+      std::cerr << "run the command again with --expect "
+                << *request.expected_version << " --retry " << request.nonce
+                << "; it takes effect at most once\n";
+    }
+    return code;
+  }
   std::cout << "version " << signed_off->version() << "\n";
   return exit_code::kOk;
 }
 
+core::result<schema::bundle_reply> AskEntry(peer::peer_client& peers,
+                                            const std::string& address) {
+  schema::peer_request request;
+  request.mutable_bundle();
+  const auto response = peers.Call(address, request, kEntryLimit);
+  if (!response) return tl::unexpected(response.error());
+  return response->bundle();
+}
+
+// Asks every entry that has a live record in the store.
+core::result<std::vector<bundle::entry_answer>> AskEntries(
+    const store::store_client& store) {
+  const auto records = store.List(kEntriesPrefix);
+  if (!records) return tl::unexpected(records.error());
+  peer::peer_client peers;
+  std::vector<bundle::entry_answer> answers;
+  std::vector<std::future<core::result<schema::bundle_reply>>> calls;
+  for (const store::stored_value& item : *records) {
+    schema::entry_record entry;
+    if (!entry.ParseFromString(item.value)) continue;
+    calls.push_back(std::async(std::launch::async,
+                               [&peers, address = entry.peer_address()] {
+                                 return AskEntry(peers, address);
+                               }));
+    answers.push_back({.entry = std::move(entry)});
+  }
+  for (std::size_t index = 0; index < calls.size(); ++index)
+    answers[index].reply = calls[index].get();
+  return answers;
+}
+
 exit_code Status(const bundle_arguments& arguments) {
   const connected_repository repository(arguments.store_address);
-  const auto head = repository->Head();
+  const auto head = ReadHead(*repository);
   if (!head) return ReportFailure(head.error());
-  if (!head->has_value()) {
+  const auto answers = AskEntries(repository.Store());
+  if (!answers) return ReportFailure(answers.error());
+  const schema::bundle_status status = bundle::StatusOf(*head, *answers);
+  if (arguments.json) {
+    std::cout << core::ToPrettyJson(status);
+  } else if (bundle::NewestVersion(*head) == 0) {
     std::cout << "no version is signed off\n";
-    return exit_code::kOk;
+  } else {
+    std::cout << bundle::ToText(status);
   }
-  std::cout << core::ToPrettyJson(**head);
   return exit_code::kOk;
 }
 
@@ -107,14 +265,8 @@
       ->required();
 }
 
-}  // namespace
-
-void AddBundleCommands(CLI::App& app, std::function<exit_code()>& action) {
-  const auto arguments = std::make_shared<bundle_arguments>();
-  CLI::App& bundle =
-      *app.add_subcommand("bundle", "Checks, signs off and shows bundles");
-  bundle.require_subcommand(1);
-
+void AddFileCommands(CLI::App& bundle, const shared_arguments& arguments,
+                     std::function<exit_code()>& action) {
   CLI::App& check =
       *bundle.add_subcommand("check", "Reports every problem of a bundle file");
   check.add_option("file", arguments->file, "Bundle in JSON")->required();
@@ -130,6 +282,21 @@
     action = [arguments] { return Submit(*arguments); };
   });
 
+  CLI::App& diff = *bundle.add_subcommand(
+      "diff", "Shows what a bundle changes against the version signed off");
+  AddStoreOption(diff, arguments);
+  diff.add_option("bundle", arguments->bundle,
+                  "Bundle file, or digest that submit printed")
+      ->required();
+  diff.add_option("--domain", arguments->failure_domain,
+                  "Failure domain whose version is compared");
+  diff.callback([arguments, &action] {
+    action = [arguments] { return Diff(*arguments); };
+  });
+}
+
+void AddSignOffCommand(CLI::App& bundle, const shared_arguments& arguments,
+                       std::function<exit_code()>& action) {
   CLI::App& sign_off = *bundle.add_subcommand(
       "sign-off",
       "Makes a submitted bundle the next version; an earlier one rolls back");
@@ -145,16 +312,24 @@
   sign_off.add_option(
       "--domain", arguments->sign_off.failure_domains,
       "Failure domain to roll out to; may be repeated; all if absent");
-  sign_off.add_option(
+  CLI::Option& expect = *sign_off.add_option(
       "--expect", arguments->expected_version,
       "Newest version the operator knows; a newer one is a conflict");
+  sign_off
+      .add_option("--retry", arguments->retry_nonce,
+                  "Number printed by a sign-off whose outcome was unknown")
+      ->needs(&expect);
   sign_off.callback([arguments, &action] {
     action = [arguments] { return SignOff(*arguments); };
   });
+}
 
-  CLI::App& status =
-      *bundle.add_subcommand("status", "Shows the versions in force");
+void AddShowCommands(CLI::App& bundle, const shared_arguments& arguments,
+                     std::function<exit_code()>& action) {
+  CLI::App& status = *bundle.add_subcommand(
+      "status", "Shows the versions signed off and those in force");
   AddStoreOption(status, arguments);
+  status.add_flag("--json", arguments->json, "Prints JSON");
   status.callback([arguments, &action] {
     action = [arguments] { return Status(*arguments); };
   });
@@ -167,4 +342,16 @@
   });
 }
 
+}  // namespace
+
+void AddBundleCommands(CLI::App& app, std::function<exit_code()>& action) {
+  const auto arguments = std::make_shared<bundle_arguments>();
+  CLI::App& bundle =
+      *app.add_subcommand("bundle", "Checks, signs off and shows bundles");
+  bundle.require_subcommand(1);
+  AddFileCommands(bundle, arguments, action);
+  AddSignOffCommand(bundle, arguments, action);
+  AddShowCommands(bundle, arguments, action);
+}
+
 }  // namespace waxwingfront::cli
--- a/src/waxwingfront/cli/bundle_commands.h
+++ b/src/waxwingfront/cli/bundle_commands.h
@@ -1,4 +1,4 @@
-// The commands `bundle check|submit|sign-off|status|history`.
+// The commands `bundle check|submit|diff|sign-off|status|history`.
 #ifndef WAXWINGFRONT_CLI_BUNDLE_COMMANDS_H_
 #define WAXWINGFRONT_CLI_BUNDLE_COMMANDS_H_
 
