--- a/tests/waxwingfront/bundle/bundle_follower_test.cc
+++ b/tests/waxwingfront/bundle/bundle_follower_test.cc
@@ -43,6 +43,12 @@
          R"(", "weight": 1}]})";
 }
 
+// Changes the customer's name, so that the document stays valid and differs.
+void Damage(std::string& document) {
+  constexpr std::string_view kNameBegin = ": \"c";
+  document.replace(document.find(kNameBegin), kNameBegin.size(), ": \"x");
+}
+
 // Entries of two failure domains over one store, all in this process.
 class site {
  public:
@@ -138,7 +144,7 @@
     if (fault == read_fault::kNoContent && !is_head)
       return net::http_reply{.status = 503};
     if (fault == read_fault::kDamagedContent && !is_head)
-      item.mutable_value()->replace(item.value().find("\"c"), 2, "\"x");
+      Damage(*item.mutable_value());
     if (fault == read_fault::kDamagedHead && is_head)
       item.mutable_value()->resize(item.value().size() / 2);
     if (fault == read_fault::kStaleHead && is_head && !heads_.empty())
@@ -166,8 +172,7 @@
     if (!peers_up_[peer] || found == reply.contents().end())
       return core::Failure(error_code::kUnreachable, "no content");
     std::string content = found->second;
-    if (damaged_peers_.contains(peer))
-      content.replace(content.find("\"c"), 2, "\"x");
+    if (damaged_peers_.contains(peer)) Damage(content);
     return content;
   }
 
