Evict batch work that a new bundle no longer permits

Bindings already followed the newest bundle, but running tasks and those bound and not yet started went on under the former one. When the bundle or the hosts change, the owner now evicts, with a checkpoint and whether preemptible or not, attempts of classes or customers the bundle lacks, those where the class may not be, and what exceeds a share or the reserves, lowest priority and newest job first.

--- a/src/waxwingfront/shard/shard_core.cc
+++ b/src/waxwingfront/shard/shard_core.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "waxwingfront/shard/planner.h"
+#include "waxwingfront/shard/policy_violations.h"
 
 namespace waxwingfront::shard {
 namespace {
@@ -70,11 +71,21 @@
 }
 
 void shard_core::OnHosts(std::shared_ptr<const hosts::host_view> view) {
+  if (hosts_ == view) return;
   hosts_ = std::move(view);
+  EvictViolations();
 }
 
 void shard_core::OnBundle(std::shared_ptr<const bundle::bundle_view> policy) {
+  if (policy_ == policy) return;
   policy_ = std::move(policy);
+  EvictViolations();
+}
+
+void shard_core::EvictViolations() {
+  if (hosts_ == nullptr || policy_ == nullptr) return;
+  for (const schema::attempt_id& id : FindViolations(state_, *hosts_, *policy_))
+    Evict(id);
 }
 
 core::result<std::uint64_t> shard_core::Submit(const schema::job_spec& spec) {
--- a/src/waxwingfront/shard/shard_core.h
+++ b/src/waxwingfront/shard/shard_core.h
@@ -155,6 +155,8 @@
   void EndMissingAttempts(const std::string& worker,
                           const std::set<attempt_key>& ran_before);
   void MoveQueued(schema::log_record& record);
+  // Evicts what the bundle in force no longer permits, preemptible or not.
+  void EvictViolations();
   void PlanInto(schema::log_record& record, core::monotonic_time now);
   bool IsCandidate(const hosts::worker_info& info,
                    core::monotonic_time now) const;
