--- a/standins/waxwingfront/standins/http_service.h
+++ b/standins/waxwingfront/standins/http_service.h
@@ -27,10 +27,11 @@
 
 class http_service {
  public:
-  // Listens on `address`, an IP address and port; port 0 takes a free one.
+  // Listens on `address`, an IP address and port; port 0 takes a free one. Each
+  // open connection takes a thread; 40 entries hold about 120 to the store.
   http_service(const std::string& address,
                std::function<http_answer(const http_call&)> handle,
-               int threads = 64);
+               int threads = 512);
   http_service(const http_service&) = delete;
   http_service& operator=(const http_service&) = delete;
   ~http_service();
--- a/tests/support/process_site.cc
+++ b/tests/support/process_site.cc
@@ -112,7 +112,8 @@
   for (const std::string& peer : peer_addresses_) file << peer << ",";
   file << "\n[platform]\nstore_address = " << store_address_
        << "\nhost_list_address = " << host_list_address_
-       << "\nhost_poll_ms = 100\nbundle_poll_ms = 100\n";
+       << "\nhost_poll_ms = 100\nbundle_poll_ms = " << options.bundle_poll_ms
+       << "\n";
   file << (options.more_settings.empty() ? QuickBatchSettings()
                                          : options.more_settings);
 }
@@ -127,18 +128,31 @@
           folder_ + "/entry-" + std::to_string(index) + ".ini"});
 }
 
-void process_site::SignOff(const std::string& bundle) const {
-  net::http_client http({.address = store_address_});
+core::result<net::http_reply> process_site::PostToStore(
+    std::string_view path, std::string_view body) const {
+  return Call(store_address_, "POST", path, body);
+}
+
+std::string process_site::Submit(const std::string& bundle) const {
   const store::store_client client(
-      {.post = [&http](std::string_view path, std::string_view body) {
-        return http.Send("POST", path, body);
+      {.post = [this](std::string_view path, std::string_view body) {
+        return PostToStore(path, body);
       }});
-  const bundle::bundle_repository repository(client);
-  const auto digest = repository.Submit(bundle);
+  const auto digest = bundle::bundle_repository(client).Submit(bundle);
   if (!digest) throw std::runtime_error(digest.error().detail);
-  const auto signed_off =
-      repository.SignOff({.digest = *digest, .operator_name = "test"});
+  return *digest;
+}
+
+std::int64_t process_site::SignOff(const std::string& bundle) const {
+  const std::string digest = Submit(bundle);
+  const store::store_client client(
+      {.post = [this](std::string_view path, std::string_view body) {
+        return PostToStore(path, body);
+      }});
+  const auto signed_off = bundle::bundle_repository(client).SignOff(
+      {.digest = digest, .operator_name = "test"});
   if (!signed_off) throw std::runtime_error(signed_off.error().detail);
+  return signed_off->version();
 }
 
 const std::string& process_site::WorkerAddress(int index) const {
--- a/tests/support/process_site.h
+++ b/tests/support/process_site.h
@@ -2,6 +2,7 @@
 #ifndef WAXWINGFRONT_TESTS_SUPPORT_PROCESS_SITE_H_
 #define WAXWINGFRONT_TESTS_SUPPORT_PROCESS_SITE_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,6 +29,8 @@
   // Times of the workers. Short, so that tests of lapsed leases are quick.
   int ticket_ms = 600;
   int task_lease_ms = 1500;
+  // Time between two reads of the bundle head by an entry.
+  int bundle_poll_ms = 100;
 };
 
 // Batch settings with short times: lease 1 s, grace 1 s, exchanges every 100
@@ -55,6 +58,11 @@
   // Starts an entry again with the settings that it had.
   void RestartEntry(int index);
 
+  // Stores a bundle; gives its digest.
+  std::string Submit(const std::string& bundle) const;
+  // Signs a bundle off for all failure domains; gives its version.
+  std::int64_t SignOff(const std::string& bundle) const;
+
   // Sets the store's faults; `json` is described in `standins/store.h`.
   void SetStoreFaults(std::string_view json) const;
   // Replaces the host list after `change` was applied to it.
@@ -79,7 +87,8 @@
   std::unique_ptr<child_process> StartStandin(
       const std::vector<std::string>& arguments, std::string& address) const;
   void WriteSettings(int index, const process_site_options& options);
-  void SignOff(const std::string& bundle) const;
+  core::result<net::http_reply> PostToStore(std::string_view path,
+                                            std::string_view body) const;
 
   std::string folder_;
   std::string store_address_;
