Make racing sign-off commands overlap in their test

Each store call now takes 50 ms longer; without the compare-and-swap both commands succeed and the test fails.

--- a/tests/waxwingfront/bundle/rollout_test.cc
+++ b/tests/waxwingfront/bundle/rollout_test.cc
@@ -107,17 +107,21 @@
   constexpr int kConflictExit = 3;
   process_site site({.entries = 1, .workers = 1});
   REQUIRE(site.AwaitReady());
+  // Each call takes longer than the start of a process, so that both read the
+  // head before either writes.
+  site.SetStoreFaults(R"({"delay_ms": 50})");
   for (int race = 0; race < kRaces; ++race) {
+    const std::vector<std::string> digests{
+        site.Submit(DocumentOf(race * 2 + 2)),
+        site.Submit(DocumentOf(race * 2 + 3))};
     std::vector<std::unique_ptr<child_process>> operators;
-    for (const std::string name : {"eva", "petr"}) {
-      const std::string digest =
-          site.Submit(DocumentOf(race * 2 + (name == "eva" ? 2 : 3)));
+    for (const std::string& digest : digests) {
       operators.push_back(std::make_unique<child_process>(
           WAXWINGFRONT_PROGRAM,
           std::vector<std::string>{"bundle", "sign-off", "--store",
-                                   site.StoreAddress(), "--operator", name,
-                                   "--expect", std::to_string(race + 1),
-                                   digest}));
+                                   site.StoreAddress(), "--operator",
+                                   "op-" + digest, "--expect",
+                                   std::to_string(race + 1), digest}));
     }
     std::vector<int> codes{operators[0]->Wait(), operators[1]->Wait()};
     std::sort(codes.begin(), codes.end());
