--- a/tests/waxwingfront/bundle/rollout_test.cc
+++ b/tests/waxwingfront/bundle/rollout_test.cc
@@ -115,6 +115,7 @@
         site.Submit(DocumentOf(race * 2 + 2)),
         site.Submit(DocumentOf(race * 2 + 3))};
     std::vector<std::unique_ptr<child_process>> operators;
+    operators.reserve(digests.size());
     for (const std::string& digest : digests) {
       operators.push_back(std::make_unique<child_process>(
           WAXWINGFRONT_PROGRAM,
