--- a/src/waxwingfront/shard/shard_core.cc
+++ b/src/waxwingfront/shard/shard_core.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "waxwingfront/shard/placement_reason.h"
+#include "waxwingfront/shard/planner.h"
+#include "waxwingfront/shard/policy_violations.h"
 #include "waxwingfront/shard/preemption.h"
 
 namespace waxwingfront::shard {
@@ -53,6 +55,9 @@
 }
 
 core::milliseconds shard_core::FormerGrace() const {
+  // Nobody commands workers before an epoch record of theirs is in the log.
+  const bool first_owner = state_.Epoch() == 0;
+  if (first_owner) return core::milliseconds(0);
   // After a clean hand-over the former owner sends nothing, but one before it
   // may: it is not contacted.
   if (state_.Resigned()) return state_.FormerGrace();
@@ -113,13 +118,23 @@
 }
 
 void shard_core::OnHosts(std::shared_ptr<const hosts::host_view> view) {
-  plan_changed_ = plan_changed_ || hosts_ != view;
+  if (hosts_ == view) return;
+  plan_changed_ = true;
   hosts_ = std::move(view);
+  EvictViolations();
 }
 
 void shard_core::OnBundle(std::shared_ptr<const bundle::bundle_view> policy) {
-  plan_changed_ = plan_changed_ || policy_ != policy;
+  if (policy_ == policy) return;
+  plan_changed_ = true;
   policy_ = std::move(policy);
+  EvictViolations();
+}
+
+void shard_core::EvictViolations() {
+  if (hosts_ == nullptr || policy_ == nullptr) return;
+  for (const schema::attempt_id& id : FindViolations(state_, *hosts_, *policy_))
+    Evict(id);
 }
 
 core::result<std::uint64_t> shard_core::Submit(const schema::job_spec& spec) {
--- a/src/waxwingfront/shard/shard_core.h
+++ b/src/waxwingfront/shard/shard_core.h
@@ -202,6 +202,8 @@
                 core::monotonic_time now);
   // Gives whether the state took the decision.
   bool ApplyTo(schema::log_record& record, const schema::decision& decision);
+  // Evicts what the bundle in force no longer permits, preemptible or not.
+  void EvictViolations();
   void PlanInto(schema::log_record& record, core::monotonic_time now);
   // Makes room for urgent tasks that the plan left over.
   void Preempt(const std::vector<candidate_worker>& candidates,
--- a/tests/waxwingfront/shard/shard_core_test.cc
+++ b/tests/waxwingfront/shard/shard_core_test.cc
@@ -160,6 +160,10 @@
 // A shard with one job, whose only task is bound to a worker.
 shard::shard_state BoundState() {
   shard::shard_state state;
+  // The log of a shard begins with its first owner's epoch.
+  schema::decision epoch;
+  epoch.mutable_epoch()->set_epoch(1);
+  REQUIRE(state.Apply(epoch));
   schema::decision accepted;
   accepted.mutable_accepted()->mutable_spec()->set_id("orders");
   accepted.mutable_accepted()->mutable_spec()->set_task_count(1);
