--- a/src/waxwingfront/shard/shard_core.cc
+++ b/src/waxwingfront/shard/shard_core.cc
@@ -16,6 +16,9 @@
 constexpr int kFullPercent = 100;
 // Bounds the size of one record to about 32 KB.
 constexpr std::size_t kMaxBindingsPerRecord = 512;
+// Bounds the specifications in one record; a value of the store holds 1 MB, of
+// which base64 takes a quarter.
+constexpr std::size_t kMaxQueuedBytes = 512 * 1024;
 constexpr std::size_t kMaxStartsPerSync = 64;
 // Keeps a worker that does not carry out a start from being asked without a
 // pause.
@@ -158,6 +161,11 @@
     return unconfirmed_jobs_.contains(spec.id()) ? next_number_ - 1
                                                  : applied_through_;
   }
+  if (queued_bytes_ + wanted.size() > kMaxQueuedBytes) {
+    return core::Failure(core::error_code::kOverloaded,
+                         "too many jobs wait for the next record");
+  }
+  queued_bytes_ += wanted.size();
   schema::decision decision;
   *decision.mutable_accepted()->mutable_spec() = spec;
   queued_.push_back(std::move(decision));
@@ -286,6 +294,7 @@
   }
   queued_.clear();
   queued_jobs_.clear();
+  queued_bytes_ = 0;
 }
 
 bool shard_core::IsUrgent(const schema::job_spec& spec) const {
--- a/src/waxwingfront/shard/shard_core.h
+++ b/src/waxwingfront/shard/shard_core.h
@@ -76,6 +76,7 @@
   // Queues a job. Gives the number of the record that carries it: the job is
   // accepted once `IsApplied` of that number. A repeated submission gives the
   // first one's number.
+  // Fails with `kOverloaded` when the next record would become too large.
   core::result<std::uint64_t> Submit(const schema::job_spec& spec);
   // Queues a cancellation; otherwise as `Submit`.
   core::result<std::uint64_t> Cancel(std::string_view job);
@@ -238,6 +239,7 @@
   std::vector<schema::decision> queued_;
   // Jobs whose acceptance is queued, with their specifications.
   std::map<std::string, schema::job_spec, std::less<>> queued_jobs_;
+  std::size_t queued_bytes_ = 0;
   // Jobs accepted by the record in flight.
   std::set<std::string, std::less<>> unconfirmed_jobs_;
   // Attempts whose end is queued or in flight.
--- a/tests/waxwingfront/shard/shard_core_test.cc
+++ b/tests/waxwingfront/shard/shard_core_test.cc
@@ -232,6 +232,31 @@
   }
 };
 
+// Guards against a record that is larger than a value of the store, after which
+// the shard could write nothing any more.
+TEST_CASE("submissions beyond the size of a record are refused",
+          "[shard][sync]") {
+  owner_fixture owner;
+  constexpr std::size_t kStoreValueBytes = 1048576;
+  constexpr int kSubmissions = 1000;
+  schema::job_spec spec;
+  spec.set_command(std::string(4096, 'x'));
+  int refused = 0;
+  for (int job = 0; job < kSubmissions; ++job) {
+    spec.set_id("job-" + std::to_string(job));
+    const auto queued = owner.core.Submit(spec);
+    if (queued) continue;
+    ++refused;
+    CHECK(queued.error().code == core::error_code::kOverloaded);
+  }
+  CHECK(refused > 0);
+  const auto append = owner.core.NextAppend(kStart);
+  REQUIRE(append.has_value());
+  CHECK(append->record.ByteSizeLong() < kStoreValueBytes * 3 / 4);
+  owner.core.OnAppendApplied();
+  CHECK(owner.core.Submit(spec).has_value());
+}
+
 // Guards against a wait without the drift of the store's clock: with it, the
 // former owner's time starts up to 5 % of a lease later.
 TEST_CASE("the wait of a new owner covers the drift of the store's clock",
