--- /dev/null
+++ b/bench/capacity_bench.cc
@@ -0,0 +1,133 @@
+// Sizes and times from which docs/CAPACITY.md works out the full size: bytes of
+// decisions, snapshots and worker messages, memory of a shard's state, and the
+// time to recover it.
+#include <malloc.h>
+
+#include <cstdio>
+#include <string>
+
+#include "waxwingfront/core/clock.h"
+#include "waxwingfront/core/json.h"
+#include "waxwingfront/schema/gen/worker_protocol.pb.h"
+#include "waxwingfront/shard/shard_state.h"
+
+namespace waxwingfront::shard {
+namespace {
+
+// A day's jobs of one of 40 shards, which stay in the state until they expire.
+constexpr int kClosedJobs = 350;
+constexpr int kTasksPerJob = 10;
+constexpr int kTaskCounts[] = {0, 720, 1440, 2880};
+
+schema::attempt_id AttemptOf(int job, int task) {
+  schema::attempt_id id;
+  id.set_job("order-batch-20261204-" + std::to_string(100000 + job));
+  id.set_task(task);
+  id.set_attempt(1);
+  return id;
+}
+
+schema::decision Accepted(int job) {
+  schema::decision decision;
+  schema::job_spec& spec = *decision.mutable_accepted()->mutable_spec();
+  spec.set_id(AttemptOf(job, 0).job());
+  spec.set_customer("jihlava-dispatch");
+  spec.set_batch_class("orders");
+  spec.mutable_task_size()->set_processor_milli(2000);
+  spec.mutable_task_size()->set_memory_mib(4000);
+  spec.set_task_count(kTasksPerJob);
+  spec.set_command("run-order-batch --input orders/2026-12-04/part");
+  return decision;
+}
+
+schema::decision Bound(int job, int task) {
+  schema::decision decision;
+  *decision.mutable_bound()->mutable_id() = AttemptOf(job, task);
+  decision.mutable_bound()->set_worker("worker-" + std::to_string(task % 42));
+  decision.mutable_bound()->set_bundle_version(1234);
+  return decision;
+}
+
+schema::decision Ended(int job, int task) {
+  schema::decision decision;
+  *decision.mutable_ended()->mutable_id() = AttemptOf(job, task);
+  decision.mutable_ended()->set_outcome(schema::ATTEMPT_OUTCOME_FINISHED);
+  return decision;
+}
+
+// A state with a day's closed jobs and `tasks` running tasks.
+shard_state MakeState(int tasks) {
+  shard_state state;
+  int job = 0;
+  for (; job < kClosedJobs; ++job) {
+    static_cast<void>(state.Apply(Accepted(job)));
+    for (int task = 0; task < kTasksPerJob; ++task) {
+      static_cast<void>(state.Apply(Bound(job, task)));
+      static_cast<void>(state.Apply(Ended(job, task)));
+    }
+  }
+  for (int done = 0; done < tasks; ++done) {
+    const int task = done % kTasksPerJob;
+    if (task == 0) static_cast<void>(state.Apply(Accepted(++job)));
+    static_cast<void>(state.Apply(Bound(job, task)));
+  }
+  return state;
+}
+
+void PrintDecisions() {
+  std::printf("bytes of a decision: accepted %zu, bound %zu, ended %zu\n",
+              Accepted(1).ByteSizeLong(), Bound(1, 2).ByteSizeLong(),
+              Ended(1, 2).ByteSizeLong());
+}
+
+void PrintState(int tasks) {
+  const std::size_t before = mallinfo2().uordblks;
+  const shard_state state = MakeState(tasks);
+  const std::size_t memory = mallinfo2().uordblks - before;
+  const std::string snapshot = state.ToSnapshot(1).SerializeAsString();
+  const auto begin = core::Now();
+  schema::shard_snapshot parsed;
+  parsed.ParseFromString(snapshot);
+  const shard_state recovered = shard_state::FromSnapshot(parsed);
+  const std::chrono::duration<double, std::milli> taken = core::Now() - begin;
+  std::printf(
+      "%d closed jobs and %4d running tasks: memory %zu KB, snapshot %zu "
+      "bytes, read in %.2f ms\n",
+      kClosedJobs, tasks, memory / 1024, snapshot.size(), taken.count());
+}
+
+// One exchange with a worker of `tasks` running tasks, without HTTP heads.
+void PrintExchange(int tasks) {
+  schema::sync_request request;
+  request.set_owner("entry-17");
+  request.set_shard("jihlava-north/0");
+  request.set_epoch(12);
+  request.set_ticket(std::string(32, 'a'));
+  request.set_renew(true);
+  schema::sync_response response;
+  response.set_incarnation(std::string(32, 'b'));
+  response.set_ticket(std::string(32, 'c'));
+  response.set_ticket_ms(6000);
+  response.set_task_lease_ms(20000);
+  for (int task = 0; task < tasks; ++task) {
+    schema::attempt_report& report = *response.add_attempts();
+    *report.mutable_id() = AttemptOf(task, task);
+    report.set_state(schema::ATTEMPT_STATE_RUNNING);
+    report.mutable_size()->set_processor_milli(2000);
+    report.mutable_size()->set_memory_mib(4000);
+  }
+  std::printf(
+      "exchange with %2d running tasks: request %zu, answer %zu bytes\n", tasks,
+      core::ToJson(request).size(), core::ToJson(response).size());
+}
+
+}  // namespace
+}  // namespace waxwingfront::shard
+
+int main() {
+  using namespace waxwingfront::shard;
+  PrintDecisions();
+  for (const int tasks : kTaskCounts) PrintState(tasks);
+  for (const int tasks : {0, 17, 34}) PrintExchange(tasks);
+  return 0;
+}
