--- a/src/waxwingfront/cli/dev_command.cc
+++ b/src/waxwingfront/cli/dev_command.cc
@@ -16,6 +16,7 @@
 #include "waxwingfront/schema/gen/job.pb.h"
 #include "waxwingfront/schema/gen/settings.pb.h"
 #include "waxwingfront/serve/entry.h"
+#include "waxwingfront/settings/settings_loader.h"
 #include "waxwingfront/standins/site.h"
 #include "waxwingfront/store/store_client.h"
 
@@ -51,37 +52,27 @@
 
 schema::settings EntrySettings(const standins::site& site, int index,
                                int port) {
-  schema::settings settings;
+  // Shorter periods than a site's, so that the demonstration is quick.
+  schema::settings values = settings::DefaultSettings();
   const auto address = [port](int offset) {
     return "127.0.0.1:" + std::to_string(port + offset);
   };
-  settings.mutable_entry()->set_id("entry-" + std::to_string(index + 1));
-  settings.mutable_entry()->set_failure_domain("local");
-  settings.mutable_entry()->set_caller_address(address(index));
-  settings.mutable_entry()->set_peer_address(address(kEntries + index));
-  settings.mutable_platform()->set_store_address(site.StoreAddress());
-  settings.mutable_platform()->set_host_list_address(site.HostListAddress());
-  settings.mutable_platform()->set_store_timeout_ms(1000);
-  settings.mutable_platform()->set_host_poll_ms(500);
-  settings.mutable_platform()->set_bundle_poll_ms(500);
-  settings.mutable_front()->set_threads(64);
-  settings.mutable_front()->set_max_body_bytes(1048576);
-  settings.mutable_front()->set_default_deadline_ms(5000);
-  settings.mutable_front()->set_connect_timeout_ms(500);
-  settings.mutable_front()->set_drain_ms(2000);
-  settings.mutable_front()->set_read_timeout_ms(10000);
-  settings.mutable_front()->set_write_timeout_ms(30000);
-  settings.mutable_front()->set_idle_timeout_ms(30000);
-  settings.mutable_batch()->set_shards_per_domain(1);
-  settings.mutable_batch()->set_entry_lease_s(3);
-  settings.mutable_batch()->set_grace_ms(60000);
-  settings.mutable_batch()->set_ticket_ms(6000);
-  settings.mutable_batch()->set_task_lease_ms(20000);
-  settings.mutable_batch()->set_sync_ms(200);
-  settings.mutable_batch()->set_appends_per_s(5);
-  settings.mutable_batch()->set_append_burst(5);
-  settings.mutable_batch()->set_job_retention_s(86400);
-  return settings;
+  values.mutable_entry()->set_id("entry-" + std::to_string(index + 1));
+  values.mutable_entry()->set_failure_domain("local");
+  values.mutable_entry()->set_caller_address(address(index));
+  values.mutable_entry()->set_peer_address(address(kEntries + index));
+  values.mutable_platform()->set_store_address(site.StoreAddress());
+  values.mutable_platform()->set_host_list_address(site.HostListAddress());
+  values.mutable_platform()->set_host_poll_ms(500);
+  values.mutable_platform()->set_bundle_poll_ms(500);
+  values.mutable_front()->set_default_deadline_ms(5000);
+  values.mutable_front()->set_drain_ms(2000);
+  values.mutable_batch()->set_entry_lease_s(3);
+  values.mutable_batch()->set_grace_ms(60000);
+  values.mutable_batch()->set_sync_ms(200);
+  values.mutable_batch()->set_appends_per_s(5);
+  values.mutable_batch()->set_append_burst(5);
+  return values;
 }
 
 core::result<void> SignOffBundle(const std::string& store_address) {
--- a/src/waxwingfront/settings/settings_loader.cc
+++ b/src/waxwingfront/settings/settings_loader.cc
@@ -228,6 +228,13 @@
   return ParseSettings(path, file);
 }
 
+schema::settings DefaultSettings() {
+  loaded_settings loaded;
+  settings_reader("", loaded).Read({});
+  // The problems are the required keys.
+  return loaded.values;
+}
+
 std::string Describe(const settings_problem& problem) {
   std::string text = core::Printable(problem.file) + ": ";
   if (!problem.section.empty() || !problem.key.empty()) {
--- a/src/waxwingfront/settings/settings_loader.h
+++ b/src/waxwingfront/settings/settings_loader.h
@@ -32,6 +32,9 @@
 // The same for text that was read already; `path` is for the problems only.
 loaded_settings ParseSettings(const std::string& path, std::istream& text);
 
+// Settings with the default of each key that has one; required keys are empty.
+schema::settings DefaultSettings();
+
 // "file: [section] key: detail".
 std::string Describe(const settings_problem& problem);
 
--- a/tests/waxwingfront/settings/settings_loader_test.cc
+++ b/tests/waxwingfront/settings/settings_loader_test.cc
@@ -174,6 +174,17 @@
   CHECK(loaded.values.log().level() == "info");
 }
 
+// Guards against a `dev` site whose settings lack a default that files get.
+TEST_CASE("the defaults without a file are those of a file", "[settings]") {
+  schema::settings of_file = ParseWith("").values;
+  schema::settings defaults = DefaultSettings();
+  of_file.clear_entry();
+  defaults.clear_entry();
+  of_file.mutable_platform()->clear_store_address();
+  of_file.mutable_platform()->clear_host_list_address();
+  CHECK(of_file.SerializeAsString() == defaults.SerializeAsString());
+}
+
 // Guards against an error message that carries a terminal's control codes.
 TEST_CASE("a settings error shows control characters as escapes",
           "[settings]") {
