End a request that all executors refuse when its time is over

Cause: after the last refusal that still fitted, the router went on to the next executor and told the caller "no_upstream". Seen failing before: the new test got no_upstream instead of deadline_exceeded. Ruled out: counting refusals as tries (a busy moment would end a request early). Conclusion: the caller learns that the deadline, not the fleet, was the reason.

--- a/src/waxwingfront/front/request_router.cc
+++ b/src/waxwingfront/front/request_router.cc
@@ -188,6 +188,9 @@
       // Another entry has the slot for now; any executor may be asked again.
       std::this_thread::sleep_for(kRefusalPause);
       if (!IsHopeless(request)) continue;
+      return tl::unexpected(
+          history.Verdict({.code = core::error_code::kDeadlineExceeded,
+                           .detail = "all slots stay busy"}));
     }
     if (!history.MaySendAgain(request.idempotent)) break;
     // A try that surely did not run cost the executors nothing.
--- a/tests/waxwingfront/front/request_router_test.cc
+++ b/tests/waxwingfront/front/request_router_test.cc
@@ -189,6 +189,22 @@
   CHECK(closing.Requests() == 20);
 }
 
+// Guards against requests that go on asking busy executors with no time left.
+TEST_CASE("a request that all executors refuse ends as not run in time",
+          "[front][deadline]") {
+  const scripted_server busy([](const std::string&, int) {
+    return scripted_answer{.bytes =
+                               "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+                               "Waxwingfront-Not-Started: 1\r\n\r\n"};
+  });
+  request_router router({});
+  router.OnHosts(ViewOf({busy.Address()}));
+  CHECK(FailureOf(router.Route(Request("POST", kShort))) ==
+        error_code::kDeadlineExceeded);
+  // One refusal every 5 ms at most.
+  CHECK(busy.Requests() <= kShort.count() / 5);
+}
+
 TEST_CASE("requests without an executor did not run", "[front]") {
   request_router router({});
   CHECK(FailureOf(router.Route(Request("POST"))) == error_code::kNoUpstream);
