--- a/tests/support/faulty_store.cc
+++ b/tests/support/faulty_store.cc
@@ -14,17 +14,17 @@
     : client_({.post = [this](std::string_view path, std::string_view body) {
         return Post(path, body);
       }}) {
-  SetFate(call_fate::kAnswered);
+  SetOutcome(call_outcome::kAnswered);
 }
 
-void faulty_store::SetFate(
-    std::function<call_fate(std::string_view path)> fate) {
+void faulty_store::SetOutcome(
+    std::function<call_outcome(std::string_view path)> outcome) {
   const std::lock_guard lock(mutex_);
-  fate_ = std::move(fate);
+  outcome_ = std::move(outcome);
 }
 
-void faulty_store::SetFate(call_fate fate) {
-  SetFate([fate](std::string_view /*path*/) { return fate; });
+void faulty_store::SetOutcome(call_outcome outcome) {
+  SetOutcome([outcome](std::string_view /*path*/) { return outcome; });
 }
 
 standins::http_answer faulty_store::Deliver(std::string_view path,
@@ -37,30 +37,30 @@
 
 core::result<net::http_reply> faulty_store::Post(std::string_view path,
                                                  std::string_view body) {
-  std::function<call_fate(std::string_view)> decide;
+  std::function<call_outcome(std::string_view)> decide;
   {
     const std::lock_guard lock(mutex_);
-    decide = fate_;
+    decide = outcome_;
   }
   const auto lost = [] {
     return core::Failure(core::error_code::kOutcomeUnknown, "no answer");
   };
   switch (decide(path)) {
-    case call_fate::kRefused:
+    case call_outcome::kRefused:
       return net::http_reply{.status = kHttpTooManyRequests, .body = "{}"};
-    case call_fate::kUnreachable:
+    case call_outcome::kUnreachable:
       return core::Failure(core::error_code::kUnreachable, "no connection");
-    case call_fate::kLostBefore:
+    case call_outcome::kLostBefore:
       return lost();
-    case call_fate::kLostAfter:
+    case call_outcome::kLostAfter:
       Deliver(path, body);
       return lost();
-    case call_fate::kHeld: {
+    case call_outcome::kHeld: {
       const std::lock_guard lock(mutex_);
       held_.emplace_back(path, body);
       return lost();
     }
-    case call_fate::kAnswered:
+    case call_outcome::kAnswered:
       break;
   }
   const standins::http_answer answer = Deliver(path, body);
--- a/tests/support/faulty_store.h
+++ b/tests/support/faulty_store.h
@@ -1,4 +1,4 @@
-// The stand-in store called in process, with a fate for each call.
+// The stand-in store called in process, with an outcome for each call.
 #ifndef WAXWINGFRONT_TESTS_SUPPORT_FAULTY_STORE_H_
 #define WAXWINGFRONT_TESTS_SUPPORT_FAULTY_STORE_H_
 
@@ -16,7 +16,7 @@
 
 namespace waxwingfront::tests {
 
-enum class call_fate {
+enum class call_outcome {
   kAnswered,
   // Answered with 429 and without effect.
   kRefused,
@@ -37,8 +37,8 @@
   const store::store_client& Client() const { return client_; }
 
   // Decides what becomes of each call; called before the store, without a lock.
-  void SetFate(std::function<call_fate(std::string_view path)> fate);
-  void SetFate(call_fate fate);
+  void SetOutcome(std::function<call_outcome(std::string_view path)> outcome);
+  void SetOutcome(call_outcome outcome);
 
   // Carries out all held calls, in the order in which they were made.
   void DeliverHeld();
@@ -56,7 +56,7 @@
   standins::store store_;
   store::store_client client_;
   std::mutex mutex_;
-  std::function<call_fate(std::string_view path)> fate_;
+  std::function<call_outcome(std::string_view path)> outcome_;
   std::vector<std::pair<std::string, std::string>> held_;
 };
 
--- a/tests/waxwingfront/bundle/sign_off_replay_test.cc
+++ b/tests/waxwingfront/bundle/sign_off_replay_test.cc
@@ -36,8 +36,8 @@
 class race_replay {
  public:
   race_replay() {
-    store_.SetFate([this](std::string_view path) {
-      return path == kTxnPath ? FateOfWrite() : call_fate::kAnswered;
+    store_.SetOutcome([this](std::string_view path) {
+      return path == kTxnPath ? OutcomeOfWrite() : call_outcome::kAnswered;
     });
   }
 
@@ -64,16 +64,16 @@
   }
 
   // The first write after `Run` has submitted the content is the sign-off.
-  call_fate FateOfWrite() {
+  call_outcome OutcomeOfWrite() {
     const std::string between = std::exchange(between_, "");
-    if (between == "lost_answer") return call_fate::kLostAfter;
+    if (between == "lost_answer") return call_outcome::kLostAfter;
     if (between.starts_with(kDuring)) {
       const std::string names = between.substr(kDuring.size());
       const std::size_t colon = names.find(':');
       const std::string digest = Submit(names.substr(colon + 1));
       REQUIRE(SignOff(names.substr(0, colon), digest).has_value());
     }
-    return call_fate::kAnswered;
+    return call_outcome::kAnswered;
   }
 
   faulty_store store_;
--- a/tests/waxwingfront/jobs/job_service_test.cc
+++ b/tests/waxwingfront/jobs/job_service_test.cc
@@ -106,8 +106,8 @@
   SECTION("after success") { REQUIRE(site.service.Submit(job).has_value()); }
   SECTION("after the answer about the location was lost") {
     int calls = 0;
-    site.store.SetFate([&calls](std::string_view /*path*/) {
-      return ++calls <= 2 ? call_fate::kLostAfter : call_fate::kAnswered;
+    site.store.SetOutcome([&calls](std::string_view /*path*/) {
+      return ++calls <= 2 ? call_outcome::kLostAfter : call_outcome::kAnswered;
     });
     CHECK(site.service.Submit(job).error().code ==
           error_code::kStoreUnavailable);
@@ -115,8 +115,8 @@
   }
   SECTION("after the store refused the location") {
     int calls = 0;
-    site.store.SetFate([&calls](std::string_view /*path*/) {
-      return ++calls <= 1 ? call_fate::kRefused : call_fate::kAnswered;
+    site.store.SetOutcome([&calls](std::string_view /*path*/) {
+      return ++calls <= 1 ? call_outcome::kRefused : call_outcome::kAnswered;
     });
     // Not `unknown_job`: the caller asked for no job that should exist.
     CHECK(site.service.Submit(job).error().code ==
@@ -135,14 +135,14 @@
   }
   SECTION("after the owner's record was not confirmed in time") {
     std::atomic<int> writes{0};
-    site.store.SetFate([&writes](std::string_view path) {
+    site.store.SetOutcome([&writes](std::string_view path) {
       const bool location = path == kTxnPath && writes++ == 0;
-      return location ? call_fate::kAnswered : call_fate::kLostAfter;
+      return location ? call_outcome::kAnswered : call_outcome::kLostAfter;
     });
     CHECK(site.service.Submit(job).error().code == error_code::kOutcomeUnknown);
-    site.store.SetFate(call_fate::kAnswered);
+    site.store.SetOutcome(call_outcome::kAnswered);
   }
-  site.store.SetFate(call_fate::kAnswered);
+  site.store.SetOutcome(call_outcome::kAnswered);
   REQUIRE(site.service.Submit(job).has_value());
   CHECK(site.JobsInLog() == 1);
 }
--- a/tests/waxwingfront/shard/shard_core_property_test.cc
+++ b/tests/waxwingfront/shard/shard_core_property_test.cc
@@ -1,11 +1,11 @@
-// Invariants I1, I2 and I3 on random walks of the shard's world, and the
+// Invariants I1, I2 and I3 on random walks of the shard's model, and the
 // violations that appear when a rule of section 5.2 of the design is missing.
 #include <rapidcheck/catch.h>
 
 #include <catch2/catch.hpp>
 #include <sstream>
 
-#include "waxwingfront/shard/shard_world.h"
+#include "waxwingfront/shard/shard_model.h"
 
 namespace waxwingfront::tests {
 namespace {
@@ -62,13 +62,13 @@
 
 std::optional<std::string> Walk(const world_options& options,
                                 const std::vector<command>& steps) {
-  shard_world world(options);
-  world.Run({.kind = command_kind::kTakeOver});
-  world.Run({.kind = command_kind::kSubmit, .a = 0, .b = 6});
-  world.Run({.kind = command_kind::kAdvance, .a = 2});
-  for (const command& step : steps) world.Run(step);
-  world.CheckLiveness();
-  return world.Violation();
+  shard_model model(options);
+  model.Run({.kind = command_kind::kTakeOver});
+  model.Run({.kind = command_kind::kSubmit, .a = 0, .b = 6});
+  model.Run({.kind = command_kind::kAdvance, .a = 2});
+  for (const command& step : steps) model.Run(step);
+  model.CheckLiveness();
+  return model.Violation();
 }
 
 // Guards against any interleaving of faults that overcommits a worker, runs a
@@ -93,13 +93,13 @@
   const auto walks = AnyWalk();
   for (int walk = 0; walk < kSearchedWalks; ++walk) {
     const auto steps = walks(random.split(), kWalkSize).value();
-    shard_world world(options);
-    world.Run({.kind = command_kind::kTakeOver});
-    world.Run({.kind = command_kind::kSubmit, .a = 0, .b = 9});
-    world.Run({.kind = command_kind::kAdvance, .a = 2});
-    for (const command& step : steps) world.Run(step);
-    if (world.Violation().has_value())
-      return std::pair(walk, *world.Violation());
+    shard_model model(options);
+    model.Run({.kind = command_kind::kTakeOver});
+    model.Run({.kind = command_kind::kSubmit, .a = 0, .b = 9});
+    model.Run({.kind = command_kind::kAdvance, .a = 2});
+    for (const command& step : steps) model.Run(step);
+    if (model.Violation().has_value())
+      return std::pair(walk, *model.Violation());
   }
   return std::nullopt;
 }
--- a/tests/waxwingfront/shard/shard_core_test.cc
+++ b/tests/waxwingfront/shard/shard_core_test.cc
@@ -4,14 +4,14 @@
 #include <catch2/catch.hpp>
 #include <memory>
 
-#include "waxwingfront/shard/shard_world.h"
+#include "waxwingfront/shard/shard_model.h"
 
 namespace waxwingfront::tests {
 namespace {
 
 using core::milliseconds;
 
-// Arguments of the commands; see `shard_world::Run`.
+// Arguments of the commands; see `shard_model::Run`.
 constexpr int kTwoLongTasks = 9;
 constexpr int kHalfASecond = 1;
 constexpr int kTwoSeconds = 2;
@@ -21,17 +21,17 @@
 constexpr int kFirstWorkerDown = 3;
 constexpr int kDown = 1;
 
-void RunAll(shard_world& world, std::initializer_list<command> steps) {
-  for (const command& step : steps) world.Run(step);
+void RunAll(shard_model& model, std::initializer_list<command> steps) {
+  for (const command& step : steps) model.Run(step);
 }
 
-std::string Outcome(const shard_world& world) {
-  return world.Violation().value_or("none");
+std::string Outcome(const shard_model& model) {
+  return model.Violation().value_or("none");
 }
 
 // A former owner reaches a worker after its restart; the new one does not.
-void RunRestartBetweenOwners(shard_world& world) {
-  RunAll(world, {{command_kind::kTakeOver, 0, 0},
+void RunRestartBetweenOwners(shard_model& model) {
+  RunAll(model, {{command_kind::kTakeOver, 0, 0},
                  {command_kind::kAdvance, kTwoSeconds, 0},
                  {command_kind::kSetLink, 0, kFirstWorkerDown},
                  {command_kind::kSubmit, 0, kTwoLongTasks},
@@ -51,24 +51,24 @@
 // it forget the newer owner's epoch.
 TEST_CASE("a former owner starts nothing on a worker that has restarted since",
           "[shard][rules]") {
-  shard_world world({});
-  RunRestartBetweenOwners(world);
-  CHECK(Outcome(world) == "none");
-  world.CheckLiveness();
-  CHECK(Outcome(world) == "none");
+  shard_model model({});
+  RunRestartBetweenOwners(model);
+  CHECK(Outcome(model) == "none");
+  model.CheckLiveness();
+  CHECK(Outcome(model) == "none");
 }
 
 // Guards against a model that does not need rule 8.
 TEST_CASE("without incarnations a former owner starts work after a restart",
           "[shard][rules]") {
-  shard_world world({.workers_tell_incarnation = false});
-  RunRestartBetweenOwners(world);
-  CHECK(Outcome(world) != "none");
+  shard_model model({.workers_tell_incarnation = false});
+  RunRestartBetweenOwners(model);
+  CHECK(Outcome(model) != "none");
 }
 
 // One worker is reached by the former owner only, which cannot write any more.
-void RunUnreachableWorker(shard_world& world) {
-  RunAll(world, {{command_kind::kTakeOver, 0, 0},
+void RunUnreachableWorker(shard_model& model) {
+  RunAll(model, {{command_kind::kTakeOver, 0, 0},
                  {command_kind::kSubmit, 0, kTwoLongTasks},
                  {command_kind::kAdvance, kTwoSeconds, 0},
                  {command_kind::kSetStoreLink, 0, kDown},
@@ -83,10 +83,10 @@
 // that does not need rule 4.
 TEST_CASE("an owner without a lease stops renewing before work is bound again",
           "[shard][rules]") {
-  shard_world world({});
-  RunUnreachableWorker(world);
-  CHECK(Outcome(world) == "none");
-  shard_world endless({.tune = [](int owner, shard::shard_core_options& tuned) {
+  shard_model model({});
+  RunUnreachableWorker(model);
+  CHECK(Outcome(model) == "none");
+  shard_model endless({.tune = [](int owner, shard::shard_core_options& tuned) {
     constexpr milliseconds kEndlessGrace{10000000};
     if (owner == 0) tuned.grace = kEndlessGrace;
   }});
@@ -95,8 +95,8 @@
 }
 
 // A former owner thaws after a newer one has compacted the log past its number.
-void RunCompactionBeforeThaw(shard_world& world) {
-  RunAll(world, {{command_kind::kTakeOver, 0, 0},
+void RunCompactionBeforeThaw(shard_model& model) {
+  RunAll(model, {{command_kind::kTakeOver, 0, 0},
                  {command_kind::kAdvance, kTwoSeconds, 0},
                  {command_kind::kSetStoreLink, 0, kDown},
                  {command_kind::kSubmit, 0, kTwoLongTasks},
@@ -114,10 +114,10 @@
 // against a model that does not need the epoch key.
 TEST_CASE("a former owner cannot write a number that was compacted",
           "[shard][rules]") {
-  shard_world world({});
-  RunCompactionBeforeThaw(world);
-  CHECK(Outcome(world) == "none");
-  shard_world unchecked({.log_checks_epoch = false});
+  shard_model model({});
+  RunCompactionBeforeThaw(model);
+  CHECK(Outcome(model) == "none");
+  shard_model unchecked({.log_checks_epoch = false});
   RunCompactionBeforeThaw(unchecked);
   CHECK(Outcome(unchecked) != "none");
 }
@@ -126,8 +126,8 @@
 // send.
 TEST_CASE("a clean hand-over keeps the wait for the owner before it",
           "[shard][rules]") {
-  shard_world world({});
-  RunAll(world, {{command_kind::kTakeOver, 0, 0},
+  shard_model model({});
+  RunAll(model, {{command_kind::kTakeOver, 0, 0},
                  {command_kind::kSubmit, 0, kTwoLongTasks},
                  {command_kind::kAdvance, kTwoSeconds, 0},
                  {command_kind::kSetStoreLink, 0, kDown},
@@ -141,10 +141,10 @@
                  {command_kind::kTakeOver, 2, 0},
                  {command_kind::kAdvance, kHalfAMinute, 0},
                  {command_kind::kAdvance, kHalfAMinute, 0}});
-  REQUIRE(world.Truth().Epoch() == 3);
-  CHECK(Outcome(world) == "none");
-  world.CheckLiveness();
-  CHECK(Outcome(world) == "none");
+  REQUIRE(model.Truth().Epoch() == 3);
+  CHECK(Outcome(model) == "none");
+  model.CheckLiveness();
+  CHECK(Outcome(model) == "none");
 }
 
 constexpr std::string_view kWorker = "worker-0";
@@ -376,8 +376,8 @@
 TEST_CASE("a start that arrives after its eviction is refused",
           "[shard][eviction]") {
   constexpr int kFirstWorkerHolds = 6;
-  shard_world world({});
-  RunAll(world, {{command_kind::kTakeOver, 0, 0},
+  shard_model model({});
+  RunAll(model, {{command_kind::kTakeOver, 0, 0},
                  {command_kind::kAdvance, kTwoSeconds, 0},
                  {command_kind::kAdvance, kHalfASecond, 0},
                  {command_kind::kSetLink, 0, kFirstWorkerHolds},
@@ -388,8 +388,8 @@
                  {command_kind::kAdvance, kTwoSeconds, 0},
                  {command_kind::kRelease, 0, 0},
                  {command_kind::kAdvance, kTwoSeconds, 0}});
-  CHECK(world.Truth().FindJob("job-0")->evicted_attempts == 1);
-  CHECK(Outcome(world) == "none");
+  CHECK(model.Truth().FindJob("job-0")->evicted_attempts == 1);
+  CHECK(Outcome(model) == "none");
 }
 
 // Guards against an eviction that the former owner asked for and the new one
--- a/tests/waxwingfront/shard/shard_log_test.cc
+++ b/tests/waxwingfront/shard/shard_log_test.cc
@@ -103,13 +103,14 @@
   return reader.state.state.FindJob(job) != nullptr;
 }
 
-// Gives the first call of `path` the fate `fate`, and answers all others.
-void FateOfNext(faulty_store& store, std::string_view path, call_fate fate) {
-  store.SetFate([path, fate, used = std::make_shared<bool>(false)](
-                    std::string_view called) {
+// Gives the first call of `path` the outcome `outcome`, and answers all others.
+void FateOfNext(faulty_store& store, std::string_view path,
+                call_outcome outcome) {
+  store.SetOutcome([path, outcome, used = std::make_shared<bool>(false)](
+                       std::string_view called) {
     if (called != path || std::exchange(*used, true))
-      return call_fate::kAnswered;
-    return fate;
+      return call_outcome::kAnswered;
+    return outcome;
   });
 }
 
@@ -121,23 +122,23 @@
   log_writer writer(store);
   REQUIRE(writer.TakeOver());
   SECTION("only the answer of the write is lost") {
-    FateOfNext(store, kTxnPath, call_fate::kLostAfter);
+    FateOfNext(store, kTxnPath, call_outcome::kLostAfter);
     CHECK(writer.WriteJob("a") == append_outcome::kApplied);
   }
   SECTION("the answers of the write and of the read are lost") {
-    store.SetFate(call_fate::kLostAfter);
+    store.SetOutcome(call_outcome::kLostAfter);
     CHECK_FALSE(writer.WriteJob("a").has_value());
-    store.SetFate(call_fate::kAnswered);
+    store.SetOutcome(call_outcome::kAnswered);
     CHECK(writer.Write() == append_outcome::kApplied);
   }
   SECTION("the write is delayed until after its retry") {
-    FateOfNext(store, kTxnPath, call_fate::kHeld);
+    FateOfNext(store, kTxnPath, call_outcome::kHeld);
     CHECK_FALSE(writer.WriteJob("a").has_value());
     CHECK(writer.Write() == append_outcome::kApplied);
     store.DeliverHeld();
   }
   SECTION("the store refuses the write") {
-    FateOfNext(store, kTxnPath, call_fate::kRefused);
+    FateOfNext(store, kTxnPath, call_outcome::kRefused);
     CHECK_FALSE(writer.WriteJob("a").has_value());
     CHECK_FALSE(HasJob(store, "a"));
     CHECK(writer.Write() == append_outcome::kApplied);
@@ -153,7 +154,7 @@
   log_writer writer(store);
   REQUIRE(writer.TakeOver());
   REQUIRE(writer.WriteJob("a") == append_outcome::kApplied);
-  FateOfNext(store, kDeletePath, call_fate::kLostBefore);
+  FateOfNext(store, kDeletePath, call_outcome::kLostBefore);
   CHECK_FALSE(writer.Compact().has_value());
   CHECK(store.Client().List("shards/local/0/log/")->size() == 2);
   log_writer next(store);
@@ -218,13 +219,13 @@
   CAPTURE(compact_at);
   int reads = 0;
   bool compacting = false;
-  store.SetFate([&](std::string_view path) {
+  store.SetOutcome([&](std::string_view path) {
     if (path == kRangePath && !compacting && reads++ == compact_at) {
       compacting = true;
       REQUIRE(former.Compact().has_value());
       compacting = false;
     }
-    return call_fate::kAnswered;
+    return call_outcome::kAnswered;
   });
   log_writer next(store);
   REQUIRE(next.Recover());
@@ -271,7 +272,7 @@
   log_writer writer(store);
   REQUIRE(writer.Recover());
   writer.PrepareEpoch();
-  FateOfNext(store, kTxnPath, call_fate::kHeld);
+  FateOfNext(store, kTxnPath, call_outcome::kHeld);
   CHECK_FALSE(writer.Write().has_value());
   REQUIRE(writer.TakeOver());
   store.DeliverHeld();
@@ -294,12 +295,13 @@
     told.jobs.push_back(decision.accepted().spec().id());
 }
 
-call_fate RandomFate() {
-  return *rc::gen::weightedElement<call_fate>({{12, call_fate::kAnswered},
-                                               {1, call_fate::kRefused},
-                                               {1, call_fate::kLostBefore},
-                                               {2, call_fate::kLostAfter},
-                                               {2, call_fate::kHeld}});
+call_outcome RandomFate() {
+  return *rc::gen::weightedElement<call_outcome>(
+      {{12, call_outcome::kAnswered},
+       {1, call_outcome::kRefused},
+       {1, call_outcome::kLostBefore},
+       {2, call_outcome::kLostAfter},
+       {2, call_outcome::kHeld}});
 }
 
 // Guards against two writers of one log: a lost or doubled record, or a former
@@ -318,7 +320,7 @@
     writers.reserve(kWriters);
     for (int index = 0; index < kWriters; ++index) writers.emplace_back(store);
     for (int step = 0; step < kSteps; ++step) {
-      store.SetFate([](std::string_view /*path*/) { return RandomFate(); });
+      store.SetOutcome([](std::string_view /*path*/) { return RandomFate(); });
       const int index = *rc::gen::inRange(0, kWriters);
       log_writer& writer = writers[index];
       const auto kind =
@@ -351,7 +353,7 @@
         }
       }
     }
-    store.SetFate(call_fate::kAnswered);
+    store.SetOutcome(call_outcome::kAnswered);
     store.DeliverHeld();
     log_writer reader(store);
     RC_ASSERT(reader.Recover());
--- a/tests/waxwingfront/shard/shard_manager_test.cc
+++ b/tests/waxwingfront/shard/shard_manager_test.cc
@@ -94,11 +94,11 @@
   shard_manager other(ManagerOptions("entry-1"), store.Client());
   REQUIRE(PollUntilOwned(manager));
   const auto owner = manager.Owned(kShard);
-  store.SetFate(call_fate::kUnreachable);
+  store.SetOutcome(call_outcome::kUnreachable);
   CHECK_FALSE(manager.Poll().has_value());
   CHECK(manager.Owned(kShard) == owner);
   CHECK(manager.OwnerAddress(kShard) == "address-of-entry-0");
-  store.SetFate(call_fate::kAnswered);
+  store.SetOutcome(call_outcome::kAnswered);
   SECTION("and goes on when the lease still lives") {
     REQUIRE(manager.Poll().has_value());
     CHECK(manager.Owned(kShard) == owner);
@@ -129,17 +129,17 @@
   bool rival_owns = false;
   // The writes of a first poll are the lease, the entry's record and the
   // claim; the rival claims just before the last.
-  store.SetFate([&](std::string_view path) {
+  store.SetOutcome([&](std::string_view path) {
     if (!inside && path == kTxnPath && ++writes == 2) {
       inside = true;
       rival_owns = PollUntilOwned(rival);
       inside = false;
     }
-    return call_fate::kAnswered;
+    return call_outcome::kAnswered;
   });
   for (int poll = 0; poll < 4 && writes < 2; ++poll)
     static_cast<void>(first.Poll());
-  store.SetFate(call_fate::kAnswered);
+  store.SetOutcome(call_outcome::kAnswered);
   REQUIRE(rival_owns);
   CHECK(first.Owned(kShard) == nullptr);
   REQUIRE(first.Poll().has_value());
@@ -154,9 +154,9 @@
   faulty_store store;
   shard_manager manager(ManagerOptions("entry-0"), store.Client());
   std::atomic<int> writes{0};
-  store.SetFate([&writes](std::string_view path) {
-    return path == kTxnPath && ++writes == 2 ? call_fate::kLostAfter
-                                             : call_fate::kAnswered;
+  store.SetOutcome([&writes](std::string_view path) {
+    return path == kTxnPath && ++writes == 2 ? call_outcome::kLostAfter
+                                             : call_outcome::kAnswered;
   });
   REQUIRE(manager.Poll().has_value());
   CHECK(manager.Owned(kShard) == nullptr);
@@ -172,12 +172,12 @@
   faulty_store store;
   shard_manager manager(ManagerOptions("entry-0"), store.Client());
   std::atomic<int> writes{0};
-  store.SetFate([&](std::string_view path) {
+  store.SetOutcome([&](std::string_view path) {
     if (path == kTxnPath && ++writes == 2) {
       const auto listed = store.Client().List("entries/");
       for (const auto& item : *listed) store.EndLeaseOf(item.key);
     }
-    return call_fate::kAnswered;
+    return call_outcome::kAnswered;
   });
   REQUIRE(manager.Poll().has_value());
   CHECK(manager.Owned(kShard) == nullptr);
--- a/tests/waxwingfront/shard/shard_world.cc
+++ b/tests/waxwingfront/shard/shard_model.cc
@@ -1,4 +1,4 @@
-#include "waxwingfront/shard/shard_world.h"
+#include "waxwingfront/shard/shard_model.h"
 
 #include <algorithm>
 #include <ostream>
@@ -64,13 +64,13 @@
              << "," << shown.b << ")";
 }
 
-shard_world::shard_world(world_options options)
+shard_model::shard_model(world_options options)
     : options_(std::move(options)), policy_(Policy()) {
   for (worker_slot& slot : workers_) slot.agent = NewAgent();
   Publish();
 }
 
-std::unique_ptr<standins::worker> shard_world::NewAgent() const {
+std::unique_ptr<standins::worker> shard_model::NewAgent() const {
   standins::worker_options options{
       .capacity = kCapacity, .task_lease = core::milliseconds(kTaskLeaseMs)};
   constexpr core::milliseconds kEndlessTicket{10000000};
@@ -80,7 +80,7 @@
   return std::make_unique<standins::worker>(options);
 }
 
-void shard_world::Publish() {
+void shard_model::Publish() {
   auto view = std::make_shared<hosts::host_view>();
   for (int worker = 0; worker < kWorkers; ++worker) {
     hosts::worker_info info{.id = WorkerId(worker),
@@ -93,36 +93,36 @@
   hosts_ = view;
 }
 
-void shard_world::Fail(std::string what) {
+void shard_model::Fail(std::string what) {
   if (!violation_.has_value())
     violation_ = std::to_string(now_ms_) + " ms: " + std::move(what);
 }
 
-std::string shard_world::WorkerId(int worker) {
+std::string shard_model::WorkerId(int worker) {
   return "worker-" + std::to_string(worker);
 }
 
-core::monotonic_time shard_world::OwnerNow(int slot) const {
+core::monotonic_time shard_model::OwnerNow(int slot) const {
   const double local =
       options_.owner_rates[slot] * static_cast<double>(now_ms_);
   return At(ClockOffsetMs(slot) + static_cast<std::int64_t>(local));
 }
 
-core::monotonic_time shard_world::WorkerNow(int worker) const {
+core::monotonic_time shard_model::WorkerNow(int worker) const {
   const double local =
       options_.worker_rates[worker] * static_cast<double>(now_ms_);
   return At(ClockOffsetMs(worker) + static_cast<std::int64_t>(local));
 }
 
-shard::shard_core* shard_world::CurrentOwner() {
+shard::shard_core* shard_model::CurrentOwner() {
   return lease_holder_ < 0 ? nullptr : owners_[lease_holder_].core.get();
 }
 
-void shard_world::SetAllLinks(int worker, link_mode mode) {
+void shard_model::SetAllLinks(int worker, link_mode mode) {
   for (owner_slot& owner : owners_) owner.links[worker] = mode;
 }
 
-void shard_world::Run(const command& step) {
+void shard_model::Run(const command& step) {
   if (violation_.has_value()) return;
   const int slot = step.a % kOwnerSlots;
   const int worker = step.b % kWorkers;
@@ -227,19 +227,19 @@
   Step(0);
 }
 
-void shard_world::Advance(std::int64_t ms) {
+void shard_model::Advance(std::int64_t ms) {
   for (std::int64_t left = ms; left > 0 && !violation_; left -= kStepMs)
     Step(std::min(left, kStepMs));
 }
 
-void shard_world::Step(std::int64_t ms) {
+void shard_model::Step(std::int64_t ms) {
   now_ms_ += ms;
   for (int slot = 0; slot < kOwnerSlots; ++slot) Drive(slot);
   ReadJournals();
   CheckAccepted();
 }
 
-void shard_world::Drive(int slot) {
+void shard_model::Drive(int slot) {
   owner_slot& owner = owners_[slot];
   if (owner.core == nullptr || owner.frozen) return;
   owner.core->OnBundle(policy_);
@@ -250,7 +250,7 @@
   RenewLease(slot);
 }
 
-void shard_world::RenewLease(int slot) {
+void shard_model::RenewLease(int slot) {
   owner_slot& owner = owners_[slot];
   const core::monotonic_time now = OwnerNow(slot);
   if (now < owner.next_renewal || !owner.store_up) return;
@@ -269,7 +269,7 @@
   if (!std::exchange(owner.lose_answer, false)) owner.core->OnLeaseRenewed(now);
 }
 
-void shard_world::Append(int slot) {
+void shard_model::Append(int slot) {
   owner_slot& owner = owners_[slot];
   if (owner.appends.empty() || !options_.log_confirms_written_only) {
     auto next = owner.core->NextAppend(OwnerNow(slot));
@@ -296,7 +296,7 @@
   }
 }
 
-shard_world::append_result shard_world::Write(owner_slot& owner,
+shard_model::append_result shard_model::Write(owner_slot& owner,
                                               const shard::log_append& append) {
   if (!owner.store_up) return append_result::kUnknown;
   const schema::log_record& record = append.record;
@@ -317,7 +317,7 @@
                                                  : append_result::kApplied;
 }
 
-void shard_world::Store(const shard::log_append& append) {
+void shard_model::Store(const shard::log_append& append) {
   log_[append.number] = append.record;
   if (append.number != truth_through_ + 1) return;
   truth_through_ = append.number;
@@ -325,7 +325,7 @@
   CheckRecord(append.record);
 }
 
-void shard_world::CheckRecord(const schema::log_record& record) {
+void shard_model::CheckRecord(const schema::log_record& record) {
   for (const schema::decision& decision : record.decisions()) {
     const auto applied = truth_.Apply(decision);
     if (!applied)
@@ -352,7 +352,7 @@
   }
 }
 
-void shard_world::Exchange(int slot, int worker) {
+void shard_model::Exchange(int slot, int worker) {
   owner_slot& owner = owners_[slot];
   const core::monotonic_time now = OwnerNow(slot);
   auto& call = owner.calls[worker];
@@ -375,7 +375,7 @@
   Send(slot, worker, *request);
 }
 
-void shard_world::Send(int slot, int worker,
+void shard_model::Send(int slot, int worker,
                        const schema::sync_request& request) {
   owner_slot& owner = owners_[slot];
   open_call& call = *owner.calls[worker];
@@ -400,7 +400,7 @@
   }
 }
 
-schema::sync_response shard_world::Deliver(int worker,
+schema::sync_response shard_model::Deliver(int worker,
                                            schema::sync_request request) {
   worker_slot& slot = workers_[worker];
   if (!options_.workers_check_epoch) request.set_epoch(1);
@@ -415,7 +415,7 @@
   return response;
 }
 
-std::optional<shard::recovered_shard> shard_world::Recover() {
+std::optional<shard::recovered_shard> shard_model::Recover() {
   shard::recovered_shard recovered;
   if (snapshot_.has_value()) {
     schema::shard_snapshot snapshot;
@@ -436,7 +436,7 @@
   return recovered;
 }
 
-bool shard_world::TakeOver(int slot) {
+bool shard_model::TakeOver(int slot) {
   owner_slot& owner = owners_[slot];
   const bool free = lease_holder_ < 0 || lease_end_ms_ <= now_ms_;
   if (!free || owner.core != nullptr) return false;
@@ -463,7 +463,7 @@
   return true;
 }
 
-void shard_world::Compact() {
+void shard_model::Compact() {
   if (CurrentOwner() == nullptr) return;
   const auto snapshot = CurrentOwner()->Snapshot();
   if (!snapshot.has_value()) return;
@@ -471,7 +471,7 @@
   log_.erase(log_.begin(), log_.upper_bound(snapshot->through()));
 }
 
-void shard_world::Restart(int worker, bool keep_tasks) {
+void shard_model::Restart(int worker, bool keep_tasks) {
   ReadJournals();
   worker_slot& slot = workers_[worker];
   std::vector<run> kept;
@@ -486,7 +486,7 @@
 }
 
 // A task that outlives its worker's process ends with its lease all the same.
-void shard_world::StartUnremembered(int worker, const run& kept) {
+void shard_model::StartUnremembered(int worker, const run& kept) {
   run task = kept;
   task.lease_end = kept.lease_end.value_or(
       std::max(kept.start, workers_[worker].renewed_ms) + kTaskLeaseMs);
@@ -508,7 +508,7 @@
   agent.Sync(request, WorkerNow(worker));
 }
 
-void shard_world::Submit(int slot, int variant) {
+void shard_model::Submit(int slot, int variant) {
   owner_slot& owner = owners_[slot];
   if (owner.core == nullptr || owner.frozen) return;
   schema::job_spec spec;
@@ -527,12 +527,12 @@
   if (number) owner.submitted.emplace_back(*number, spec.id());
 }
 
-std::int64_t shard_world::TotalOf(const std::string& job) const {
+std::int64_t shard_model::TotalOf(const std::string& job) const {
   const std::string& command = specs_.at(job).command();
   return std::stoll(command.substr(command.find(':') + 1));
 }
 
-void shard_world::ReadJournals() {
+void shard_model::ReadJournals() {
   const std::size_t known = runs_.size();
   for (int worker = 0; worker < kWorkers; ++worker) {
     worker_slot& slot = workers_[worker];
@@ -548,7 +548,7 @@
     CheckOverlap(runs_[index]);
 }
 
-void shard_world::ReadLine(int worker, const std::string& line) {
+void shard_model::ReadLine(int worker, const std::string& line) {
   std::istringstream words(line);
   std::string event;
   std::string job;
@@ -574,7 +574,7 @@
     Fail(line + ": not resumed from the recorded checkpoint " + wanted);
 }
 
-void shard_world::Begin(int worker, const attempt_key& listed, std::int64_t at,
+void shard_model::Begin(int worker, const attempt_key& listed, std::int64_t at,
                         std::int64_t resumed_from) {
   const auto unremembered = unremembered_.find(std::get<0>(listed));
   run begun{.attempt = listed, .resumed_from = resumed_from};
@@ -588,7 +588,7 @@
   runs_.push_back(begun);
 }
 
-void shard_world::End(int worker, const attempt_key& listed, std::int64_t at) {
+void shard_model::End(int worker, const attempt_key& listed, std::int64_t at) {
   auto& running = workers_[worker].running;
   const auto found = running.find(listed);
   run& ended = runs_[found->second];
@@ -602,7 +602,7 @@
   if (known && done >= TotalOf(std::get<0>(listed))) ran_to_end_.insert(listed);
 }
 
-void shard_world::CheckOverlap(const run& begun) {
+void shard_model::CheckOverlap(const run& begun) {
   for (const run& other : runs_) {
     if (&other == &begun) continue;
     if (std::get<0>(other.attempt) != std::get<0>(begun.attempt) ||
@@ -621,7 +621,7 @@
   }
 }
 
-void shard_world::CheckCapacity(int worker) {
+void shard_model::CheckCapacity(int worker) {
   core::resources used;
   for (const auto& [listed, index] : workers_[worker].running)
     used += runs_[index].size;
@@ -629,7 +629,7 @@
     Fail(WorkerId(worker) + " runs more than its capacity");
 }
 
-void shard_world::CheckAccepted() {
+void shard_model::CheckAccepted() {
   for (const owner_slot& owner : owners_) {
     if (owner.core == nullptr) continue;
     for (const auto& [number, job] : owner.submitted) {
@@ -639,7 +639,7 @@
   }
 }
 
-void shard_world::CheckLiveness() {
+void shard_model::CheckLiveness() {
   for (owner_slot& owner : owners_) {
     owner.frozen = false;
     owner.store_up = true;
--- a/tests/waxwingfront/shard/shard_world.h
+++ b/tests/waxwingfront/shard/shard_model.h
@@ -1,8 +1,8 @@
-// Model of one shard's world for properties: a store with a log, owners and
-// workers with clocks of their own, and links that lose, hold and duplicate
-// messages. Time and faults come from commands.
-#ifndef WAXWINGFRONT_TESTS_SHARD_SHARD_WORLD_H_
-#define WAXWINGFRONT_TESTS_SHARD_SHARD_WORLD_H_
+// Model of one shard and its surroundings for properties: a store with a log,
+// owners and workers with clocks of their own, and links that lose, hold and
+// duplicate messages. Time and faults come from commands.
+#ifndef WAXWINGFRONT_TESTS_SHARD_SHARD_MODEL_H_
+#define WAXWINGFRONT_TESTS_SHARD_SHARD_MODEL_H_
 
 #include <array>
 #include <cstdint>
@@ -90,9 +90,9 @@
   std::array<double, kWorkers> worker_rates{1, 1, 1};
 };
 
-class shard_world {
+class shard_model {
  public:
-  explicit shard_world(world_options options);
+  explicit shard_model(world_options options);
 
   void Run(const command& step);
   // Ends all faults and checks that every accepted job closes in bounded time.
@@ -224,4 +224,4 @@
 
 }  // namespace waxwingfront::tests
 
-#endif  // WAXWINGFRONT_TESTS_SHARD_SHARD_WORLD_H_
+#endif  // WAXWINGFRONT_TESTS_SHARD_SHARD_MODEL_H_
--- a/tests/waxwingfront/shard/shard_owner_test.cc
+++ b/tests/waxwingfront/shard/shard_owner_test.cc
@@ -38,15 +38,15 @@
   });
 }
 
-// Lets the next write pass `gate` first, and then gives it `fate`.
-void HoldNextWrite(faulty_store& store, call_gate& gate, call_fate fate) {
-  store.SetFate(
-      [&gate, fate, used = std::make_shared<std::atomic<bool>>(false)](
+// Lets the next write pass `gate` first, and then gives it `outcome`.
+void HoldNextWrite(faulty_store& store, call_gate& gate, call_outcome outcome) {
+  store.SetOutcome(
+      [&gate, outcome, used = std::make_shared<std::atomic<bool>>(false)](
           std::string_view path) {
         if (path != kTxnPath || used->exchange(true))
-          return call_fate::kAnswered;
+          return call_outcome::kAnswered;
         gate.Pass();
-        return fate;
+        return outcome;
       });
 }
 
@@ -57,7 +57,7 @@
   faulty_store store;
   const auto owner = NewOwner(store, "entry-0");
   REQUIRE(AwaitActive(*owner));
-  store.SetFate(call_fate::kRefused);
+  store.SetOutcome(call_outcome::kRefused);
   const auto first = owner->Submit(QuickJob("first"), kShort);
   REQUIRE_FALSE(first.has_value());
   CHECK(first.error().code == error_code::kOutcomeUnknown);
@@ -71,7 +71,7 @@
   REQUIRE_FALSE(status.has_value());
   CHECK(status.error().code == error_code::kStoreUnavailable);
 
-  store.SetFate(call_fate::kAnswered);
+  store.SetOutcome(call_outcome::kAnswered);
   CHECK(owner->Submit(QuickJob("first"), kLong).has_value());
   CHECK(LogState(store).FindJob("first") != nullptr);
   CHECK(LogState(store).FindJob("second") == nullptr);
@@ -84,7 +84,7 @@
   const auto former = NewOwner(store, "entry-0");
   REQUIRE(AwaitActive(*former));
   call_gate gate;
-  HoldNextWrite(store, gate, call_fate::kAnswered);
+  HoldNextWrite(store, gate, call_outcome::kAnswered);
   auto sent = SubmitLater(*former, "sent");
   gate.AwaitReached();
   auto queued = SubmitLater(*former, "queued");
@@ -106,11 +106,11 @@
   std::atomic<bool> next_may_call{false};
   std::atomic<bool> applied{false};
   const auto former_thread = [&](std::string_view path) {
-    if (next_may_call) return call_fate::kAnswered;
+    if (next_may_call) return call_outcome::kAnswered;
     if (path == kTxnPath) applied = true;
-    return call_fate::kLostAfter;
+    return call_outcome::kLostAfter;
   };
-  store.SetFate(former_thread);
+  store.SetOutcome(former_thread);
   auto sent = SubmitLater(*former, "sent");
   REQUIRE(AwaitCondition([&applied] { return applied.load(); }));
   SECTION("and the owner is halted") {
@@ -121,9 +121,9 @@
     // The stand-in is read and written directly, so that the former owner's
     // tries stay without an answer meanwhile.
     call_gate gate;
-    store.SetFate([&](std::string_view /*path*/) {
+    store.SetOutcome([&](std::string_view /*path*/) {
       if (!next_may_call) gate.Pass();
-      return call_fate::kAnswered;
+      return call_outcome::kAnswered;
     });
     gate.AwaitReached();
     next_may_call = true;
@@ -137,7 +137,7 @@
     gate.Open();
     CHECK(sent.get().error().code == error_code::kOutcomeUnknown);
   }
-  store.SetFate(call_fate::kAnswered);
+  store.SetOutcome(call_outcome::kAnswered);
   CHECK(LogState(store).FindJob("sent") != nullptr);
 }
 
@@ -149,7 +149,7 @@
   const auto owner = NewOwner(store, "entry-0");
   REQUIRE(AwaitActive(*owner));
   call_gate gate;
-  HoldNextWrite(store, gate, call_fate::kLostBefore);
+  HoldNextWrite(store, gate, call_outcome::kLostBefore);
   auto sent = SubmitLater(*owner, "sent");
   gate.AwaitReached();
   owner->Halt();
@@ -165,9 +165,10 @@
           "[shard][owner]") {
   faulty_store store;
   std::atomic<int> lost{4};
-  store.SetFate([&lost](std::string_view path) {
+  store.SetOutcome([&lost](std::string_view path) {
     const bool counted = path == kTxnPath || lost < 4;
-    return counted && lost-- > 0 ? call_fate::kLostAfter : call_fate::kAnswered;
+    return counted && lost-- > 0 ? call_outcome::kLostAfter
+                                 : call_outcome::kAnswered;
   });
   const auto owner = NewOwner(store, "entry-0");
   REQUIRE(AwaitActive(*owner));
@@ -182,8 +183,8 @@
   const auto owner = NewOwner(store, "entry-0");
   REQUIRE(AwaitActive(*owner));
   std::atomic<int> lost{2};
-  store.SetFate([&lost](std::string_view /*path*/) {
-    return lost-- > 0 ? call_fate::kLostAfter : call_fate::kAnswered;
+  store.SetOutcome([&lost](std::string_view /*path*/) {
+    return lost-- > 0 ? call_outcome::kLostAfter : call_outcome::kAnswered;
   });
   owner->Resign(kLong);
   CHECK(LogState(store).Resigned());
--- a/tests/waxwingfront/store/store_client_test.cc
+++ b/tests/waxwingfront/store/store_client_test.cc
@@ -24,23 +24,23 @@
           "[store]") {
   faulty_store store;
   SECTION("the answer of an applied write is lost") {
-    store.SetFate(call_fate::kLostAfter);
+    store.SetOutcome(call_outcome::kLostAfter);
     const auto written = store.Client().CreateIfAbsent("a", "1");
     REQUIRE_FALSE(written.has_value());
     CHECK(written.error().code == error_code::kOutcomeUnknown);
-    store.SetFate(call_fate::kAnswered);
+    store.SetOutcome(call_outcome::kAnswered);
     CHECK(ValueOf(store, "a") == "1");
   }
   SECTION("the store refuses the call") {
-    store.SetFate(call_fate::kRefused);
+    store.SetOutcome(call_outcome::kRefused);
     const auto written = store.Client().CreateIfAbsent("a", "1");
     REQUIRE_FALSE(written.has_value());
     CHECK(written.error().code == error_code::kStoreUnavailable);
-    store.SetFate(call_fate::kAnswered);
+    store.SetOutcome(call_outcome::kAnswered);
     CHECK(ValueOf(store, "a") == "absent");
   }
   SECTION("the store cannot be reached") {
-    store.SetFate(call_fate::kUnreachable);
+    store.SetOutcome(call_outcome::kUnreachable);
     const auto written = store.Client().CreateIfAbsent("a", "1");
     REQUIRE_FALSE(written.has_value());
     CHECK(written.error().code == error_code::kStoreUnavailable);
@@ -50,9 +50,9 @@
 // Guards against a retry with a second effect.
 TEST_CASE("store client's repeated writes have one effect", "[store]") {
   faulty_store store;
-  store.SetFate(call_fate::kHeld);
+  store.SetOutcome(call_outcome::kHeld);
   CHECK_FALSE(store.Client().CreateIfAbsent("a", "1").has_value());
-  store.SetFate(call_fate::kAnswered);
+  store.SetOutcome(call_outcome::kAnswered);
   CHECK(store.Client().CreateIfAbsent("a", "1") == write_outcome::kApplied);
   const auto first = store.Client().Get("a");
   store.DeliverHeld();
@@ -67,9 +67,9 @@
 TEST_CASE("store client recognises its own lease on a retry", "[store]") {
   faulty_store store;
   constexpr std::int64_t kLease = 77;
-  store.SetFate(call_fate::kLostAfter);
+  store.SetOutcome(call_outcome::kLostAfter);
   CHECK_FALSE(store.Client().GrantLease(kLease, 9).has_value());
-  store.SetFate(call_fate::kAnswered);
+  store.SetOutcome(call_outcome::kAnswered);
   CHECK(store.Client().GrantLease(kLease, 9).has_value());
   CHECK(store.Client().KeepAlive(kLease) == true);
   CHECK(store.Client().CreateIfAbsent("a", "1", kLease) ==
