Share the scripted server's sockets where the thread sanitizer can see it

Cause: `tools/test tsan` ended "an idle connection that was closed costs no request" with a report: two threads held copies of a POCO socket, whose reference count is in a library without instrumentation.

--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -49,13 +49,16 @@
       const bool waiting = listener.poll(Poco::Timespan(kPollMicroseconds),
                                          Poco::Net::Socket::SELECT_READ);
       if (!waiting) continue;
-      Poco::Net::StreamSocket socket = listener.acceptConnection();
+      // Shared by a pointer of this code: the thread sanitizer does not see the
+      // reference count inside Poco, which copies of a socket share.
+      const auto socket = std::make_shared<Poco::Net::StreamSocket>(
+          listener.acceptConnection());
       ++connections;
-      workers.emplace_back([this, socket]() mutable { Serve(socket); });
+      workers.emplace_back([this, socket] { Serve(*socket); });
     }
   }
 
-  void Serve(Poco::Net::StreamSocket socket) {
+  void Serve(Poco::Net::StreamSocket& socket) {
     std::string received;
     try {
       while (!stopping) {
