--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -121,13 +121,16 @@
       core::ToJson(request).size(), core::ToJson(response).size());
 }
 
+void PrintAll() {
+  PrintDecisions();
+  for (const int tasks : kTaskCounts) PrintState(tasks);
+  for (const int tasks : {0, 17, 34}) PrintExchange(tasks);
+}
+
 }  // namespace
 }  // namespace waxwingfront::shard
 
 int main() {
-  using namespace waxwingfront::shard;
-  PrintDecisions();
-  for (const int tasks : kTaskCounts) PrintState(tasks);
-  for (const int tasks : {0, 17, 34}) PrintExchange(tasks);
+  waxwingfront::shard::PrintAll();
   return 0;
 }
--- a/src/waxwingfront/shard/shard_core.cc
+++ b/src/waxwingfront/shard/shard_core.cc
@@ -18,7 +18,7 @@
 constexpr std::size_t kMaxBindingsPerRecord = 512;
 // Bounds the specifications in one record; a value of the store holds 1 MB, of
 // which base64 takes a quarter.
-constexpr std::size_t kMaxQueuedBytes = 512 * 1024;
+constexpr std::size_t kMaxQueuedBytes = 524288;
 constexpr std::size_t kMaxStartsPerSync = 64;
 // Keeps a worker that does not carry out a start from being asked without a
 // pause.
