Check names of bundles and settings by one function

Cause: the rule for a name stood in the checks of bundles and of settings, and its description three times, so that one could change without the others. Ruled out: sharing the rule of job ids, which allows other characters and lengths. Conclusion: `core::IsName` and `core::kNameRule` are the only place of the rule.

--- a/src/waxwingfront/bundle/bundle_check.cc
+++ b/src/waxwingfront/bundle/bundle_check.cc
@@ -8,14 +8,12 @@
 #include <utility>
 
 #include "waxwingfront/core/json.h"
+#include "waxwingfront/core/text.h"
 
 namespace waxwingfront::bundle {
 namespace {
 
-constexpr std::size_t kMaxNameLength = 64;
 constexpr int kFullPercent = 100;
-constexpr std::string_view kNameCharacters =
-    "abcdefghijklmnopqrstuvwxyz0123456789-";
 // Ten times the 68 teams and 20 failure domains of the design target, rounded
 // up.
 constexpr int kMaxServices = 256;
@@ -56,17 +54,10 @@
        .allowed = "at most " + std::to_string(highest) + " entries"});
 }
 
-bool IsName(std::string_view text) {
-  const bool fits = !text.empty() && text.size() <= kMaxNameLength;
-  return fits &&
-         text.find_first_not_of(kNameCharacters) == std::string_view::npos;
-}
-
 void CheckName(const std::string& name, const std::string& path,
                std::set<std::string>& seen, problems& found) {
-  if (!IsName(name)) {
-    found.push_back(
-        {.field = path, .allowed = "1 to 64 characters of a-z, 0-9 and '-'"});
+  if (!core::IsName(name)) {
+    found.push_back({.field = path, .allowed = std::string(core::kNameRule)});
   }
   if (!seen.insert(name).second) {
     found.push_back({.field = path,
@@ -213,9 +204,9 @@
         {.field = "document", .allowed = parsed.error().detail});
     return checked;
   }
-  if (!IsName(checked.content.site())) {
+  if (!core::IsName(checked.content.site())) {
     checked.problems.push_back(
-        {.field = "site", .allowed = "1 to 64 characters of a-z, 0-9 and '-'"});
+        {.field = "site", .allowed = std::string(core::kNameRule)});
   }
   CheckWeights(checked.content, checked.problems);
   CheckServices(checked.content, checked.problems);
--- a/src/waxwingfront/core/text.cc
+++ b/src/waxwingfront/core/text.cc
@@ -8,6 +8,9 @@
 constexpr char kFirstPrintable = ' ';
 constexpr char kLastPrintable = '~';
 constexpr int kHexDigits = 2;
+constexpr std::size_t kMaxNameLength = 64;
+constexpr std::string_view kNameCharacters =
+    "abcdefghijklmnopqrstuvwxyz0123456789-";
 
 }  // namespace
 
@@ -25,4 +28,10 @@
   return safe;
 }
 
+bool IsName(std::string_view text) {
+  const bool fits = !text.empty() && text.size() <= kMaxNameLength;
+  return fits &&
+         text.find_first_not_of(kNameCharacters) == std::string_view::npos;
+}
+
 }  // namespace waxwingfront::core
--- a/src/waxwingfront/settings/settings_loader.cc
+++ b/src/waxwingfront/settings/settings_loader.cc
@@ -20,20 +20,11 @@
 using google::protobuf::FieldDescriptor;
 using google::protobuf::Message;
 
-constexpr std::size_t kMaxNameLength = 64;
 // Longest part of a value that an error repeats.
 constexpr std::size_t kMaxShownBytes = 100;
-constexpr std::string_view kNameCharacters =
-    "abcdefghijklmnopqrstuvwxyz0123456789-";
-
-bool IsName(std::string_view text) {
-  const bool fits = !text.empty() && text.size() <= kMaxNameLength;
-  return fits &&
-         text.find_first_not_of(kNameCharacters) == std::string_view::npos;
-}
 
 bool HasShape(const std::string& text, const std::string& shape) {
-  if (shape == "name") return IsName(text);
+  if (shape == "name") return core::IsName(text);
   if (shape == "address") return IsAddress(text);
   if (shape == "addresses") return AreAddresses(text);
   if (shape == "log_level")
@@ -42,7 +33,7 @@
 }
 
 std::string ShapeText(const std::string& shape) {
-  if (shape == "name") return "1 to 64 characters of a-z, 0-9 and '-'";
+  if (shape == "name") return std::string(core::kNameRule);
   if (shape == "address")
     return "an IP address with a port from 1 to 65535, such as 127.0.0.1:8080 "
            "or [::1]:8080";
