Start gangs as a whole, keep to racks, ask for advice, and name executors in calls

Calls did not name the executor that was meant, so that another one at the same address could have taken them.

Built: all members of a gang are placed in one round with one run number and one checkpoint, end together and count one failure a run; a task waits for its data's rack for half of what the distance costs; tasks of an advised queue go only where the adviser permits; each call carries the executor's id, and an executor whose address is another's has lost its runs. Limits of requests follow the manifest, and a request that trickles in is cut.

--- a/src/waxwingfront/core/error.cc
+++ b/src/waxwingfront/core/error.cc
@@ -39,6 +39,7 @@
     error_row{error_code::kSignOffConflict, "sign_off_conflict", 409},
     error_row{error_code::kUnknownVersion, "unknown_version", 404},
     error_row{error_code::kDeposed, "deposed", 503},
+    error_row{error_code::kOtherIncarnation, "other_incarnation", 503},
     error_row{error_code::kProtocol, "protocol", 502},
     error_row{error_code::kInternal, "internal", 500},
 };
--- a/src/waxwingfront/core/error.h
+++ b/src/waxwingfront/core/error.h
@@ -42,6 +42,8 @@
   kSignOffConflict,
   kUnknownVersion,
   kDeposed,
+  // Another incarnation has taken the place of the one that was meant.
+  kOtherIncarnation,
   // The other side broke its protocol.
   kProtocol,
   kInternal,
--- /dev/null
+++ b/src/waxwingfront/fleet/advice_driver.h
@@ -0,0 +1,46 @@
+// Brings the core's questions to the adviser, and the answers back.
+#ifndef WAXWINGFRONT_FLEET_ADVICE_DRIVER_H_
+#define WAXWINGFRONT_FLEET_ADVICE_DRIVER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <span>
+
+#include "waxwingfront/fleet/fleet_core.h"
+#include "waxwingfront/fleet/platform_services.h"
+#include "waxwingfront/logging/event_log.h"
+
+namespace waxwingfront::fleet {
+
+struct advice_driver_options {
+  // Questions on their way at once. The adviser answers those of one process in
+  // turn and turns away what goes beyond 32.
+  std::size_t max_in_flight = 16;
+};
+
+struct advice_driver_hooks {
+  // The core has new facts.
+  std::function<void()> on_progress;
+  std::function<moment()> now;
+};
+
+class advice_driver {
+ public:
+  advice_driver(const executor_services& executors, fleet_core& core,
+                advice_driver_options options, advice_driver_hooks hooks,
+                logging::event_log& log);
+  advice_driver(const advice_driver&) = delete;
+  advice_driver& operator=(const advice_driver&) = delete;
+  ~advice_driver();
+
+  void Send(std::span<const advice_request> requests);
+
+ private:
+  struct internal;
+  std::shared_ptr<internal> internal_;
+};
+
+}  // namespace waxwingfront::fleet
+
+#endif  // WAXWINGFRONT_FLEET_ADVICE_DRIVER_H_
--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -98,7 +98,11 @@
         log.Write("executor_lost",
                   {{"executor", id}, {"cause", report.error().detail}});
       }
-      core.Runs().OnNoAnswer(id);
+      if (report.error().code == core::error_code::kOtherIncarnation) {
+        core.Runs().OnGone(id, at);
+      } else {
+        core.Runs().OnNoAnswer(id);
+      }
       slot.not_before = at.now + options.retry;
     } else {
       const bool regained = !executor->in_contact;
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -1,6 +1,7 @@
 #include "waxwingfront/fleet/fleet_core.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace waxwingfront::fleet {
@@ -15,9 +16,10 @@
 fleet_core::fleet_core(fleet_options options)
     : options_(options),
       sharing_(state_),
+      distance_(options.remote_factor),
       runs_(state_, options.runs),
       journal_(state_),
-      planner_(state_, PlacementCost()),
+      planner_(state_, PlacementCost(), distance_),
       rebalancer_(state_, {}, PlacementCost()) {
   planner_.on_placed = [this](const task_state& task, moment at) {
     if (task.Spec().long_running()) sharing_.CountExecutors(at.now);
@@ -31,7 +33,9 @@
 placement_cost fleet_core::PlacementCost() {
   return [this](const executor_state& executor, const task_state& task,
                 core::monotonic_time now) {
-    return sharing_.Cost(executor, task, now);
+    const double distance = distance_.Cost(executor, task, now);
+    return std::isinf(distance) ? distance
+                                : distance + sharing_.Cost(executor, task, now);
   };
 }
 
@@ -170,6 +174,20 @@
   if (held != nullptr) sharing_.OnReport(*held, at.now);
 }
 
+void fleet_core::OnAdvice(const advice_request& request,
+                          const std::optional<advice_reply>& reply, moment at) {
+  const step_ref& step = request.step;
+  task_state* const task = state_.FindTask(
+      {.job = step.job, .occurrence = step.occurrence, .step = step.step});
+  if (task == nullptr) return;
+  step_permits& permits = task->job->StepOf(*task).permits;
+  if (reply) {
+    permits.Answer(*reply);
+  } else {
+    permits.Fail(at.now);
+  }
+}
+
 void fleet_core::OnStartAnswer(const start_order& order, start_outcome outcome,
                                moment at) {
   runs_.OnStartAnswer(order, outcome, at);
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -28,6 +28,8 @@
   core::milliseconds leader_lease{1500};
   // How long a final job can be asked for.
   core::milliseconds retention{150'000};
+  // How many times as long a task takes away from its data.
+  double remote_factor = 1.0;
   run_tracker_options runs;
 };
 
@@ -81,6 +83,9 @@
               core::monotonic_time sent, moment at);
   void OnStartAnswer(const start_order& order, start_outcome outcome,
                      moment at);
+  // The adviser answered, or nothing if it did not.
+  void OnAdvice(const advice_request& request,
+                const std::optional<advice_reply>& reply, moment at);
   run_tracker& Runs() { return runs_; }
   fleet_journal& Journal() { return journal_; }
   rebalancer& Rebalancer() { return rebalancer_; }
@@ -105,6 +110,7 @@
   fleet_options options_;
   fleet_state state_;
   sharing_policy sharing_;
+  locality distance_;
   run_tracker runs_;
   fleet_journal journal_;
   planner planner_;
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -29,6 +29,9 @@
              .on_progress = [this] { Progress(); },
              .now = hooks.now},
             events),
+        advice(executors, core, chosen.advice,
+               {.on_progress = [this] { Progress(); }, .now = hooks.now},
+               events),
         loader(event_loop, services, core, chosen.retry,
                {.now = hooks.now, .on_loaded = [this] { registry.Start(); }},
                events),
@@ -144,7 +147,9 @@
 
   void PlanAndSend() {
     if (hooks.may_order()) core.Plan(hooks.now());
-    driver.Send(core.TakeOrders());
+    const orders decided = core.TakeOrders();
+    driver.Send(decided);
+    advice.Send(decided.advice);
     StoreNext();
   }
 
@@ -243,6 +248,7 @@
   logging::event_log& log;
   fleet_core core;
   executor_driver driver;
+  advice_driver advice;
   fleet_loader loader;
   executor_registry registry;
   bool loaded = false;
--- a/src/waxwingfront/fleet/fleet_leader.h
+++ b/src/waxwingfront/fleet/fleet_leader.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "waxwingfront/core/clock.h"
+#include "waxwingfront/fleet/advice_driver.h"
 #include "waxwingfront/fleet/executor_driver.h"
 #include "waxwingfront/fleet/executor_registry.h"
 #include "waxwingfront/fleet/fleet_core.h"
@@ -22,6 +23,7 @@
 struct fleet_leader_options {
   fleet_options core;
   executor_driver_options driver;
+  advice_driver_options advice;
   // Pause between two transactions, which gathers changes: each has a price.
   core::milliseconds write_pause{20};
   // Pause between two rounds of planning: starts wait for a transaction anyway.
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -44,7 +44,7 @@
                  .now = ReadClocks}),
         server(loop,
                {.address = options.internal_address,
-                .max_body_bytes = kMaxCallBytes},
+                .limits = {.max_body_bytes = kMaxCallBytes}},
                [this](net::server_request request,
                       net::async_http_server::responder respond) {
                  OnCall(std::move(request), std::move(respond));
@@ -55,9 +55,6 @@
                    {{.name = "event", .value = std::string(event)}})
           .Add();
     };
-    manifests.on_change = [this](const manifest& wanted) {
-      if (leader) leader->SetManifest(wanted);
-    };
   }
 
   // Whether this process leads and its lease is valid: a leader that cannot
@@ -176,6 +173,10 @@
 fleet_node::~fleet_node() = default;
 
 core::result<void> fleet_node::Start() {
+  internal_->manifests.on_change = [this](const manifest& wanted) {
+    if (internal_->leader) internal_->leader->SetManifest(wanted);
+    if (on_manifest) on_manifest(wanted);
+  };
   auto listening = internal_->server.Start();
   if (!listening) return listening;
   internal_->manifests.Start();
--- a/src/waxwingfront/fleet/fleet_node.h
+++ b/src/waxwingfront/fleet/fleet_node.h
@@ -3,6 +3,7 @@
 #ifndef WAXWINGFRONT_FLEET_FLEET_NODE_H_
 #define WAXWINGFRONT_FLEET_FLEET_NODE_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,6 +44,9 @@
   fleet_node& operator=(const fleet_node&) = delete;
   ~fleet_node();
 
+  // Called with each newer manifest.
+  std::function<void(const manifest&)> on_manifest;
+
   core::result<void> Start();
 
   const std::optional<manifest>& Manifest() const;
--- a/src/waxwingfront/fleet/job_order.cc
+++ b/src/waxwingfront/fleet/job_order.cc
@@ -15,8 +15,8 @@
   core::milliseconds left{0};
 };
 
-chain_lengths LongestChain(const job_state& job) {
-  const std::vector<step_state>& steps = job.Occurrences().front().steps;
+chain_lengths LongestChain(const job_state& job, std::uint32_t occurrence) {
+  const std::vector<step_state>& steps = job.Occurrences()[occurrence].steps;
   std::vector<chain_lengths> until(steps.size());
   chain_lengths longest;
   for (std::size_t s = 0; s < steps.size(); ++s) {
@@ -36,16 +36,18 @@
 
 }  // namespace
 
-job_outlook Outlook(const job_state& job, const queue_spec* queue) {
-  const chain_lengths chain = LongestChain(job);
+job_outlook Outlook(const job_state& job, std::uint32_t occurrence,
+                    const queue_spec* queue) {
+  const chain_lengths chain = LongestChain(job, occurrence);
   core::milliseconds objective = chain.whole;
   if (queue != nullptr) {
     objective = std::chrono::duration_cast<core::milliseconds>(chain.whole *
                                                                queue->stretch) +
                 queue->target_duration;
   }
-  return {.due = job.Accepted() + objective,
-          .last_use = job.Accepted() + kLateFactor * objective,
+  const core::monotonic_time start = job.DueStart(occurrence);
+  return {.due = start + objective,
+          .last_use = start + kLateFactor * objective,
           .chain_left = chain.left};
 }
 
--- a/src/waxwingfront/fleet/job_order.h
+++ b/src/waxwingfront/fleet/job_order.h
@@ -4,6 +4,8 @@
 #ifndef WAXWINGFRONT_FLEET_JOB_ORDER_H_
 #define WAXWINGFRONT_FLEET_JOB_ORDER_H_
 
+#include <cstdint>
+
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/fleet/job_state.h"
 #include "waxwingfront/fleet/types.h"
@@ -22,7 +24,8 @@
 enum class job_hope { kInTime, kLate, kNone };
 
 // `queue` may be null for a queue that is gone: such jobs are due at once.
-job_outlook Outlook(const job_state& job, const queue_spec* queue);
+job_outlook Outlook(const job_state& job, std::uint32_t occurrence,
+                    const queue_spec* queue);
 
 job_hope HopeOf(const job_outlook& outlook, core::monotonic_time now);
 
--- a/src/waxwingfront/fleet/job_state.cc
+++ b/src/waxwingfront/fleet/job_state.cc
@@ -55,13 +55,21 @@
   return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
 }
 
+std::int64_t job_state::DueUnixMs(std::uint32_t occurrence) const {
+  if (spec_.repetitions() == 0) return spec_.accepted_unix_ms();
+  return spec_.first_run_ms() +
+         static_cast<std::int64_t>(occurrence) * spec_.interval_ms();
+}
+
+core::monotonic_time job_state::DueStart(std::uint32_t occurrence) const {
+  const std::int64_t wait_ms = DueUnixMs(occurrence) - spec_.accepted_unix_ms();
+  return accepted_ + core::milliseconds(std::max<std::int64_t>(0, wait_ms));
+}
+
 bool job_state::StepReady(std::uint32_t occurrence, std::uint32_t step,
                           std::int64_t now_unix_ms) const {
-  if (spec_.repetitions() > 0) {
-    const std::int64_t due =
-        spec_.first_run_ms() +
-        static_cast<std::int64_t>(occurrence) * spec_.interval_ms();
-    if (now_unix_ms < due) return false;
+  if (spec_.repetitions() > 0 && now_unix_ms < DueUnixMs(occurrence)) {
+    return false;
   }
   const std::vector<step_state>& steps = occurrences_[occurrence].steps;
   return std::ranges::all_of(spec_.steps(static_cast<int>(step)).after(),
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -4,10 +4,12 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "waxwingfront/core/clock.h"
+#include "waxwingfront/fleet/step_permits.h"
 #include "waxwingfront/fleet/types.h"
 #include "waxwingfront/schema/gen/fleet.pb.h"
 
@@ -79,6 +81,12 @@
 struct step_state {
   std::vector<task_state> tasks;
   std::uint32_t succeeded = 0;
+  // When its turn was first seen to have come.
+  std::optional<core::monotonic_time> ready_since;
+  // Where its queue is advised.
+  step_permits permits;
+  // Last run of a gang whose failure has been counted.
+  std::uint32_t failed_run = 0;
 
   bool Done() const { return succeeded == tasks.size(); }
 };
@@ -106,8 +114,13 @@
   const std::vector<occurrence_state>& Occurrences() const {
     return occurrences_;
   }
+  step_state& StepOf(const task_state& task) {
+    return occurrences_[task.occurrence].steps[task.step];
+  }
   task_state* Find(const task_ref& ref);
 
+  // When the occurrence is due: at acceptance, or at its own time.
+  core::monotonic_time DueStart(std::uint32_t occurrence) const;
   // Whether all steps before `step` are done and its time has come.
   bool StepReady(std::uint32_t occurrence, std::uint32_t step,
                  std::int64_t now_unix_ms) const;
@@ -140,6 +153,8 @@
   std::vector<waiter> waiters;
 
  private:
+  std::int64_t DueUnixMs(std::uint32_t occurrence) const;
+
   schema::fleet_job spec_;
   core::monotonic_time accepted_;
   schema::fleet_job_state state_ = schema::FLEET_QUEUED;
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -1,7 +1,10 @@
 #include "waxwingfront/fleet/planner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
+#include <set>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -9,6 +12,10 @@
 namespace waxwingfront::fleet {
 namespace {
 
+// Executors in one question to the adviser: each lengthens its answer. The
+// platform reckons with 30 a step.
+constexpr std::size_t kAdvisedAtOnce = 30;
+
 bool HasWaiting(const job_state& job) {
   for (const occurrence_state& occurrence : job.Occurrences()) {
     for (const step_state& step : occurrence.steps) {
@@ -20,6 +27,15 @@
   return false;
 }
 
+// The earliest occurrence with work left; the last one if none has.
+std::uint32_t FirstUndone(const job_state& job) {
+  const std::vector<occurrence_state>& all = job.Occurrences();
+  for (std::uint32_t k = 0; k + 1 < all.size(); ++k) {
+    if (!std::ranges::all_of(all[k].steps, &step_state::Done)) return k;
+  }
+  return static_cast<std::uint32_t>(all.size()) - 1;
+}
+
 }  // namespace
 
 void planner::Plan(moment at) {
@@ -38,12 +54,13 @@
 planner::ranked_job planner::Rank(job_state& job,
                                   core::monotonic_time now) const {
   const queue_spec* const spec = state_.FindQueue(job.Spec().queue());
-  const job_outlook outlook = Outlook(job, spec);
+  const job_outlook outlook = Outlook(job, FirstUndone(job), spec);
   const schema::fleet_step& first = job.Spec().steps(0);
   const bool lasts = first.long_running();
   return {.priority = spec == nullptr ? std::numeric_limits<int>::max()
                                       : spec->priority,
           .lasting_image = lasts ? std::string_view(first.image()) : "",
+          .gathers = lasts && first.max_per_executor() == 0,
           .lasting_cpu = lasts ? first.cpu_millis() : 0,
           .hope = HopeOf(outlook, now),
           .due = outlook.due,
@@ -62,27 +79,140 @@
 }
 
 void planner::PlanStep(job_state& job, step_state& step, moment at) {
-  const std::string_view service = state_.ServiceOf(job);
-  bool changed = false;
+  if (!step.ready_since) {
+    step.ready_since = at.now;
+    for (task_state& task : step.tasks) task.waiting_since = at.now;
+  }
+  const std::uint64_t before = job.version;
+  if (step.tasks.front().Spec().gang()) {
+    PlanGang(step, at);
+  } else {
+    PlanTasks(step, at);
+  }
+  if (job.version == before) return;
+  if (job.State() == schema::FLEET_QUEUED) {
+    job.SetState(schema::FLEET_RUNNING, at.unix_ms);
+  }
+}
+
+void planner::PlanTasks(step_state& step, moment at) {
   for (task_state& task : step.tasks) {
     if (task.phase != task_phase::kWaiting) continue;
-    executor_state* const executor =
-        ChooseExecutor(state_, task, service, at.now, cost_);
+    executor_state* const executor = Choose(task, {}, at);
+    if (executor == nullptr) {
+      AskAdvice(step, task, at);
+      return;
+    }
+    Place(task, *executor, task.run + 1, at);
+  }
+}
+
+void planner::PlanGang(step_state& step, moment at) {
+  const auto waits = [](const task_state& task) {
+    return task.phase == task_phase::kWaiting;
+  };
+  if (!std::ranges::all_of(step.tasks, waits)) return;
+  const task_state& first = step.tasks.front();
+  const bool one_rack = first.Spec().same_rack();
+  if (one_rack) {
+    std::set<std::string_view> racks;
+    for (const auto& [id, executor] : state_.executors) {
+      racks.insert(executor.info.rack);
+    }
+    for (const std::string_view rack : racks) {
+      if (PlaceGang(step, rack, at)) return;
+    }
+  }
+  const bool may_spread = !one_rack || at.now - first.waiting_since >=
+                                           distance_.Patience(first.Spec());
+  if (may_spread && PlaceGang(step, {}, at)) return;
+  AskAdvice(step, first, at);
+}
+
+bool planner::PlaceGang(step_state& step, std::string_view rack, moment at) {
+  std::vector<executor_state*> chosen;
+  for (task_state& task : step.tasks) {
+    executor_state* const executor = Choose(task, rack, at);
     if (executor == nullptr) break;
-    if (!changed) state_.Changed(job);
-    changed = true;
-    task.phase = task_phase::kPlaced;
-    task.placed_version = job.version;
-    ++task.run;
-    task.executor = executor->info.id;
-    task.executor_born_ms = executor->info.born_ms;
-    task.listed = false;
+    // Counted at once, so that the next task sees the room that is left.
     executor->Add(task);
-    if (job.State() == schema::FLEET_QUEUED) {
-      job.SetState(schema::FLEET_RUNNING, at.unix_ms);
+    chosen.push_back(executor);
+  }
+  for (std::size_t i = 0; i < chosen.size(); ++i) {
+    chosen[i]->Remove(step.tasks[i]);
+  }
+  if (chosen.size() < step.tasks.size()) return false;
+  std::uint32_t run = 0;
+  for (const task_state& task : step.tasks) run = std::max(run, task.run);
+  for (std::size_t i = 0; i < chosen.size(); ++i) {
+    Place(step.tasks[i], *chosen[i], run + 1, at);
+  }
+  return true;
+}
+
+executor_state* planner::Choose(const task_state& task, std::string_view rack,
+                                moment at) {
+  const queue_spec* const queue = state_.FindQueue(task.job->Spec().queue());
+  const bool advised = queue != nullptr && queue->advised;
+  const step_permits& permits = task.job->StepOf(task).permits;
+  constexpr double kNever = std::numeric_limits<double>::infinity();
+  return ChooseExecutor(
+      state_, task, state_.ServiceOf(*task.job), at.now,
+      [&](const executor_state& executor, const task_state& what,
+          core::monotonic_time now) {
+        if (!rack.empty() && executor.info.rack != rack) return kNever;
+        if (advised && permits.Ticket(executor.info.id, now).empty()) {
+          return kNever;
+        }
+        return cost_(executor, what, now);
+      });
+}
+
+void planner::Place(task_state& task, executor_state& executor,
+                    std::uint32_t run, moment at) {
+  job_state& job = *task.job;
+  state_.Changed(job);
+  task.phase = task_phase::kPlaced;
+  task.placed_version = job.version;
+  task.run = run;
+  task.executor = executor.info.id;
+  task.executor_born_ms = executor.info.born_ms;
+  task.listed = false;
+  executor.Add(task);
+  if (on_placed) on_placed(task, at);
+}
+
+void planner::AskAdvice(step_state& step, const task_state& waiting,
+                        moment at) {
+  const queue_spec* const queue = state_.FindQueue(waiting.job->Spec().queue());
+  if (queue == nullptr || !queue->advised || !step.permits.MayAsk(at.now)) {
+    return;
+  }
+  std::vector<std::pair<double, std::string>> ranked;
+  const std::string_view service = state_.ServiceOf(*waiting.job);
+  for (const auto& [id, executor] : state_.executors) {
+    if (executor.info.service != service || !executor.Usable(at.now) ||
+        step.permits.Refused(id) || !Fits(executor, waiting) ||
+        !step.permits.Ticket(id, at.now).empty()) {
+      continue;
     }
-    if (on_placed) on_placed(task, at);
+    const double cost = cost_(executor, waiting, at.now);
+    if (!std::isinf(cost)) ranked.emplace_back(cost, id);
+  }
+  if (ranked.empty()) return;
+  const std::size_t count = std::min(ranked.size(), kAdvisedAtOnce);
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end());
+  std::vector<std::string> executors;
+  for (std::size_t i = 0; i < count; ++i) {
+    executors.push_back(std::move(ranked[i].second));
   }
+  state_.outgoing.advice.push_back({.step = {.job = waiting.job->Id(),
+                                             .occurrence = waiting.occurrence,
+                                             .step = waiting.step},
+                                    .executors = executors});
+  step.permits.Ask(std::move(executors), at.now);
 }
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/platform_services.h
+++ b/src/waxwingfront/fleet/platform_services.h
@@ -147,6 +147,9 @@
   std::function<void(std::string_view address, const pace_order&,
                      std::int64_t token, std::function<void(order_status)>)>
       pace;
+  std::function<void(const advice_request&,
+                     std::function<void(core::result<advice_reply>)>)>
+      advise;
 };
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -26,6 +26,19 @@
   return run_fate::kFailed;
 }
 
+// Any member's checkpoint is good for its whole gang, whose members must all
+// start from the same one.
+void TakeCheckpoint(task_state& task, const std::string& checkpoint) {
+  if (checkpoint.empty()) return;
+  if (!task.Spec().gang()) {
+    task.checkpoint = checkpoint;
+    return;
+  }
+  for (task_state& member : task.job->StepOf(task).tasks) {
+    member.checkpoint = checkpoint;
+  }
+}
+
 }  // namespace
 
 std::string_view FateName(run_fate fate) {
@@ -89,6 +102,19 @@
   executor->in_contact = false;
 }
 
+void run_tracker::OnGone(std::string_view executor_id, moment at) {
+  OnNoAnswer(executor_id);
+  executor_state* const executor = state_.FindExecutor(executor_id);
+  if (executor == nullptr) return;
+  const std::vector<task_state*> active = executor->active;
+  for (task_state* const task : active) {
+    // What is placed has not been sent; its start will be refused.
+    if (task->Active() && task->phase != task_phase::kPlaced) {
+      Over(*task, run_fate::kForgotten, at);
+    }
+  }
+}
+
 void run_tracker::TakeEnded(executor_state& executor, const hold_report& report,
                             moment at) {
   for (const ended_report& end : report.ended) {
@@ -99,10 +125,15 @@
                          task->run == end.run &&
                          task->executor == executor.info.id;
     if (!current) {
-      executor.unstored_ends.push_back({end.number, {}, 0});
+      // A member of a gang may have ended by another's end, which has to be
+      // stored as well before this one is forgotten.
+      const bool gang = task != nullptr && task->Spec().gang();
+      executor.unstored_ends.push_back({end.number,
+                                        gang ? end.task.job : std::string(),
+                                        gang ? task->job->version : 0});
       continue;
     }
-    if (!end.checkpoint.empty()) task->checkpoint = end.checkpoint;
+    TakeCheckpoint(*task, end.checkpoint);
     job_state& job = *task->job;
     Over(*task, FateOf(end.how), at);
     executor.unstored_ends.push_back({end.number, job.Id(), job.version});
@@ -123,7 +154,7 @@
           {.executor = executor.info.id, .task = row.task, .run = row.run});
       continue;
     }
-    if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
+    TakeCheckpoint(*task, row.checkpoint);
     task->executor_born_ms = report.born_ms;
     task->listed = true;
     if (task->phase == task_phase::kStarting ||
@@ -193,9 +224,12 @@
       executor->avoid_until = at.now + options_.unanswered_time;
     }
     state_.Stop(*task, at.now);
+    if (task->Spec().gang()) EndGangRun(*task, run_fate::kNotStarted, at);
     return;
   }
-  if (executor != nullptr) {
+  if (outcome == start_outcome::kNotPermitted) {
+    task->job->StepOf(*task).permits.Drop(order.executor);
+  } else if (executor != nullptr) {
     const bool room = outcome == start_outcome::kNoRoom;
     executor->avoid_until =
         at.now + (room ? options_.no_room_time : options_.avoid_time);
@@ -229,7 +263,13 @@
       return;
     }
     executor_state* const executor = state_.FindExecutor(task.executor);
-    if (job.Final() || executor == nullptr || !executor->Usable(at.now)) {
+    const queue_spec* const queue = state_.FindQueue(job.Spec().queue());
+    const std::string_view permit =
+        job.StepOf(task).permits.Ticket(task.executor, at.now);
+    const bool permitted =
+        queue == nullptr || !queue->advised || !permit.empty();
+    if (job.Final() || executor == nullptr || !executor->Usable(at.now) ||
+        !permitted) {
       Over(task, run_fate::kNotStarted, at);
       return;
     }
@@ -242,7 +282,8 @@
                                       .task = task.Ref(),
                                       .run = task.run,
                                       .payload = job.Spec().payload(),
-                                      .checkpoint = task.checkpoint});
+                                      .checkpoint = task.checkpoint,
+                                      .permit = std::string(permit)});
   });
   for (auto& [id, executor] : state_.executors) AcknowledgeEnds(executor);
 }
@@ -264,24 +305,53 @@
   if (executor != nullptr) CountHealth(*executor, task, fate, at);
   if (on_over) on_over(task, fate, at);
   state_.Release(task, at.now);
+  if (task.Spec().gang()) EndGangRun(task, fate, at);
   // The record of a final job need not follow the ends of its last runs: no
   // leader starts them again.
   if (job.Final()) return;
   state_.Changed(job);
   const bool lasts = task.Spec().long_running();
   if (fate == run_fate::kDone && !lasts) {
-    task.phase = task_phase::kSucceeded;
-    ++job.Occurrences()[task.occurrence].steps[task.step].succeeded;
+    if (task.phase != task_phase::kSucceeded) {
+      task.phase = task_phase::kSucceeded;
+      ++job.StepOf(task).succeeded;
+    }
     if (job.AllSucceeded()) FinishJob(job, schema::FLEET_COMPLETED, at);
     return;
   }
   if (fate != run_fate::kFailed) return;
   task.failed_on = task.executor;
-  if (lasts) return;
-  ++task.failures;
+  if (!lasts) CountFailure(task, at);
+}
+
+void run_tracker::EndGangRun(task_state& first, run_fate fate, moment at) {
+  step_state& step = first.job->StepOf(first);
+  // One member's success is that of all; any other end breaks the run.
+  const bool success = fate == run_fate::kDone && !first.Spec().long_running();
+  for (task_state& other : step.tasks) {
+    if (success && other.phase != task_phase::kSucceeded) {
+      if (other.Active()) state_.Release(other, at.now);
+      other.phase = task_phase::kSucceeded;
+      ++step.succeeded;
+    } else if (!success && other.Active() && other.run == first.run &&
+               other.phase != task_phase::kStopping) {
+      state_.Stop(other, at.now);
+    }
+  }
+}
+
+void run_tracker::CountFailure(task_state& task, moment at) {
+  job_state& job = *task.job;
+  step_state& step = job.StepOf(task);
+  const bool gang = task.Spec().gang();
+  // Failures of a gang are counted once a run, with its first member.
+  if (gang && step.failed_run == task.run) return;
+  step.failed_run = task.run;
+  std::uint32_t& failures = gang ? step.tasks.front().failures : task.failures;
+  ++failures;
   const queue_spec* const queue = state_.FindQueue(job.Spec().queue());
   if (queue != nullptr &&
-      task.failures >= static_cast<std::uint32_t>(queue->max_attempts)) {
+      failures >= static_cast<std::uint32_t>(queue->max_attempts)) {
     FinishJob(job, schema::FLEET_FAILED, at);
   }
 }
--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -59,6 +59,8 @@
   void OnHold(std::string_view executor, const hold_report& report,
               core::monotonic_time sent, moment at);
   void OnNoAnswer(std::string_view executor);
+  // Another executor has its address: nothing runs on this one any more.
+  void OnGone(std::string_view executor, moment at);
 
   void OnStartAnswer(const start_order& order, start_outcome outcome,
                      moment at);
@@ -82,6 +84,10 @@
   void CloseUnlisted(executor_state& executor, core::monotonic_time sent,
                      moment at);
   void Over(task_state& task, run_fate fate, moment at);
+  // The other members of a gang end with the first that does.
+  void EndGangRun(task_state& first, run_fate fate, moment at);
+  // Counts a failed run; fails the job when it was the last that it may have.
+  void CountFailure(task_state& task, moment at);
   void CountHealth(executor_state& executor, const task_state& task,
                    run_fate fate, moment at);
   void FinishJob(job_state& job, schema::fleet_job_state state, moment at);
--- a/src/waxwingfront/fleet/sharing_policy.cc
+++ b/src/waxwingfront/fleet/sharing_policy.cc
@@ -272,7 +272,8 @@
   for (task_state* const task : executor.active) {
     if (!task->Spec().fills() || task->phase != task_phase::kRunning) continue;
     const job_outlook outlook =
-        Outlook(*task->job, state_.FindQueue(task->job->Spec().queue()));
+        Outlook(*task->job, task->occurrence,
+                state_.FindQueue(task->job->Spec().queue()));
     claims.push_back(
         {.hope = HopeOf(outlook, now), .due = outlook.due, .task = task});
   }
--- a/src/waxwingfront/fleet/types.h
+++ b/src/waxwingfront/fleet/types.h
@@ -9,6 +9,7 @@
 
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/core/resources.h"
+#include "waxwingfront/net/request_limits.h"
 
 namespace waxwingfront::fleet {
 
@@ -40,6 +41,8 @@
   core::milliseconds target_duration{0};
   // Time that a caller's request may take.
   core::milliseconds request_timeout{0};
+  // An adviser tells which executors may run a step of the queue's jobs.
+  bool advised = false;
 };
 
 struct service_spec {
@@ -50,19 +53,12 @@
   bool spare = false;
 };
 
-struct request_limits {
-  std::uint32_t max_header_bytes = 16 * 1024;
-  std::uint64_t max_body_bytes = 256 * 1024;
-  core::milliseconds header_timeout{3000};
-  core::milliseconds idle_timeout{15'000};
-};
-
 // One version of what operators want.
 struct manifest {
   std::int64_t version = 0;
   std::vector<queue_spec> queues;
   std::vector<service_spec> services;
-  request_limits limits;
+  net::request_limits limits;
 };
 
 // An executor as it registered itself.
@@ -77,6 +73,8 @@
   bool draining = false;
   core::resources capacity;
   std::vector<std::string> labels;
+  // One of the labels.
+  std::string rack;
 };
 
 // A run that an executor lists.
@@ -117,6 +115,8 @@
   std::uint32_t run = 0;
   std::string payload;
   std::string checkpoint;
+  // The adviser's permit, where the queue needs one.
+  std::string permit;
 };
 
 struct stop_order {
@@ -133,10 +133,34 @@
   int percent = 100;
 };
 
+// A step of one occurrence of a job.
+struct step_ref {
+  std::string job;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+};
+
+// Asks the adviser which of the executors may run the step.
+struct advice_request {
+  step_ref step;
+  std::vector<std::string> executors;
+};
+
+struct advice_reply {
+  struct permit {
+    std::string executor;
+    std::string ticket;
+  };
+  std::vector<permit> permits;
+  // From the time of asking.
+  core::milliseconds valid{0};
+};
+
 struct orders {
   std::vector<start_order> starts;
   std::vector<stop_order> stops;
   std::vector<pace_order> paces;
+  std::vector<advice_request> advice;
 };
 
 enum class start_outcome {
@@ -148,6 +172,8 @@
   kTooLate,
   kUnhealthy,
   kOtherIncarnation,
+  // The adviser's permit is missing or over.
+  kNotPermitted,
   kMalformed,
   // No connection was made, so that nothing was sent.
   kUnreachable,
--- a/src/waxwingfront/net/async_http_server.cc
+++ b/src/waxwingfront/net/async_http_server.cc
@@ -18,6 +18,8 @@
 using failure_code = boost::system::error_code;
 
 constexpr int kListenBacklog = 512;
+// Most requests arrive whole in one read of this size.
+constexpr std::size_t kReadBytes = 4096;
 
 int StatusOfReadFailure(const failure_code& failure) {
   if (failure == http::error::header_limit) return 431;
@@ -96,9 +98,30 @@
   void Read(const connection_ptr& link) {
     link->answering = false;
     link->parser.emplace();
-    link->parser->header_limit(options.max_header_bytes);
-    link->parser->body_limit(options.max_body_bytes);
-    link->stream.expires_after(options.idle_timeout);
+    link->parser->header_limit(options.limits.max_header_bytes);
+    link->parser->body_limit(options.limits.max_body_bytes);
+    if (link->buffer.size() > 0) {
+      ReadRequest(link);
+      return;
+    }
+    // The first bytes are awaited apart, since a connection may be idle for
+    // longer than a request may take.
+    link->stream.expires_after(options.limits.idle_timeout);
+    link->stream.async_read_some(
+        link->buffer.prepare(kReadBytes),
+        [self = shared_from_this(), link](const failure_code& failure,
+                                          std::size_t bytes) {
+          if (failure) {
+            self->Close(link);
+            return;
+          }
+          link->buffer.commit(bytes);
+          self->ReadRequest(link);
+        });
+  }
+
+  void ReadRequest(const connection_ptr& link) {
+    link->stream.expires_after(options.limits.read_timeout);
     http::async_read(link->stream, link->buffer, *link->parser,
                      [self = shared_from_this(), link](
                          const failure_code& failure, std::size_t) {
@@ -160,7 +183,7 @@
     response.keep_alive(keep && !draining);
     response.body() = std::move(answer.body);
     response.prepare_payload();
-    link->stream.expires_after(options.idle_timeout);
+    link->stream.expires_after(options.limits.idle_timeout);
     http::async_write(link->stream, response,
                       [self = shared_from_this(), link](
                           const failure_code& failure, std::size_t) {
@@ -224,6 +247,10 @@
   return internal_->address;
 }
 
+void async_http_server::SetLimits(const request_limits& limits) {
+  internal_->options.limits = limits;
+}
+
 void async_http_server::Drain() { internal_->draining = true; }
 
 std::size_t async_http_server::OpenRequests() const {
--- a/src/waxwingfront/net/async_http_server.h
+++ b/src/waxwingfront/net/async_http_server.h
@@ -12,6 +12,7 @@
 #include "waxwingfront/core/error.h"
 #include "waxwingfront/net/event_loop.h"
 #include "waxwingfront/net/http_client.h"
+#include "waxwingfront/net/request_limits.h"
 
 namespace waxwingfront::net {
 
@@ -37,11 +38,7 @@
 struct async_http_server_options {
   // IPv4 address and port; port 0 takes a free one, see `Address`.
   std::string address;
-  // Limits of one request.
-  std::uint32_t max_header_bytes = 16 * 1024;
-  std::uint64_t max_body_bytes = 256 * 1024;
-  // A connection without a request is closed after this time.
-  core::milliseconds idle_timeout{15'000};
+  request_limits limits;
   // Above this number the connections that have been idle longest are closed.
   std::size_t max_connections = 1000;
 };
@@ -63,6 +60,9 @@
   // The address that it listens on, with the port that was taken.
   const std::string& Address() const;
 
+  // Takes effect for requests that begin later.
+  void SetLimits(const request_limits& limits);
+
   // Closes idle connections, and the others after their answer.
   void Drain();
 
--- a/tests/support/fleet_scene.cc
+++ b/tests/support/fleet_scene.cc
@@ -29,7 +29,8 @@
          .priority = queue.priority,
          .max_attempts = queue.max_attempts,
          .stretch = queue.stretch,
-         .target_duration = core::milliseconds(queue.target_duration_ms)});
+         .target_duration = core::milliseconds(queue.target_duration_ms),
+         .advised = queue.advised});
   }
   return wanted;
 }
@@ -48,7 +49,9 @@
   return job;
 }
 
-fleet_scene::fleet_scene(const std::vector<queue_options>& queues) : core_({}) {
+fleet_scene::fleet_scene(const std::vector<queue_options>& queues,
+                         fleet::fleet_options options)
+    : core_(options) {
   core_.SetManifest(ManifestOf(queues));
   core_.FinishRestore(At(0));
 }
--- a/tests/support/fleet_scene.h
+++ b/tests/support/fleet_scene.h
@@ -20,6 +20,7 @@
   int max_attempts = 3;
   double stretch = 2.0;
   std::int64_t target_duration_ms = 1000;
+  bool advised = false;
 };
 
 fleet::manifest ManifestOf(const std::vector<queue_options>& queues);
@@ -31,7 +32,8 @@
 // A core whose executors answer holds, with everything stored at once.
 class fleet_scene {
  public:
-  explicit fleet_scene(const std::vector<queue_options>& queues = {{}});
+  explicit fleet_scene(const std::vector<queue_options>& queues = {{}},
+                       fleet::fleet_options options = {});
 
   fleet::fleet_core& Core() { return core_; }
 
--- a/tests/waxwingfront/net/async_http_test.cc
+++ b/tests/waxwingfront/net/async_http_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "support/loop_runner.h"
+#include "support/raw_caller.h"
 #include "waxwingfront/net/async_http_client.h"
 #include "waxwingfront/net/async_http_server.h"
 
@@ -89,7 +90,7 @@
 }
 
 TEST_CASE("bodies and headers over the limits get their own answer", "[net]") {
-  served site({.max_header_bytes = 1000, .max_body_bytes = 2000});
+  served site({.limits = {.max_header_bytes = 1000, .max_body_bytes = 2000}});
   CHECK(
       site.Call(
               {.method = "POST", .target = "/", .body = std::string(3000, 'x')})
@@ -121,5 +122,35 @@
   }
 }
 
+TEST_CASE("changed limits hold for the next request", "[net]") {
+  served site;
+  const net::http_call call{
+      .method = "POST", .target = "/", .body = std::string(3000, 'x')};
+  CHECK(site.Call(call)->status == 200);
+  site.server->SetLimits({.max_body_bytes = 2000});
+  // The connection that is open was set up with the old limits.
+  net::async_http_client other(site.loop, {});
+  std::optional<int> status;
+  net::http_call again = call;
+  again.address = site.server->Address();
+  other.Send(std::move(again),
+             [&status](const core::result<net::http_reply>& reply) {
+               status = reply ? reply->status : 0;
+             });
+  REQUIRE(RunUntil(site.loop, [&status] { return status.has_value(); }));
+  CHECK(status == 413);
+}
+
+TEST_CASE("a request that trickles in is cut, an idle connection is not",
+          "[net]") {
+  served site({.limits = {.read_timeout = milliseconds(200),
+                          .idle_timeout = milliseconds(20'000)}});
+  raw_caller idle(site.server->Address());
+  raw_caller slow(site.server->Address());
+  REQUIRE(slow.Send("GET / HTTP/1.1\r\nHost: a\r\n"));
+  CHECK(RunUntil(site.loop, [&slow] { return slow.HasInput(); }));
+  CHECK_FALSE(idle.HasInput());
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
