Let light filling work run, place by hope, and follow the harm with a margin

Tasks of hopeless jobs counted against hopeful ones when these were placed, and lasting tasks that have to be on several executors came last and opened executors of their own.

Changes: pressures below 0.03 a task neither place nor pace; a placement counts only pressures of jobs with as much hope; lasting tasks with a limit for each executor go first; light images leave open executors to heavy ones; the cost of overcommitted processors follows what was measured (0.82 to 1.0 of the speed at 1.8 times the capacity); a margin below the targets grows while more than 5 % of an executor's serving tasks are above them; paces are rounded down.

--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -2,6 +2,7 @@
 #ifndef WAXWINGFRONT_FLEET_EXECUTOR_STATE_H_
 #define WAXWINGFRONT_FLEET_EXECUTOR_STATE_H_
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "waxwingfront/core/clock.h"
+#include "waxwingfront/fleet/job_order.h"
 #include "waxwingfront/fleet/job_state.h"
 #include "waxwingfront/fleet/types.h"
 
@@ -35,8 +37,9 @@
   std::string image;
   // Utilisation between the highest own load and the target.
   double room = 0.0;
-  // What filling tasks take of it at full pace.
-  double used = 0.0;
+  // What filling tasks take of it at full pace, for each hope those of jobs
+  // with as much hope or more: they come first when paces are set.
+  std::array<double, kJobHopes> used{};
 };
 
 // What `sharing_policy` has worked out for an executor.
@@ -45,6 +48,8 @@
   // Processor thousandths that its tasks use or will use.
   double use_millis = 0.0;
   bool serving = false;
+  // How little its serving tasks mind filling ones, from 0 to 1.
+  double openness = 1.0;
   // Number of serving images.
   std::size_t images = 0;
   std::vector<serving_budget> budgets;
@@ -87,6 +92,10 @@
   int consecutive_failures = 0;
   std::string last_failed_job;
 
+  // Utilisation that is kept free below the targets of its serving tasks.
+  double margin = 0.0;
+  core::monotonic_time margin_at{};
+
   // Invalid after each change of `active` and each report.
   mutable sharing_view sharing;
 
--- a/src/waxwingfront/fleet/job_order.h
+++ b/src/waxwingfront/fleet/job_order.h
@@ -4,6 +4,7 @@
 #ifndef WAXWINGFRONT_FLEET_JOB_ORDER_H_
 #define WAXWINGFRONT_FLEET_JOB_ORDER_H_
 
+#include <cstddef>
 #include <cstdint>
 
 #include "waxwingfront/core/clock.h"
@@ -22,6 +23,8 @@
 };
 
 enum class job_hope { kInTime, kLate, kNone };
+// Number of the hopes above.
+inline constexpr std::size_t kJobHopes = 3;
 
 // `queue` may be null for a queue that is gone: such jobs are due at once.
 job_outlook Outlook(const job_state& job, std::uint32_t occurrence,
--- a/src/waxwingfront/fleet/sharing_model.cc
+++ b/src/waxwingfront/fleet/sharing_model.cc
@@ -248,6 +248,38 @@
   }
 }
 
+void sharing_model::Rank() {
+  heaviness_.assign(filling_.size(), 0.0);
+  sensitivity_.assign(images_.size(), 0.0);
+  for (std::size_t s = 0; s < images_.size(); ++s) {
+    for (std::size_t f = 0; f < filling_.size(); ++f) {
+      const double pressure = images_[s].pressures[f];
+      heaviness_[f] += pressure;
+      sensitivity_[s] += pressure;
+    }
+  }
+  for (std::vector<double>* const figures : {&heaviness_, &sensitivity_}) {
+    if (figures->empty()) continue;
+    const double most = *std::ranges::max_element(*figures);
+    if (most <= 0.0) continue;
+    for (double& figure : *figures) figure /= most;
+  }
+}
+
+double sharing_model::Heaviness(std::string_view filling_image) const {
+  const auto found = filling_.find(filling_image);
+  return found == filling_.end() || found->second >= heaviness_.size()
+             ? 1.0
+             : heaviness_[found->second];
+}
+
+double sharing_model::Sensitivity(std::string_view serving_image) const {
+  const auto found = serving_.find(serving_image);
+  return found == serving_.end() || found->second >= sensitivity_.size()
+             ? 1.0
+             : sensitivity_[found->second];
+}
+
 void sharing_model::Solve(core::monotonic_time now) {
   const double elapsed =
       solved_ == core::monotonic_time{} ? 0.0 : seconds(now - solved_).count();
@@ -260,6 +292,7 @@
     for (double& value : image.right) value *= keep;
     image.peak *= Decay(elapsed, kForgetPeakSeconds);
   }
+  Rank();
   std::erase_if(jobs_, [now](const auto& entry) {
     return now - entry.second.history.back().at > kJobMemory;
   });
@@ -332,6 +365,7 @@
       image.pressures[place] = row.pressures(i);
     }
   }
+  Rank();
 }
 
 std::optional<double> sharing_model::OwnLoad(std::string_view job,
--- a/src/waxwingfront/fleet/sharing_model.h
+++ b/src/waxwingfront/fleet/sharing_model.h
@@ -59,6 +59,12 @@
   double Pressure(std::string_view serving_image,
                   std::string_view filling_image) const;
 
+  // How much the filling image presses serving images on average, and how much
+  // the serving image is pressed by filling ones, as shares of the most that is
+  // known of any image; 1 for images that are not known yet.
+  double Heaviness(std::string_view filling_image) const;
+  double Sensitivity(std::string_view serving_image) const;
+
   // How alike two serving images are in what presses them, from 0 to 1; 0 for
   // different images before there were reports.
   double Similarity(std::string_view left, std::string_view right) const;
@@ -137,10 +143,14 @@
                             const serving_image& image);
   void Solve(core::monotonic_time now);
   static void SolveImage(serving_image& image, std::size_t filling);
+  // Works out heaviness and sensitivity from the pressures.
+  void Rank();
 
   std::map<std::string, std::size_t, std::less<>> filling_;
   std::map<std::string, std::size_t, std::less<>> serving_;
   std::vector<serving_image> images_;
+  std::vector<double> heaviness_;
+  std::vector<double> sensitivity_;
   std::map<std::string, executor_use, std::less<>> uses_;
   std::map<std::string, job_load, std::less<>> jobs_;
   core::monotonic_time solved_{};
--- a/src/waxwingfront/fleet/sharing_policy.cc
+++ b/src/waxwingfront/fleet/sharing_policy.cc
@@ -16,6 +16,15 @@
 constexpr double kServingUseShare = 0.45;
 // Own load that a serving task is taken to have before its first report.
 constexpr double kUnknownLoad = 0.55;
+// The margin below the targets grows while more than the tolerated share of an
+// executor's serving tasks is above its target, and shrinks while less is.
+// Harm counts four times, so that the tolerated share costs a fifth of what
+// serving jobs earn. Utilisation a second, and utilisation.
+constexpr double kMarginGain = 0.3;
+constexpr double kToleratedHarm = 0.05;
+constexpr double kMostMargin = 0.2;
+// A report tells of no more than this many seconds before it.
+constexpr double kLongestReportGap = 2.0;
 // How far loads are looked ahead: a typical filling task's time when one is
 // placed, the time between two reports and their delay when paces are set.
 constexpr double kPlacementAheadSeconds = 1.5;
@@ -23,18 +32,24 @@
 // A filling task is placed beside serving ones only if the budgets allow it
 // this share of its full pace. Jobs have time for twice their work.
 constexpr double kLeastPace = 0.5;
-// Pressures below this do not count: a rounding step of a tail is as large.
-constexpr double kNoPressure = 0.004;
+// Pressures of a task below this are neither placed nor paced by: half of what
+// single readings of a tail scatter by (0.06 on recorded days).
+constexpr double kNoPressure = 0.03;
 
 // Costs are in shares of an executor's processors. Overcommitted processors
-// slow down everything that fills; pressure spends what heavier work may need;
-// and a slow pace makes its job late.
-constexpr double kOvercommitSlope = 3.0;
+// slow down what fills, by a sixth at twice the capacity on recorded days;
+// pressure spends what heavier work may need; and a slow pace makes its job
+// late.
+constexpr double kLoadSlope = 0.5;
+constexpr double kOvercommitSlope = 0.3;
 constexpr double kPressureSlope = 2.0;
 constexpr double kSlowCost = 0.5;
 // Cost of using an executor without serving tasks for work that could go
 // elsewhere.
 constexpr double kKeepFreeCost = 0.3;
+// Cost of using an executor that heavy images could use for a light one, which
+// fits anywhere.
+constexpr double kKeepOpenCost = 0.5;
 
 // Share of a service's executors that is kept free of serving tasks while there
 // is room elsewhere, for filling work that disturbs all serving images.
@@ -48,8 +63,6 @@
 constexpr double kMixedImagesCost = 0.7;
 constexpr double kOtherJobCost = 0.15;
 constexpr double kReservedCost = 3.0;
-// An executor counts as filled by a job's waiting tasks from this share on.
-constexpr double kFilledShare = 0.8;
 // Serving tasks wait this long for others that come at the same time, so that
 // alike ones are placed together: little against their life.
 constexpr core::milliseconds kGatherTime{300};
@@ -68,9 +81,10 @@
 // Paces rise only while the tails that they press are below this share of their
 // target.
 constexpr double kCalmTail = 0.8;
-// Smallest change of a pace that is worth an order, in percent.
-constexpr int kPaceStep = 20;
+// Paces are set in steps of this many percent, downwards; a rise has to be
+// larger to be worth an order.
 constexpr int kPaceRounding = 10;
+constexpr int kPaceRise = 20;
 
 double Capacity(const executor_state& executor) {
   return static_cast<double>(
@@ -106,7 +120,7 @@
   for (const auto& [id, executor] : state_.executors) {
     if (!executor.Usable(now)) continue;
     executors_ += 1.0;
-    if (!View(executor).serving) free_executors_ += 1.0;
+    if (!View(executor, now).serving) free_executors_ += 1.0;
   }
   serving_waits_ = std::ranges::any_of(state_.live, [](const job_state* job) {
     if (job->Final() || !job->Spec().steps(0).long_running()) return false;
@@ -120,9 +134,9 @@
 double sharing_policy::Cost(const executor_state& executor,
                             const task_state& task,
                             core::monotonic_time now) const {
-  if (task.Spec().fills()) return FillingCost(executor, task);
+  if (task.Spec().fills()) return FillingCost(executor, task, now);
   if (task.Spec().long_running()) return ServingCost(executor, task, now);
-  return OrdinaryCost(executor, task);
+  return OrdinaryCost(executor, task, now);
 }
 
 double sharing_policy::ServingCost(const executor_state& executor,
@@ -130,13 +144,12 @@
                                    core::monotonic_time now) const {
   if (now - task.waiting_since < kGatherTime) return kNever;
   const double free = FreeShare(executor, task);
-  const sharing_view& view = View(executor);
+  const sharing_view& view = View(executor, now);
   if (!view.serving) {
-    if (free_executors_ > kReservedShare * executors_) {
-      return free + (Fills(executor, task) ? 0.0 : kOpensCost);
-    }
+    const double cost = free + kOpensCost;
+    if (free_executors_ > kReservedShare * executors_) return cost;
     return now - task.waiting_since < kServingPatience ? kNever
-                                                       : free + kReservedCost;
+                                                       : cost + kReservedCost;
   }
   double alike = 1.0;
   bool own_job = false;
@@ -150,45 +163,48 @@
   return free + (own_job ? 0.0 : kOtherJobCost) + mixing * (1.0 - alike);
 }
 
-bool sharing_policy::Fills(const executor_state& executor,
-                           const task_state& task) {
-  if (task.Spec().max_per_executor() > 0) return false;
-  const std::vector<task_state>& tasks =
-      task.job->Occurrences()[task.occurrence].steps[task.step].tasks;
-  const auto waiting =
-      std::ranges::count(tasks, task_phase::kWaiting, &task_state::phase);
-  return static_cast<double>(waiting) * Millis(task) >=
-         kFilledShare * Capacity(executor);
-}
-
 double sharing_policy::OrdinaryCost(const executor_state& executor,
-                                    const task_state& task) const {
+                                    const task_state& task,
+                                    core::monotonic_time now) const {
   // Best fit: whole gaps stay for serving tasks, which are larger. While those
   // wait for a gap, short tasks leave the gaps to them.
-  const bool serving = View(executor).serving;
+  const bool serving = View(executor, now).serving;
   return FreeShare(executor, task) +
          (serving == serving_waits_ ? kKeepFreeCost : 0.0);
 }
 
+std::size_t sharing_policy::Hope(const task_state& task,
+                                 core::monotonic_time now) const {
+  const queue_spec* const queue = state_.FindQueue(task.job->Spec().queue());
+  return static_cast<std::size_t>(
+      HopeOf(Outlook(*task.job, task.occurrence, queue), now));
+}
+
 double sharing_policy::FillingCost(const executor_state& executor,
-                                   const task_state& task) const {
-  const sharing_view& view = View(executor);
+                                   const task_state& task,
+                                   core::monotonic_time now) const {
+  const sharing_view& view = View(executor, now);
   const double load = (view.use_millis + Millis(task)) / Capacity(executor);
-  const double cost = load + kOvercommitSlope * std::max(0.0, load - 1.0);
-  if (!view.serving) return cost + kKeepFreeCost;
+  const double cost =
+      kLoadSlope * load + kOvercommitSlope * std::max(0.0, load - 1.0);
+  const double keep_open = kKeepOpenCost * view.openness *
+                           (1.0 - model_.Heaviness(task.Spec().image()));
+  if (!view.serving) return cost + kKeepFreeCost + keep_open;
+  const std::size_t hope = Hope(task, now);
   double pace = 1.0;
   double most = 0.0;
   for (const serving_budget& budget : view.budgets) {
     const double added = PressureOf(executor, budget.image, task);
     if (added < kNoPressure) continue;
     most = std::max(most, added);
-    pace = std::min(pace, budget.room / (budget.used + added));
+    pace = std::min(pace, budget.room / (budget.used[hope] + added));
   }
   if (pace < kLeastPace) return kNever;
-  return cost + kPressureSlope * most + kSlowCost * (1.0 - pace);
+  return cost + keep_open + kPressureSlope * most + kSlowCost * (1.0 - pace);
 }
 
-const sharing_view& sharing_policy::View(const executor_state& executor) const {
+const sharing_view& sharing_policy::View(const executor_state& executor,
+                                         core::monotonic_time now) const {
   sharing_view& view = executor.sharing;
   if (view.fresh) return view;
   view = {.fresh = true};
@@ -199,10 +215,17 @@
   }
   view.budgets = Budgets(executor, kPlacementAheadSeconds);
   view.images = view.budgets.size();
+  for (const serving_budget& budget : view.budgets) {
+    view.openness =
+        std::min(view.openness, 1.0 - model_.Sensitivity(budget.image));
+  }
   for (serving_budget& budget : view.budgets) {
     for (const task_state* const task : executor.active) {
       if (!task->Spec().fills()) continue;
-      budget.used += PressureOf(executor, budget.image, *task);
+      const double pressure = PressureOf(executor, budget.image, *task);
+      for (auto hope = Hope(*task, now); hope < kJobHopes; ++hope) {
+        budget.used[hope] += pressure;
+      }
     }
   }
   return view;
@@ -218,7 +241,7 @@
         image, static_cast<double>(task->Spec().target_ms()));
     const double own =
         model_.OwnLoad(task->job->Id(), ahead_seconds).value_or(kUnknownLoad);
-    const double room = std::max(0.0, limit - own);
+    const double room = std::max(0.0, limit - executor.margin - own);
     const auto known =
         std::ranges::find(budgets, image, &serving_budget::image);
     if (known == budgets.end()) {
@@ -262,6 +285,7 @@
 void sharing_policy::OnReport(executor_state& executor,
                               core::monotonic_time now) {
   Learn(executor, now);
+  AdjustMargin(executor, now);
   executor.sharing.fresh = false;
   AdjustPace(executor, now);
 }
@@ -287,15 +311,36 @@
   for (const pace_claim& claim : claims) {
     double pace = harmed ? 0.0 : 1.0;
     for (serving_budget& budget : budgets) {
-      budget.used = PressureOf(executor, budget.image, *claim.task);
-      if (budget.used < kNoPressure || budget.used <= budget.room) continue;
-      pace = std::min(pace, std::max(0.0, budget.room / budget.used));
+      const double pressure = PressureOf(executor, budget.image, *claim.task);
+      if (pressure < kNoPressure || pressure <= budget.room) continue;
+      pace = std::min(pace, std::max(0.0, budget.room / pressure));
+    }
+    for (serving_budget& budget : budgets) {
+      budget.room -= pace * PressureOf(executor, budget.image, *claim.task);
     }
-    for (serving_budget& budget : budgets) budget.room -= pace * budget.used;
     SetPace(executor, *claim.task, pace);
   }
 }
 
+void sharing_policy::AdjustMargin(executor_state& executor,
+                                  core::monotonic_time now) {
+  const double elapsed =
+      std::min(kLongestReportGap,
+               std::chrono::duration<double>(now - executor.margin_at).count());
+  executor.margin_at = now;
+  double serving = 0.0;
+  double over = 0.0;
+  for (const task_state* const task : executor.active) {
+    if (!HasTail(*task)) continue;
+    serving += 1.0;
+    if (TailShare(*task) > 1.0) over += 1.0;
+  }
+  const double share = serving > 0.0 ? over / serving : 0.0;
+  executor.margin = std::clamp(
+      executor.margin + kMarginGain * elapsed * (share - kToleratedHarm), 0.0,
+      kMostMargin);
+}
+
 void sharing_policy::Learn(executor_state& executor, core::monotonic_time now) {
   std::vector<sharing_model::filling_use> filling;
   std::vector<sharing_model::serving_tail> serving;
@@ -318,12 +363,12 @@
 void sharing_policy::SetPace(executor_state& executor, task_state& task,
                              double wanted) {
   const int steps =
-      static_cast<int>(std::lround(wanted * kFullPace / kPaceRounding));
+      static_cast<int>(std::floor(wanted * kFullPace / kPaceRounding));
   const int percent = std::clamp(steps * kPaceRounding, 0, kFullPace);
   const int change = percent - task.pace_percent;
   const bool extreme =
       percent == 0 || percent == kFullPace || task.pace_percent == kUnknownPace;
-  if (change == 0 || (!extreme && std::abs(change) < kPaceStep)) return;
+  if (change == 0 || (!extreme && change > 0 && change < kPaceRise)) return;
   if (change > 0 && !Calm(executor, task)) return;
   task.pace_percent = percent;
   state_.outgoing.paces.push_back({.executor = executor.info.id,
--- a/src/waxwingfront/fleet/sharing_policy.h
+++ b/src/waxwingfront/fleet/sharing_policy.h
@@ -53,14 +53,15 @@
 
   double ServingCost(const executor_state& executor, const task_state& task,
                      core::monotonic_time now) const;
-  double FillingCost(const executor_state& executor,
-                     const task_state& task) const;
-  double OrdinaryCost(const executor_state& executor,
-                      const task_state& task) const;
-  // Whether the task's job has enough waiting tasks to fill the executor.
-  static bool Fills(const executor_state& executor, const task_state& task);
-
-  const sharing_view& View(const executor_state& executor) const;
+  double FillingCost(const executor_state& executor, const task_state& task,
+                     core::monotonic_time now) const;
+  double OrdinaryCost(const executor_state& executor, const task_state& task,
+                      core::monotonic_time now) const;
+  // Index of the hope of the task's job.
+  std::size_t Hope(const task_state& task, core::monotonic_time now) const;
+
+  const sharing_view& View(const executor_state& executor,
+                           core::monotonic_time now) const;
   // What each serving image on the executor bears within the time ahead.
   std::vector<serving_budget> Budgets(const executor_state& executor,
                                       double ahead_seconds) const;
@@ -74,6 +75,8 @@
   double PressureOf(const executor_state& executor, std::string_view serving,
                     const task_state& filling) const;
   void Learn(executor_state& executor, core::monotonic_time now);
+  // Widens or narrows the margin below the targets by what is harmed.
+  static void AdjustMargin(executor_state& executor, core::monotonic_time now);
   void SetPace(executor_state& executor, task_state& task, double wanted);
   // Whether no serving task that `filling` presses is close to its target.
   bool Calm(const executor_state& executor, const task_state& filling) const;
--- a/tests/support/sharing_site.cc
+++ b/tests/support/sharing_site.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <set>
 
 namespace waxwingfront::tests {
@@ -19,6 +20,8 @@
 constexpr int kMaxTailMs = 300;
 // Tails follow the utilisation with this time constant, as recorded ones do.
 constexpr double kSmoothingMs = 700.0;
+// Processor time in use is reported over this time, as the platform does.
+constexpr std::size_t kUseSteps = 500 / kStepMs;
 
 struct play {
   explicit play(const sharing_site_options& chosen)
@@ -32,6 +35,8 @@
     std::int64_t since = 0;
     double worked_ms = 0.0;
     int pace = 100;
+    // Processor thousandths used in the latest steps.
+    std::deque<std::int64_t> use;
     double utilisation = 0.3;
     std::int64_t harmed_since = -1;
   };
@@ -72,6 +77,7 @@
     step.set_estimated_ms(static_cast<std::int64_t>(kWorkMs));
     scene.Core().Submit(job, At(now));
     submitted[id] = now;
+    if (!serves) ++outcome.submitted[Image({.job = id})];
   }
 
   void Obey(const fleet::orders& decided) {
@@ -119,6 +125,8 @@
       if (!Serves(task)) {
         state.worked_ms += static_cast<double>(kStepMs * state.pace) / 100.0;
         if (state.worked_ms >= kWorkMs) done.push_back(task);
+        state.use.push_back(kFillingCpu * state.pace / 100);
+        if (state.use.size() > kUseSteps) state.use.pop_front();
         continue;
       }
       const double own = OwnLoad(task, now);
@@ -144,19 +152,24 @@
       if (state.executor != executor) continue;
       const double tail = std::min<double>(
           kMaxTailMs, kBaseMs / std::max(0.01, 1.0 - state.utilisation));
-      rows.push_back(
-          {.task = task,
-           .run = state.run,
-           .checkpoint = "c",
-           .percent = 100,
-           .load_figure = Serves(task)
-                              ? static_cast<std::int64_t>(std::lround(tail))
-                              : kFillingCpu * state.pace / 100});
+      rows.push_back({.task = task,
+                      .run = state.run,
+                      .checkpoint = "c",
+                      .percent = 100,
+                      .load_figure = Serves(task) ? static_cast<std::int64_t>(
+                                                        std::lround(tail))
+                                                  : MeanUse(state)});
     }
     scene.Report(executor, now, std::move(rows),
                  std::exchange(unreported[executor], {}));
   }
 
+  static std::int64_t MeanUse(const running_task& state) {
+    std::int64_t sum = 0;
+    for (const std::int64_t use : state.use) sum += use;
+    return sum / static_cast<std::int64_t>(kUseSteps);
+  }
+
   void CountEnded() {
     for (auto entry = submitted.begin(); entry != submitted.end();) {
       const auto& [id, since] = *entry;
@@ -168,6 +181,7 @@
       const double objective = 2.0 * kWorkMs + 1000.0;
       if (static_cast<double>(now - since) <= objective) {
         ++outcome.filling_in_time;
+        ++outcome.in_time[Image({.job = id})];
       }
       entry = submitted.erase(entry);
     }
--- a/tests/support/sharing_site.h
+++ b/tests/support/sharing_site.h
@@ -33,6 +33,9 @@
   std::int64_t longest_harm_ms = 0;
   int filling_done = 0;
   int filling_in_time = 0;
+  // Of each filling image, the jobs submitted and those that ended in time.
+  std::map<std::string, int> submitted;
+  std::map<std::string, int> in_time;
 };
 
 // Plays the site and gives what callers got.
--- a/tests/waxwingfront/fleet/sharing_policy_test.cc
+++ b/tests/waxwingfront/fleet/sharing_policy_test.cc
@@ -4,6 +4,8 @@
 #include "waxwingfront/fleet/sharing_policy.h"
 
 #include <catch2/catch.hpp>
+#include <set>
+#include <string>
 #include <string_view>
 
 #include "support/sharing_site.h"
@@ -45,5 +47,50 @@
   CHECK(outcome.filling_in_time >= 44);
 }
 
+TEST_CASE("light filling work is in time beside heavy work that is held back",
+          "[fleet]") {
+  // Images f0 and f1 press all serving images, f2 presses none to speak of.
+  const sharing_outcome outcome =
+      PlaySharing({.filling_jobs = 6.0,
+                   .pressure = [](std::string_view, std::string_view filling) {
+                     return filling.back() == '2' ? 0.004 : 0.06;
+                   }});
+  CHECK(outcome.longest_harm_ms < kHarmLimitMs);
+  // All but the jobs of the last seconds and of the first, when nothing is
+  // known yet.
+  constexpr int kJobsAtTheEdges = 8;
+  CHECK(outcome.in_time.at("f2") >=
+        outcome.submitted.at("f2") - kJobsAtTheEdges);
+}
+
+TEST_CASE("lasting tasks leave executors free for work that disturbs them",
+          "[fleet]") {
+  constexpr int kExecutors = 8;
+  constexpr std::int64_t kCapacity = 32'000;
+  fleet_scene scene;
+  for (int i = 0; i < kExecutors; ++i) {
+    scene.AddExecutor("e" + std::to_string(i), kCapacity);
+  }
+  const auto submit = [&scene](const std::string& id, std::uint32_t tasks,
+                               std::int64_t cpu_millis, std::uint32_t limit) {
+    schema::fleet_job job = JobOf(id, tasks, cpu_millis);
+    schema::fleet_step& step = *job.mutable_steps(0);
+    step.set_long_running(true);
+    step.set_image("s");
+    step.set_target_ms(18);
+    step.set_max_per_executor(limit);
+    scene.Core().Submit(job, At(0));
+  };
+  for (int i = 0; i < 4; ++i) submit("job" + std::to_string(i), 5, 6000, 0);
+  submit("apart", 4, 5000, 1);
+  scene.Step(10);
+  std::set<std::string> used;
+  for (const fleet::start_order& start : scene.Step(400).starts) {
+    used.insert(start.executor);
+  }
+  // 140 of 256 cores are declared: five executors hold them.
+  CHECK(used.size() == 5);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
