--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -9,6 +9,8 @@
 struct job_gateway::attempt_state {
   schema::fleet_request request;
   core::monotonic_time deadline;
+  // Until then a leader is looked for.
+  core::monotonic_time patient_until;
   callback done;
   // A leader may have taken the call without an answer.
   bool may_have_arrived = false;
@@ -26,19 +28,21 @@
   auto attempt = std::make_shared<attempt_state>();
   attempt->request = std::move(request);
   attempt->deadline = deadline;
+  attempt->patient_until = std::min(deadline, core::Now() + options_.patience);
   attempt->done = std::move(done);
   Try(std::move(attempt));
 }
 
 void job_gateway::Try(std::shared_ptr<attempt_state> attempt) {
-  if (core::Now() >= attempt->deadline) {
-    if (attempt->may_have_arrived) {
-      attempt->done(core::Failure(core::error_code::kOutcomeUnknown,
-                                  "the leader did not answer in time"));
-    } else {
-      attempt->done(core::Failure(core::error_code::kNoOwner,
-                                  "no leader could be reached in time"));
-    }
+  const core::monotonic_time now = core::Now();
+  if (attempt->may_have_arrived && now >= attempt->deadline) {
+    attempt->done(core::Failure(core::error_code::kOutcomeUnknown,
+                                "the leader did not answer in time"));
+    return;
+  }
+  if (!attempt->may_have_arrived && now >= attempt->patient_until) {
+    attempt->done(core::Failure(core::error_code::kNoOwner,
+                                "no leader could be reached in time"));
     return;
   }
   if (hooks_.local() != nullptr) {
--- a/src/waxwingfront/fleet/job_gateway.h
+++ b/src/waxwingfront/fleet/job_gateway.h
@@ -23,6 +23,10 @@
   // Longest wait for one answer of the leader: a silent connection is given up
   // while there is time for another.
   core::milliseconds attempt{1000};
+  // A call that has reached no leader for this long is refused while its caller
+  // has time to come back: about half a take-over, after which a caller at this
+  // process is better off at another.
+  core::milliseconds patience{1000};
 };
 
 struct job_gateway_hooks {
@@ -43,8 +47,8 @@
               job_gateway_options options, job_gateway_hooks hooks);
 
   // Calls the leader until it has answered or `deadline` is over. Fails with
-  // `kNoOwner` if no leader was reached, so that nothing was done, and with
-  // `kOutcomeUnknown` if one may have taken the call.
+  // `kNoOwner` if no leader was reached within the patience, so that nothing
+  // was done, and with `kOutcomeUnknown` if one may have taken the call.
   void Call(schema::fleet_request request, core::monotonic_time deadline,
             callback done);
 
