Let lasting tasks that wait long go before short ones, and keep room for them

Ruled out: labels, limits for each executor, memory held by filling tasks, and the patience of the placement costs (0 in the trace).

Changes: a lasting task that has waited 2 s goes first in its priority, and one executor in 30 at most is kept until what ends by itself there has ended. The leader logs `task_waits` with the reasons, every 2 s for each step.

--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -89,6 +89,9 @@
 
   // Not used for new work until then.
   core::monotonic_time avoid_until{};
+  // Job that room is kept for until the time below; null for none.
+  const job_state* kept_for = nullptr;
+  core::monotonic_time kept_until{};
   int consecutive_failures = 0;
   std::string last_failed_job;
 
@@ -102,6 +105,10 @@
   core::resources Free() const { return info.capacity - used; }
   bool HasLabel(std::string_view label) const;
   bool Usable(core::monotonic_time now) const;
+  // Whether its room is kept for another job.
+  bool KeptFromJob(const job_state* job, core::monotonic_time now) const {
+    return kept_for != nullptr && kept_for != job && now < kept_until;
+  }
   // Whether nothing that this or an earlier leader started can still run.
   bool Lapsed(core::monotonic_time now) const;
 
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -25,6 +25,10 @@
     if (task.Spec().long_running()) sharing_.CountExecutors(at.now);
     if (on_placed) on_placed(task, at);
   };
+  planner_.on_waiting = [this](const task_state& task,
+                               const placement_refusals& refusals, moment at) {
+    if (on_waiting) on_waiting(task, refusals, at);
+  };
   journal_.on_job_stored = [this](job_state& job, moment at) {
     runs_.OnJobStored(job, at);
   };
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -93,6 +93,10 @@
   // Called with each task that was placed, for logs.
   std::function<void(const task_state&, moment)> on_placed;
 
+  // See `planner::on_waiting`.
+  std::function<void(const task_state&, const placement_refusals&, moment)>
+      on_waiting;
+
   // Lets lapsed runs end, drops old jobs and places waiting tasks.
   void Tick(moment at);
   void Plan(moment at) {
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -50,6 +50,9 @@
     core.on_placed = [this](const task_state& task, moment) {
       LogPlaced(task);
     };
+    core.on_waiting = [this](const task_state& task,
+                             const placement_refusals& refusals,
+                             moment at) { LogWaiting(task, refusals, at); };
     core.Rebalancer().on_move = [this](const task_state& task, moment) {
       LogMoved(task);
     };
@@ -71,6 +74,22 @@
                               {"manifest", core.Manifest().version}});
   }
 
+  void LogWaiting(const task_state& task, const placement_refusals& refusals,
+                  moment at) {
+    const auto waited = std::chrono::duration_cast<core::milliseconds>(
+        at.now - task.waiting_since);
+    log.Write("task_waits",
+              {{"job", task.job->Id()},
+               {"step", std::int64_t{task.step}},
+               {"task", std::int64_t{task.index}},
+               {"waited_ms", std::int64_t{waited.count()}},
+               {"unusable", std::int64_t{refusals.unusable}},
+               {"kept", std::int64_t{refusals.kept}},
+               {"no_room", std::int64_t{refusals.no_room}},
+               {"not_permitted", std::int64_t{refusals.not_permitted}},
+               {"too_costly", std::int64_t{refusals.too_costly}}});
+  }
+
   void LogFinal(const job_state& job) {
     const auto took = std::chrono::duration_cast<core::milliseconds>(
         core::Now() - job.Accepted());
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -83,6 +83,8 @@
   std::uint32_t succeeded = 0;
   // When its turn was first seen to have come.
   std::optional<core::monotonic_time> ready_since;
+  // When it was last logged that a task of it waits.
+  core::monotonic_time wait_logged{};
   // Where its queue is advised.
   step_permits permits;
   // Last run of a gang whose failure has been counted.
--- a/src/waxwingfront/fleet/placement.cc
+++ b/src/waxwingfront/fleet/placement.cc
@@ -9,6 +9,10 @@
 // Added to the cost of an executor on which the task has just failed: more
 // than any load.
 constexpr double kFailedHereCost = 100.0;
+// How long room is kept without the task asking again: some rounds of planning.
+constexpr core::milliseconds kKeepTime{500};
+// One executor in this many is kept at most: short tasks live on the same gaps.
+constexpr std::size_t kExecutorsPerKept = 30;
 
 bool UnderStepLimit(const executor_state& executor, const task_state& task) {
   const std::uint32_t limit = task.Spec().max_per_executor();
@@ -21,16 +25,80 @@
   return here < static_cast<std::ptrdiff_t>(limit);
 }
 
+// Whether the executor has the label and, under the step's limit, a place.
+bool Permitted(const executor_state& executor, const task_state& task) {
+  const std::string& label = task.Spec().required_label();
+  return (label.empty() || executor.HasLabel(label)) &&
+         UnderStepLimit(executor, task);
+}
+
+// What is free once all tasks that end by themselves have ended.
+core::resources FreeLater(const executor_state& executor) {
+  core::resources free = executor.Free();
+  for (const task_state* const task : executor.active) {
+    if (!task->Spec().long_running()) free += task->Needs();
+  }
+  return free;
+}
+
 }  // namespace
 
 bool Fits(const executor_state& executor, const task_state& task) {
-  const schema::fleet_step& spec = task.Spec();
-  if (!executor.Free().Holds(task.Needs())) return false;
-  if (!spec.required_label().empty() &&
-      !executor.HasLabel(spec.required_label())) {
-    return false;
+  return executor.Free().Holds(task.Needs()) && Permitted(executor, task);
+}
+
+placement_refusals CountRefusals(const fleet_state& state,
+                                 const task_state& task,
+                                 std::string_view service,
+                                 core::monotonic_time now,
+                                 const placement_cost& cost) {
+  placement_refusals refusals;
+  for (const auto& [id, executor] : state.executors) {
+    if (executor.info.service != service) continue;
+    if (!executor.Usable(now)) {
+      ++refusals.unusable;
+    } else if (executor.KeptFromJob(task.job, now)) {
+      ++refusals.kept;
+    } else if (!executor.Free().Holds(task.Needs())) {
+      ++refusals.no_room;
+    } else if (!Fits(executor, task)) {
+      ++refusals.not_permitted;
+    } else if (std::isinf(cost(executor, task, now))) {
+      ++refusals.too_costly;
+    }
+  }
+  return refusals;
+}
+
+void KeepRoom(fleet_state& state, const task_state& task,
+              std::string_view service, core::monotonic_time now) {
+  executor_state* best = nullptr;
+  std::size_t kept_for_others = 0;
+  for (auto& [id, executor] : state.executors) {
+    if (executor.KeptFromJob(task.job, now)) {
+      ++kept_for_others;
+      continue;
+    }
+    if (executor.info.service != service || !executor.Usable(now) ||
+        !Permitted(executor, task) ||
+        !FreeLater(executor).Holds(task.Needs())) {
+      continue;
+    }
+    // One that is kept already stays the choice; else the one that lacks least.
+    const bool kept =
+        executor.kept_for == task.job && now < executor.kept_until;
+    if (best == nullptr || kept ||
+        executor.Free().processor_milli > best->Free().processor_milli) {
+      best = &executor;
+    }
+    if (kept) break;
+  }
+  if (best == nullptr ||
+      kept_for_others * kExecutorsPerKept >= state.executors.size()) {
+    return;
   }
-  return UnderStepLimit(executor, task);
+  best->kept_for = task.job;
+  best->kept_until = now + kKeepTime;
 }
 
 executor_state* ChooseExecutor(fleet_state& state, const task_state& task,
@@ -41,7 +109,7 @@
   double least = 0.0;
   for (auto& [id, executor] : state.executors) {
     if (executor.info.service != service || !executor.Usable(now) ||
-        !Fits(executor, task)) {
+        executor.KeptFromJob(task.job, now) || !Fits(executor, task)) {
       continue;
     }
     double here = cost(executor, task, now);
--- a/src/waxwingfront/fleet/placement.h
+++ b/src/waxwingfront/fleet/placement.h
@@ -22,6 +22,30 @@
 // place for the task.
 bool Fits(const executor_state& executor, const task_state& task);
 
+// Why a task has no place: of the executors of its service, how many are
+// excluded by each reason, the first that holds counting.
+struct placement_refusals {
+  int unusable = 0;
+  // Its room is kept for another job.
+  int kept = 0;
+  int no_room = 0;
+  // The label or the step's limit for each executor.
+  int not_permitted = 0;
+  // The task should rather wait.
+  int too_costly = 0;
+};
+
+placement_refusals CountRefusals(const fleet_state& state,
+                                 const task_state& task,
+                                 std::string_view service,
+                                 core::monotonic_time now,
+                                 const placement_cost& cost);
+
+// Keeps an executor for the task on which it will fit once what ends by itself
+// has ended, so that new short tasks do not take the room again and again.
+void KeepRoom(fleet_state& state, const task_state& task,
+              std::string_view service, core::monotonic_time now);
+
 // The cheapest usable executor of `service` that fits; null if none does. An
 // executor on which the task failed is taken only if there is no other.
 executor_state* ChooseExecutor(fleet_state& state, const task_state& task,
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -12,6 +12,12 @@
 namespace waxwingfront::fleet {
 namespace {
 
+// A task that waits for this long is reported, and again after as long: longer
+// than short shortages, shorter than the users' patience.
+constexpr core::milliseconds kLongWait{2000};
+// A lasting task that has found no room for this long gets room kept: the
+// platform takes it for lost 9 s after its last run.
+constexpr core::milliseconds kKeepRoomAfter{2000};
 // Executors in one question to the adviser: each lengthens its answer. The
 // platform reckons with 30 a step.
 constexpr std::size_t kAdvisedAtOnce = 30;
@@ -27,6 +33,16 @@
   return false;
 }
 
+// Whether a lasting task of the job has waited long for room.
+bool WaitsLong(const job_state& job, core::monotonic_time now) {
+  const step_state& step = job.Occurrences().front().steps.front();
+  return step.ready_since &&
+         std::ranges::any_of(step.tasks, [now](const task_state& task) {
+           return task.phase == task_phase::kWaiting &&
+                  now - task.waiting_since >= kKeepRoomAfter;
+         });
+}
+
 // The earliest occurrence with work left; the last one if none has.
 std::uint32_t FirstUndone(const job_state& job) {
   const std::vector<occurrence_state>& all = job.Occurrences();
@@ -59,6 +75,7 @@
   const bool lasts = first.long_running();
   return {.priority = spec == nullptr ? std::numeric_limits<int>::max()
                                       : spec->priority,
+          .in_turn = !lasts || !WaitsLong(job, now),
           .lasting_image = lasts ? std::string_view(first.image()) : "",
           .gathers = lasts && first.max_per_executor() == 0,
           .lasting_cpu = lasts ? first.cpu_millis() : 0,
@@ -100,6 +117,11 @@
     if (task.phase != task_phase::kWaiting) continue;
     executor_state* const executor = Choose(task, {}, at);
     if (executor == nullptr) {
+      ReportWait(step, task, at);
+      if (task.Spec().long_running() &&
+          at.now - task.waiting_since >= kKeepRoomAfter) {
+        KeepRoom(state_, task, state_.ServiceOf(*task.job), at.now);
+      }
       AskAdvice(step, task, at);
       return;
     }
@@ -182,6 +204,19 @@
   if (on_placed) on_placed(task, at);
 }
 
+void planner::ReportWait(step_state& step, const task_state& waiting,
+                         moment at) {
+  if (!on_waiting || at.now - waiting.waiting_since < kLongWait ||
+      at.now - step.wait_logged < kLongWait) {
+    return;
+  }
+  step.wait_logged = at.now;
+  on_waiting(waiting,
+             CountRefusals(state_, waiting, state_.ServiceOf(*waiting.job),
+                           at.now, cost_),
+             at);
+}
+
 void planner::AskAdvice(step_state& step, const task_state& waiting,
                         moment at) {
   const queue_spec* const queue = state_.FindQueue(waiting.job->Spec().queue());
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -22,6 +22,10 @@
   // Called with each task that was placed.
   std::function<void(const task_state&, moment)> on_placed;
 
+  // Called now and then for a task that has waited long for a place.
+  std::function<void(const task_state&, const placement_refusals&, moment)>
+      on_waiting;
+
   // Places all waiting tasks that are ready and fit: urgent queues first, then
   // jobs that can still be in time, then those due first. A task that fits
   // nowhere holds up only the other tasks of its step. All tasks of a gang are
@@ -32,6 +36,8 @@
  private:
   struct ranked_job {
     int priority;
+    // Not a job whose tasks last and have waited long for room.
+    bool in_turn;
     // Image of a job whose tasks last, else empty: alike ones are placed
     // together, after short ones, large tasks first.
     std::string_view lasting_image;
@@ -44,10 +50,10 @@
     job_state* job;
 
     friend bool operator<(const ranked_job& left, const ranked_job& right) {
-      return std::tie(left.priority, left.lasting_image, left.gathers,
-                      right.lasting_cpu, left.hope, left.due) <
-             std::tie(right.priority, right.lasting_image, right.gathers,
-                      left.lasting_cpu, right.hope, right.due);
+      return std::tie(left.priority, left.in_turn, left.lasting_image,
+                      left.gathers, right.lasting_cpu, left.hope, left.due) <
+             std::tie(right.priority, right.in_turn, right.lasting_image,
+                      right.gathers, left.lasting_cpu, right.hope, right.due);
     }
   };
 
@@ -64,6 +70,7 @@
                          moment at);
   void Place(task_state& task, executor_state& executor, std::uint32_t run,
              moment at);
+  void ReportWait(step_state& step, const task_state& waiting, moment at);
   // Asks for advice on executors that could run the waiting task.
   void AskAdvice(step_state& step, const task_state& waiting, moment at);
 
--- a/tests/waxwingfront/fleet/planner_test.cc
+++ b/tests/waxwingfront/fleet/planner_test.cc
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 #include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "support/fleet_scene.h"
 
@@ -132,5 +135,47 @@
   CHECK(second.starts[0].executor != first.starts[0].executor);
 }
 
+TEST_CASE("short tasks do not keep a lasting task waiting for ever",
+          "[fleet]") {
+  constexpr std::int64_t kCores = 8000;
+  constexpr std::int64_t kShortMs = 500;
+  fleet_scene scene;
+  scene.AddExecutor("a", kCores);
+  schema::fleet_job lasting = JobOf("lasting", 1, kCores);
+  lasting.mutable_steps(0)->set_long_running(true);
+  // Two short tasks of half the executor overlap at any time.
+  std::int64_t now = 0;
+  std::uint64_t ends = 0;
+  std::vector<std::pair<std::int64_t, fleet::start_order>> running;
+  std::int64_t started = -1;
+  for (int n = 0; now < 9000 && started < 0; now += kShortMs / 4, ++n) {
+    if (n == 2) scene.Core().Submit(lasting, At(now));
+    scene.Core().Submit(JobOf("short" + std::to_string(n), 1, kCores / 2),
+                        At(now));
+    std::vector<fleet::ended_report> ended;
+    std::vector<fleet::running_report> rows;
+    std::erase_if(running, [&](const auto& entry) {
+      const auto& [until, start] = entry;
+      if (until > now) {
+        rows.push_back({.task = start.task, .run = start.run});
+        return false;
+      }
+      ended.push_back({.number = ++ends,
+                       .task = start.task,
+                       .run = start.run,
+                       .how = fleet::run_end::kDone});
+      return true;
+    });
+    scene.Report("a", now, rows, ended);
+    for (const fleet::start_order& start : scene.StepAccepted(now + 1).starts) {
+      if (start.task.job == "lasting") started = now;
+      running.emplace_back(now + kShortMs, start);
+    }
+  }
+  // The platform takes it for lost 9 s after it became due.
+  CHECK(started >= 0);
+  CHECK(started < 6000);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
