--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -89,7 +89,8 @@
 
   // Not used for new work until then.
   core::monotonic_time avoid_until{};
-  // Job that room is kept for until the time below; null for none.
+  // Job that room is kept for until the time below; null for none. Compared
+  // only: the job may be gone.
   const job_state* kept_for = nullptr;
   core::monotonic_time kept_until{};
   int consecutive_failures = 0;
