Look up what placements share once, and acknowledge ends once a transaction

Read once more as a whole: the hope of a task's job was worked out again for each executor that a placement weighs, and for each budget of an executor; a filling task's pressures twice for each pace; a queue's service and advice for each task; and all executors were asked for ends to acknowledge after each job of a transaction instead of once after it. Whether a queue is advised stood in four places, and the time after which a task waits long in two constants.

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -32,6 +32,7 @@
   journal_.on_job_stored = [this](job_state& job, moment at) {
     runs_.OnJobStored(job, at);
   };
+  journal_.on_batch_stored = [this] { runs_.OnBatchStored(); };
 }
 
 placement_cost fleet_core::PlacementCost() {
--- a/src/waxwingfront/fleet/fleet_journal.cc
+++ b/src/waxwingfront/fleet/fleet_journal.cc
@@ -82,6 +82,7 @@
     });
     for (const auto& done : ready) done(true);
   }
+  if (on_batch_stored) on_batch_stored();
 }
 
 void fleet_journal::Conflicted(std::span<const record_revision> actual) {
--- a/src/waxwingfront/fleet/fleet_journal.h
+++ b/src/waxwingfront/fleet/fleet_journal.h
@@ -40,6 +40,8 @@
 
   // Called for each job of a stored batch, before its waiters.
   std::function<void(job_state&, moment)> on_job_stored;
+  // Called once for a stored batch, after all its jobs.
+  std::function<void()> on_batch_stored;
 
   // The next writes, empty if there are none or a batch is on its way. A job
   // takes two writes at most.
--- a/src/waxwingfront/fleet/fleet_state.cc
+++ b/src/waxwingfront/fleet/fleet_state.cc
@@ -30,6 +30,11 @@
                           : std::string_view(queue->service);
 }
 
+bool fleet_state::IsAdvised(const job_state& job) const {
+  const queue_spec* const queue = FindQueue(job.Spec().queue());
+  return queue != nullptr && queue->advised;
+}
+
 void fleet_state::Changed(job_state& job) {
   ++job.version;
   if (job.queued_for_store) return;
--- a/src/waxwingfront/fleet/fleet_state.h
+++ b/src/waxwingfront/fleet/fleet_state.h
@@ -44,6 +44,9 @@
   // acceptance once the queue is gone.
   std::string_view ServiceOf(const job_state& job) const;
 
+  // Whether an adviser tells which executors may run the job's tasks.
+  bool IsAdvised(const job_state& job) const;
+
   // Notes that `job` differs from its records.
   void Changed(job_state& job);
 
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -12,12 +12,10 @@
 namespace waxwingfront::fleet {
 namespace {
 
-// A task that waits for this long is reported, and again after as long: longer
-// than short shortages, shorter than the users' patience.
+// A task that has found no room for this long is reported, and again after as
+// long; a lasting one goes first then and gets room kept: the platform takes it
+// for lost 9 s after its last run.
 constexpr core::milliseconds kLongWait{2000};
-// A lasting task that has found no room for this long gets room kept: the
-// platform takes it for lost 9 s after its last run.
-constexpr core::milliseconds kKeepRoomAfter{2000};
 // Executors in one question to the adviser: each lengthens its answer. The
 // platform reckons with 30 a step.
 constexpr std::size_t kAdvisedAtOnce = 30;
@@ -33,13 +31,17 @@
   return false;
 }
 
-// Whether a lasting task of the job has waited long for room.
-bool WaitsLong(const job_state& job, core::monotonic_time now) {
+bool WaitsLong(const task_state& task, core::monotonic_time now) {
+  return task.phase == task_phase::kWaiting &&
+         now - task.waiting_since >= kLongWait;
+}
+
+// Whether a task of the job's first step, whose turn has come, waits long.
+bool AnyWaitsLong(const job_state& job, core::monotonic_time now) {
   const step_state& step = job.Occurrences().front().steps.front();
   return step.ready_since &&
          std::ranges::any_of(step.tasks, [now](const task_state& task) {
-           return task.phase == task_phase::kWaiting &&
-                  now - task.waiting_since >= kKeepRoomAfter;
+           return WaitsLong(task, now);
          });
 }
 
@@ -75,7 +77,7 @@
   const bool lasts = first.long_running();
   return {.priority = spec == nullptr ? std::numeric_limits<int>::max()
                                       : spec->priority,
-          .in_turn = !lasts || !WaitsLong(job, now),
+          .in_turn = !lasts || !AnyWaitsLong(job, now),
           .lasting_image = lasts ? std::string_view(first.image()) : "",
           .gathers = lasts && first.max_per_executor() == 0,
           .lasting_cpu = lasts ? first.cpu_millis() : 0,
@@ -85,26 +87,29 @@
 }
 
 void planner::PlanJob(job_state& job, moment at) {
+  const job_site site{.service = state_.ServiceOf(job),
+                      .advised = state_.IsAdvised(job)};
   std::vector<occurrence_state>& occurrences = job.Occurrences();
   for (std::uint32_t k = 0; k < occurrences.size(); ++k) {
     std::vector<step_state>& steps = occurrences[k].steps;
     for (std::uint32_t s = 0; s < steps.size(); ++s) {
       if (steps[s].Done() || !job.StepReady(k, s, at.unix_ms)) continue;
-      PlanStep(job, steps[s], at);
+      PlanStep(job, steps[s], site, at);
     }
   }
 }
 
-void planner::PlanStep(job_state& job, step_state& step, moment at) {
+void planner::PlanStep(job_state& job, step_state& step, const job_site& site,
+                       moment at) {
   if (!step.ready_since) {
     step.ready_since = at.now;
     for (task_state& task : step.tasks) task.waiting_since = at.now;
   }
   const std::uint64_t before = job.version;
   if (step.tasks.front().Spec().gang()) {
-    PlanGang(step, at);
+    PlanGang(step, site, at);
   } else {
-    PlanTasks(step, at);
+    PlanTasks(step, site, at);
   }
   if (job.version == before) return;
   if (job.State() == schema::FLEET_QUEUED) {
@@ -112,24 +117,23 @@
   }
 }
 
-void planner::PlanTasks(step_state& step, moment at) {
+void planner::PlanTasks(step_state& step, const job_site& site, moment at) {
   for (task_state& task : step.tasks) {
     if (task.phase != task_phase::kWaiting) continue;
-    executor_state* const executor = Choose(task, {}, at);
+    executor_state* const executor = Choose(task, site, {}, at);
     if (executor == nullptr) {
-      ReportWait(step, task, at);
-      if (task.Spec().long_running() &&
-          at.now - task.waiting_since >= kKeepRoomAfter) {
-        KeepRoom(state_, task, state_.ServiceOf(*task.job), at.now);
+      ReportWait(step, task, site, at);
+      if (task.Spec().long_running() && WaitsLong(task, at.now)) {
+        KeepRoom(state_, task, site.service, at.now);
       }
-      AskAdvice(step, task, at);
+      AskAdvice(step, task, site, at);
       return;
     }
     Place(task, *executor, task.run + 1, at);
   }
 }
 
-void planner::PlanGang(step_state& step, moment at) {
+void planner::PlanGang(step_state& step, const job_site& site, moment at) {
   const auto waits = [](const task_state& task) {
     return task.phase == task_phase::kWaiting;
   };
@@ -142,19 +146,20 @@
       racks.insert(executor.info.rack);
     }
     for (const std::string_view rack : racks) {
-      if (PlaceGang(step, rack, at)) return;
+      if (PlaceGang(step, site, rack, at)) return;
     }
   }
   const bool may_spread = !one_rack || at.now - first.waiting_since >=
                                            distance_.Patience(first.Spec());
-  if (may_spread && PlaceGang(step, {}, at)) return;
-  AskAdvice(step, first, at);
+  if (may_spread && PlaceGang(step, site, {}, at)) return;
+  AskAdvice(step, first, site, at);
 }
 
-bool planner::PlaceGang(step_state& step, std::string_view rack, moment at) {
+bool planner::PlaceGang(step_state& step, const job_site& site,
+                        std::string_view rack, moment at) {
   std::vector<executor_state*> chosen;
   for (task_state& task : step.tasks) {
-    executor_state* const executor = Choose(task, rack, at);
+    executor_state* const executor = Choose(task, site, rack, at);
     if (executor == nullptr) break;
     // Counted at once, so that the next task sees the room that is left.
     executor->Add(task);
@@ -172,18 +177,16 @@
   return true;
 }
 
-executor_state* planner::Choose(const task_state& task, std::string_view rack,
-                                moment at) {
-  const queue_spec* const queue = state_.FindQueue(task.job->Spec().queue());
-  const bool advised = queue != nullptr && queue->advised;
+executor_state* planner::Choose(const task_state& task, const job_site& site,
+                                std::string_view rack, moment at) {
   const step_permits& permits = task.job->StepOf(task).permits;
   constexpr double kNever = std::numeric_limits<double>::infinity();
   return ChooseExecutor(
-      state_, task, state_.ServiceOf(*task.job), at.now,
+      state_, task, site.service, at.now,
       [&](const executor_state& executor, const task_state& what,
           core::monotonic_time now) {
         if (!rack.empty() && executor.info.rack != rack) return kNever;
-        if (advised && permits.Ticket(executor.info.id, now).empty()) {
+        if (site.advised && permits.Ticket(executor.info.id, now).empty()) {
           return kNever;
         }
         return cost_(executor, what, now);
@@ -205,28 +208,22 @@
 }
 
 void planner::ReportWait(step_state& step, const task_state& waiting,
-                         moment at) {
-  if (!on_waiting || at.now - waiting.waiting_since < kLongWait ||
+                         const job_site& site, moment at) {
+  if (!on_waiting || !WaitsLong(waiting, at.now) ||
       at.now - step.wait_logged < kLongWait) {
     return;
   }
   step.wait_logged = at.now;
   on_waiting(waiting,
-             CountRefusals(state_, waiting, state_.ServiceOf(*waiting.job),
-                           at.now, cost_),
-             at);
+             CountRefusals(state_, waiting, site.service, at.now, cost_), at);
 }
 
 void planner::AskAdvice(step_state& step, const task_state& waiting,
-                        moment at) {
-  const queue_spec* const queue = state_.FindQueue(waiting.job->Spec().queue());
-  if (queue == nullptr || !queue->advised || !step.permits.MayAsk(at.now)) {
-    return;
-  }
+                        const job_site& site, moment at) {
+  if (!site.advised || !step.permits.MayAsk(at.now)) return;
   std::vector<std::pair<double, std::string>> ranked;
-  const std::string_view service = state_.ServiceOf(*waiting.job);
   for (const auto& [id, executor] : state_.executors) {
-    if (executor.info.service != service || !executor.Usable(at.now) ||
+    if (executor.info.service != site.service || !executor.Usable(at.now) ||
         step.permits.Refused(id) || !Fits(executor, waiting) ||
         !step.permits.Ticket(id, at.now).empty()) {
       continue;
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -57,22 +57,32 @@
     }
   };
 
+  // What the placements of a job's tasks have in common.
+  struct job_site {
+    std::string_view service;
+    bool advised;
+  };
+
   ranked_job Rank(job_state& job, core::monotonic_time now) const;
   void PlanJob(job_state& job, moment at);
-  void PlanStep(job_state& job, step_state& step, moment at);
-  void PlanTasks(step_state& step, moment at);
-  void PlanGang(step_state& step, moment at);
+  void PlanStep(job_state& job, step_state& step, const job_site& site,
+                moment at);
+  void PlanTasks(step_state& step, const job_site& site, moment at);
+  void PlanGang(step_state& step, const job_site& site, moment at);
   // Places all tasks of the gang if they fit together; on one rack only, if it
   // is not empty.
-  bool PlaceGang(step_state& step, std::string_view rack, moment at);
+  bool PlaceGang(step_state& step, const job_site& site, std::string_view rack,
+                 moment at);
   // The cheapest executor for the task, on `rack` only if it is not empty.
-  executor_state* Choose(const task_state& task, std::string_view rack,
-                         moment at);
+  executor_state* Choose(const task_state& task, const job_site& site,
+                         std::string_view rack, moment at);
   void Place(task_state& task, executor_state& executor, std::uint32_t run,
              moment at);
-  void ReportWait(step_state& step, const task_state& waiting, moment at);
+  void ReportWait(step_state& step, const task_state& waiting,
+                  const job_site& site, moment at);
   // Asks for advice on executors that could run the waiting task.
-  void AskAdvice(step_state& step, const task_state& waiting, moment at);
+  void AskAdvice(step_state& step, const task_state& waiting,
+                 const job_site& site, moment at);
 
   fleet_state& state_;
   placement_cost cost_;
--- a/src/waxwingfront/fleet/rebalancer.cc
+++ b/src/waxwingfront/fleet/rebalancer.cc
@@ -43,8 +43,7 @@
 bool rebalancer::MayMove(const task_state& task, moment at) const {
   const schema::fleet_step& spec = task.Spec();
   // Where an adviser permits executors, another place may have to be asked for.
-  const queue_spec* const queue = state_.FindQueue(task.job->Spec().queue());
-  if (queue != nullptr && queue->advised) return false;
+  if (state_.IsAdvised(*task.job)) return false;
   return spec.fills() && !spec.gang() && !task.job->Final() &&
          task.phase == task_phase::kRunning &&
          task.pace_percent < options_.slow_percent &&
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -257,19 +257,17 @@
 }
 
 void run_tracker::OnJobStored(job_state& job, moment at) {
-  job.ForEachTask([this, &job, at](task_state& task) {
+  const bool advised = state_.IsAdvised(job);
+  job.ForEachTask([this, &job, at, advised](task_state& task) {
     if (task.phase != task_phase::kPlaced ||
         task.placed_version > job.stored_version) {
       return;
     }
     executor_state* const executor = state_.FindExecutor(task.executor);
-    const queue_spec* const queue = state_.FindQueue(job.Spec().queue());
     const std::string_view permit =
         job.StepOf(task).permits.Ticket(task.executor, at.now);
-    const bool permitted =
-        queue == nullptr || !queue->advised || !permit.empty();
     if (job.Final() || executor == nullptr || !executor->Usable(at.now) ||
-        !permitted) {
+        (advised && permit.empty())) {
       Over(task, run_fate::kNotStarted, at);
       return;
     }
@@ -285,6 +283,9 @@
                                       .checkpoint = task.checkpoint,
                                       .permit = std::string(permit)});
   });
+}
+
+void run_tracker::OnBatchStored() {
   for (auto& [id, executor] : state_.executors) AcknowledgeEnds(executor);
 }
 
@@ -342,16 +343,18 @@
 
 void run_tracker::CountFailure(task_state& task, moment at) {
   job_state& job = *task.job;
-  step_state& step = job.StepOf(task);
-  const bool gang = task.Spec().gang();
-  // Failures of a gang are counted once a run, with its first member.
-  if (gang && step.failed_run == task.run) return;
-  step.failed_run = task.run;
-  std::uint32_t& failures = gang ? step.tasks.front().failures : task.failures;
-  ++failures;
+  task_state* counted = &task;
+  if (task.Spec().gang()) {
+    // Failures of a gang are counted once a run, with its first member.
+    step_state& step = job.StepOf(task);
+    if (step.failed_run == task.run) return;
+    step.failed_run = task.run;
+    counted = &step.tasks.front();
+  }
+  ++counted->failures;
   const queue_spec* const queue = state_.FindQueue(job.Spec().queue());
   if (queue != nullptr &&
-      failures >= static_cast<std::uint32_t>(queue->max_attempts)) {
+      counted->failures >= static_cast<std::uint32_t>(queue->max_attempts)) {
     FinishJob(job, schema::FLEET_FAILED, at);
   }
 }
--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -69,9 +69,11 @@
   // Nobody knows at which pace the task works now.
   void OnPaceFailed(const pace_order& order);
 
-  // A job's record was stored: sends the starts that it permits, and lets the
-  // executors forget the ends in it.
+  // A job's record was stored: sends the starts that it permits.
   void OnJobStored(job_state& job, moment at);
+  // All records of a transaction were stored: lets the executors forget the
+  // ends in them.
+  void OnBatchStored();
 
   // Ends runs whose lease has lapsed and repeats stops.
   void Tick(moment at);
--- a/src/waxwingfront/fleet/sharing_policy.cc
+++ b/src/waxwingfront/fleet/sharing_policy.cc
@@ -175,9 +175,12 @@
 
 std::size_t sharing_policy::Hope(const task_state& task,
                                  core::monotonic_time now) const {
+  if (hope_of_.task == &task && hope_of_.at == now) return hope_of_.hope;
   const queue_spec* const queue = state_.FindQueue(task.job->Spec().queue());
-  return static_cast<std::size_t>(
+  const auto hope = static_cast<std::size_t>(
       HopeOf(Outlook(*task.job, task.occurrence, queue), now));
+  hope_of_ = {.task = &task, .at = now, .hope = hope};
+  return hope;
 }
 
 double sharing_policy::FillingCost(const executor_state& executor,
@@ -219,13 +222,13 @@
     view.openness =
         std::min(view.openness, 1.0 - model_.Sensitivity(budget.image));
   }
-  for (serving_budget& budget : view.budgets) {
-    for (const task_state* const task : executor.active) {
-      if (!task->Spec().fills()) continue;
+  if (view.budgets.empty()) return view;
+  for (const task_state* const task : executor.active) {
+    if (!task->Spec().fills()) continue;
+    const std::size_t hope = Hope(*task, now);
+    for (serving_budget& budget : view.budgets) {
       const double pressure = PressureOf(executor, budget.image, *task);
-      for (auto hope = Hope(*task, now); hope < kJobHopes; ++hope) {
-        budget.used[hope] += pressure;
-      }
+      for (std::size_t h = hope; h < kJobHopes; ++h) budget.used[h] += pressure;
     }
   }
   return view;
@@ -308,15 +311,18 @@
   // The most hopeful gets full pace before the next gets any, so that a
   // shortage makes few jobs late.
   std::sort(claims.begin(), claims.end());
+  std::vector<double> pressures;
   for (const pace_claim& claim : claims) {
     double pace = harmed ? 0.0 : 1.0;
+    pressures.clear();
     for (serving_budget& budget : budgets) {
       const double pressure = PressureOf(executor, budget.image, *claim.task);
+      pressures.push_back(pressure);
       if (pressure < kNoPressure || pressure <= budget.room) continue;
       pace = std::min(pace, std::max(0.0, budget.room / pressure));
     }
-    for (serving_budget& budget : budgets) {
-      budget.room -= pace * PressureOf(executor, budget.image, *claim.task);
+    for (std::size_t i = 0; i < budgets.size(); ++i) {
+      budgets[i].room -= pace * pressures[i];
     }
     SetPace(executor, *claim.task, pace);
   }
--- a/src/waxwingfront/fleet/sharing_policy.h
+++ b/src/waxwingfront/fleet/sharing_policy.h
@@ -83,6 +83,13 @@
 
   fleet_state& state_;
   sharing_model model_;
+  // The latest answer of `Hope`: a placement asks once for each executor.
+  struct known_hope {
+    const task_state* task = nullptr;
+    core::monotonic_time at{};
+    std::size_t hope = 0;
+  };
+  mutable known_hope hope_of_;
   // Usable executors, and those of them without serving tasks.
   double executors_ = 0.0;
   double free_executors_ = 0.0;
