--- a/src/waxwingfront/cli/dev_command.cc
+++ b/src/waxwingfront/cli/dev_command.cc
@@ -13,6 +13,7 @@
 #include "waxwingfront/core/json.h"
 #include "waxwingfront/logging/log.h"
 #include "waxwingfront/net/http_client.h"
+#include "waxwingfront/net/http_status.h"
 #include "waxwingfront/schema/gen/job.pb.h"
 #include "waxwingfront/schema/gen/settings.pb.h"
 #include "waxwingfront/serve/entry.h"
@@ -23,7 +24,6 @@
 namespace waxwingfront::cli {
 namespace {
 
-constexpr int kHttpOk = 200;
 constexpr int kEntries = 2;
 // Four ports in a row end at 65535.
 constexpr int kLastFirstPort = 65532;
@@ -100,7 +100,7 @@
   while (core::Now() < end) {
     const auto reply =
         http.Send(method, path, body, {{"Waxwingfront-Customer", "demo"}});
-    if (reply && reply->status == kHttpOk && accept(reply->body))
+    if (reply && reply->status == net::kHttpOk && accept(reply->body))
       return reply->body;
     last = reply ? reply->body : reply.error().detail;
     std::this_thread::sleep_for(kDemoPause);
--- a/src/waxwingfront/cli/job_commands.cc
+++ b/src/waxwingfront/cli/job_commands.cc
@@ -9,6 +9,7 @@
 #include "waxwingfront/cli/validators.h"
 #include "waxwingfront/core/json.h"
 #include "waxwingfront/net/http_client.h"
+#include "waxwingfront/net/http_status.h"
 #include "waxwingfront/schema/gen/common.pb.h"
 
 namespace waxwingfront::cli {
@@ -16,7 +17,6 @@
 
 // Longer than an entry waits for the store.
 constexpr core::milliseconds kCallLimit{10000};
-constexpr int kHttpOk = 200;
 
 struct job_arguments {
   std::string entry_address;
@@ -32,7 +32,7 @@
       {.address = arguments.entry_address, .timeout = kCallLimit});
   const auto reply = http.Send(method, path, body);
   if (!reply) return ReportFailure(reply.error());
-  if (reply->status == kHttpOk) {
+  if (reply->status == net::kHttpOk) {
     std::cout << reply->body << "\n";
     return exit_code::kOk;
   }
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -6,6 +6,7 @@
 
 #include "waxwingfront/core/unix_time.h"
 #include "waxwingfront/fleet/types.h"
+#include "waxwingfront/net/http_status.h"
 
 namespace waxwingfront::fleet {
 namespace {
@@ -124,13 +125,13 @@
       schema::fleet_leadership news;
       const bool valid = news.ParseFromString(request.body) && place;
       if (valid) place->Hear(news.token(), news.address());
-      respond({.status = valid ? 200 : 400});
+      respond({.status = valid ? net::kHttpOk : net::kHttpBadRequest});
       return;
     }
     schema::fleet_request call;
     if (request.target != kFleetCallPath ||
         !call.ParseFromString(request.body)) {
-      respond({.status = 400});
+      respond({.status = net::kHttpBadRequest});
       return;
     }
     gateway.Answer(
--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -4,6 +4,8 @@
 #include <memory>
 #include <utility>
 
+#include "waxwingfront/net/http_status.h"
+
 namespace waxwingfront::fleet {
 
 struct job_gateway::attempt_state {
@@ -72,7 +74,7 @@
       std::move(call),
       [this, attempt](const core::result<net::http_reply>& reply) {
         schema::fleet_reply answer;
-        if (reply && reply->status == 200 &&
+        if (reply && reply->status == net::kHttpOk &&
             answer.ParseFromString(reply->body)) {
           OnReply(attempt, answer);
           return;
--- a/src/waxwingfront/front/detail/handlers.cc
+++ b/src/waxwingfront/front/detail/handlers.cc
@@ -18,6 +18,7 @@
 #include "waxwingfront/jobs/job_service.h"
 #include "waxwingfront/logging/log.h"
 #include "waxwingfront/metrics/registry.h"
+#include "waxwingfront/net/http_status.h"
 #include "waxwingfront/schema/gen/common.pb.h"
 
 namespace waxwingfront::front::detail {
@@ -33,8 +34,6 @@
 constexpr std::string_view kRequestIdHeader = "Waxwingfront-Request-Id";
 // Longest part of a caller's name that an error repeats.
 constexpr std::size_t kMaxShownBytes = 64;
-constexpr int kHttpOk = 200;
-constexpr int kHttpServiceUnavailable = 503;
 // Longest deadline that a caller may ask for, in milliseconds.
 constexpr int kMaxDeadlineMs = 600000;
 
@@ -273,7 +272,7 @@
       SendError(context_, request, status.error(), job);
       return;
     }
-    SendText(context_, request, kHttpOk, "application/json",
+    SendText(context_, request, net::kHttpOk, "application/json",
              core::ToJson(*status));
   }
 
@@ -334,7 +333,7 @@
 }
 
 HTTPRequestHandler* MakeText(front_context& context, std::string text) {
-  return new text_handler(context, kHttpOk, "text/plain", std::move(text));
+  return new text_handler(context, net::kHttpOk, "text/plain", std::move(text));
 }
 
 }  // namespace
@@ -353,11 +352,11 @@
   if (uri == "/readyz") {
     const std::string reason = context_.options.unready_reason();
     if (reason.empty()) return MakeText(context_, "ready\n");
-    return new text_handler(context_, kHttpServiceUnavailable, "text/plain",
-                            reason + "\n");
+    return new text_handler(context_, net::kHttpServiceUnavailable,
+                            "text/plain", reason + "\n");
   }
   if (uri == "/metrics") {
-    return new text_handler(context_, kHttpOk,
+    return new text_handler(context_, net::kHttpOk,
                             "text/plain; version=0.0.4; charset=utf-8",
                             context_.metrics.Text());
   }
--- a/src/waxwingfront/front/upstream.cc
+++ b/src/waxwingfront/front/upstream.cc
@@ -9,6 +9,7 @@
 #include "waxwingfront/front/detail/answer_reader.h"
 #include "waxwingfront/front/detail/upstream_connection.h"
 #include "waxwingfront/front/slot_share.h"
+#include "waxwingfront/net/http_status.h"
 
 namespace waxwingfront::front {
 namespace {
@@ -16,7 +17,6 @@
 constexpr std::string_view kNotStartedHeader = "waxwingfront-not-started";
 constexpr std::string_view kDeadlineHeader = "Waxwingfront-Deadline-Ms";
 constexpr std::string_view kRequestIdHeader = "Waxwingfront-Request-Id";
-constexpr int kHttpServiceUnavailable = 503;
 // A connection that was silent for longer may have lost its other side without
 // notice. Idempotent requests can be sent again after that; others cannot, so
 // they take a connection that answered lately or a new one.
@@ -48,7 +48,7 @@
 }
 
 bool SaysNotStarted(const service_reply& reply) {
-  if (reply.status != kHttpServiceUnavailable) return false;
+  if (reply.status != net::kHttpServiceUnavailable) return false;
   return std::any_of(
       reply.headers.begin(), reply.headers.end(), [](const auto& header) {
         return EqualsIgnoringCase(header.first, kNotStartedHeader) &&
--- a/src/waxwingfront/hosts/host_list_client.cc
+++ b/src/waxwingfront/hosts/host_list_client.cc
@@ -3,12 +3,9 @@
 #include <utility>
 
 #include "waxwingfront/core/json.h"
+#include "waxwingfront/net/http_status.h"
 
 namespace waxwingfront::hosts {
-namespace {
-constexpr int kHttpOk = 200;
-}
-
 host_list_client::host_list_client(std::string address)
     : http_({.address = std::move(address)}) {}
 
@@ -16,7 +13,7 @@
   const auto reply = http_.Send("GET", "/v1/hosts", "");
   if (!reply)
     return core::Failure(core::error_code::kUnreachable, reply.error().detail);
-  if (reply->status != kHttpOk) {
+  if (reply->status != net::kHttpOk) {
     return core::Failure(core::error_code::kProtocol,
                          "the host list answered with HTTP status " +
                              std::to_string(reply->status));
--- a/src/waxwingfront/net/async_http_server.cc
+++ b/src/waxwingfront/net/async_http_server.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "waxwingfront/net/detail/ipv4_endpoint.h"
+#include "waxwingfront/net/http_status.h"
 
 namespace waxwingfront::net {
 namespace {
@@ -22,9 +23,9 @@
 constexpr std::size_t kReadBytes = 4096;
 
 int StatusOfReadFailure(const failure_code& failure) {
-  if (failure == http::error::header_limit) return 431;
-  if (failure == http::error::body_limit) return 413;
-  return 400;
+  if (failure == http::error::header_limit) return kHttpHeaderTooLarge;
+  if (failure == http::error::body_limit) return kHttpContentTooLarge;
+  return kHttpBadRequest;
 }
 
 }  // namespace
--- a/src/waxwingfront/net/async_http_server.h
+++ b/src/waxwingfront/net/async_http_server.h
@@ -12,6 +12,7 @@
 #include "waxwingfront/core/error.h"
 #include "waxwingfront/net/event_loop.h"
 #include "waxwingfront/net/http_client.h"
+#include "waxwingfront/net/http_status.h"
 #include "waxwingfront/net/request_limits.h"
 
 namespace waxwingfront::net {
@@ -30,7 +31,7 @@
 };
 
 struct server_answer {
-  int status = 200;
+  int status = kHttpOk;
   std::string body;
   http_headers headers;
 };
--- a/src/waxwingfront/store/store_client.cc
+++ b/src/waxwingfront/store/store_client.cc
@@ -3,17 +3,12 @@
 #include <utility>
 
 #include "waxwingfront/core/json.h"
+#include "waxwingfront/net/http_status.h"
 #include "waxwingfront/schema/gen/store_protocol.pb.h"
 
 namespace waxwingfront::store {
 namespace {
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpNotFound = 404;
-constexpr int kHttpTooManyRequests = 429;
-constexpr int kHttpUnavailable = 503;
-constexpr int kHttpPreconditionFailed = 412;
-
 stored_value ToStoredValue(const schema::key_value& message) {
   return stored_value{.key = message.key(),
                       .value = message.value(),
@@ -41,21 +36,21 @@
   }
   // The gateway answers 503 also when it gave up waiting for a write that it
   // had passed on, so only a read is surely without effect.
-  const bool refused =
-      reply->status == kHttpTooManyRequests ||
-      (reply->status == kHttpUnavailable && kind == call_kind::kRead);
+  const bool refused = reply->status == net::kHttpTooManyRequests ||
+                       (reply->status == net::kHttpServiceUnavailable &&
+                        kind == call_kind::kRead);
   if (refused) {
     return core::Failure(core::error_code::kStoreUnavailable,
                          "the store refused the call");
   }
-  if (reply->status == kHttpNotFound) {
+  if (reply->status == net::kHttpNotFound) {
     return core::Failure(core::error_code::kNotRun,
                          "the store does not know the lease");
   }
-  if (reply->status == kHttpPreconditionFailed) {
+  if (reply->status == net::kHttpPreconditionFailed) {
     return core::Failure(core::error_code::kProtocol, reply->body);
   }
-  if (reply->status != kHttpOk) {
+  if (reply->status != net::kHttpOk) {
     return core::Failure(
         core::error_code::kOutcomeUnknown,
         "the store answered with HTTP status " + std::to_string(reply->status));
--- a/src/waxwingfront/worker/worker_client.cc
+++ b/src/waxwingfront/worker/worker_client.cc
@@ -3,12 +3,9 @@
 #include <utility>
 
 #include "waxwingfront/core/json.h"
+#include "waxwingfront/net/http_status.h"
 
 namespace waxwingfront::worker {
-namespace {
-constexpr int kHttpOk = 200;
-}
-
 worker_client::worker_client(worker_client_options options)
     : http_({.address = std::move(options.address),
              .timeout = options.timeout}) {}
@@ -17,7 +14,7 @@
     const schema::sync_request& request) {
   const auto reply = http_.Send("POST", "/v1/sync", core::ToJson(request));
   if (!reply) return tl::unexpected(reply.error());
-  if (reply->status != kHttpOk) {
+  if (reply->status != net::kHttpOk) {
     return core::Failure(core::error_code::kProtocol,
                          "the worker answered with HTTP status " +
                              std::to_string(reply->status));
--- a/standins/waxwingfront/standins/executor.cc
+++ b/standins/waxwingfront/standins/executor.cc
@@ -5,6 +5,8 @@
 #include <thread>
 #include <utility>
 
+#include "waxwingfront/net/http_status.h"
+
 namespace waxwingfront::standins {
 namespace {
 
@@ -19,7 +21,6 @@
     : id_(std::move(id)), slots_(slots) {}
 
 http_answer executor::Handle(const http_call& call) {
-  constexpr int kHttpUnavailable = 503;
   if (call.path == "/journal") {
     const std::lock_guard lock(mutex_);
     return {.body = journal_};
@@ -28,7 +29,7 @@
   if (busy_.fetch_add(1) >= slots_) {
     --busy_;
     ++refused_;
-    return {.status = kHttpUnavailable,
+    return {.status = net::kHttpServiceUnavailable,
             .headers = {{"Waxwingfront-Not-Started", "1"}}};
   }
   {
--- a/standins/waxwingfront/standins/host_list.cc
+++ b/standins/waxwingfront/standins/host_list.cc
@@ -3,15 +3,15 @@
 #include <utility>
 
 #include "waxwingfront/core/json.h"
+#include "waxwingfront/net/http_status.h"
 
 namespace waxwingfront::standins {
 
 http_answer host_list::Handle(const http_call& call) {
-  constexpr int kHttpBadRequest = 400;
   if (call.method == "PUT") {
     schema::host_list list;
     if (!core::FromJson(call.body, core::unknown_fields::kRefuse, list)) {
-      return {.status = kHttpBadRequest};
+      return {.status = net::kHttpBadRequest};
     }
     Replace(std::move(list));
   }
--- a/standins/waxwingfront/standins/store.cc
+++ b/standins/waxwingfront/standins/store.cc
@@ -6,16 +6,11 @@
 #include <thread>
 
 #include "waxwingfront/core/json.h"
+#include "waxwingfront/net/http_status.h"
 
 namespace waxwingfront::standins {
 namespace {
 
-constexpr int kHttpBadRequest = 400;
-constexpr int kHttpNotFound = 404;
-constexpr int kHttpPreconditionFailed = 412;
-constexpr int kHttpTooManyRequests = 429;
-constexpr int kHttpUnavailable = 503;
-
 template <typename Message>
 Message Parse(const std::string& body) {
   Message message;
@@ -83,7 +78,8 @@
   ++(write ? counts_.writes : counts_.reads);
   if (faults_.down || IsRefused(write)) {
     ++counts_.refused;
-    return {.status = faults_.down ? kHttpUnavailable : kHttpTooManyRequests,
+    return {.status = faults_.down ? net::kHttpServiceUnavailable
+                                   : net::kHttpTooManyRequests,
             .body = "{}"};
   }
   DropEndedLeases();
@@ -101,7 +97,7 @@
   if (path == "/v3/kv/txn") {
     const auto request = Parse<schema::txn_request>(body);
     if (HasUnknownLease(request)) {
-      return {.status = kHttpNotFound,
+      return {.status = net::kHttpNotFound,
               .body = "{\"error\":\"requested lease not found\"}"};
     }
     return Json(Txn(request));
@@ -116,13 +112,13 @@
   if (path == "/v3/lease/grant") return Grant(body);
   if (path == "/v3/lease/keepalive") return KeepAlive(body);
   if (path == "/v3/lease/revoke") return Revoke(body);
-  return {.status = kHttpBadRequest, .body = "{}"};
+  return {.status = net::kHttpBadRequest, .body = "{}"};
 }
 
 http_answer store::Grant(const std::string& body) {
   const auto request = Parse<schema::lease_grant_request>(body);
   if (leases_.contains(request.id())) {
-    return {.status = kHttpPreconditionFailed,
+    return {.status = net::kHttpPreconditionFailed,
             .body = "{\"error\":\"lease already exists\"}"};
   }
   const core::milliseconds ttl = std::chrono::seconds(request.ttl());
--- a/standins/waxwingfront/standins/worker.cc
+++ b/standins/waxwingfront/standins/worker.cc
@@ -6,6 +6,7 @@
 
 #include "waxwingfront/core/hash.h"
 #include "waxwingfront/core/json.h"
+#include "waxwingfront/net/http_status.h"
 
 namespace waxwingfront::standins {
 namespace {
@@ -30,7 +31,6 @@
     : options_(options), incarnation_(core::RandomId()) {}
 
 http_answer worker::Handle(const http_call& call) {
-  constexpr int kHttpBadRequest = 400;
   if (call.path == "/journal") {
     // Also lists what ended since the last exchange.
     Advance(core::Now());
@@ -42,7 +42,7 @@
   }
   schema::sync_request request;
   if (!core::FromJson(call.body, core::unknown_fields::kIgnore, request)) {
-    return {.status = kHttpBadRequest};
+    return {.status = net::kHttpBadRequest};
   }
   return {.body = core::ToJson(Sync(request, core::Now()))};
 }
--- a/tests/support/balancer.cc
+++ b/tests/support/balancer.cc
@@ -1,9 +1,10 @@
 #include "support/balancer.h"
 
+#include "waxwingfront/net/http_status.h"
+
 namespace waxwingfront::tests {
 namespace {
 
-constexpr int kHttpOk = 200;
 constexpr core::milliseconds kProbePeriod{50};
 constexpr core::milliseconds kProbeLimit{500};
 constexpr core::milliseconds kRequestLimit{10000};
@@ -28,7 +29,7 @@
 void balancer::Probe() {
   for (const auto& target : targets_) {
     const auto reply = target->probes.Send("GET", "/readyz", "");
-    const bool ready = reply && reply->status == kHttpOk;
+    const bool ready = reply && reply->status == net::kHttpOk;
     target->ready = ready;
     // A connection to an entry that leaves is not kept for later requests.
     if (!ready) target->requests.CloseIdle();
--- a/tests/support/faulty_store.cc
+++ b/tests/support/faulty_store.cc
@@ -1,15 +1,10 @@
 #include "support/faulty_store.h"
 
 #include "waxwingfront/core/json.h"
+#include "waxwingfront/net/http_status.h"
 #include "waxwingfront/schema/gen/store_protocol.pb.h"
 
 namespace waxwingfront::tests {
-namespace {
-
-constexpr int kHttpTooManyRequests = 429;
-
-}  // namespace
-
 faulty_store::faulty_store()
     : client_({.post = [this](std::string_view path, std::string_view body) {
         return Post(path, body);
@@ -47,7 +42,7 @@
   };
   switch (decide(path)) {
     case call_outcome::kRefused:
-      return net::http_reply{.status = kHttpTooManyRequests, .body = "{}"};
+      return net::http_reply{.status = net::kHttpTooManyRequests, .body = "{}"};
     case call_outcome::kUnreachable:
       return core::Failure(core::error_code::kUnreachable, "no connection");
     case call_outcome::kLostBefore:
--- a/tests/support/process_site.cc
+++ b/tests/support/process_site.cc
@@ -9,12 +9,12 @@
 
 #include "waxwingfront/bundle/bundle_repository.h"
 #include "waxwingfront/core/json.h"
+#include "waxwingfront/net/http_status.h"
 #include "waxwingfront/store/store_client.h"
 
 namespace waxwingfront::tests {
 namespace {
 
-constexpr int kHttpOk = 200;
 constexpr core::milliseconds kPollPause{20};
 constexpr std::int64_t kProcessorMilli = 4000;
 constexpr std::int64_t kMemoryMib = 8000;
@@ -227,7 +227,7 @@
 bool process_site::AwaitReady(int entry) const {
   return AwaitCondition([this, entry] {
     const auto reply = Call(EntryAddress(entry), "GET", "/readyz");
-    return reply && reply->status == kHttpOk;
+    return reply && reply->status == net::kHttpOk;
   });
 }
 
@@ -241,7 +241,7 @@
 bool process_site::AwaitAccepted(int entry, std::string_view job_json) const {
   return AwaitCondition([this, entry, job_json] {
     const auto reply = Call(EntryAddress(entry), "POST", "/v1/jobs", job_json);
-    return reply && reply->status == kHttpOk;
+    return reply && reply->status == net::kHttpOk;
   });
 }
 
@@ -249,7 +249,7 @@
                               schema::job_state state) const {
   return AwaitCondition([this, entry, &job, state] {
     const auto reply = Call(EntryAddress(entry), "GET", "/v1/jobs/" + job);
-    if (!reply || reply->status != kHttpOk) return false;
+    if (!reply || reply->status != net::kHttpOk) return false;
     schema::job_status status;
     return core::FromJson(reply->body, core::unknown_fields::kIgnore, status)
                .has_value() &&
