Set the reach of holds in one place, and forget figures of executors that left

The reach stood in the options of the core, the run tracker and the driver of executors: one that differs would let a run start twice. Executors that leave were dropped in two places, and what the sharing model keeps of each was never dropped, since nothing called its function.

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -62,7 +62,7 @@
     // that may or may not arrive, its end would never be known.
     if (executor.reached && executor.clock && executor.in_contact) {
       request.deadline_ms =
-          ClockNow(*executor.clock, now) + options.hold_reach.count();
+          ClockNow(*executor.clock, now) + core.HoldReach().count();
       executor.deadline_sent_ms =
           std::max(executor.deadline_sent_ms, request.deadline_ms);
       // An end that is not stored yet would end the wait at once.
--- a/src/waxwingfront/fleet/executor_driver.h
+++ b/src/waxwingfront/fleet/executor_driver.h
@@ -17,7 +17,6 @@
 namespace waxwingfront::fleet {
 
 struct executor_driver_options {
-  core::milliseconds hold_reach{7000};
   // Deadline of a start: it dies on its own if it is carried out later.
   core::milliseconds start_reach{2500};
   // Longest wait of one hold; the platform takes 2 s at most.
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -17,7 +17,7 @@
     : options_(options),
       sharing_(state_),
       distance_(options.remote_factor),
-      runs_(state_, options.runs),
+      runs_(state_, options.runs, options.hold_reach),
       journal_(state_),
       planner_(state_, PlacementCost(), distance_),
       rebalancer_(state_, {}, PlacementCost()) {
@@ -150,7 +150,16 @@
   const auto found = state_.executors.find(id);
   if (found == state_.executors.end()) return;
   found->second.registered = false;
-  if (found->second.active.empty()) state_.executors.erase(found);
+  DropUnused();
+}
+
+void fleet_core::DropUnused() {
+  std::erase_if(state_.executors, [this](const auto& entry) {
+    const auto& [id, executor] = entry;
+    if (executor.registered || !executor.active.empty()) return false;
+    sharing_.ForgetExecutor(id);
+    return true;
+  });
 }
 
 bool fleet_core::NeedsHold(std::string_view id) const {
@@ -165,9 +174,7 @@
 void fleet_core::Tick(moment at) {
   runs_.Tick(at);
   DropOldJobs(at);
-  std::erase_if(state_.executors, [](const auto& entry) {
-    return !entry.second.registered && entry.second.active.empty();
-  });
+  DropUnused();
 }
 
 orders fleet_core::TakeOrders() { return std::exchange(state_.outgoing, {}); }
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -86,6 +86,7 @@
   // The adviser answered, or nothing if it did not.
   void OnAdvice(const advice_request& request,
                 const std::optional<advice_reply>& reply, moment at);
+  core::milliseconds HoldReach() const { return options_.hold_reach; }
   run_tracker& Runs() { return runs_; }
   fleet_journal& Journal() { return journal_; }
   rebalancer& Rebalancer() { return rebalancer_; }
@@ -109,6 +110,8 @@
  private:
   placement_cost PlacementCost();
   void DropOldJobs(moment at);
+  // Forgets executors that have left and on which nothing may run.
+  void DropUnused();
   executor_state& EnsureExecutor(const std::string& id);
 
   fleet_options options_;
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -78,7 +78,7 @@
     executor->unstored_ends.clear();
     // An earlier leader may have sent a deadline as far as its reach allows,
     // and this one may have sent starts to the new incarnation already.
-    executor->deadline_sent_ms = report.clock_ms + options_.hold_reach.count();
+    executor->deadline_sent_ms = report.clock_ms + hold_reach_.count();
   }
   if (reborn) {
     // The new incarnation knows nothing of stops.
@@ -273,9 +273,9 @@
     }
     task.phase = task_phase::kStarting;
     // The start is sent a little later, with a deadline below this.
-    executor->deadline_sent_ms = std::max(
-        executor->deadline_sent_ms,
-        ClockNow(*executor->clock, at.now) + options_.hold_reach.count());
+    executor->deadline_sent_ms =
+        std::max(executor->deadline_sent_ms,
+                 ClockNow(*executor->clock, at.now) + hold_reach_.count());
     state_.outgoing.starts.push_back({.executor = task.executor,
                                       .task = task.Ref(),
                                       .run = task.run,
--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -38,16 +38,16 @@
   // How long an executor that fails, refuses or does not answer is avoided.
   core::milliseconds avoid_time{2000};
   core::milliseconds no_room_time{300};
-  // Longest deadline that a leader sends, from its time of sending.
-  core::milliseconds hold_reach{7000};
   // A stop without confirmation is sent again after this time.
   core::milliseconds stop_retry{500};
 };
 
 class run_tracker {
  public:
-  run_tracker(fleet_state& state, run_tracker_options options)
-      : state_(state), options_(options) {}
+  // `hold_reach`: how far ahead of its sending a deadline lies at most.
+  run_tracker(fleet_state& state, run_tracker_options options,
+              core::milliseconds hold_reach)
+      : state_(state), options_(options), hold_reach_(hold_reach) {}
 
   // Called with each run that is over, for logs and estimates.
   std::function<void(const task_state&, run_fate, moment)> on_over;
@@ -97,6 +97,7 @@
 
   fleet_state& state_;
   run_tracker_options options_;
+  core::milliseconds hold_reach_;
 };
 
 }  // namespace waxwingfront::fleet
