Log and measure what a leader bears: loop lag, planning, writes, renewals, calls, bytes

The logs of the grown deployments could not tell a leader that plans too long from one whose link, store or processor share is full: no line or metric had the event loop's lag, the length of a planning round, bytes and calls in flight, the length of the store's queue, late renewals, or why a first start is late.

A leader now writes one load line a second and one job_begun line a job, and each process has histograms of the same stages. No decision changes.

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -73,9 +73,12 @@
       }
     }
     slot.in_flight = true;
-    executors.hold(request, [self = shared_from_this(), id,
-                             now](const core::result<hold_report>& report) {
-      if (!self->closed) self->OnHold(id, now, report);
+    const bool waits = request.wait.count() > 0;
+    executors.hold(request, [self = shared_from_this(), id, now,
+                             waits](const core::result<hold_report>& report) {
+      if (self->closed) return;
+      if (!waits) self->Measure(load_stage::kHold, now);
+      self->OnHold(id, now, report);
     });
   }
 
@@ -120,6 +123,10 @@
     if (!closed) Pump(id);
   }
 
+  void Measure(load_stage stage, core::monotonic_time since) const {
+    if (hooks.on_stage) hooks.on_stage(stage, core::Now() - since);
+  }
+
   void SendStart(const start_order& order) {
     executor_state* const executor = core.FindExecutor(order.executor);
     const moment at = hooks.now();
@@ -132,8 +139,11 @@
     executor->deadline_sent_ms =
         std::max(executor->deadline_sent_ms, deadline_ms);
     executors.start(executor->info.address, order, token, deadline_ms,
-                    [self = shared_from_this(), order](start_outcome outcome) {
-                      if (!self->closed) self->OnStart(order, outcome);
+                    [self = shared_from_this(), order,
+                     sent = at.now](start_outcome outcome) {
+                      if (self->closed) return;
+                      self->Measure(load_stage::kStart, sent);
+                      self->OnStart(order, outcome);
                     });
     Pump(order.executor);
   }
--- a/src/waxwingfront/fleet/executor_driver.h
+++ b/src/waxwingfront/fleet/executor_driver.h
@@ -10,6 +10,7 @@
 
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/fleet/fleet_core.h"
+#include "waxwingfront/fleet/load_monitor.h"
 #include "waxwingfront/fleet/platform_services.h"
 #include "waxwingfront/logging/event_log.h"
 #include "waxwingfront/net/event_loop.h"
@@ -39,6 +40,8 @@
   // The core has new facts: plan and store.
   std::function<void()> on_progress;
   std::function<moment()> now;
+  // May be empty.
+  stage_hook on_stage;
 };
 
 class executor_driver {
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -162,6 +162,17 @@
   });
 }
 
+load_levels fleet_core::Levels() const {
+  const auto out_of_contact =
+      std::ranges::count_if(state_.executors, [](const auto& entry) {
+        return entry.second.registered && !entry.second.in_contact;
+      });
+  return {.unstored_jobs = state_.unstored.size(),
+          .live_jobs = state_.live.size(),
+          .executors = state_.executors.size(),
+          .executors_out_of_contact = static_cast<std::size_t>(out_of_contact)};
+}
+
 bool fleet_core::NeedsHold(std::string_view id) const {
   const auto found = state_.executors.find(id);
   if (found == state_.executors.end()) return false;
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -12,6 +12,7 @@
 
 #include "waxwingfront/fleet/fleet_journal.h"
 #include "waxwingfront/fleet/fleet_state.h"
+#include "waxwingfront/fleet/load_monitor.h"
 #include "waxwingfront/fleet/planner.h"
 #include "waxwingfront/fleet/rebalancer.h"
 #include "waxwingfront/fleet/run_tracker.h"
@@ -69,6 +70,8 @@
 
   void SetExecutor(executor_info info);
   void ForgetExecutor(std::string_view id);
+  load_levels Levels() const;
+
   // Executors to be held: those with work or with ends to be forgotten.
   bool NeedsHold(std::string_view id) const;
   executor_state* FindExecutor(std::string_view id) {
--- a/src/waxwingfront/fleet/fleet_journal.cc
+++ b/src/waxwingfront/fleet/fleet_journal.cc
@@ -69,7 +69,10 @@
       state_.jobs.erase(entry.id);
       continue;
     }
-    if (entry.wrote_job) job->job_revision = revision;
+    if (entry.wrote_job) {
+      job->job_revision = revision;
+      job->milestones.stored = at.now;
+    }
     if (entry.wrote_progress) job->progress_revision = revision;
     job->stored_version = entry.version;
     job->stored_state = entry.state;
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -1,6 +1,7 @@
 #include "waxwingfront/fleet/fleet_leader.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -27,7 +28,8 @@
             {.may_order = hooks.may_order,
              .on_fenced = [this] { Depose("an executor refused the token"); },
              .on_progress = [this] { Progress(); },
-             .now = hooks.now},
+             .now = hooks.now,
+             .on_stage = hooks.on_stage},
             events),
         advice(executors, core, chosen.advice,
                {.on_progress = [this] { Progress(); }, .now = hooks.now},
@@ -46,6 +48,7 @@
                  events) {
     core.Runs().on_over = [this](const task_state& task, run_fate fate,
                                  moment) { LogOver(task, fate); };
+    core.Runs().on_begun = [this](const job_state& job) { LogBegun(job); };
     core.Runs().on_final = [this](const job_state& job) { LogFinal(job); };
     core.on_placed = [this](const task_state& task, moment) {
       LogPlaced(task);
@@ -90,6 +93,21 @@
                {"too_costly", std::int64_t{refusals.too_costly}}});
   }
 
+  // Times from acceptance to each stage of the first task.
+  void LogBegun(const job_state& job) {
+    const auto since = [&job](std::optional<core::monotonic_time> reached) {
+      const auto took = reached.value_or(job.Accepted()) - job.Accepted();
+      return std::chrono::duration_cast<core::milliseconds>(took).count();
+    };
+    const job_milestones& reached = job.milestones;
+    log.Write("job_begun", {{"job", job.Id()},
+                            {"queue", job.Spec().queue()},
+                            {"stored_ms", since(reached.stored)},
+                            {"placed_ms", since(reached.placed)},
+                            {"ordered_ms", since(reached.ordered)},
+                            {"begun_ms", since(reached.begun)}});
+  }
+
   void LogFinal(const job_state& job) {
     const auto took = std::chrono::duration_cast<core::milliseconds>(
         core::Now() - job.Accepted());
@@ -165,13 +183,21 @@
   }
 
   void PlanAndSend() {
-    if (hooks.may_order()) core.Plan(hooks.now());
+    if (hooks.may_order()) {
+      const core::monotonic_time began = core::Now();
+      core.Plan(hooks.now());
+      Measure(load_stage::kPlanning, began);
+    }
     const orders decided = core.TakeOrders();
     driver.Send(decided);
     advice.Send(decided.advice);
     StoreNext();
   }
 
+  void Measure(load_stage stage, core::monotonic_time since) const {
+    if (hooks.on_stage) hooks.on_stage(stage, core::Now() - since);
+  }
+
   void StoreNext() {
     if (write_in_flight || write_due || !hooks.may_order()) return;
     const core::monotonic_time now = core::Now();
@@ -200,10 +226,12 @@
     }
     write_in_flight = true;
     next_write = now + options.write_pause;
-    store.write(write,
-                [self = shared_from_this()](const store_write_reply& reply) {
-                  if (!self->closed) self->OnWritten(reply);
-                });
+    store.write(write, [self = shared_from_this(),
+                        sent = now](const store_write_reply& reply) {
+      if (self->closed) return;
+      self->Measure(load_stage::kStoreWrite, sent);
+      self->OnWritten(reply);
+    });
   }
 
   void OnWritten(const store_write_reply& reply) {
@@ -305,6 +333,8 @@
 
 fleet_core& fleet_leader::Core() { return internal_->core; }
 
+load_levels fleet_leader::Levels() const { return internal_->core.Levels(); }
+
 void fleet_leader::Progress() { internal_->Progress(); }
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/fleet_leader.h
+++ b/src/waxwingfront/fleet/fleet_leader.h
@@ -43,6 +43,8 @@
   // Another process leads, as `reason` says.
   std::function<void(std::string_view reason)> on_deposed;
   std::function<moment()> now;
+  // May be empty.
+  stage_hook on_stage;
 };
 
 class fleet_leader {
@@ -60,6 +62,7 @@
   // Whether all jobs in the store are known: no answers before.
   bool Loaded() const;
   fleet_core& Core();
+  load_levels Levels() const;
 
   // New facts came in: plans, stores and sends.
   void Progress();
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -37,6 +37,11 @@
         log(events),
         http(client),
         random(std::random_device{}()),
+        load(loop, client, options.load,
+             {.levels =
+                  [this] { return leader ? leader->Levels() : load_levels{}; },
+              .leading = [this] { return leader != nullptr; }},
+             metrics, log),
         manifests(loop, store, options.manifest, log),
         gateway(loop, client, options.gateway,
                 {.local = [this] { return Acting() ? leader.get() : nullptr; },
@@ -87,6 +92,7 @@
                   log.Write("leader_known", {{"address", address}});
                 },
             .boot_time_ms = BootTimeMs,
+            .on_stage = StageHook(),
             .random =
                 [this](std::int64_t limit) {
                   return std::uniform_int_distribution<std::int64_t>(
@@ -104,7 +110,8 @@
         fleet_leader_hooks{
             .may_order = [this] { return place->MayOrder(); },
             .on_deposed = [this](std::string_view why) { place->Deposed(why); },
-            .now = ReadClocks},
+            .now = ReadClocks,
+            .on_stage = StageHook()},
         log);
     if (manifests.Current()) leader->SetManifest(*manifests.Current());
   }
@@ -140,6 +147,12 @@
         });
   }
 
+  stage_hook StageHook() {
+    return [this](load_stage stage, std::chrono::steady_clock::duration took) {
+      load.Observe(stage, took);
+    };
+  }
+
   void FlushLog() {
     log.Flush();
     loop.After(options.log_flush, [this] { FlushLog(); });
@@ -156,6 +169,7 @@
   net::async_http_client& http;
   std::mt19937_64 random;
   metrics::registry metrics;
+  load_monitor load;
   manifest_follower manifests;
   std::unique_ptr<leader_announcer> announcer;
   std::unique_ptr<leadership> place;
@@ -182,6 +196,7 @@
   if (!listening) return listening;
   internal_->manifests.Start();
   internal_->StartLeadership();
+  internal_->load.Start();
   internal_->FlushLog();
   return {};
 }
--- a/src/waxwingfront/fleet/fleet_node.h
+++ b/src/waxwingfront/fleet/fleet_node.h
@@ -14,6 +14,7 @@
 #include "waxwingfront/fleet/job_gateway.h"
 #include "waxwingfront/fleet/leader_announcer.h"
 #include "waxwingfront/fleet/leadership.h"
+#include "waxwingfront/fleet/load_monitor.h"
 #include "waxwingfront/fleet/manifest_follower.h"
 #include "waxwingfront/fleet/platform_services.h"
 #include "waxwingfront/logging/event_log.h"
@@ -32,6 +33,7 @@
   manifest_follower_options manifest;
   fleet_leader_options leader;
   job_gateway_options gateway;
+  load_monitor_options load;
   core::milliseconds log_flush{200};
 };
 
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -97,6 +97,14 @@
   std::vector<step_state> steps;
 };
 
+// When a job's first task passed each stage; unset before.
+struct job_milestones {
+  std::optional<core::monotonic_time> stored;
+  std::optional<core::monotonic_time> placed;
+  std::optional<core::monotonic_time> ordered;
+  std::optional<core::monotonic_time> begun;
+};
+
 class job_state {
  public:
   job_state(schema::fleet_job spec, core::monotonic_time accepted);
@@ -141,6 +149,7 @@
   std::uint64_t version = 1;
   std::uint64_t stored_version = 0;
   bool queued_for_store = false;
+  job_milestones milestones;
   // Its records are being removed.
   bool removing = false;
   std::int64_t job_revision = 0;
--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -148,9 +148,12 @@
     if (!leading) return;
     const int started = ++round;
     const std::int64_t asked_ms = hooks.boot_time_ms();
-    store.renew_lease(lease.id, [self = shared_from_this(), started,
-                                 asked_ms](lease_status status) {
+    store.renew_lease(lease.id, [self = shared_from_this(), started, asked_ms,
+                                 asked = core::Now()](lease_status status) {
       if (self->round != started) return;
+      if (self->hooks.on_stage) {
+        self->hooks.on_stage(load_stage::kRenewal, core::Now() - asked);
+      }
       if (status == lease_status::kEnded) {
         self->StepDown("lease ended");
         return;
--- a/src/waxwingfront/fleet/leadership.h
+++ b/src/waxwingfront/fleet/leadership.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "waxwingfront/core/clock.h"
+#include "waxwingfront/fleet/load_monitor.h"
 #include "waxwingfront/fleet/platform_services.h"
 #include "waxwingfront/fleet/record_keys.h"
 #include "waxwingfront/net/event_loop.h"
@@ -43,6 +44,8 @@
   std::function<void(const std::string& address)> on_leader;
   // Milliseconds on a clock that also counts suspensions of the machine.
   std::function<std::int64_t()> boot_time_ms;
+  // May be empty.
+  stage_hook on_stage;
   // Uniform number below `limit`.
   std::function<std::int64_t(std::int64_t limit)> random;
 };
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -198,6 +198,7 @@
   job_state& job = *task.job;
   state_.Changed(job);
   task.phase = task_phase::kPlaced;
+  if (!job.milestones.placed) job.milestones.placed = at.now;
   task.placed_version = job.version;
   task.run = run;
   task.executor = executor.info.id;
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -8,24 +8,6 @@
 namespace waxwingfront::fleet {
 namespace {
 
-run_fate FateOf(run_end how) {
-  switch (how) {
-    case run_end::kDone:
-      return run_fate::kDone;
-    case run_end::kFailed:
-      return run_fate::kFailed;
-    case run_end::kStopped:
-      return run_fate::kStopped;
-    case run_end::kLapsed:
-      return run_fate::kLapsed;
-    case run_end::kBroken:
-      return run_fate::kBroken;
-    case run_end::kAlone:
-      return run_fate::kAlone;
-  }
-  return run_fate::kFailed;
-}
-
 // Any member's checkpoint is good for its whole gang, whose members must all
 // start from the same one.
 void TakeCheckpoint(task_state& task, const std::string& checkpoint) {
@@ -41,30 +23,6 @@
 
 }  // namespace
 
-std::string_view FateName(run_fate fate) {
-  switch (fate) {
-    case run_fate::kDone:
-      return "done";
-    case run_fate::kFailed:
-      return "failed";
-    case run_fate::kStopped:
-      return "stopped";
-    case run_fate::kLapsed:
-      return "lapsed";
-    case run_fate::kBroken:
-      return "broken";
-    case run_fate::kAlone:
-      return "alone";
-    case run_fate::kNotStarted:
-      return "not_started";
-    case run_fate::kForgotten:
-      return "forgotten";
-    case run_fate::kExpired:
-      return "expired";
-  }
-  return "unknown";
-}
-
 void run_tracker::OnHold(std::string_view executor_id,
                          const hold_report& report, core::monotonic_time sent,
                          moment at) {
@@ -163,6 +121,7 @@
         task->pace_percent = kUnknownPace;
       }
       task->phase = task_phase::kRunning;
+      NoteBegun(*task->job, at);
       task->confirmed = at.now;
       task->percent_changed = at.now;
       task->under_target = at.now;
@@ -209,6 +168,7 @@
   if (outcome == start_outcome::kAccepted) {
     if (task->phase == task_phase::kStarting) {
       task->phase = task_phase::kRunning;
+      NoteBegun(*task->job, at);
       task->confirmed = at.now;
       task->percent_changed = at.now;
     }
@@ -272,6 +232,7 @@
       return;
     }
     task.phase = task_phase::kStarting;
+    if (!job.milestones.ordered) job.milestones.ordered = at.now;
     // The start is sent a little later, with a deadline below this.
     executor->deadline_sent_ms =
         std::max(executor->deadline_sent_ms,
@@ -285,6 +246,14 @@
   });
 }
 
+void run_tracker::NoteBegun(job_state& job, moment at) const {
+  job_milestones& reached = job.milestones;
+  if (reached.begun) return;
+  reached.begun = at.now;
+  const bool accepted_here = reached.stored && reached.placed;
+  if (accepted_here && on_begun) on_begun(job);
+}
+
 void run_tracker::OnBatchStored() {
   for (auto& [id, executor] : state_.executors) AcknowledgeEnds(executor);
 }
--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -8,27 +8,10 @@
 #include <string_view>
 
 #include "waxwingfront/fleet/fleet_state.h"
+#include "waxwingfront/fleet/run_fate.h"
 
 namespace waxwingfront::fleet {
 
-// Why a run is over. The first six are ends that the executor listed.
-enum class run_fate {
-  kDone,
-  kFailed,
-  kStopped,
-  kLapsed,
-  kBroken,
-  kAlone,
-  // The start was refused, or never left.
-  kNotStarted,
-  // The executor answers but no longer knows the run.
-  kForgotten,
-  // The executor's lease has surely lapsed.
-  kExpired,
-};
-
-std::string_view FateName(run_fate fate);
-
 struct run_tracker_options {
   // Pause before work is sent again to an executor that left an order without
   // an answer: single answers are lost, the next hold tells more.
@@ -52,6 +35,9 @@
   // Called with each run that is over, for logs and estimates.
   std::function<void(const task_state&, run_fate, moment)> on_over;
 
+  // Called when the first task of a job that this leader accepted has begun.
+  std::function<void(const job_state&)> on_begun;
+
   // Called with each job that completes or fails.
   std::function<void(const job_state&)> on_final;
 
@@ -85,6 +71,7 @@
                  moment at);
   void CloseUnlisted(executor_state& executor, core::monotonic_time sent,
                      moment at);
+  void NoteBegun(job_state& job, moment at) const;
   void Over(task_state& task, run_fate fate, moment at);
   // The other members of a gang end with the first that does.
   void EndGangRun(task_state& first, run_fate fate, moment at);
--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -63,6 +63,8 @@
   void Fail(const connection_ptr& link, const callback& done,
             core::error_code code, const failure_code& cause) {
     idle.erase(link->address);
+    --totals.in_flight;
+    ++totals.failed;
     done(core::Failure(code, link->address + ": " + cause.message()));
   }
 
@@ -71,7 +73,9 @@
     http::async_write(
         used.stream, used.request,
         [self = shared_from_this(), link = std::move(link),
-         done = std::move(done)](const failure_code& failure, std::size_t) {
+         done = std::move(done)](const failure_code& failure,
+                                 std::size_t sent) {
+          self->totals.sent_bytes += sent;
           if (failure) {
             self->Fail(link, done, core::error_code::kOutcomeUnknown, failure);
             return;
@@ -85,7 +89,8 @@
     link->parser->body_limit(kMaxAnswerBytes);
     http::async_read(link->stream, link->buffer, *link->parser,
                      [self = shared_from_this(), link, done](
-                         const failure_code& failure, std::size_t) {
+                         const failure_code& failure, std::size_t received) {
+                       self->totals.received_bytes += received;
                        if (failure) {
                          self->Fail(link, done,
                                     core::error_code::kOutcomeUnknown, failure);
@@ -100,12 +105,14 @@
     http_reply reply{.status = static_cast<int>(answer.result_int()),
                      .body = std::move(answer.body())};
     if (answer.keep_alive()) KeepIdle(link);
+    --totals.in_flight;
     done(std::move(reply));
   }
 
   event_loop& loop;
   async_http_client_options options;
   std::map<std::string, std::vector<connection_ptr>> idle;
+  client_totals totals;
 };
 
 async_http_client::async_http_client(event_loop& loop,
@@ -114,6 +121,8 @@
 
 async_http_client::~async_http_client() = default;
 
+client_totals async_http_client::Totals() const { return internal_->totals; }
+
 void async_http_client::Send(http_call call, callback done) {
   internal::connection_ptr link = internal_->TakeIdle(call.address);
   const bool connected = link != nullptr;
@@ -137,6 +146,7 @@
   link->request.prepare_payload();
   link->stream.expires_after(call.timeout);
   if (connected) {
+    ++internal_->totals.in_flight;
     internal_->Write(std::move(link), std::move(done));
     return;
   }
@@ -148,6 +158,8 @@
     });
     return;
   }
+  ++internal_->totals.in_flight;
+  ++internal_->totals.connections;
   connection& opened = *link;
   opened.stream.async_connect(
       *endpoint, [self = internal_, link = std::move(link),
--- a/src/waxwingfront/net/async_http_client.h
+++ b/src/waxwingfront/net/async_http_client.h
@@ -2,6 +2,7 @@
 #ifndef WAXWINGFRONT_NET_ASYNC_HTTP_CLIENT_H_
 #define WAXWINGFRONT_NET_ASYNC_HTTP_CLIENT_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -34,6 +35,16 @@
   core::milliseconds max_idle_time{10'000};
 };
 
+// What a client has done since it was made.
+struct client_totals {
+  // Calls without an answer so far.
+  std::size_t in_flight = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t connections = 0;
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t received_bytes = 0;
+};
+
 class async_http_client {
  public:
   using callback = std::function<void(core::result<http_reply>)>;
@@ -50,6 +61,8 @@
   // well.
   void Send(http_call call, callback done);
 
+  client_totals Totals() const;
+
  private:
   struct internal;
   std::shared_ptr<internal> internal_;
