Read large answers in pieces of 64 KB instead of 512 bytes

Cause: Beast reads as much as the buffer's capacity has room for, and 512 bytes if it has none. Each piece takes a pass of the event loop, so a watch answer of 500 events (340 KB) needed some 700 passes, 2 to 4 s on a busy leader. The registry's watch fell 14 s behind; the leader's lag was 17 to 63 ms all the while, renewals took below 80 ms, and the link carried an eighth of its bandwidth, so neither the loop, the store nor the link was the cause.

The buffer now has room for a usual answer (4 KB), and for 64 KB once the header says that the body is larger.

--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -20,6 +20,10 @@
 
 // An answer larger than this is refused; the largest is a page of the store.
 constexpr std::uint64_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
+// Bytes taken from a socket at once: the usual answer whole, and of a large one
+// this much, since each piece takes a pass of the loop.
+constexpr std::size_t kUsualReadBytes = 4 * 1024;
+constexpr std::size_t kLargeReadBytes = 64 * 1024;
 
 // One connection and the call that it carries.
 struct connection {
@@ -87,6 +91,29 @@
   void Read(const connection_ptr& link, const callback& done) {
     link->parser.emplace();
     link->parser->body_limit(kMaxAnswerBytes);
+    link->buffer.reserve(kUsualReadBytes);
+    http::async_read_header(
+        link->stream, link->buffer, *link->parser,
+        [self = shared_from_this(), link, done](const failure_code& failure,
+                                                std::size_t received) {
+          self->totals.received_bytes += received;
+          if (failure) {
+            self->Fail(link, done, core::error_code::kOutcomeUnknown, failure);
+            return;
+          }
+          self->ReadBody(link, done);
+        });
+  }
+
+  void ReadBody(const connection_ptr& link, const callback& done) {
+    if (link->parser->is_done()) {
+      Finish(link, done);
+      return;
+    }
+    if (link->parser->content_length().value_or(kLargeReadBytes) >
+        kUsualReadBytes) {
+      link->buffer.reserve(kLargeReadBytes);
+    }
     http::async_read(link->stream, link->buffer, *link->parser,
                      [self = shared_from_this(), link, done](
                          const failure_code& failure, std::size_t received) {
--- a/tests/waxwingfront/net/async_http_test.cc
+++ b/tests/waxwingfront/net/async_http_test.cc
@@ -65,6 +65,52 @@
   CHECK(site.requests[0].Header("deadline-ms") == "500");
 }
 
+// Counts the passes of a loop that always has something else to do.
+class busy_loop_counter {
+ public:
+  explicit busy_loop_counter(net::event_loop& loop) : loop_(loop) { Turn(); }
+
+  int Passes() const { return passes_; }
+  void Stop() { stopped_ = true; }
+
+ private:
+  void Turn() {
+    if (stopped_) return;
+    ++passes_;
+    loop_.Post([this] { Turn(); });
+  }
+
+  net::event_loop& loop_;
+  int passes_ = 0;
+  bool stopped_ = false;
+};
+
+TEST_CASE("a large answer is not starved by a busy loop", "[net]") {
+  served site;
+  // A page of the store, and passes of 20 ms within the two seconds in which a
+  // leaving executor has to be known.
+  const std::string body(500'000, 'x');
+  constexpr int kMostPasses = 100;
+  busy_loop_counter busy(site.loop);
+  int passes = 0;
+  std::optional<core::result<net::http_reply>> reply;
+  site.silent = true;
+  site.client.Send(
+      {.address = site.server->Address(), .method = "GET", .target = "/"},
+      [&](core::result<net::http_reply> got) {
+        passes = busy.Passes() - passes;
+        reply = std::move(got);
+      });
+  REQUIRE(RunUntil(site.loop, [&site] { return !site.held.empty(); }));
+  passes = busy.Passes();
+  site.held.front()({.status = 200, .body = body});
+  REQUIRE(RunUntil(site.loop, [&reply] { return reply.has_value(); }));
+  busy.Stop();
+  REQUIRE(*reply);
+  CHECK((*reply)->body.size() == body.size());
+  CHECK(passes <= kMostPasses);
+}
+
 TEST_CASE("an answer that does not come is an unknown outcome in time",
           "[net]") {
   served site;
