Judge time-outs by what the loop could see, and use answers that come late

What was seen: on a leader whose loop or link was behind, calls to executors ended after 400 ms and pages of the store after 700 ms though their answers were in the socket or on their way.

Cause: one timer over the whole call, which runs while the loop does not. A pass of the loop gathers 128 sockets and then lets timers fire, so answers beyond those were thrown away.

The client now waits for each step of a call (connection, request, parts of the answer), looks at the socket before it gives a call up, and gives back the time by which its timer was late, once a step. One timer serves all calls.

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -11,6 +11,8 @@
     core::monotonic_time not_before{};
     // A pump is already due.
     bool scheduled = false;
+    // When the newest hold that was answered was sent.
+    core::monotonic_time answered{};
   };
 
   internal(net::event_loop& event_loop, const executor_services& services,
@@ -74,9 +76,14 @@
     }
     slot.in_flight = true;
     const bool waits = request.wait.count() > 0;
-    executors.hold(request, [self = shared_from_this(), id, now,
-                             waits](const core::result<hold_report>& report) {
+    executors.hold(request, [self = shared_from_this(), id, now, waits,
+                             late = std::make_shared<bool>(false)](
+                                const core::result<hold_report>& report) {
       if (self->closed) return;
+      if (std::exchange(*late, true)) {
+        self->OnLateHold(id, now, report);
+        return;
+      }
       if (!waits) self->Measure(load_stage::kHold, now);
       self->OnHold(id, now, report);
     });
@@ -108,21 +115,46 @@
       }
       slot.not_before = at.now + options.retry;
     } else {
-      const bool regained = !executor->in_contact;
-      core.OnHold(id, *report, sent, at);
-      if (regained) {
-        log.Write(
-            "executor_reached",
-            {{"executor", id},
-             {"born_ms", report->born_ms},
-             {"running", static_cast<std::int64_t>(report->running.size())}});
-      }
+      TakeReport(*executor, slot, sent, *report, at);
       slot.not_before = at.now + options.hold_pause;
     }
     hooks.on_progress();
     if (!closed) Pump(id);
   }
 
+  void TakeReport(const executor_state& executor, hold_slot& slot,
+                  core::monotonic_time sent, const hold_report& report,
+                  moment at) {
+    const bool regained = !executor.in_contact;
+    slot.answered = sent;
+    core.OnHold(executor.info.id, report, sent, at);
+    if (!regained) return;
+    log.Write("executor_reached",
+              {{"executor", executor.info.id},
+               {"born_ms", report.born_ms},
+               {"running", static_cast<std::int64_t>(report.running.size())}});
+  }
+
+  // A hold that was given up is answered after all. What is newer, or of
+  // another incarnation, has been learnt from another hold.
+  void OnLateHold(const std::string& id, core::monotonic_time sent,
+                  const core::result<hold_report>& report) {
+    if (!report) {
+      if (report.error().code == core::error_code::kDeposed) hooks.on_fenced();
+      return;
+    }
+    const executor_state* const executor = core.FindExecutor(id);
+    const auto slot = slots.find(id);
+    if (executor == nullptr || slot == slots.end() ||
+        sent <= slot->second.answered ||
+        (executor->reached && executor->info.born_ms != report->born_ms)) {
+      return;
+    }
+    TakeReport(*executor, slot->second, sent, *report, hooks.now());
+    hooks.on_progress();
+    if (!closed) Pump(id);
+  }
+
   void Measure(load_stage stage, core::monotonic_time since) const {
     if (hooks.on_stage) hooks.on_stage(stage, core::Now() - since);
   }
--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -69,7 +69,8 @@
                       .method = "POST",
                       .target = std::string(kFleetCallPath),
                       .body = attempt->request.SerializeAsString(),
-                      .timeout = std::min(left, options_.attempt)};
+                      .timeout = std::min(left, options_.attempt),
+                      .longest = left};
   client_.Send(
       std::move(call),
       [this, attempt](const core::result<net::http_reply>& reply) {
--- a/src/waxwingfront/fleet/platform_services.h
+++ b/src/waxwingfront/fleet/platform_services.h
@@ -133,6 +133,8 @@
 
 enum class order_status { kDone, kFenced, kFailed };
 
+// After an unknown outcome a callback may be called once more, with an answer
+// that came late.
 struct executor_services {
   std::function<void(const hold_request&,
                      std::function<void(core::result<hold_report>)>)>
--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -1,6 +1,10 @@
 #include "waxwingfront/net/async_http_client.h"
 
+#include <poll.h>
+
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <map>
@@ -20,19 +24,47 @@
 
 // An answer larger than this is refused; the largest is a page of the store.
 constexpr std::uint64_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
+// A timer that fires later than this says that the loop could not look.
+constexpr core::milliseconds kPunctual{20};
+
+enum class call_stage { kIdle, kConnecting, kWriting, kReading };
 
 // One connection and the call that it carries.
 struct connection {
-  explicit connection(asio::io_context& context) : stream(context) {}
+  explicit connection(asio::io_context& context) : socket(context) {}
 
-  beast::tcp_stream stream;
+  asio::ip::tcp::socket socket;
   beast::flat_buffer buffer;
   http::request<http::string_body> request;
   std::optional<http::response_parser<http::string_body>> parser;
   std::string address;
   core::monotonic_time idle_since;
+
+  call_stage stage = call_stage::kIdle;
+  // Null once the call was answered or given up.
+  async_http_client::callback done;
+  std::function<void(http_reply)> on_late;
+  core::milliseconds timeout{0};
+  core::milliseconds late_wait{0};
+  // When the call is given up if nothing moves, and whatever moves.
+  core::monotonic_time due;
+  core::monotonic_time limit;
+  // The loop was late at the end of the wait, and the wait was lengthened.
+  bool lengthened = false;
+  // Key of the entry of `deadlines` that watches the call.
+  std::optional<core::monotonic_time> watched;
 };
 
+// Whether the socket has something for the step that the call waits for.
+bool CanMove(connection& link) {
+  if (!link.socket.is_open()) return false;
+  const bool reads = link.stage == call_stage::kReading;
+  pollfd looked{.fd = link.socket.native_handle(),
+                .events = static_cast<std::int16_t>(reads ? POLLIN : POLLOUT),
+                .revents = 0};
+  return poll(&looked, 1, 0) > 0;
+}
+
 }  // namespace
 
 struct async_http_client::internal
@@ -40,7 +72,7 @@
   using connection_ptr = std::shared_ptr<connection>;
 
   internal(event_loop& event_loop, async_http_client_options chosen)
-      : loop(event_loop), options(chosen) {}
+      : loop(event_loop), options(chosen), timer(event_loop.Context()) {}
 
   connection_ptr TakeIdle(const std::string& address) {
     std::vector<connection_ptr>& list = idle[address];
@@ -55,63 +87,192 @@
   void KeepIdle(connection_ptr link) {
     std::vector<connection_ptr>& list = idle[link->address];
     if (list.size() >= options.max_idle_per_address) return;
-    link->stream.expires_never();
     link->idle_since = core::Now();
     list.push_back(std::move(link));
   }
 
-  void Fail(const connection_ptr& link, const callback& done,
-            core::error_code code, const failure_code& cause) {
-    idle.erase(link->address);
-    --totals.in_flight;
-    ++totals.failed;
-    done(core::Failure(code, link->address + ": " + cause.message()));
-  }
-
-  void Write(connection_ptr link, callback done) {
-    connection& used = *link;
-    http::async_write(
-        used.stream, used.request,
-        [self = shared_from_this(), link = std::move(link),
-         done = std::move(done)](const failure_code& failure,
-                                 std::size_t sent) {
-          self->totals.sent_bytes += sent;
-          if (failure) {
-            self->Fail(link, done, core::error_code::kOutcomeUnknown, failure);
+  void Open(const connection_ptr& link,
+            const asio::ip::tcp::endpoint& endpoint) {
+    ++totals.connections;
+    link->stage = call_stage::kConnecting;
+    link->socket.async_connect(
+        endpoint, [self = shared_from_this(), link](const failure_code& error) {
+          if (error) {
+            self->Fail(*link, error.message());
             return;
           }
-          self->Read(link, done);
+          failure_code ignored;
+          link->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+          self->Moved(*link);
+          self->Write(link);
         });
   }
 
-  void Read(const connection_ptr& link, const callback& done) {
-    link->parser.emplace();
-    link->parser->body_limit(kMaxAnswerBytes);
-    http::async_read(link->stream, link->buffer, *link->parser,
-                     [self = shared_from_this(), link, done](
-                         const failure_code& failure, std::size_t received) {
-                       self->totals.received_bytes += received;
-                       if (failure) {
-                         self->Fail(link, done,
-                                    core::error_code::kOutcomeUnknown, failure);
-                         return;
-                       }
-                       self->Finish(link, done);
-                     });
+  void Write(const connection_ptr& link) {
+    link->stage = call_stage::kWriting;
+    http::async_write(link->socket, link->request,
+                      [self = shared_from_this(), link](
+                          const failure_code& error, std::size_t sent) {
+                        self->totals.sent_bytes += sent;
+                        if (error) {
+                          self->Fail(*link, error.message());
+                          return;
+                        }
+                        self->Moved(*link);
+                        link->stage = call_stage::kReading;
+                        link->parser.emplace();
+                        link->parser->body_limit(kMaxAnswerBytes);
+                        link->parser->eager(true);
+                        self->Read(link);
+                      });
   }
 
-  void Finish(const connection_ptr& link, const callback& done) {
+  void Read(const connection_ptr& link) {
+    http::async_read_some(link->socket, link->buffer, *link->parser,
+                          [self = shared_from_this(), link](
+                              const failure_code& error, std::size_t received) {
+                            self->totals.received_bytes += received;
+                            if (error) {
+                              self->Fail(*link, error.message());
+                            } else if (link->parser->is_done()) {
+                              self->Finish(link);
+                            } else {
+                              self->Moved(*link);
+                              self->Read(link);
+                            }
+                          });
+  }
+
+  void Finish(const connection_ptr& link) {
     http::response<http::string_body> answer = link->parser->release();
     http_reply reply{.status = static_cast<int>(answer.result_int()),
                      .body = std::move(answer.body())};
+    link->stage = call_stage::kIdle;
+    const callback done = std::exchange(link->done, nullptr);
+    const auto on_late = std::exchange(link->on_late, nullptr);
     if (answer.keep_alive()) KeepIdle(link);
+    if (done) {
+      --totals.in_flight;
+      done(std::move(reply));
+    } else if (on_late) {
+      on_late(std::move(reply));
+    }
+  }
+
+  // Ends the call without an answer; a late one may follow if it was sent.
+  void GiveUp(connection& link, const std::string& cause) {
+    const callback done = std::exchange(link.done, nullptr);
+    if (!done) return;
+    idle.erase(link.address);
     --totals.in_flight;
-    done(std::move(reply));
+    ++totals.failed;
+    done(core::Failure(link.stage == call_stage::kConnecting
+                           ? core::error_code::kUnreachable
+                           : core::error_code::kOutcomeUnknown,
+                       link.address + ": " + cause));
+  }
+
+  void Close(connection& link) {
+    link.on_late = nullptr;
+    failure_code ignored;
+    link.socket.close(ignored);
+  }
+
+  void Fail(connection& link, const std::string& cause) {
+    Close(link);
+    GiveUp(link, cause);
+    link.stage = call_stage::kIdle;
+  }
+
+  // The call got one step further: its wait begins anew.
+  void Moved(connection& link) const {
+    if (!link.done) return;
+    link.lengthened = false;
+    link.due = std::min(core::Now() + link.timeout, link.limit);
+  }
+
+  void Begin(const connection_ptr& link, http_call& call, callback done) {
+    const core::monotonic_time now = core::Now();
+    ++totals.in_flight;
+    link->done = std::move(done);
+    link->on_late = std::move(call.on_late);
+    link->timeout = call.timeout;
+    link->late_wait = call.late_wait;
+    link->limit = now + (call.longest > core::milliseconds(0)
+                             ? std::max(call.timeout, call.longest)
+                             : 2 * call.timeout);
+    link->due = now + call.timeout;
+    link->lengthened = false;
+    Await(link);
+  }
+
+  void Await(const connection_ptr& link) {
+    if (link->watched && *link->watched <= link->due) return;
+    link->watched = link->due;
+    deadlines.emplace(link->due, link);
+    if (!armed || link->due < *armed) Arm();
+  }
+
+  void Arm() {
+    if (deadlines.empty()) {
+      armed.reset();
+      return;
+    }
+    armed = deadlines.begin()->first;
+    timer.expires_at(*armed);
+    timer.async_wait([self = weak_from_this()](const failure_code& error) {
+      const auto alive = self.lock();
+      if (!error && alive) alive->OnTimer();
+    });
+  }
+
+  void OnTimer() {
+    const core::monotonic_time now = core::Now();
+    while (!deadlines.empty() && deadlines.begin()->first <= now) {
+      const core::monotonic_time key = deadlines.begin()->first;
+      const connection_ptr link = deadlines.begin()->second.lock();
+      deadlines.erase(deadlines.begin());
+      if (link == nullptr || link->watched != key) continue;
+      link->watched.reset();
+      if (link->stage == call_stage::kIdle) continue;
+      if (link->due <= now) OnDue(*link, now);
+      if (link->stage != call_stage::kIdle) Await(link);
+    }
+    Arm();
+  }
+
+  void OnDue(connection& link, core::monotonic_time now) {
+    if (!link.done) {
+      Fail(link, {});
+      return;
+    }
+    // What has arrived counts, and so does time in which the loop was busy
+    // elsewhere and could not send or read: both once, as the limit holds.
+    const auto lateness = std::chrono::ceil<core::milliseconds>(now - link.due);
+    if (!link.lengthened && (lateness > kPunctual || CanMove(link))) {
+      link.lengthened = true;
+      link.due = now + std::clamp(lateness, kPunctual, link.timeout);
+      link.limit = std::max(link.limit, link.due);
+      return;
+    }
+    const bool sent = link.stage != call_stage::kConnecting;
+    const std::string cause =
+        "no answer in " + std::to_string(link.timeout.count()) + " ms";
+    if (!link.on_late || !sent) {
+      Fail(link, cause);
+      return;
+    }
+    link.due = now + link.late_wait;
+    GiveUp(link, cause);
   }
 
   event_loop& loop;
   async_http_client_options options;
   std::map<std::string, std::vector<connection_ptr>> idle;
+  std::multimap<core::monotonic_time, std::weak_ptr<connection>> deadlines;
+  asio::steady_timer timer;
+  // When the timer fires.
+  std::optional<core::monotonic_time> armed;
   client_totals totals;
 };
 
@@ -144,33 +305,21 @@
   }
   link->request.body() = std::move(call.body);
   link->request.prepare_payload();
-  link->stream.expires_after(call.timeout);
-  if (connected) {
-    ++internal_->totals.in_flight;
-    internal_->Write(std::move(link), std::move(done));
-    return;
-  }
-  const auto endpoint = detail::ParseEndpoint(call.address);
-  if (!endpoint) {
+  const auto endpoint =
+      connected ? std::nullopt : detail::ParseEndpoint(call.address);
+  if (!connected && !endpoint) {
     internal_->loop.Post([done = std::move(done), address = call.address] {
       done(core::Failure(core::error_code::kUnreachable,
                          "'" + address + "' is not an address"));
     });
     return;
   }
-  ++internal_->totals.in_flight;
-  ++internal_->totals.connections;
-  connection& opened = *link;
-  opened.stream.async_connect(
-      *endpoint, [self = internal_, link = std::move(link),
-                  done = std::move(done)](const failure_code& failure) {
-        if (failure) {
-          self->Fail(link, done, core::error_code::kUnreachable, failure);
-          return;
-        }
-        link->stream.socket().set_option(asio::ip::tcp::no_delay(true));
-        self->Write(link, done);
-      });
+  internal_->Begin(link, call, std::move(done));
+  if (connected) {
+    internal_->Write(link);
+  } else {
+    internal_->Open(link, *endpoint);
+  }
 }
 
 }  // namespace waxwingfront::net
--- a/src/waxwingfront/net/async_http_client.h
+++ b/src/waxwingfront/net/async_http_client.h
@@ -23,8 +23,16 @@
   std::string host;
   http_headers headers;
   std::string body;
-  // From now to the whole answer, connecting included.
+  // Wait for each step: the connection, the request's leaving, each part of the
+  // answer. Time in which the loop could not look is not counted.
   core::milliseconds timeout{1000};
+  // From now to the whole answer; 0 for twice the timeout.
+  core::milliseconds longest{0};
+  // A request that was sent and given up is listened for this much longer; an
+  // answer that comes in that time goes to `on_late`. Ignored without
+  // `on_late`.
+  core::milliseconds late_wait{0};
+  std::function<void(http_reply)> on_late = nullptr;
 };
 
 struct async_http_client_options {
--- a/tests/waxwingfront/fleet/executor_driver_test.cc
+++ b/tests/waxwingfront/fleet/executor_driver_test.cc
@@ -18,6 +18,7 @@
                        [this](const fleet::hold_request& request, auto done) {
                          holds.push_back(request);
                          if (silent) {
+                           late.push_back(done);
                            done(core::Failure(core::error_code::kOutcomeUnknown,
                                               "no answer"));
                            return;
@@ -53,6 +54,8 @@
   bool silent = false;
   bool may_order = true;
   std::vector<fleet::hold_request> holds;
+  // Callbacks of holds without an answer.
+  std::vector<std::function<void(core::result<fleet::hold_report>)>> late;
   std::vector<fleet::start_order> starts;
   fleet::executor_services executors;
   fleet::fleet_core core;
@@ -96,6 +99,26 @@
   }
 }
 
+TEST_CASE("a late answer of the same incarnation regains its executor",
+          "[fleet]") {
+  driven one;
+  one.driver.HoldAll();
+  REQUIRE(RunUntil(one.loop, [&] { return !one.holds.empty(); }));
+  one.silent = true;
+  one.holds.clear();
+  one.core.FindExecutor("a")->in_contact = false;
+  one.driver.HoldAll();
+  REQUIRE(RunUntil(one.loop, [&] { return one.late.size() >= 2; }));
+  one.late[1](fleet::hold_report{.born_ms = 2, .clock_ms = 9});
+  CHECK_FALSE(one.core.FindExecutor("a")->in_contact);
+  one.late[1](fleet::hold_report{.born_ms = 1, .clock_ms = 9});
+  CHECK(one.core.FindExecutor("a")->in_contact);
+  CHECK(one.core.FindExecutor("a")->clock->clock_ms == 9);
+  // The first hold is older than the one that was answered.
+  one.late[0](fleet::hold_report{.born_ms = 1, .clock_ms = 4});
+  CHECK(one.core.FindExecutor("a")->clock->clock_ms == 9);
+}
+
 TEST_CASE("a leader whose lease is over sends no hold and no start",
           "[fleet]") {
   driven one;
--- a/tests/waxwingfront/net/async_http_test.cc
+++ b/tests/waxwingfront/net/async_http_test.cc
@@ -2,6 +2,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "support/loop_runner.h"
@@ -152,5 +153,90 @@
   CHECK_FALSE(idle.HasInput());
 }
 
+// A server with a loop and a thread of its own, which answers at once.
+class prompt_server {
+ public:
+  prompt_server()
+      : server_(loop_, {.address = "127.0.0.1:0"},
+                [](const net::server_request& request,
+                   const net::async_http_server::responder& respond) {
+                  respond({.status = 200, .body = request.body});
+                }) {
+    REQUIRE(server_.Start());
+    address = server_.Address();
+    thread_ = std::thread([this] { loop_.Run(); });
+  }
+  prompt_server(const prompt_server&) = delete;
+  prompt_server& operator=(const prompt_server&) = delete;
+  ~prompt_server() {
+    loop_.Post([this] { loop_.Stop(); });
+    thread_.join();
+  }
+
+  std::string address;
+
+ private:
+  net::event_loop loop_;
+  net::async_http_server server_;
+  std::thread thread_;
+};
+
+TEST_CASE("calls whose answers came while the loop was late are not given up",
+          "[net]") {
+  constexpr int kCalls = 300;
+  constexpr milliseconds kTimeout{100};
+  constexpr milliseconds kStall{40};
+  prompt_server server;
+  net::event_loop loop;
+  net::async_http_client client(loop, {});
+  int answered = 0;
+  int failed = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    client.Send({.address = server.address,
+                 .method = "POST",
+                 .target = "/",
+                 .body = "x",
+                 .timeout = kTimeout},
+                [&](const core::result<net::http_reply>& reply) {
+                  ++(reply ? answered : failed);
+                });
+  }
+  // The loop is busy for four fifths of the time, until all calls are over.
+  std::function<void()> stall = [&] {
+    std::this_thread::sleep_for(kStall);
+    if (answered + failed < kCalls) loop.After(milliseconds(10), stall);
+  };
+  loop.Post([kTimeout] { std::this_thread::sleep_for(3 * kTimeout); });
+  loop.Post(stall);
+  REQUIRE(RunUntil(loop, [&] { return answered + failed == kCalls; }));
+  CHECK(failed == 0);
+}
+
+TEST_CASE("an answer after the wait is handed over late, and only then",
+          "[net]") {
+  served site;
+  site.silent = true;
+  std::optional<core::result<net::http_reply>> reply;
+  std::optional<std::string> late;
+  site.client.Send(
+      {.address = site.server->Address(),
+       .method = "POST",
+       .target = "/",
+       .timeout = milliseconds(50),
+       .late_wait = milliseconds(5000),
+       .on_late = [&late](net::http_reply got) { late = std::move(got.body); }},
+      [&reply](core::result<net::http_reply> got) {
+        CHECK_FALSE(reply);
+        reply = std::move(got);
+      });
+  REQUIRE(RunUntil(site.loop, [&reply] { return reply.has_value(); }));
+  CHECK_FALSE(*reply);
+  CHECK_FALSE(late);
+  REQUIRE(site.held.size() == 1);
+  site.held[0]({.status = 200, .body = "late"});
+  REQUIRE(RunUntil(site.loop, [&late] { return late.has_value(); }));
+  CHECK(*late == "late");
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
