Hold executors in turn at a take-over, those with runs first

What was seen: a new leader sent its first hold to all executors at once, each on a connection of its own: 350 to 490 connects and answers in one burst, with the renewals of its 1.5 s lease and the answers to callers behind them in the same link.

Executors that are not in contact now go through a queue: first those on which runs are recorded, then the others, then those that were called in vain. Holds of executors in contact, which keep leases alive, do not queue.

Tests failing before: 26 of 26 first holds in flight where 4 are permitted. The order: "a" in place of "z", the one with a run, with the urgency taken out.

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -1,7 +1,9 @@
 #include "waxwingfront/fleet/executor_driver.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
+#include <vector>
 
 namespace waxwingfront::fleet {
 
@@ -13,6 +15,10 @@
     bool scheduled = false;
     // When the newest hold that was answered was sent.
     core::monotonic_time answered{};
+    // The hold in flight is one of `firsts`.
+    bool first = false;
+    // The last hold had no answer.
+    bool unanswered = false;
   };
 
   internal(net::event_loop& event_loop, const executor_services& services,
@@ -25,9 +31,16 @@
         token(fencing_token),
         options(chosen),
         hooks(std::move(callbacks)),
-        log(events) {}
+        log(events),
+        firsts(chosen.most_first_holds) {}
 
+  // Holds the executor as soon as its turn has come.
   void Pump(const std::string& id) {
+    Consider(id);
+    SendFirsts();
+  }
+
+  void Consider(const std::string& id) {
     hold_slot& slot = slots[id];
     if (slot.in_flight || !core.NeedsHold(id)) return;
     const core::monotonic_time now = core::Now();
@@ -45,10 +58,31 @@
     }
     if (!hooks.may_order()) {
       slot.not_before = now + options.retry;
-      Pump(id);
+      Consider(id);
       return;
     }
-    Hold(id, slot, now);
+    const executor_state& executor = *core.FindExecutor(id);
+    if (executor.reached && executor.in_contact) {
+      Hold(id, slot, now);
+    } else if (slot.unanswered) {
+      firsts.Add(id, hold_urgency::kRepeated);
+    } else {
+      firsts.Add(id, executor.active.empty() ? hold_urgency::kNew
+                                             : hold_urgency::kRuns);
+    }
+  }
+
+  void SendFirsts() {
+    while (const std::optional<std::string> id = firsts.Take()) {
+      const auto slot = slots.find(*id);
+      if (slot == slots.end() || slot->second.in_flight ||
+          !core.NeedsHold(*id) || !hooks.may_order()) {
+        firsts.Over();
+        continue;
+      }
+      slot->second.first = true;
+      Hold(*id, slot->second, core::Now());
+    }
   }
 
   void Hold(const std::string& id, hold_slot& slot, core::monotonic_time now) {
@@ -93,10 +127,13 @@
               const core::result<hold_report>& report) {
     hold_slot& slot = slots[id];
     slot.in_flight = false;
+    slot.unanswered = !report;
+    if (std::exchange(slot.first, false)) firsts.Over();
     const moment at = hooks.now();
     const executor_state* const executor = core.FindExecutor(id);
     if (executor == nullptr) {
       slots.erase(id);
+      SendFirsts();
       return;
     }
     if (!report) {
@@ -229,6 +266,7 @@
   executor_driver_hooks hooks;
   logging::event_log& log;
   std::map<std::string, hold_slot> slots;
+  first_holds firsts;
   bool closed = false;
 };
 
@@ -248,7 +286,8 @@
   for (const auto& [id, executor] : internal_->core.Executors()) {
     ids.push_back(id);
   }
-  for (const std::string& id : ids) internal_->Pump(id);
+  for (const std::string& id : ids) internal_->Consider(id);
+  internal_->SendFirsts();
 }
 
 void executor_driver::Send(const orders& decided) {
--- a/src/waxwingfront/fleet/executor_driver.h
+++ b/src/waxwingfront/fleet/executor_driver.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "waxwingfront/core/clock.h"
+#include "waxwingfront/fleet/first_holds.h"
 #include "waxwingfront/fleet/fleet_core.h"
 #include "waxwingfront/fleet/load_monitor.h"
 #include "waxwingfront/fleet/platform_services.h"
@@ -28,6 +29,8 @@
   // Pause between two holds of an executor, which gathers ends: each hold has
   // a price.
   core::milliseconds hold_pause{100};
+  // Holds of executors that are not in contact, at a time.
+  std::size_t most_first_holds = first_holds_options{}.most_in_flight;
   // Pause after a hold without an answer.
   core::milliseconds retry{100};
 };
--- a/tests/waxwingfront/fleet/executor_driver_test.cc
+++ b/tests/waxwingfront/fleet/executor_driver_test.cc
@@ -1,6 +1,8 @@
 #include "waxwingfront/fleet/executor_driver.h"
 
 #include <catch2/catch.hpp>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "support/fleet_scene.h"
@@ -11,19 +13,25 @@
 
 using core::milliseconds;
 
+constexpr std::size_t kFirstHolds = 4;
+
 struct driven {
   driven()
       : log({.descriptor = -1}),
         executors({.hold =
                        [this](const fleet::hold_request& request, auto done) {
                          holds.push_back(request);
+                         if (held_back) {
+                           late.push_back(done);
+                           return;
+                         }
                          if (silent) {
                            late.push_back(done);
                            done(core::Failure(core::error_code::kOutcomeUnknown,
                                               "no answer"));
                            return;
                          }
-                         done(fleet::hold_report{.born_ms = 1, .clock_ms = 1});
+                         done(report);
                        },
                    .start =
                        [this](std::string_view, const fleet::start_order& order,
@@ -35,7 +43,9 @@
                    .pace = [](auto...) {}}),
         core({}),
         driver(loop, executors, core, 7,
-               {.hold_pause = milliseconds(5), .retry = milliseconds(5)},
+               {.hold_pause = milliseconds(5),
+                .most_first_holds = kFirstHolds,
+                .retry = milliseconds(5)},
                {.may_order = [this] { return may_order; },
                 .on_fenced = [] {},
                 .on_progress = [] {},
@@ -43,18 +53,40 @@
                log) {
     core.SetManifest(ManifestOf({{}}));
     core.FinishRestore({.now = core::Now()});
-    core.SetExecutor({.id = "a",
-                      .address = "a",
+    AddExecutor("a");
+  }
+
+  void AddExecutor(const std::string& id, std::int64_t processor_milli = 8000) {
+    core.SetExecutor({.id = id,
+                      .address = id,
                       .service = "s",
-                      .capacity = {.processor_milli = 8000}});
+                      .capacity = {.processor_milli = processor_milli}});
+  }
+
+  // Submits a job and sends the starts of its tasks.
+  void Begin(const schema::fleet_job& job) {
+    core.Submit(job, {.now = core::Now()});
+    core.Plan({.now = core::Now()});
+    Store();
+    driver.Send(core.TakeOrders());
   }
 
+  void Store() {
+    core.Journal().NextBatch(15);
+    core.Journal().Stored(++revision, {.now = core::Now()});
+  }
+
+  std::int64_t revision = 1;
+
   net::event_loop loop;
   logging::event_log log;
   bool silent = false;
+  // Answers are given later, through `late`.
+  bool held_back = false;
+  fleet::hold_report report{.born_ms = 1, .clock_ms = 1};
   bool may_order = true;
   std::vector<fleet::hold_request> holds;
-  // Callbacks of holds without an answer.
+  // Callbacks of holds that had no answer yet.
   std::vector<std::function<void(core::result<fleet::hold_report>)>> late;
   std::vector<fleet::start_order> starts;
   fleet::executor_services executors;
@@ -130,5 +162,62 @@
   CHECK(one.starts.empty());
 }
 
+TEST_CASE("a new leader's first holds do not all fill the link at once",
+          "[fleet]") {
+  driven one;
+  for (char id = 'b'; id <= 'z'; ++id) one.AddExecutor({id});
+  one.held_back = true;
+  one.driver.HoldAll();
+  CHECK(one.holds.size() == kFirstHolds);
+  for (std::size_t i = 0; i < one.late.size(); ++i) {
+    const auto answer = one.late[i];
+    answer(one.report);
+    CHECK(one.holds.size() <= i + 1 + kFirstHolds);
+  }
+  CHECK(one.holds.size() == one.core.Executors().size());
+}
+
+TEST_CASE("a new leader first holds the executors whose runs may lapse",
+          "[fleet]") {
+  driven one;
+  for (char id = 'b'; id <= 'y'; ++id) one.AddExecutor({id});
+  one.AddExecutor("z", 16'000);
+  one.driver.HoldAll();
+  one.Begin(JobOf("job", 1, 10'000));
+  REQUIRE(one.starts.size() == 1);
+  // As a leader that has just taken over knows it.
+  for (const auto& [id, executor] : one.core.Executors()) {
+    one.core.FindExecutor(id)->reached = false;
+    one.core.FindExecutor(id)->in_contact = false;
+  }
+  fleet::executor_driver next(
+      one.loop, one.executors, one.core, 8, {.most_first_holds = kFirstHolds},
+      {.may_order = [] { return true; },
+       .on_fenced = [] {},
+       .on_progress = [] {},
+       .now = [] { return fleet::moment{.now = core::Now()}; }},
+      one.log);
+  one.held_back = true;
+  one.holds.clear();
+  next.HoldAll();
+  REQUIRE_FALSE(one.holds.empty());
+  CHECK(one.holds.front().executor == one.starts.front().executor);
+}
+
+TEST_CASE("executors without an answer do not keep the others waiting",
+          "[fleet]") {
+  driven one;
+  for (char id = 'b'; id <= 'z'; ++id) one.AddExecutor({id});
+  one.silent = true;
+  one.driver.HoldAll();
+  // Each was called once before any was called again.
+  REQUIRE(one.holds.size() >= one.core.Executors().size());
+  std::set<std::string> called;
+  for (std::size_t i = 0; i < one.core.Executors().size(); ++i) {
+    called.insert(one.holds[i].executor);
+  }
+  CHECK(called.size() == one.core.Executors().size());
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
