Hold executors no more often than their answers can be used

Cause: an executor that has told an end answers each hold at once until the leader acknowledges it, and the leader acknowledges what is stored. With the store behind, each executor was held every 100 ms for the ends that it had told before. Holds made the leader late, and its lateness made holds.

The next hold now waits until the ends are stored, at most as long as a hold would wait for an end; an executor that runs nothing is not held for unstored ends. After a transaction only the executors that waited for it are looked at, not all of them.

Tests failing before: holds every 5 ms to an executor with an unstored end, and to one that runs nothing.

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -19,6 +20,10 @@
     bool first = false;
     // The last hold had no answer.
     bool unanswered = false;
+    // It told ends that are not stored: the next hold waits for the store, or
+    // until `not_before`.
+    bool awaits_store = false;
+    core::monotonic_time pause_end{};
   };
 
   internal(net::event_loop& event_loop, const executor_services& services,
@@ -32,7 +37,8 @@
         options(chosen),
         hooks(std::move(callbacks)),
         log(events),
-        firsts(chosen.most_first_holds) {}
+        firsts(chosen.most_first_holds),
+        pace(chosen.pace) {}
 
   // Holds the executor as soon as its turn has come.
   void Pump(const std::string& id) {
@@ -41,27 +47,28 @@
   }
 
   void Consider(const std::string& id) {
+    const executor_state* const executor = core.FindExecutor(id);
+    if (executor != nullptr && fleet_core::NeedsHold(*executor)) {
+      Consider(id, *executor);
+    }
+  }
+
+  void Consider(const std::string& id, const executor_state& executor) {
     hold_slot& slot = slots[id];
-    if (slot.in_flight || !core.NeedsHold(id)) return;
+    if (slot.in_flight || slot.scheduled) return;
     const core::monotonic_time now = core::Now();
     if (now < slot.not_before) {
-      if (slot.scheduled) return;
-      slot.scheduled = true;
-      const auto delay =
-          std::chrono::ceil<core::milliseconds>(slot.not_before - now);
-      loop.After(delay, [self = shared_from_this(), id] {
-        if (self->closed) return;
-        self->slots[id].scheduled = false;
-        self->Pump(id);
-      });
+      // `OnStored` and the leader's ticks come back to those that wait for it.
+      if (!slot.awaits_store) Schedule(id, slot, now);
       return;
     }
+    slot.awaits_store = false;
     if (!hooks.may_order()) {
       slot.not_before = now + options.retry;
-      Consider(id);
+      Schedule(id, slot, now);
       return;
     }
-    const executor_state& executor = *core.FindExecutor(id);
+    if (OnlyUnstored(executor)) return;
     if (executor.reached && executor.in_contact) {
       Hold(id, slot, now);
     } else if (slot.unanswered) {
@@ -72,6 +79,26 @@
     }
   }
 
+  void Schedule(const std::string& id, hold_slot& slot,
+                core::monotonic_time now) {
+    slot.scheduled = true;
+    const auto delay =
+        std::chrono::ceil<core::milliseconds>(slot.not_before - now);
+    loop.After(delay, [self = shared_from_this(), id, due = now + delay] {
+      if (self->closed) return;
+      self->pace.Late(
+          std::chrono::duration_cast<core::milliseconds>(core::Now() - due));
+      self->slots[id].scheduled = false;
+      self->Pump(id);
+    });
+  }
+
+  // Whether the executor runs nothing and only waits for its ends to be stored:
+  // a hold would tell the same ends again.
+  static bool OnlyUnstored(const executor_state& executor) {
+    return executor.reached && executor.in_contact && executor.active.empty();
+  }
+
   void SendFirsts() {
     while (const std::optional<std::string> id = firsts.Take()) {
       const auto slot = slots.find(*id);
@@ -105,22 +132,24 @@
       const bool unstored = executor.processed > executor.acknowledged;
       if (!unstored && !executor.active.empty()) {
         request.wait =
-            executor.OnlyLasting() ? options.hold_wait : options.busy_wait;
+            executor.OnlyLasting() ? options.hold_wait : pace.BusyWait();
       }
     }
     slot.in_flight = true;
-    const bool waits = request.wait.count() > 0;
-    executors.hold(request, [self = shared_from_this(), id, now, waits,
-                             late = std::make_shared<bool>(false)](
-                                const core::result<hold_report>& report) {
-      if (self->closed) return;
-      if (std::exchange(*late, true)) {
-        self->OnLateHold(id, now, report);
-        return;
-      }
-      if (!waits) self->Measure(load_stage::kHold, now);
-      self->OnHold(id, now, report);
-    });
+    executors.hold(request,
+                   [self = shared_from_this(), id, now, wait = request.wait,
+                    late = std::make_shared<bool>(false)](
+                       const core::result<hold_report>& report) {
+                     if (self->closed) return;
+                     if (std::exchange(*late, true)) {
+                       self->OnLateHold(id, now, report);
+                       return;
+                     }
+                     self->LearnPace(now, wait, report.has_value());
+                     if (wait.count() == 0)
+                       self->Measure(load_stage::kHold, now);
+                     self->OnHold(id, now, report);
+                   });
   }
 
   void OnHold(const std::string& id, core::monotonic_time sent,
@@ -153,7 +182,13 @@
       slot.not_before = at.now + options.retry;
     } else {
       TakeReport(*executor, slot, sent, *report, at);
-      slot.not_before = at.now + options.hold_pause;
+      slot.pause_end = at.now + pace.Pause();
+      slot.not_before = slot.pause_end;
+      if (executor->processed > executor->acknowledged) {
+        slot.awaits_store = true;
+        slot.not_before = at.now + pace.BusyWait();
+        unstored.insert(id);
+      }
     }
     hooks.on_progress();
     if (!closed) Pump(id);
@@ -192,6 +227,14 @@
     if (!closed) Pump(id);
   }
 
+  void LearnPace(core::monotonic_time sent, core::milliseconds wait,
+                 bool answered) {
+    const auto taken =
+        std::chrono::duration_cast<core::milliseconds>(core::Now() - sent);
+    // An end may have cut the executor's wait short.
+    if (answered && taken >= wait) pace.Late(taken - wait);
+  }
+
   void Measure(load_stage stage, core::monotonic_time since) const {
     if (hooks.on_stage) hooks.on_stage(stage, core::Now() - since);
   }
@@ -267,6 +310,9 @@
   logging::event_log& log;
   std::map<std::string, hold_slot> slots;
   first_holds firsts;
+  hold_pace pace;
+  // Executors whose next hold waits for the store.
+  std::set<std::string> unstored;
   bool closed = false;
 };
 
@@ -282,14 +328,29 @@
 executor_driver::~executor_driver() { internal_->closed = true; }
 
 void executor_driver::HoldAll() {
-  std::vector<std::string> ids;
   for (const auto& [id, executor] : internal_->core.Executors()) {
-    ids.push_back(id);
+    if (fleet_core::NeedsHold(executor)) internal_->Consider(id, executor);
   }
-  for (const std::string& id : ids) internal_->Consider(id);
   internal_->SendFirsts();
 }
 
+void executor_driver::OnStored() {
+  for (const std::string& id : std::exchange(internal_->unstored, {})) {
+    const executor_state* const executor = internal_->core.FindExecutor(id);
+    if (executor == nullptr) continue;
+    if (executor->processed > executor->acknowledged) {
+      internal_->unstored.insert(id);
+      continue;
+    }
+    const auto slot = internal_->slots.find(id);
+    if (slot == internal_->slots.end()) continue;
+    if (std::exchange(slot->second.awaits_store, false)) {
+      slot->second.not_before = slot->second.pause_end;
+    }
+    internal_->Pump(id);
+  }
+}
+
 void executor_driver::Send(const orders& decided) {
   for (const stop_order& order : decided.stops) internal_->SendStop(order);
   for (const start_order& order : decided.starts) internal_->SendStart(order);
--- a/src/waxwingfront/fleet/executor_driver.h
+++ b/src/waxwingfront/fleet/executor_driver.h
@@ -11,6 +11,7 @@
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/fleet/first_holds.h"
 #include "waxwingfront/fleet/fleet_core.h"
+#include "waxwingfront/fleet/hold_pace.h"
 #include "waxwingfront/fleet/load_monitor.h"
 #include "waxwingfront/fleet/platform_services.h"
 #include "waxwingfront/logging/event_log.h"
@@ -23,14 +24,9 @@
   core::milliseconds start_reach{2500};
   // Longest wait of one hold; the platform takes 2 s at most.
   core::milliseconds hold_wait{2000};
-  // The same where tasks run that end: an answer that is lost delays their ends
-  // by this much and the slack of a call.
-  core::milliseconds busy_wait{300};
-  // Pause between two holds of an executor, which gathers ends: each hold has
-  // a price.
-  core::milliseconds hold_pause{100};
   // Holds of executors that are not in contact, at a time.
   std::size_t most_first_holds = first_holds_options{}.most_in_flight;
+  hold_pace_options pace;
   // Pause after a hold without an answer.
   core::milliseconds retry{100};
 };
@@ -59,6 +55,8 @@
 
   // Holds each executor that needs it and has no hold on its way.
   void HoldAll();
+  // A transaction was stored: holds the executors that waited for it.
+  void OnStored();
   // Sends what the core decided.
   void Send(const orders& decided);
 
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -175,8 +175,10 @@
 
 bool fleet_core::NeedsHold(std::string_view id) const {
   const auto found = state_.executors.find(id);
-  if (found == state_.executors.end()) return false;
-  const executor_state& executor = found->second;
+  return found != state_.executors.end() && NeedsHold(found->second);
+}
+
+bool fleet_core::NeedsHold(const executor_state& executor) {
   if (executor.info.address.empty()) return false;
   return !executor.reached || !executor.in_contact ||
          !executor.active.empty() || executor.processed > executor.acknowledged;
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -74,6 +74,7 @@
 
   // Executors to be held: those with work or with ends to be forgotten.
   bool NeedsHold(std::string_view id) const;
+  static bool NeedsHold(const executor_state& executor);
   executor_state* FindExecutor(std::string_view id) {
     return state_.FindExecutor(id);
   }
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -240,7 +240,7 @@
       case store_write_status::kApplied:
         SetStoreLost(false);
         core.Journal().Stored(reply.revision, hooks.now());
-        driver.HoldAll();
+        driver.OnStored();
         Progress();
         return;
       case store_write_status::kConflict:
--- a/tests/waxwingfront/fleet/executor_driver_test.cc
+++ b/tests/waxwingfront/fleet/executor_driver_test.cc
@@ -43,8 +43,8 @@
                    .pace = [](auto...) {}}),
         core({}),
         driver(loop, executors, core, 7,
-               {.hold_pause = milliseconds(5),
-                .most_first_holds = kFirstHolds,
+               {.most_first_holds = kFirstHolds,
+                .pace = {.pause = milliseconds(5)},
                 .retry = milliseconds(5)},
                {.may_order = [this] { return may_order; },
                 .on_fenced = [] {},
@@ -219,5 +219,47 @@
   CHECK(called.size() == one.core.Executors().size());
 }
 
+TEST_CASE("ends that are not stored yet are not asked for again and again",
+          "[fleet]") {
+  driven one;
+  one.driver.HoldAll();
+  one.Begin(JobOf("job", 2, 1000));
+  REQUIRE(one.starts.size() == 2);
+  one.report.ended = {{.number = 1,
+                       .task = one.starts[0].task,
+                       .run = 1,
+                       .how = fleet::run_end::kDone}};
+  one.report.running = {{.task = one.starts[1].task, .run = 1}};
+  const fleet::executor_state& executor = *one.core.FindExecutor("a");
+  REQUIRE(RunUntil(one.loop, [&] { return executor.processed == 1; }));
+  one.holds.clear();
+  RunFor(one.loop, milliseconds(100));
+  CHECK(one.holds.size() <= 1);
+  one.Store();
+  one.driver.OnStored();
+  REQUIRE(RunUntil(one.loop, [&] {
+    return !one.holds.empty() && one.holds.back().acknowledged == 1;
+  }));
+}
+
+TEST_CASE("an executor that runs nothing has no hold in flight", "[fleet]") {
+  driven one;
+  one.driver.HoldAll();
+  one.Begin(JobOf("job", 1, 1000));
+  REQUIRE(one.starts.size() == 1);
+  one.report.ended = {{.number = 1,
+                       .task = one.starts[0].task,
+                       .run = 1,
+                       .how = fleet::run_end::kDone}};
+  const fleet::executor_state& executor = *one.core.FindExecutor("a");
+  REQUIRE(RunUntil(one.loop, [&] { return executor.processed == 1; }));
+  one.holds.clear();
+  for (int i = 0; i < 5; ++i) {
+    RunFor(one.loop, milliseconds(100));
+    one.driver.HoldAll();
+  }
+  CHECK(one.holds.empty());
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
