--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -1,7 +1,10 @@
 #include "waxwingfront/fleet/executor_driver.h"
 
 #include <algorithm>
+#include <optional>
+#include <set>
 #include <utility>
+#include <vector>
 
 namespace waxwingfront::fleet {
 
@@ -11,6 +14,16 @@
     core::monotonic_time not_before{};
     // A pump is already due.
     bool scheduled = false;
+    // When the newest hold that was answered was sent.
+    core::monotonic_time answered{};
+    // The hold in flight is one of `firsts`.
+    bool first = false;
+    // The last hold had no answer.
+    bool unanswered = false;
+    // It told ends that are not stored: the next hold waits for the store, or
+    // until `not_before`.
+    bool awaits_store = false;
+    core::monotonic_time pause_end{};
   };
 
   internal(net::event_loop& event_loop, const executor_services& services,
@@ -23,30 +36,80 @@
         token(fencing_token),
         options(chosen),
         hooks(std::move(callbacks)),
-        log(events) {}
+        log(events),
+        firsts(chosen.most_first_holds),
+        pace(chosen.pace) {}
 
+  // Holds the executor as soon as its turn has come.
   void Pump(const std::string& id) {
+    Consider(id);
+    SendFirsts();
+  }
+
+  void Consider(const std::string& id) {
+    const executor_state* const executor = core.FindExecutor(id);
+    if (executor != nullptr && fleet_core::NeedsHold(*executor)) {
+      Consider(id, *executor);
+    }
+  }
+
+  void Consider(const std::string& id, const executor_state& executor) {
     hold_slot& slot = slots[id];
-    if (slot.in_flight || !core.NeedsHold(id)) return;
+    if (slot.in_flight || slot.scheduled) return;
     const core::monotonic_time now = core::Now();
     if (now < slot.not_before) {
-      if (slot.scheduled) return;
-      slot.scheduled = true;
-      const auto delay =
-          std::chrono::ceil<core::milliseconds>(slot.not_before - now);
-      loop.After(delay, [self = shared_from_this(), id] {
-        if (self->closed) return;
-        self->slots[id].scheduled = false;
-        self->Pump(id);
-      });
+      // `OnStored` and the leader's ticks come back to those that wait for it.
+      if (!slot.awaits_store) Schedule(id, slot, now);
       return;
     }
+    slot.awaits_store = false;
     if (!hooks.may_order()) {
       slot.not_before = now + options.retry;
-      Pump(id);
+      Schedule(id, slot, now);
       return;
     }
-    Hold(id, slot, now);
+    if (OnlyUnstored(executor)) return;
+    if (executor.reached && executor.in_contact) {
+      Hold(id, slot, now);
+    } else if (slot.unanswered) {
+      firsts.Add(id, hold_urgency::kRepeated);
+    } else {
+      firsts.Add(id, executor.active.empty() ? hold_urgency::kNew
+                                             : hold_urgency::kRuns);
+    }
+  }
+
+  void Schedule(const std::string& id, hold_slot& slot,
+                core::monotonic_time now) {
+    slot.scheduled = true;
+    const auto delay =
+        std::chrono::ceil<core::milliseconds>(slot.not_before - now);
+    loop.After(delay, [self = shared_from_this(), id, due = now + delay] {
+      if (self->closed) return;
+      self->pace.Late(
+          std::chrono::duration_cast<core::milliseconds>(core::Now() - due));
+      self->slots[id].scheduled = false;
+      self->Pump(id);
+    });
+  }
+
+  // Whether the executor runs nothing and only waits for its ends to be stored:
+  // a hold would tell the same ends again.
+  static bool OnlyUnstored(const executor_state& executor) {
+    return executor.reached && executor.in_contact && executor.active.empty();
+  }
+
+  void SendFirsts() {
+    while (const std::optional<std::string> id = firsts.Take()) {
+      const auto slot = slots.find(*id);
+      if (slot == slots.end() || slot->second.in_flight ||
+          !core.NeedsHold(*id) || !hooks.may_order()) {
+        firsts.Over();
+        continue;
+      }
+      slot->second.first = true;
+      Hold(*id, slot->second, core::Now());
+    }
   }
 
   void Hold(const std::string& id, hold_slot& slot, core::monotonic_time now) {
@@ -69,27 +132,37 @@
       const bool unstored = executor.processed > executor.acknowledged;
       if (!unstored && !executor.active.empty()) {
         request.wait =
-            executor.OnlyLasting() ? options.hold_wait : options.busy_wait;
+            executor.OnlyLasting() ? options.hold_wait : pace.BusyWait();
       }
     }
     slot.in_flight = true;
-    const bool waits = request.wait.count() > 0;
-    executors.hold(request, [self = shared_from_this(), id, now,
-                             waits](const core::result<hold_report>& report) {
-      if (self->closed) return;
-      if (!waits) self->Measure(load_stage::kHold, now);
-      self->OnHold(id, now, report);
-    });
+    executors.hold(request,
+                   [self = shared_from_this(), id, now, wait = request.wait,
+                    late = std::make_shared<bool>(false)](
+                       const core::result<hold_report>& report) {
+                     if (self->closed) return;
+                     if (std::exchange(*late, true)) {
+                       self->OnLateHold(id, now, report);
+                       return;
+                     }
+                     self->LearnPace(now, wait, report.has_value());
+                     if (wait.count() == 0)
+                       self->Measure(load_stage::kHold, now);
+                     self->OnHold(id, now, report);
+                   });
   }
 
   void OnHold(const std::string& id, core::monotonic_time sent,
               const core::result<hold_report>& report) {
     hold_slot& slot = slots[id];
     slot.in_flight = false;
+    slot.unanswered = !report;
+    if (std::exchange(slot.first, false)) firsts.Over();
     const moment at = hooks.now();
     const executor_state* const executor = core.FindExecutor(id);
     if (executor == nullptr) {
       slots.erase(id);
+      SendFirsts();
       return;
     }
     if (!report) {
@@ -108,21 +181,60 @@
       }
       slot.not_before = at.now + options.retry;
     } else {
-      const bool regained = !executor->in_contact;
-      core.OnHold(id, *report, sent, at);
-      if (regained) {
-        log.Write(
-            "executor_reached",
-            {{"executor", id},
-             {"born_ms", report->born_ms},
-             {"running", static_cast<std::int64_t>(report->running.size())}});
+      TakeReport(*executor, slot, sent, *report, at);
+      slot.pause_end = at.now + pace.Pause();
+      slot.not_before = slot.pause_end;
+      if (executor->processed > executor->acknowledged) {
+        slot.awaits_store = true;
+        slot.not_before = at.now + pace.BusyWait();
+        unstored.insert(id);
       }
-      slot.not_before = at.now + options.hold_pause;
     }
     hooks.on_progress();
     if (!closed) Pump(id);
   }
 
+  void TakeReport(const executor_state& executor, hold_slot& slot,
+                  core::monotonic_time sent, const hold_report& report,
+                  moment at) {
+    const bool regained = !executor.in_contact;
+    slot.answered = sent;
+    core.OnHold(executor.info.id, report, sent, at);
+    if (!regained) return;
+    log.Write("executor_reached",
+              {{"executor", executor.info.id},
+               {"born_ms", report.born_ms},
+               {"running", static_cast<std::int64_t>(report.running.size())}});
+  }
+
+  // A hold that was given up is answered after all. What is newer, or of
+  // another incarnation, has been learnt from another hold.
+  void OnLateHold(const std::string& id, core::monotonic_time sent,
+                  const core::result<hold_report>& report) {
+    if (!report) {
+      if (report.error().code == core::error_code::kDeposed) hooks.on_fenced();
+      return;
+    }
+    const executor_state* const executor = core.FindExecutor(id);
+    const auto slot = slots.find(id);
+    if (executor == nullptr || slot == slots.end() ||
+        sent <= slot->second.answered ||
+        (executor->reached && executor->info.born_ms != report->born_ms)) {
+      return;
+    }
+    TakeReport(*executor, slot->second, sent, *report, hooks.now());
+    hooks.on_progress();
+    if (!closed) Pump(id);
+  }
+
+  void LearnPace(core::monotonic_time sent, core::milliseconds wait,
+                 bool answered) {
+    const auto taken =
+        std::chrono::duration_cast<core::milliseconds>(core::Now() - sent);
+    // An end may have cut the executor's wait short.
+    if (answered && taken >= wait) pace.Late(taken - wait);
+  }
+
   void Measure(load_stage stage, core::monotonic_time since) const {
     if (hooks.on_stage) hooks.on_stage(stage, core::Now() - since);
   }
@@ -197,6 +309,10 @@
   executor_driver_hooks hooks;
   logging::event_log& log;
   std::map<std::string, hold_slot> slots;
+  first_holds firsts;
+  hold_pace pace;
+  // Executors whose next hold waits for the store.
+  std::set<std::string> unstored;
   bool closed = false;
 };
 
@@ -212,11 +328,27 @@
 executor_driver::~executor_driver() { internal_->closed = true; }
 
 void executor_driver::HoldAll() {
-  std::vector<std::string> ids;
   for (const auto& [id, executor] : internal_->core.Executors()) {
-    ids.push_back(id);
+    if (fleet_core::NeedsHold(executor)) internal_->Consider(id, executor);
+  }
+  internal_->SendFirsts();
+}
+
+void executor_driver::OnStored() {
+  for (const std::string& id : std::exchange(internal_->unstored, {})) {
+    const executor_state* const executor = internal_->core.FindExecutor(id);
+    if (executor == nullptr) continue;
+    if (executor->processed > executor->acknowledged) {
+      internal_->unstored.insert(id);
+      continue;
+    }
+    const auto slot = internal_->slots.find(id);
+    if (slot == internal_->slots.end()) continue;
+    if (std::exchange(slot->second.awaits_store, false)) {
+      slot->second.not_before = slot->second.pause_end;
+    }
+    internal_->Pump(id);
   }
-  for (const std::string& id : ids) internal_->Pump(id);
 }
 
 void executor_driver::Send(const orders& decided) {
