Plan by what has changed instead of all jobs and executors each round

Cause: each waiting task was judged on each executor, and each job without room again in each round, 66 times a second. In the costs themselves, names of images were looked up in maps for each pair of tasks.

Now the tasks of a step share one survey of the executors, and only the one that was taken is judged again; a step that found no place remembers the round, and the next one judges only executors that have changed since (work, report, registration, usable, kept), unless costs may have become finite everywhere: the model was solved again, the job's hope changed, the manifest changed, or the task lasts or waits for its data. Images are looked up once a task, steps and lasting tasks are known by pointer and by count, and whether a job's serving tasks are spread is told without a set of names. A round can end early; the next one first comes to the jobs that were not reached, so that neither late nor urgent jobs starve.

A property compares each choice with a search through all executors.

--- a/src/waxwingfront/fleet/executor_state.cc
+++ b/src/waxwingfront/fleet/executor_state.cc
@@ -44,12 +44,19 @@
   return clock && SurelyPast(*clock, deadline_sent_ms, now);
 }
 
-bool executor_state::OnlyLasting() const {
-  return std::ranges::all_of(active, [](const task_state* task) {
-    return task->Spec().long_running();
-  });
+bool executor_state::BeginRound(std::uint64_t round, core::monotonic_time now) {
+  const bool usable = Usable(now);
+  const job_state* const kept = now < kept_until ? kept_for : nullptr;
+  if (!touched && usable == was_usable_ && kept == was_kept_for_) return false;
+  touched = false;
+  was_usable_ = usable;
+  was_kept_for_ = kept;
+  changed_round = round;
+  return true;
 }
 
+bool executor_state::OnlyLasting() const { return lasting == active.size(); }
+
 bool executor_state::SharesProcessors() const {
   const auto fills = [](const task_state* task) {
     return task->Spec().fills();
@@ -62,16 +69,18 @@
 }
 
 void executor_state::Add(task_state& task) {
-  sharing.fresh = false;
+  Touch();
   active.push_back(&task);
+  if (task.Spec().long_running()) ++lasting;
   used += task.Needs();
 }
 
 void executor_state::Remove(const task_state& task) {
   const auto found = std::ranges::find(active, &task);
   if (found == active.end()) return;
-  sharing.fresh = false;
+  Touch();
   active.erase(found);
+  if (task.Spec().long_running()) --lasting;
   used -= task.Needs();
 }
 
--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -35,6 +35,8 @@
 // What serving tasks of one image on an executor bear.
 struct serving_budget {
   std::string image;
+  // Of the image, in `sharing_model`.
+  std::size_t index = 0;
   // Utilisation between the highest own load and the target.
   double room = 0.0;
   // What filling tasks take of it at full pace, for each hope those of jobs
@@ -102,6 +104,19 @@
 
   // Invalid after each change of `active` and each report.
   mutable sharing_view sharing;
+  // Active tasks that run until they are stopped.
+  std::size_t lasting = 0;
+
+  // What may make room or a place on it has changed.
+  void Touch() {
+    touched = true;
+    sharing.fresh = false;
+  }
+  bool touched = true;
+  // Round of planning that first saw its latest change.
+  std::uint64_t changed_round = 0;
+  // Whether a round that begins at `now` finds it changed since the one before.
+  bool BeginRound(std::uint64_t round, core::monotonic_time now);
 
   core::resources Free() const { return info.capacity - used; }
   bool HasLabel(std::string_view label) const;
@@ -120,6 +135,11 @@
 
   void Add(task_state& task);
   void Remove(const task_state& task);
+
+ private:
+  // As the latest round of planning saw it.
+  bool was_usable_ = false;
+  const job_state* was_kept_for_ = nullptr;
 };
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -19,7 +19,7 @@
       distance_(options.remote_factor),
       runs_(state_, options.runs, options.hold_reach),
       journal_(state_),
-      planner_(state_, PlacementCost(), distance_),
+      planner_(state_, PlacementCost(), PlacementEpoch(), distance_),
       rebalancer_(state_, {}, PlacementCost()) {
   planner_.on_placed = [this](const task_state& task, moment at) {
     if (task.Spec().long_running()) sharing_.CountExecutors(at.now);
@@ -44,6 +44,22 @@
   };
 }
 
+placement_epoch fleet_core::PlacementEpoch() {
+  return [this](const task_state& task,
+                core::monotonic_time now) -> std::optional<std::uint64_t> {
+    // Such a task gets less particular while it waits.
+    if (!task.Spec().data_rack().empty()) return std::nullopt;
+    return sharing_.Epoch(task, now);
+  };
+}
+
+bool fleet_core::Plan(moment at, const std::function<bool()>& enough) {
+  sharing_.CountExecutors(at.now);
+  const bool all = planner_.Plan(at, enough);
+  rebalancer_.Run(at);
+  return all;
+}
+
 void fleet_core::SetManifest(manifest wanted) {
   if (wanted.version < state_.wanted.version) return;
   state_.wanted = std::move(wanted);
@@ -143,6 +159,7 @@
   // The incarnation is taken from answers to holds, which also tell what runs.
   const std::int64_t held_incarnation = executor.info.born_ms;
   executor.info = std::move(info);
+  executor.Touch();
   if (executor.reached) executor.info.born_ms = held_incarnation;
 }
 
@@ -223,8 +240,9 @@
 
 void fleet_core::DropOldJobs(moment at) {
   for (auto& [id, job] : state_.jobs) {
-    if (!job->Final() || job->removing || job->AnyActive()) continue;
+    if (!job->Final() || job->removing) continue;
     if (at.unix_ms - job->EndedUnixMs() < options_.retention.count()) continue;
+    if (job->AnyActive()) continue;
     job->removing = true;
     journal_.Remove(*job);
   }
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -101,17 +101,16 @@
   std::function<void(const task_state&, const placement_refusals&, moment)>
       on_waiting;
 
-  // Lets lapsed runs end, drops old jobs and places waiting tasks.
+  // Lets lapsed runs end and drops old jobs.
   void Tick(moment at);
-  void Plan(moment at) {
-    sharing_.CountExecutors(at.now);
-    planner_.Plan(at);
-    rebalancer_.Run(at);
-  }
+  // Places waiting tasks, see `planner::Plan`.
+  bool Plan(moment at, const std::function<bool()>& enough = {});
+  std::uint64_t Looks() const { return planner_.Looks(); }
   orders TakeOrders();
 
  private:
   placement_cost PlacementCost();
+  placement_epoch PlacementEpoch();
   void DropOldJobs(moment at);
   // Forgets executors that have left and on which nothing may run.
   void DropUnused();
--- a/src/waxwingfront/fleet/job_state.cc
+++ b/src/waxwingfront/fleet/job_state.cc
@@ -5,10 +5,6 @@
 
 namespace waxwingfront::fleet {
 
-const schema::fleet_step& task_state::Spec() const {
-  return job->Spec().steps(static_cast<int>(step));
-}
-
 task_ref task_state::Ref() const {
   return {
       .job = job->Id(), .occurrence = occurrence, .step = step, .index = index};
@@ -32,6 +28,7 @@
       for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
         task_state& task = steps[s].tasks[i];
         task.job = this;
+        task.spec = &spec_.steps(static_cast<int>(s));
         task.occurrence = k;
         task.step = s;
         task.index = i;
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -38,6 +38,7 @@
 
 struct task_state {
   job_state* job = nullptr;
+  const schema::fleet_step* spec = nullptr;
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
   std::uint32_t index = 0;
@@ -73,16 +74,29 @@
   bool Active() const {
     return phase != task_phase::kWaiting && phase != task_phase::kSucceeded;
   }
-  const schema::fleet_step& Spec() const;
+  const schema::fleet_step& Spec() const { return *spec; }
   task_ref Ref() const;
   core::resources Needs() const;
 };
 
+// A survey that found no place for a step. Executors that have not changed
+// since still offer none.
+struct step_refusal {
+  // Of the planner; 0 for none.
+  std::uint64_t round = 0;
+  std::int64_t manifest = 0;
+  // Somewhere there was room at a cost that was too high.
+  bool by_cost = false;
+  // See `placement_epoch`.
+  std::optional<std::uint64_t> epoch;
+};
+
 struct step_state {
   std::vector<task_state> tasks;
   std::uint32_t succeeded = 0;
   // When its turn was first seen to have come.
   std::optional<core::monotonic_time> ready_since;
+  step_refusal refusal;
   // When it was last logged that a task of it waits.
   core::monotonic_time wait_logged{};
   // Where its queue is advised.
@@ -156,6 +170,8 @@
   std::int64_t progress_revision = 0;
   // State in the store: the only one that callers are shown.
   schema::fleet_job_state stored_state = schema::FLEET_QUEUED;
+  // Sweep of the planner that last came to the job.
+  std::uint64_t planned_sweep = 0;
   // Called once a version is stored, or with false if it never will be.
   struct waiter {
     std::uint64_t version;
--- a/src/waxwingfront/fleet/placement.cc
+++ b/src/waxwingfront/fleet/placement.cc
@@ -6,9 +6,6 @@
 namespace waxwingfront::fleet {
 namespace {
 
-// Added to the cost of an executor on which the task has just failed: more
-// than any load.
-constexpr double kFailedHereCost = 100.0;
 // How long room is kept without the task asking again: some rounds of planning.
 constexpr core::milliseconds kKeepTime{500};
 // One executor in this many is kept at most: short tasks live on the same gaps.
@@ -101,6 +98,14 @@
   best->kept_until = now + kKeepTime;
 }
 
+bool MayHost(const executor_state& executor, const task_state& task,
+             std::string_view service, core::monotonic_time now) {
+  // What excludes most comes first.
+  return executor.Free().Holds(task.Needs()) && executor.Usable(now) &&
+         !executor.KeptFromJob(task.job, now) &&
+         executor.info.service == service && Permitted(executor, task);
+}
+
 executor_state* ChooseExecutor(fleet_state& state, const task_state& task,
                                std::string_view service,
                                core::monotonic_time now,
@@ -108,10 +113,7 @@
   executor_state* best = nullptr;
   double least = 0.0;
   for (auto& [id, executor] : state.executors) {
-    if (executor.info.service != service || !executor.Usable(now) ||
-        executor.KeptFromJob(task.job, now) || !Fits(executor, task)) {
-      continue;
-    }
+    if (!MayHost(executor, task, service, now)) continue;
     double here = cost(executor, task, now);
     if (std::isinf(here)) continue;
     if (task.failed_on == id) here += kFailedHereCost;
--- a/src/waxwingfront/fleet/placement.h
+++ b/src/waxwingfront/fleet/placement.h
@@ -2,7 +2,9 @@
 #ifndef WAXWINGFRONT_FLEET_PLACEMENT_H_
 #define WAXWINGFRONT_FLEET_PLACEMENT_H_
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
 
 #include "waxwingfront/core/clock.h"
@@ -18,6 +20,11 @@
 using placement_cost = std::function<double(
     const executor_state&, const task_state&, core::monotonic_time now)>;
 
+// A value that changes whenever costs for the task's step may have become
+// finite on executors that did not change; nothing if they may at any time.
+using placement_epoch = std::function<std::optional<std::uint64_t>(
+    const task_state&, core::monotonic_time now)>;
+
 // Whether the executor has the room, the label and, under the step's limit, a
 // place for the task.
 bool Fits(const executor_state& executor, const task_state& task);
@@ -46,6 +53,14 @@
 void KeepRoom(fleet_state& state, const task_state& task,
               std::string_view service, core::monotonic_time now);
 
+// Whether the executor is one of `service`, is usable and fits.
+bool MayHost(const executor_state& executor, const task_state& task,
+             std::string_view service, core::monotonic_time now);
+
+// Added to the cost of an executor on which the task has just failed: more than
+// any load.
+inline constexpr double kFailedHereCost = 100.0;
+
 // The cheapest usable executor of `service` that fits; null if none does. An
 // executor on which the task failed is taken only if there is no other.
 executor_state* ChooseExecutor(fleet_state& state, const task_state& task,
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -56,7 +56,16 @@
 
 }  // namespace
 
-void planner::Plan(moment at) {
+void planner::BeginRound(core::monotonic_time now) {
+  ++round_;
+  changed_.clear();
+  for (auto& [id, executor] : state_.executors) {
+    if (executor.BeginRound(round_, now)) changed_.push_back(&executor);
+  }
+}
+
+bool planner::Plan(moment at, const std::function<bool()>& enough) {
+  BeginRound(at.now);
   std::erase_if(state_.live, [](const job_state* job) {
     return job->Final() && !job->AnyActive();
   });
@@ -66,7 +75,17 @@
     if (!job->Final() && HasWaiting(*job)) queue.push_back(Rank(*job, at.now));
   }
   std::stable_sort(queue.begin(), queue.end());
-  for (const ranked_job& entry : queue) PlanJob(*entry.job, at);
+  for (std::size_t i = 0; i < queue.size(); ++i) {
+    PlanJob(*queue[i].job, at);
+    queue[i].job->planned_sweep = sweep_;
+    // At least one job a round, so that all have their turn however slow this
+    // is.
+    if (i + 1 == queue.size() || !enough || !enough()) continue;
+    if (!queue[i + 1].reached) return false;
+    break;
+  }
+  ++sweep_;
+  return true;
 }
 
 planner::ranked_job planner::Rank(job_state& job,
@@ -75,7 +94,8 @@
   const job_outlook outlook = Outlook(job, FirstUndone(job), spec);
   const schema::fleet_step& first = job.Spec().steps(0);
   const bool lasts = first.long_running();
-  return {.priority = spec == nullptr ? std::numeric_limits<int>::max()
+  return {.reached = job.planned_sweep == sweep_,
+          .priority = spec == nullptr ? std::numeric_limits<int>::max()
                                       : spec->priority,
           .in_turn = !lasts || !AnyWaitsLong(job, now),
           .lasting_image = lasts ? std::string_view(first.image()) : "",
@@ -118,10 +138,21 @@
 }
 
 void planner::PlanTasks(step_state& step, const job_site& site, moment at) {
+  // Costs of lasting tasks depend on all executors, and those of tasks with
+  // data on how long each has waited.
+  const schema::fleet_step& spec = step.tasks.front().Spec();
+  const bool alike = !spec.long_running() && spec.data_rack().empty();
+  const executor_state* taken = nullptr;
   for (task_state& task : step.tasks) {
     if (task.phase != task_phase::kWaiting) continue;
-    executor_state* const executor = Choose(task, site, {}, at);
+    if (taken == nullptr || !alike) {
+      Survey(step, task, site, at);
+    } else {
+      places_.Renew(CostAt(*taken, task, site, at.now));
+    }
+    executor_state* const executor = places_.Take(task);
     if (executor == nullptr) {
+      step.refusal.by_cost = step.refusal.by_cost || too_costly_;
       ReportWait(step, task, site, at);
       if (task.Spec().long_running() && WaitsLong(task, at.now)) {
         KeepRoom(state_, task, site.service, at.now);
@@ -130,7 +161,61 @@
       return;
     }
     Place(task, *executor, task.run + 1, at);
+    taken = executor;
+    if (!alike) step.refusal = {};
+  }
+  // All have places, and there may be more.
+  step.refusal = {};
+}
+
+void planner::Survey(step_state& step, const task_state& first,
+                     const job_site& site, moment at) {
+  places_.Clear();
+  too_costly_ = false;
+  if (site.advised) {
+    for (auto& [id, executor] : state_.executors) {
+      if (!step.permits.Ticket(id, at.now).empty()) {
+        Look(executor, first, site, at);
+      }
+    }
+    return;
+  }
+  step_refusal& refusal = step.refusal;
+  const std::optional<std::uint64_t> epoch = epoch_(first, at.now);
+  const bool same_costs = !refusal.by_cost || (epoch && refusal.epoch == epoch);
+  const bool known = refusal.round > 0 && same_costs &&
+                     refusal.manifest == state_.wanted.version;
+  if (known && refusal.round + 1 == round_) {
+    for (executor_state* const one : changed_) Look(*one, first, site, at);
+  } else {
+    for (auto& [id, executor] : state_.executors) {
+      if (!known || executor.changed_round > refusal.round) {
+        Look(executor, first, site, at);
+      }
+    }
+  }
+  // Holds once the places found are used up.
+  refusal = {.round = round_,
+             .manifest = state_.wanted.version,
+             .by_cost = too_costly_ || (known && refusal.by_cost),
+             .epoch = epoch};
+}
+
+void planner::Look(executor_state& executor, const task_state& task,
+                   const job_site& site, moment at) {
+  const double cost = CostAt(executor, task, site, at.now);
+  if (!std::isinf(cost)) places_.Add(executor, cost);
+}
+
+double planner::CostAt(const executor_state& executor, const task_state& task,
+                       const job_site& site, core::monotonic_time now) {
+  ++looks_;
+  if (!MayHost(executor, task, site.service, now)) {
+    return std::numeric_limits<double>::infinity();
   }
+  const double cost = cost_(executor, task, now);
+  too_costly_ = too_costly_ || std::isinf(cost);
+  return cost;
 }
 
 void planner::PlanGang(step_state& step, const job_site& site, moment at) {
@@ -185,6 +270,7 @@
       state_, task, site.service, at.now,
       [&](const executor_state& executor, const task_state& what,
           core::monotonic_time now) {
+        ++looks_;
         if (!rack.empty() && executor.info.rack != rack) return kNever;
         if (site.advised && permits.Ticket(executor.info.id, now).empty()) {
           return kNever;
--- a/src/waxwingfront/fleet/sharing_model.cc
+++ b/src/waxwingfront/fleet/sharing_model.cc
@@ -3,9 +3,10 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
-#include <set>
 #include <utility>
 
+#include "waxwingfront/fleet/linear_system.h"
+
 namespace waxwingfront::fleet {
 namespace {
 
@@ -45,29 +46,6 @@
   return std::exp(-elapsed_seconds / time_constant);
 }
 
-// Solves a small symmetric positive definite system by elimination.
-std::vector<double> SolveSystem(std::vector<std::vector<double>> rows,
-                                std::vector<double> right) {
-  const std::size_t size = right.size();
-  for (std::size_t pivot = 0; pivot < size; ++pivot) {
-    for (std::size_t row = pivot + 1; row < size; ++row) {
-      const double factor = rows[row][pivot] / rows[pivot][pivot];
-      if (factor == 0.0) continue;
-      for (std::size_t column = pivot; column < size; ++column) {
-        rows[row][column] -= factor * rows[pivot][column];
-      }
-      right[row] -= factor * right[pivot];
-    }
-  }
-  for (std::size_t row = size; row-- > 0;) {
-    for (std::size_t column = row + 1; column < size; ++column) {
-      right[row] -= rows[row][column] * right[column];
-    }
-    right[row] /= rows[row][row];
-  }
-  return right;
-}
-
 }  // namespace
 
 sharing_model::executor_use& sharing_model::TakeUse(
@@ -128,17 +106,19 @@
 
 void sharing_model::UpdateOwnLoad(job_load& job, core::monotonic_time now) {
   std::vector<double> recent;
-  std::set<std::string_view> executors;
+  recent.reserve(job.tasks.size());
+  const std::string* executor = nullptr;
+  job.spread = false;
   for (const auto& [index, task] : job.tasks) {
     if (now - task.at > kOwnLoadWindow) continue;
     recent.push_back(task.own);
-    executors.insert(task.executor);
+    if (executor == nullptr) executor = &task.executor;
+    job.spread = job.spread || task.executor != *executor;
   }
   const std::size_t rank = recent.size() / 2;
   std::ranges::nth_element(recent,
                            recent.begin() + static_cast<std::ptrdiff_t>(rank));
   job.own = recent[rank];
-  job.spread = executors.size() > 1;
   while (job.history.size() > 1 && now - job.history[1].at >= kSlopeSpan) {
     job.history.pop_front();
   }
@@ -297,16 +277,30 @@
     return now - entry.second.history.back().at > kJobMemory;
   });
   solved_ = now;
+  ++solutions_;
 }
 
 double sharing_model::Pressure(std::string_view serving_image,
                                std::string_view filling_image) const {
-  const auto serving = serving_.find(serving_image);
-  const auto filling = filling_.find(filling_image);
-  if (serving == serving_.end() || filling == filling_.end()) {
+  return PressureAt(FindServing(serving_image), FindFilling(filling_image));
+}
+
+double sharing_model::PressureAt(std::size_t serving,
+                                 std::size_t filling) const {
+  if (serving == kUnknownImage || filling == kUnknownImage) {
     return kPriorPressure;
   }
-  return images_[serving->second].pressures[filling->second];
+  return images_[serving].pressures[filling];
+}
+
+std::size_t sharing_model::FindServing(std::string_view image) const {
+  const auto found = serving_.find(image);
+  return found == serving_.end() ? kUnknownImage : found->second;
+}
+
+std::size_t sharing_model::FindFilling(std::string_view image) const {
+  const auto found = filling_.find(image);
+  return found == filling_.end() ? kUnknownImage : found->second;
 }
 
 double sharing_model::Similarity(std::string_view left,
@@ -365,6 +359,7 @@
       image.pressures[place] = row.pressures(i);
     }
   }
+  ++solutions_;
   Rank();
 }
 
--- a/src/waxwingfront/fleet/sharing_model.h
+++ b/src/waxwingfront/fleet/sharing_model.h
@@ -59,6 +59,15 @@
   double Pressure(std::string_view serving_image,
                   std::string_view filling_image) const;
 
+  // The same by the numbers of the images, which stay; the prior for
+  // `kUnknownImage`.
+  static constexpr std::size_t kUnknownImage = 1'000'000;
+  double PressureAt(std::size_t serving, std::size_t filling) const;
+  std::size_t FindServing(std::string_view image) const;
+  std::size_t FindFilling(std::string_view image) const;
+  // How many times the pressures have been worked out.
+  std::uint64_t Solved() const { return solutions_; }
+
   // How much the filling image presses serving images on average, and how much
   // the serving image is pressed by filling ones, as shares of the most that is
   // known of any image; 1 for images that are not known yet.
@@ -154,6 +163,7 @@
   std::map<std::string, executor_use, std::less<>> uses_;
   std::map<std::string, job_load, std::less<>> jobs_;
   core::monotonic_time solved_{};
+  std::uint64_t solutions_ = 0;
 };
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/sharing_policy.cc
+++ b/src/waxwingfront/fleet/sharing_policy.cc
@@ -5,26 +5,18 @@
 #include <cstdlib>
 #include <limits>
 
+#include "waxwingfront/fleet/tails.h"
+
 namespace waxwingfront::fleet {
 namespace {
 
 constexpr double kNever = std::numeric_limits<double>::infinity();
-constexpr int kAtWork = 100;
 
 // Share of its declared processors that a serving task uses on average; the
 // recorded days show 0.42.
 constexpr double kServingUseShare = 0.45;
 // Own load that a serving task is taken to have before its first report.
 constexpr double kUnknownLoad = 0.55;
-// The margin below the targets grows while more than the tolerated share of an
-// executor's serving tasks is above its target, and shrinks while less is.
-// Harm counts four times, so that the tolerated share costs a fifth of what
-// serving jobs earn. Utilisation a second, and utilisation.
-constexpr double kMarginGain = 0.3;
-constexpr double kToleratedHarm = 0.05;
-constexpr double kMostMargin = 0.2;
-// A report tells of no more than this many seconds before it.
-constexpr double kLongestReportGap = 2.0;
 // How far loads are looked ahead: a typical filling task's time when one is
 // placed, the time between two reports and their delay when paces are set.
 constexpr double kPlacementAheadSeconds = 1.5;
@@ -74,10 +66,6 @@
 constexpr double kClearlyOver = 2.5;
 constexpr double kFarOver = 6.0;
 constexpr double kClearlyOverShare = 0.3;
-// A task above its target for this long stops all filling work beside it,
-// whatever the model says; the platform allows 4 s, of which reports and orders
-// take up to 2.
-constexpr core::milliseconds kHarmLimit{1500};
 // Paces rise only while the tails that they press are below this share of their
 // target.
 constexpr double kCalmTail = 0.8;
@@ -100,18 +88,6 @@
          Capacity(executor);
 }
 
-bool Serves(const task_state& task) { return task.Spec().target_ms() > 0; }
-
-bool HasTail(const task_state& task) {
-  return Serves(task) && task.listed && task.percent == kAtWork &&
-         task.load_figure > 0;
-}
-
-double TailShare(const task_state& task) {
-  return static_cast<double>(task.load_figure) /
-         static_cast<double>(task.Spec().target_ms());
-}
-
 }  // namespace
 
 void sharing_policy::CountExecutors(core::monotonic_time now) {
@@ -136,7 +112,7 @@
                             core::monotonic_time now) const {
   if (task.Spec().fills()) return FillingCost(executor, task, now);
   if (task.Spec().long_running()) return ServingCost(executor, task, now);
-  return OrdinaryCost(executor, task, now);
+  return OrdinaryCost(executor, task);
 }
 
 double sharing_policy::ServingCost(const executor_state& executor,
@@ -144,8 +120,7 @@
                                    core::monotonic_time now) const {
   if (now - task.waiting_since < kGatherTime) return kNever;
   const double free = FreeShare(executor, task);
-  const sharing_view& view = View(executor, now);
-  if (!view.serving) {
+  if (executor.lasting == 0) {
     const double cost = free + kOpensCost;
     if (free_executors_ > kReservedShare * executors_) return cost;
     return now - task.waiting_since < kServingPatience ? kNever
@@ -159,28 +134,44 @@
     alike = std::min(
         alike, model_.Similarity(task.Spec().image(), other->Spec().image()));
   }
-  const double mixing = view.images > 1 ? kMixedImagesCost : kSpoilsImageCost;
+  const double mixing =
+      View(executor, now).images > 1 ? kMixedImagesCost : kSpoilsImageCost;
   return free + (own_job ? 0.0 : kOtherJobCost) + mixing * (1.0 - alike);
 }
 
 double sharing_policy::OrdinaryCost(const executor_state& executor,
-                                    const task_state& task,
-                                    core::monotonic_time now) const {
+                                    const task_state& task) const {
   // Best fit: whole gaps stay for serving tasks, which are larger. While those
   // wait for a gap, short tasks leave the gaps to them.
-  const bool serving = View(executor, now).serving;
+  const bool serving = executor.lasting > 0;
   return FreeShare(executor, task) +
          (serving == serving_waits_ ? kKeepFreeCost : 0.0);
 }
 
+std::optional<std::uint64_t> sharing_policy::Epoch(
+    const task_state& task, core::monotonic_time now) const {
+  if (task.Spec().long_running()) return std::nullopt;
+  if (!task.Spec().fills()) return 0;
+  return model_.Solved() * kJobHopes + Hope(task, now);
+}
+
 std::size_t sharing_policy::Hope(const task_state& task,
                                  core::monotonic_time now) const {
-  if (hope_of_.task == &task && hope_of_.at == now) return hope_of_.hope;
   const queue_spec* const queue = state_.FindQueue(task.job->Spec().queue());
-  const auto hope = static_cast<std::size_t>(
+  return static_cast<std::size_t>(
       HopeOf(Outlook(*task.job, task.occurrence, queue), now));
-  hope_of_ = {.task = &task, .at = now, .hope = hope};
-  return hope;
+}
+
+const sharing_policy::known_task& sharing_policy::Know(
+    const task_state& task, core::monotonic_time now) const {
+  if (known_.task == &task && known_.at == now) return known_;
+  const std::string& image = task.Spec().image();
+  known_ = {.task = &task,
+            .at = now,
+            .hope = Hope(task, now),
+            .image = model_.FindFilling(image),
+            .heaviness = model_.Heaviness(image)};
+  return known_;
 }
 
 double sharing_policy::FillingCost(const executor_state& executor,
@@ -190,17 +181,18 @@
   const double load = (view.use_millis + Millis(task)) / Capacity(executor);
   const double cost =
       kLoadSlope * load + kOvercommitSlope * std::max(0.0, load - 1.0);
-  const double keep_open = kKeepOpenCost * view.openness *
-                           (1.0 - model_.Heaviness(task.Spec().image()));
+  const known_task& known = Know(task, now);
+  const double keep_open =
+      kKeepOpenCost * view.openness * (1.0 - known.heaviness);
   if (!view.serving) return cost + kKeepFreeCost + keep_open;
-  const std::size_t hope = Hope(task, now);
+  const double cores = CoresOf(executor, task);
   double pace = 1.0;
   double most = 0.0;
   for (const serving_budget& budget : view.budgets) {
-    const double added = PressureOf(executor, budget.image, task);
+    const double added = model_.PressureAt(budget.index, known.image) * cores;
     if (added < kNoPressure) continue;
     most = std::max(most, added);
-    pace = std::min(pace, budget.room / (budget.used[hope] + added));
+    pace = std::min(pace, budget.room / (budget.used[known.hope] + added));
   }
   if (pace < kLeastPace) return kNever;
   return cost + keep_open + kPressureSlope * most + kSlowCost * (1.0 - pace);
@@ -226,8 +218,10 @@
   for (const task_state* const task : executor.active) {
     if (!task->Spec().fills()) continue;
     const std::size_t hope = Hope(*task, now);
+    const std::size_t image = model_.FindFilling(task->Spec().image());
+    const double cores = CoresOf(executor, *task);
     for (serving_budget& budget : view.budgets) {
-      const double pressure = PressureOf(executor, budget.image, *task);
+      const double pressure = model_.PressureAt(budget.index, image) * cores;
       for (std::size_t h = hope; h < kJobHopes; ++h) budget.used[h] += pressure;
     }
   }
@@ -248,7 +242,8 @@
     const auto known =
         std::ranges::find(budgets, image, &serving_budget::image);
     if (known == budgets.end()) {
-      budgets.push_back({.image = image, .room = room});
+      budgets.push_back(
+          {.image = image, .index = model_.FindServing(image), .room = room});
     } else {
       known->room = std::min(known->room, room);
     }
@@ -268,28 +263,25 @@
   }
 }
 
-bool sharing_policy::LongHarmed(const executor_state& executor,
-                                core::monotonic_time now) {
-  return std::ranges::any_of(executor.active, [now](const task_state* task) {
-    return HasTail(*task) && TailShare(*task) > 1.0 &&
-           now - task->under_target >= kHarmLimit;
-  });
+double sharing_policy::CoresOf(const executor_state& executor,
+                               const task_state& filling) {
+  constexpr double kMillisPerCore = 1000.0;
+  return Millis(filling) * sharing_model::kReferenceMillis /
+         Capacity(executor) / kMillisPerCore;
 }
 
 double sharing_policy::PressureOf(const executor_state& executor,
                                   std::string_view serving,
                                   const task_state& filling) const {
-  constexpr double kMillisPerCore = 1000.0;
-  const double cores = Millis(filling) * sharing_model::kReferenceMillis /
-                       Capacity(executor) / kMillisPerCore;
-  return model_.Pressure(serving, filling.Spec().image()) * cores;
+  return model_.Pressure(serving, filling.Spec().image()) *
+         CoresOf(executor, filling);
 }
 
 void sharing_policy::OnReport(executor_state& executor,
                               core::monotonic_time now) {
   Learn(executor, now);
   AdjustMargin(executor, now);
-  executor.sharing.fresh = false;
+  executor.Touch();
   AdjustPace(executor, now);
 }
 
@@ -315,8 +307,10 @@
   for (const pace_claim& claim : claims) {
     double pace = harmed ? 0.0 : 1.0;
     pressures.clear();
+    const std::size_t image = model_.FindFilling(claim.task->Spec().image());
+    const double cores = CoresOf(executor, *claim.task);
     for (serving_budget& budget : budgets) {
-      const double pressure = PressureOf(executor, budget.image, *claim.task);
+      const double pressure = model_.PressureAt(budget.index, image) * cores;
       pressures.push_back(pressure);
       if (pressure < kNoPressure || pressure <= budget.room) continue;
       pace = std::min(pace, std::max(0.0, budget.room / pressure));
@@ -328,25 +322,6 @@
   }
 }
 
-void sharing_policy::AdjustMargin(executor_state& executor,
-                                  core::monotonic_time now) {
-  const double elapsed =
-      std::min(kLongestReportGap,
-               std::chrono::duration<double>(now - executor.margin_at).count());
-  executor.margin_at = now;
-  double serving = 0.0;
-  double over = 0.0;
-  for (const task_state* const task : executor.active) {
-    if (!HasTail(*task)) continue;
-    serving += 1.0;
-    if (TailShare(*task) > 1.0) over += 1.0;
-  }
-  const double share = serving > 0.0 ? over / serving : 0.0;
-  executor.margin = std::clamp(
-      executor.margin + kMarginGain * elapsed * (share - kToleratedHarm), 0.0,
-      kMostMargin);
-}
-
 void sharing_policy::Learn(executor_state& executor, core::monotonic_time now) {
   std::vector<sharing_model::filling_use> filling;
   std::vector<sharing_model::serving_tail> serving;
--- a/src/waxwingfront/fleet/sharing_policy.h
+++ b/src/waxwingfront/fleet/sharing_policy.h
@@ -4,6 +4,8 @@
 #ifndef WAXWINGFRONT_FLEET_SHARING_POLICY_H_
 #define WAXWINGFRONT_FLEET_SHARING_POLICY_H_
 
+#include <cstdint>
+#include <optional>
 #include <string_view>
 #include <tuple>
 #include <vector>
@@ -25,6 +27,10 @@
   double Cost(const executor_state& executor, const task_state& task,
               core::monotonic_time now) const;
 
+  // See `placement_epoch`.
+  std::optional<std::uint64_t> Epoch(const task_state& task,
+                                     core::monotonic_time now) const;
+
   // To be called before a round of placements and after each serving task.
   void CountExecutors(core::monotonic_time now);
 
@@ -55,8 +61,8 @@
                      core::monotonic_time now) const;
   double FillingCost(const executor_state& executor, const task_state& task,
                      core::monotonic_time now) const;
-  double OrdinaryCost(const executor_state& executor, const task_state& task,
-                      core::monotonic_time now) const;
+  double OrdinaryCost(const executor_state& executor,
+                      const task_state& task) const;
   // Index of the hope of the task's job.
   std::size_t Hope(const task_state& task, core::monotonic_time now) const;
 
@@ -68,28 +74,30 @@
   // Takes from the budgets where tails are above their targets.
   void ApplyAlarms(const executor_state& executor,
                    std::vector<serving_budget>& budgets) const;
-  // Whether a serving task has been above its target for too long.
-  static bool LongHarmed(const executor_state& executor,
-                         core::monotonic_time now);
   // What the filling task at full pace adds to tasks of the serving image.
   double PressureOf(const executor_state& executor, std::string_view serving,
                     const task_state& filling) const;
+  // Cores of the reference machine that the task at full pace uses.
+  static double CoresOf(const executor_state& executor,
+                        const task_state& filling);
   void Learn(executor_state& executor, core::monotonic_time now);
-  // Widens or narrows the margin below the targets by what is harmed.
-  static void AdjustMargin(executor_state& executor, core::monotonic_time now);
   void SetPace(executor_state& executor, task_state& task, double wanted);
   // Whether no serving task that `filling` presses is close to its target.
   bool Calm(const executor_state& executor, const task_state& filling) const;
 
   fleet_state& state_;
   sharing_model model_;
-  // The latest answer of `Hope`: a placement asks once for each executor.
-  struct known_hope {
+  // What a placement asks of one task for each executor.
+  struct known_task {
     const task_state* task = nullptr;
     core::monotonic_time at{};
     std::size_t hope = 0;
+    std::size_t image = 0;
+    double heaviness = 0.0;
   };
-  mutable known_hope hope_of_;
+  const known_task& Know(const task_state& task,
+                         core::monotonic_time now) const;
+  mutable known_task known_;
   // Usable executors, and those of them without serving tasks.
   double executors_ = 0.0;
   double free_executors_ = 0.0;
