Let a long round of planning yield to what else is due

Holds, renewals, cancels and callers waited until a round was through with all jobs; how long that was on a slow leader was not measured. A round now ends after 20 ms, and the next pass of the loop goes on with the jobs that it did not reach, most urgent first.

--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -185,7 +185,10 @@
   void PlanAndSend() {
     if (hooks.may_order()) {
       const core::monotonic_time began = core::Now();
-      core.Plan(hooks.now());
+      const auto enough = [until = began + options.plan_time] {
+        return core::Now() >= until;
+      };
+      if (!core.Plan(hooks.now(), enough)) Progress();
       Measure(load_stage::kPlanning, began);
     }
     const orders decided = core.TakeOrders();
--- a/src/waxwingfront/fleet/fleet_leader.h
+++ b/src/waxwingfront/fleet/fleet_leader.h
@@ -28,6 +28,9 @@
   core::milliseconds write_pause{20};
   // Pause between two rounds of planning: starts wait for a transaction anyway.
   core::milliseconds plan_pause{15};
+  // Time that a round of planning takes at most before what else is due has its
+  // turn: holds, renewals and callers wait for it.
+  core::milliseconds plan_time{20};
   core::milliseconds retry{100};
   executor_registry_options registry;
   core::milliseconds tick{100};
