--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -26,8 +26,8 @@
 constexpr std::uint64_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
 // Bytes taken from a socket at once: the usual answer whole, and of a large one
 // this much, since each piece takes a pass of the loop.
-constexpr std::size_t kUsualReadBytes = 4 * 1024;
-constexpr std::size_t kLargeReadBytes = 64 * 1024;
+constexpr std::size_t kUsualReadBytes = 4UL * 1024;
+constexpr std::size_t kLargeReadBytes = 64UL * 1024;
 // A timer that fires later than this says that the loop could not look.
 constexpr core::milliseconds kPunctual{20};
 
