Reckon deadlines of holds and starts from what the leader surely knows

Cause: a deadline came from the latest time that the executor's clock may show, so a hold whose answer waited 2 s at the executor and 5 s in the loop reached 7 s further than its reach, past the time at which a successor takes the lease for lapsed. A start lived 2,500 ms however old the executors' entries were that it was decided on: longer than the drain bound by itself. A start that had been decided was sent even if its job was cancelled, its executor began to drain or its run was given up before the sending. The hold after a start to an executor that was not asked for long told a new incarnation to forget its first ends.

order_deadlines now takes the earliest time of the clock, bounds a start by the drain bound (bounds.drain_ms) from the moment as of which all entries are known (the sending of the last watch that was answered), and holds a start back whose task, job or executor has changed. Deadlines that were sent are still bounded by the latest time of the clock. A lagging leader so sends starts that die on their own, and a slower one none.

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -117,17 +117,9 @@
     hold_request request{.address = executor.info.address,
                          .executor = id,
                          .token = token,
-                         .acknowledged = 0};
-    // A new incarnation counts its ends from 1 and would forget new ones, so
-    // the number is sent only to the one that was met last.
-    if (executor.in_contact) request.acknowledged = executor.acknowledged;
-    // Without contact the lease is left to lapse: were it extended by holds
-    // that may or may not arrive, its end would never be known.
-    if (executor.reached && executor.clock && executor.in_contact) {
-      request.deadline_ms =
-          ClockNow(*executor.clock, now) + core.HoldReach().count();
-      executor.deadline_sent_ms =
-          std::max(executor.deadline_sent_ms, request.deadline_ms);
+                         .acknowledged = executor.MayForget()};
+    if (const auto deadline_ms = core.Deadlines().ForHold(executor, now)) {
+      request.deadline_ms = *deadline_ms;
       // An end that is not stored yet would end the wait at once.
       const bool unstored = executor.processed > executor.acknowledged;
       if (!unstored && !executor.active.empty()) {
@@ -242,15 +234,13 @@
   void SendStart(const start_order& order) {
     executor_state* const executor = core.FindExecutor(order.executor);
     const moment at = hooks.now();
-    if (executor == nullptr || !executor->clock || !hooks.may_order()) {
-      core.Runs().OnStartAnswer(order, start_outcome::kUnreachable, at);
+    const auto deadline_ms = core.Deadlines().ForStart(order, at.now);
+    if (!deadline_ms || !hooks.may_order()) {
+      LogStart("start_held_back", order, start_outcome::kNotSent);
+      core.Runs().OnStartAnswer(order, start_outcome::kNotSent, at);
       return;
     }
-    const std::int64_t deadline_ms =
-        ClockNow(*executor->clock, at.now) + options.start_reach.count();
-    executor->deadline_sent_ms =
-        std::max(executor->deadline_sent_ms, deadline_ms);
-    executors.start(executor->info.address, order, token, deadline_ms,
+    executors.start(executor->info.address, order, token, *deadline_ms,
                     [self = shared_from_this(), order,
                      sent = at.now](start_outcome outcome) {
                       if (self->closed) return;
@@ -260,15 +250,19 @@
     Pump(order.executor);
   }
 
+  void LogStart(std::string_view event, const start_order& order,
+                start_outcome outcome) {
+    log.Write(event, {{"job", order.task.job},
+                      {"step", std::int64_t{order.task.step}},
+                      {"task", std::int64_t{order.task.index}},
+                      {"run", std::int64_t{order.run}},
+                      {"executor", order.executor},
+                      {"outcome", static_cast<std::int64_t>(outcome)}});
+  }
+
   void OnStart(const start_order& order, start_outcome outcome) {
     if (outcome != start_outcome::kAccepted) {
-      log.Write("start_not_confirmed",
-                {{"job", order.task.job},
-                 {"step", std::int64_t{order.task.step}},
-                 {"task", std::int64_t{order.task.index}},
-                 {"run", std::int64_t{order.run}},
-                 {"executor", order.executor},
-                 {"outcome", static_cast<std::int64_t>(outcome)}});
+      LogStart("start_not_confirmed", order, outcome);
     }
     core.OnStartAnswer(order, outcome, hooks.now());
     if (outcome == start_outcome::kFenced) {
--- a/src/waxwingfront/fleet/executor_driver.h
+++ b/src/waxwingfront/fleet/executor_driver.h
@@ -20,8 +20,6 @@
 namespace waxwingfront::fleet {
 
 struct executor_driver_options {
-  // Deadline of a start: it dies on its own if it is carried out later.
-  core::milliseconds start_reach{2500};
   // Longest wait of one hold; the platform takes 2 s at most.
   core::milliseconds hold_wait{2000};
   // Holds of executors that are not in contact, at a time.
--- a/src/waxwingfront/fleet/executor_registry.cc
+++ b/src/waxwingfront/fleet/executor_registry.cc
@@ -21,13 +21,15 @@
 
   void List(const std::string& after, std::int64_t first_revision,
             std::vector<std::string> seen) {
-    store.range(
-        store.executors_prefix, after,
-        [self = shared_from_this(), after, first_revision,
-         seen = std::move(seen)](const core::result<store_page>& page) mutable {
-          if (self->closed) return;
-          self->OnList(after, first_revision, std::move(seen), page);
-        });
+    const core::monotonic_time sent = hooks.now().now;
+    store.range(store.executors_prefix, after,
+                [self = shared_from_this(), after, first_revision,
+                 seen = std::move(seen),
+                 sent](const core::result<store_page>& page) mutable {
+                  if (self->closed) return;
+                  if (after.empty()) self->listed_as_of = sent;
+                  self->OnList(after, first_revision, std::move(seen), page);
+                });
   }
 
   void OnList(const std::string& after, std::int64_t first_revision,
@@ -57,6 +59,7 @@
       }
     }
     for (const std::string& id : missing) Remove(id);
+    core.ConfirmEntries(listed_as_of);
     hooks.on_listed();
     Watch(first_revision);
   }
@@ -90,13 +93,14 @@
 
   void Watch(std::int64_t after) {
     store.watch(store.executors_prefix, after, options.watch,
-                [self = shared_from_this(),
-                 after](const core::result<store_changes>& news) {
-                  if (!self->closed) self->OnNews(after, news);
+                [self = shared_from_this(), after, sent = hooks.now().now](
+                    const core::result<store_changes>& news) {
+                  if (!self->closed) self->OnNews(after, sent, news);
                 });
   }
 
-  void OnNews(std::int64_t after, const core::result<store_changes>& news) {
+  void OnNews(std::int64_t after, core::monotonic_time sent,
+              const core::result<store_changes>& news) {
     if (!news) {
       Later(options.retry, [this, after] { Watch(after); });
       return;
@@ -112,6 +116,7 @@
         Remove(change.key.substr(store.executors_prefix.size()));
       }
     }
+    core.ConfirmEntries(sent);
     if (!news->changes.empty()) hooks.on_change();
     Watch(news->at);
   }
@@ -129,6 +134,8 @@
   executor_registry_hooks hooks;
   logging::event_log& log;
   bool closed = false;
+  // When the list that is being read was asked for.
+  core::monotonic_time listed_as_of{};
 };
 
 executor_registry::executor_registry(net::event_loop& loop,
--- a/src/waxwingfront/fleet/executor_state.cc
+++ b/src/waxwingfront/fleet/executor_state.cc
@@ -7,8 +7,6 @@
 
 using std::chrono::duration_cast;
 
-// Slowest clock of an executor against ours; the platform states 2 %.
-constexpr double kSlowestClock = 0.98;
 // Rounding of clocks to milliseconds on both sides.
 constexpr std::int64_t kRoundingMs = 2;
 
@@ -18,16 +16,20 @@
 
 }  // namespace
 
-std::int64_t ClockNow(const clock_sample& sample, core::monotonic_time now) {
-  return sample.clock_ms + ElapsedMs(sample.sent, now);
+std::int64_t ClockAtLeast(const clock_sample& sample,
+                          core::monotonic_time now) {
+  const double elapsed =
+      static_cast<double>(ElapsedMs(sample.received, now)) * kSlowestClock;
+  return sample.clock_ms + static_cast<std::int64_t>(elapsed);
+}
+
+std::int64_t ClockAtMost(const clock_sample& sample, core::monotonic_time now) {
+  return sample.clock_ms + ElapsedMs(sample.sent, now) + kRoundingMs;
 }
 
 bool SurelyPast(const clock_sample& sample, std::int64_t deadline_ms,
                 core::monotonic_time now) {
-  const double elapsed =
-      static_cast<double>(ElapsedMs(sample.received, now)) * kSlowestClock;
-  return sample.clock_ms + static_cast<std::int64_t>(elapsed) >
-         deadline_ms + kRoundingMs;
+  return ClockAtLeast(sample, now) > deadline_ms + kRoundingMs;
 }
 
 bool executor_state::HasLabel(std::string_view label) const {
--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -25,8 +25,14 @@
   core::monotonic_time received;
 };
 
-// The latest time that the executor's clock may show, for deadlines to send.
-std::int64_t ClockNow(const clock_sample& sample, core::monotonic_time now);
+// Slowest clock of an executor against ours; the platform states 2 %.
+inline constexpr double kSlowestClock = 0.98;
+
+// The times between which the executor's clock is. Deadlines to send come from
+// the earliest, however long the answer waited on its way or to be read; what
+// bounds deadlines that were sent comes from the latest.
+std::int64_t ClockAtLeast(const clock_sample& sample, core::monotonic_time now);
+std::int64_t ClockAtMost(const clock_sample& sample, core::monotonic_time now);
 
 // Whether the executor's clock has passed `deadline_ms` for sure.
 bool SurelyPast(const clock_sample& sample, std::int64_t deadline_ms,
@@ -66,6 +72,8 @@
   bool reached = false;
   // The last call to it was answered.
   bool in_contact = false;
+  // Holds without an answer since the last that had one.
+  int unanswered_holds = 0;
   // Tasks with a run that may be there.
   std::vector<task_state*> active;
   // Committed to runs; processor time of filling tasks is not counted.
@@ -79,6 +87,9 @@
 
   // Ends up to this number are stored and may be forgotten.
   std::uint64_t acknowledged = 0;
+  // When a start was sent so long after the last answer that another
+  // incarnation may have got it; until a later hold is answered.
+  std::optional<core::monotonic_time> doubted;
   // Ends up to this number have been taken in.
   std::uint64_t processed = 0;
   // An end that may be acknowledged once its job's version is stored.
@@ -121,6 +132,11 @@
   core::resources Free() const { return info.capacity - used; }
   bool HasLabel(std::string_view label) const;
   bool Usable(core::monotonic_time now) const;
+  // Number of the last end that it may forget: none where another incarnation
+  // may answer, which counts its ends from 1.
+  std::uint64_t MayForget() const {
+    return in_contact && !doubted ? acknowledged : 0;
+  }
   // Whether its room is kept for another job.
   bool KeptFromJob(const job_state* job, core::monotonic_time now) const {
     return kept_for != nullptr && kept_for != job && now < kept_until;
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -7,8 +7,7 @@
 namespace waxwingfront::fleet {
 namespace {
 
-// Executors' clocks may be this much slow; messages and rounding take the rest.
-constexpr double kSlowClockFactor = 1.02;
+// Messages and rounding of clocks.
 constexpr core::milliseconds kLapseSlack{300};
 
 }  // namespace
@@ -17,7 +16,8 @@
     : options_(options),
       sharing_(state_),
       distance_(options.remote_factor),
-      runs_(state_, options.runs, options.hold_reach),
+      deadlines_(state_, options.deadlines),
+      runs_(state_, options.runs, options.deadlines.hold_reach),
       journal_(state_),
       planner_(state_, PlacementCost(), PlacementEpoch(), distance_),
       rebalancer_(state_, {}, PlacementCost()) {
@@ -55,6 +55,7 @@
 
 bool fleet_core::Plan(moment at, const std::function<bool()>& enough) {
   sharing_.CountExecutors(at.now);
+  if (!deadlines_.MayPlace(at.now)) return true;
   const bool all = planner_.Plan(at, enough);
   rebalancer_.Run(at);
   return all;
@@ -86,7 +87,7 @@
 
 void fleet_core::FinishRestore(moment claimed) {
   const auto reach = std::chrono::duration_cast<core::milliseconds>(
-      (options_.hold_reach + options_.leader_lease) * kSlowClockFactor);
+      (options_.deadlines.hold_reach + options_.leader_lease) / kSlowestClock);
   unreached_lapse_ = claimed.now + reach + kLapseSlack;
   for (auto& [id, executor] : state_.executors) {
     executor.unreached_lapse = unreached_lapse_;
@@ -170,6 +171,10 @@
   DropUnused();
 }
 
+void fleet_core::ConfirmEntries(core::monotonic_time as_of) {
+  state_.entries_as_of = std::max(state_.entries_as_of.value_or(as_of), as_of);
+}
+
 void fleet_core::DropUnused() {
   std::erase_if(state_.executors, [this](const auto& entry) {
     const auto& [id, executor] = entry;
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -13,6 +13,7 @@
 #include "waxwingfront/fleet/fleet_journal.h"
 #include "waxwingfront/fleet/fleet_state.h"
 #include "waxwingfront/fleet/load_monitor.h"
+#include "waxwingfront/fleet/order_deadlines.h"
 #include "waxwingfront/fleet/planner.h"
 #include "waxwingfront/fleet/rebalancer.h"
 #include "waxwingfront/fleet/run_tracker.h"
@@ -21,10 +22,7 @@
 namespace waxwingfront::fleet {
 
 struct fleet_options {
-  // How far a hold's deadline lies ahead of its sending: longer than a
-  // take-over and the store outages that running work is to survive, below the
-  // executors' longest hold.
-  core::milliseconds hold_reach{7000};
+  order_deadline_options deadlines;
   // Time that the store gives a leader between renewals.
   core::milliseconds leader_lease{1500};
   // How long a final job can be asked for.
@@ -70,6 +68,8 @@
 
   void SetExecutor(executor_info info);
   void ForgetExecutor(std::string_view id);
+  // All changes of executors' entries until `as_of` have been told.
+  void ConfirmEntries(core::monotonic_time as_of);
   load_levels Levels() const;
 
   // Executors to be held: those with work or with ends to be forgotten.
@@ -90,7 +90,7 @@
   // The adviser answered, or nothing if it did not.
   void OnAdvice(const advice_request& request,
                 const std::optional<advice_reply>& reply, moment at);
-  core::milliseconds HoldReach() const { return options_.hold_reach; }
+  const order_deadlines& Deadlines() const { return deadlines_; }
   run_tracker& Runs() { return runs_; }
   fleet_journal& Journal() { return journal_; }
   rebalancer& Rebalancer() { return rebalancer_; }
@@ -104,7 +104,8 @@
 
   // Lets lapsed runs end and drops old jobs.
   void Tick(moment at);
-  // Places waiting tasks, see `planner::Plan`.
+  // Places waiting tasks, see `planner::Plan`; none on executors' entries that
+  // are too old.
   bool Plan(moment at, const std::function<bool()>& enough = {});
   std::uint64_t Looks() const { return planner_.Looks(); }
   orders TakeOrders();
@@ -121,6 +122,7 @@
   fleet_state state_;
   sharing_policy sharing_;
   locality distance_;
+  order_deadlines deadlines_;
   run_tracker runs_;
   fleet_journal journal_;
   planner planner_;
--- a/src/waxwingfront/fleet/fleet_state.h
+++ b/src/waxwingfront/fleet/fleet_state.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -34,6 +35,9 @@
   // Jobs with changes that the store does not have, oldest change first.
   std::deque<std::string> unstored;
   orders outgoing;
+  // All changes of executors' entries until then are known; nothing where no
+  // entries are followed.
+  std::optional<core::monotonic_time> entries_as_of;
 
   const queue_spec* FindQueue(std::string_view name) const;
   job_state* FindJob(const std::string& id);
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -49,6 +49,9 @@
       .clock_ms = report.clock_ms, .sent = sent, .received = at.now};
   executor->reached = true;
   executor->in_contact = true;
+  if (executor->doubted && *executor->doubted <= sent) {
+    executor->doubted.reset();
+  }
   TakeEnded(*executor, report, at);
   TakeRunning(*executor, report, at);
   CloseUnlisted(*executor, sent, at);
@@ -189,7 +192,7 @@
   }
   if (outcome == start_outcome::kNotPermitted) {
     task->job->StepOf(*task).permits.Drop(order.executor);
-  } else if (executor != nullptr) {
+  } else if (executor != nullptr && outcome != start_outcome::kNotSent) {
     const bool room = outcome == start_outcome::kNoRoom;
     executor->avoid_until =
         at.now + (room ? options_.no_room_time : options_.avoid_time);
@@ -236,7 +239,7 @@
     // The start is sent a little later, with a deadline below this.
     executor->deadline_sent_ms =
         std::max(executor->deadline_sent_ms,
-                 ClockNow(*executor->clock, at.now) + hold_reach_.count());
+                 ClockAtMost(*executor->clock, at.now) + hold_reach_.count());
     state_.outgoing.starts.push_back({.executor = task.executor,
                                       .task = task.Ref(),
                                       .run = task.run,
--- a/src/waxwingfront/fleet/types.h
+++ b/src/waxwingfront/fleet/types.h
@@ -179,6 +179,8 @@
   kUnreachable,
   // No answer; the order may still be carried out.
   kUnknown,
+  // The leader held the order back.
+  kNotSent,
 };
 
 }  // namespace waxwingfront::fleet
--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -24,7 +24,8 @@
     "node_name=front-1\nzone=north\nlisten.front=10.0.0.1:8161\n"
     "listen.readiness=10.0.0.1:8167\nip_address=10.0.0.1\n"
     "internal_port_range=7720,7735\nplatform.address=10.0.0.7:8169\n"
-    "bounds.grace_s=6\nbounds.max_hold_ms=10000\nplatform.min_ttl_ms=1000\n"
+    "bounds.grace_s=6\nbounds.max_hold_ms=10000\n"
+    "bounds.drain_ms=3000\nplatform.min_ttl_ms=1000\n"
     "limits.link_mbps=10.0\na_field_of_tomorrow=1\n";
 
 TEST_CASE("the platform's settings give addresses and bounds", "[platform]") {
@@ -35,6 +36,7 @@
   CHECK(settings->store_address == "10.0.0.7:8169");
   CHECK(settings->grace == core::milliseconds(6000));
   CHECK(settings->link_mbps == 10.0);
+  CHECK(settings->drain_bound == core::milliseconds(3000));
 }
 
 TEST_CASE("settings without an address or a file are a failure", "[platform]") {
