Let runs expire only where the executor cannot be asked any more

Cause: once the lease had surely lapsed a run counted as over, also of an executor that was alive and answered holds whose answers the leader read late, gave up after 400 ms, or had not asked for yet after a take-over. An end that such an answer lists counts as known, and the task was started again.

Runs of an executor whose entry stands now wait for its own word, which tells how they ended. A hold that lists 500 ends closes no unlisted run: the platform lists 500 at a time.

run_tracker_test: the executor whose lease lapses now also leaves the registry, as silence alone no longer ends its runs; the bounds on the time are the same.

--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -8,6 +8,9 @@
 namespace waxwingfront::fleet {
 namespace {
 
+// Executors list this many ends at once.
+constexpr std::size_t kEndsAtOnce = 500;
+
 // Any member's checkpoint is good for its whole gang, whose members must all
 // start from the same one.
 void TakeCheckpoint(task_state& task, const std::string& checkpoint) {
@@ -49,18 +52,20 @@
       .clock_ms = report.clock_ms, .sent = sent, .received = at.now};
   executor->reached = true;
   executor->in_contact = true;
+  executor->unanswered_holds = 0;
   if (executor->doubted && *executor->doubted <= sent) {
     executor->doubted.reset();
   }
   TakeEnded(*executor, report, at);
   TakeRunning(*executor, report, at);
-  CloseUnlisted(*executor, sent, at);
+  CloseUnlisted(*executor, report, sent, at);
 }
 
 void run_tracker::OnNoAnswer(std::string_view executor_id) {
   executor_state* const executor = state_.FindExecutor(executor_id);
   if (executor == nullptr) return;
   executor->in_contact = false;
+  ++executor->unanswered_holds;
 }
 
 void run_tracker::OnGone(std::string_view executor_id, moment at) {
@@ -136,7 +141,10 @@
 }
 
 void run_tracker::CloseUnlisted(executor_state& executor,
+                                const hold_report& report,
                                 core::monotonic_time sent, moment at) {
+  // More ends may follow: a run that is not listed may be among them.
+  if (report.ended.size() >= kEndsAtOnce) return;
   const std::vector<task_state*> active = executor.active;
   for (task_state* const task : active) {
     if (!task->Active()) continue;
@@ -352,16 +360,18 @@
 }
 
 void run_tracker::Tick(moment at) {
-  for (auto& [id, executor] : state_.executors) {
-    const bool lapsed = !executor.active.empty() && executor.Lapsed(at.now);
-    const std::vector<task_state*> active = executor.active;
+  for (executor_state* const executor :
+       ExpiredExecutors(state_, options_.expiry, at.now)) {
+    const std::vector<task_state*> active = executor->active;
     for (task_state* const task : active) {
       if (task->phase == task_phase::kPlaced) continue;
-      if (lapsed) {
-        Over(*task, run_fate::kExpired, at);
-      } else if (task->phase == task_phase::kStopping &&
-                 !task->stop_confirmed &&
-                 at.now - task->stop_sent_at >= options_.stop_retry) {
+      Over(*task, run_fate::kExpired, at);
+    }
+  }
+  for (auto& [id, executor] : state_.executors) {
+    for (task_state* const task : executor.active) {
+      if (task->phase == task_phase::kStopping && !task->stop_confirmed &&
+          at.now - task->stop_sent_at >= options_.stop_retry) {
         state_.Stop(*task, at.now);
       }
     }
--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "waxwingfront/fleet/fleet_state.h"
+#include "waxwingfront/fleet/lease_expiry.h"
 #include "waxwingfront/fleet/run_fate.h"
 
 namespace waxwingfront::fleet {
@@ -23,6 +24,7 @@
   core::milliseconds no_room_time{300};
   // A stop without confirmation is sent again after this time.
   core::milliseconds stop_retry{500};
+  lease_expiry_options expiry;
 };
 
 class run_tracker {
@@ -69,8 +71,8 @@
                    moment at);
   void TakeEnded(executor_state& executor, const hold_report& report,
                  moment at);
-  void CloseUnlisted(executor_state& executor, core::monotonic_time sent,
-                     moment at);
+  void CloseUnlisted(executor_state& executor, const hold_report& report,
+                     core::monotonic_time sent, moment at);
   void NoteBegun(job_state& job, moment at) const;
   void Over(task_state& task, run_fate fate, moment at);
   // The other members of a gang end with the first that does.
--- a/tests/waxwingfront/fleet/run_tracker_test.cc
+++ b/tests/waxwingfront/fleet/run_tracker_test.cc
@@ -69,6 +69,7 @@
   scene.Core().OnStartAnswer(one.start, start_outcome::kAccepted, At(20));
   fleet::executor_state& executor = *scene.Core().FindExecutor("a");
   executor.deadline_sent_ms = 7000;
+  scene.Core().ForgetExecutor("a");
   scene.Core().Runs().OnNoAnswer("a");
   scene.Core().Tick(At(7050));
   CHECK(scene.Step(7050).starts.empty());
