Let callers that wait at a busy process in together

Cause: the server took one connection at each turn of the loop, and a turn took 0.3 s there. Each call that was given up left a connection in the queue, so the queue of 512 filled with dead ones and new ones were dropped.

The server now takes all connections that wait, 64 at most before other work goes on.

--- a/src/waxwingfront/net/async_http_server.cc
+++ b/src/waxwingfront/net/async_http_server.cc
@@ -19,6 +19,8 @@
 using failure_code = boost::system::error_code;
 
 constexpr int kListenBacklog = 512;
+// Connections that are accepted before other work goes on.
+constexpr int kMostAcceptsAtOnce = 64;
 // Most requests arrive whole in one read of this size.
 constexpr std::size_t kReadBytes = 4096;
 
@@ -65,10 +67,23 @@
                                     asio::ip::tcp::socket socket) {
           if (!self->acceptor.is_open()) return;
           if (!failure) self->Open(std::move(socket));
+          self->AcceptWaiting();
           self->Accept();
         });
   }
 
+  // The loop accepts one connection at each turn, and turns are long while it
+  // is busy.
+  void AcceptWaiting() {
+    for (int i = 0; i < kMostAcceptsAtOnce; ++i) {
+      failure_code failure;
+      asio::ip::tcp::socket socket(context);
+      acceptor.accept(socket, failure);
+      if (failure) return;
+      Open(std::move(socket));
+    }
+  }
+
   void Open(asio::ip::tcp::socket socket) {
     failure_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -232,6 +247,7 @@
   }
   if (!failure) acceptor.bind(*endpoint, failure);
   if (!failure) acceptor.listen(kListenBacklog, failure);
+  if (!failure) acceptor.non_blocking(true, failure);
   if (failure) {
     return core::Failure(
         core::error_code::kInvalidSettings,
--- a/tests/waxwingfront/net/async_http_test.cc
+++ b/tests/waxwingfront/net/async_http_test.cc
@@ -199,6 +199,32 @@
   CHECK_FALSE(idle.HasInput());
 }
 
+TEST_CASE("callers that wait together are not let in one at each turn",
+          "[net]") {
+  constexpr int kCallers = 100;
+  served site;
+  int answered = 0;
+  for (int i = 0; i < kCallers; ++i) {
+    site.client.Send({.address = site.server->Address(),
+                      .method = "GET",
+                      .target = "/",
+                      .timeout = milliseconds(10'000)},
+                     [&answered](const core::result<net::http_reply>& reply) {
+                       answered += reply ? 1 : 0;
+                     });
+  }
+  // Other work takes part in each turn of the loop.
+  int turns = 0;
+  std::function<void()> turn = [&] {
+    ++turns;
+    std::this_thread::sleep_for(milliseconds(1));
+    if (answered < kCallers) site.loop.Post(turn);
+  };
+  site.loop.Post(turn);
+  REQUIRE(RunUntil(site.loop, [&answered] { return answered == kCallers; }));
+  CHECK(turns < kCallers / 2);
+}
+
 // A server with a loop and a thread of its own, which answers at once.
 class prompt_server {
  public:
