Refuse jobs at once that cannot be stored in their caller's time

A call now carries the time that its caller has left. A job that was taken in before and a cancel are not refused. A refusal does not undo an earlier attempt that may have arrived: that call stays unknown.

--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -51,6 +51,7 @@
   // not answered by then count as over at `claimed` plus lease and reach.
   void FinishRestore(moment claimed);
 
+  bool Knows(const std::string& id) const { return state_.jobs.contains(id); }
   submission Submit(schema::fleet_job job, moment at);
   // Whether there is such a job.
   bool Cancel(const std::string& id, moment at);
--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -23,7 +23,8 @@
     : loop_(loop),
       client_(client),
       options_(options),
-      hooks_(std::move(hooks)) {}
+      hooks_(std::move(hooks)),
+      unstored_(std::make_shared<unstored_calls>(options.unstored)) {}
 
 void job_gateway::Call(schema::fleet_request request,
                        core::monotonic_time deadline, callback done) {
@@ -47,6 +48,9 @@
                                 "no leader could be reached in time"));
     return;
   }
+  const auto left =
+      std::chrono::ceil<core::milliseconds>(attempt->deadline - now);
+  attempt->request.set_left_ms(static_cast<std::uint32_t>(left.count()));
   if (hooks_.local() != nullptr) {
     Answer(attempt->request, [this, attempt](const schema::fleet_reply& reply) {
       OnReply(attempt, reply);
@@ -55,7 +59,7 @@
   }
   const std::string address = hooks_.leader();
   if (address.empty()) {
-    Retry(std::move(attempt));
+    Retry(std::move(attempt), options_.retry);
     return;
   }
   TryRemote(std::move(attempt), address);
@@ -63,8 +67,7 @@
 
 void job_gateway::TryRemote(std::shared_ptr<attempt_state> attempt,
                             const std::string& address) {
-  const auto left =
-      std::chrono::ceil<core::milliseconds>(attempt->deadline - core::Now());
+  const core::milliseconds left(attempt->request.left_ms());
   net::http_call call{.address = address,
                       .method = "POST",
                       .target = std::string(kFleetCallPath),
@@ -84,13 +87,13 @@
           attempt->may_have_arrived = true;
         }
         hooks_.doubt();
-        Retry(attempt);
+        Retry(attempt, options_.retry);
       });
 }
 
-void job_gateway::Retry(std::shared_ptr<attempt_state> attempt) {
-  loop_.After(options_.retry,
-              [this, attempt = std::move(attempt)] { Try(attempt); });
+void job_gateway::Retry(std::shared_ptr<attempt_state> attempt,
+                        core::milliseconds pause) {
+  loop_.After(pause, [this, attempt = std::move(attempt)] { Try(attempt); });
 }
 
 void job_gateway::OnReply(std::shared_ptr<attempt_state> attempt,
@@ -99,7 +102,16 @@
       reply.outcome() == schema::FLEET_OUTCOME_UNKNOWN) {
     attempt->may_have_arrived |=
         reply.outcome() == schema::FLEET_OUTCOME_UNKNOWN;
-    Retry(std::move(attempt));
+    Retry(std::move(attempt), options_.retry);
+    return;
+  }
+  if (reply.outcome() == schema::FLEET_OVERLOADED) {
+    if (attempt->may_have_arrived) {
+      Retry(std::move(attempt), options_.overloaded_retry);
+      return;
+    }
+    attempt->done(core::Failure(core::error_code::kOverloaded,
+                                "the leader is behind with its records"));
     return;
   }
   attempt->done(reply);
@@ -115,8 +127,12 @@
     return;
   }
   fleet_core& core = leader->Core();
-  const auto once_stored = [&core, leader, &done](const std::string& id) {
-    core.OnceStored(id, [done](bool stored) {
+  const core::monotonic_time now = core::Now();
+  const auto once_stored = [unstored = unstored_, &core, leader, &done,
+                            now](const std::string& id) {
+    unstored->Add(now);
+    core.OnceStored(id, [unstored, now, done](bool stored) {
+      unstored->Remove(now);
       schema::fleet_reply outcome;
       outcome.set_outcome(stored ? schema::FLEET_OK
                                  : schema::FLEET_OUTCOME_UNKNOWN);
@@ -126,6 +142,12 @@
   };
   switch (request.call_case()) {
     case schema::fleet_request::kSubmit:
+      // A job that was taken in before is not refused: it will run.
+      if (request.left_ms() > 0 && !core.Knows(request.submit().id()) &&
+          unstored_->Hopeless(core::milliseconds(request.left_ms()), now)) {
+        reply.set_outcome(schema::FLEET_OVERLOADED);
+        break;
+      }
       core.Submit(request.submit(), hooks_.now());
       once_stored(request.submit().id());
       return;
--- a/src/waxwingfront/fleet/job_gateway.h
+++ b/src/waxwingfront/fleet/job_gateway.h
@@ -3,11 +3,13 @@
 #define WAXWINGFRONT_FLEET_JOB_GATEWAY_H_
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/core/error.h"
 #include "waxwingfront/fleet/fleet_leader.h"
+#include "waxwingfront/fleet/unstored_calls.h"
 #include "waxwingfront/net/async_http_client.h"
 #include "waxwingfront/net/event_loop.h"
 #include "waxwingfront/schema/gen/fleet.pb.h"
@@ -20,6 +22,9 @@
 struct job_gateway_options {
   // Pause before a call without success is tried again.
   core::milliseconds retry{40};
+  // The same after the leader has refused a call that it may have from an
+  // earlier attempt.
+  core::milliseconds overloaded_retry{250};
   // Longest wait for one answer of the leader: a silent connection is given up
   // while there is time for another.
   core::milliseconds attempt{1000};
@@ -27,6 +32,7 @@
   // has time to come back: about half a take-over, after which a caller at this
   // process is better off at another.
   core::milliseconds patience{1000};
+  unstored_calls_options unstored;
 };
 
 struct job_gateway_hooks {
@@ -48,7 +54,9 @@
 
   // Calls the leader until it has answered or `deadline` is over. Fails with
   // `kNoOwner` if no leader was reached within the patience, so that nothing
-  // was done, and with `kOutcomeUnknown` if one may have taken the call.
+  // was done, with `kOverloaded` if the leader is too far behind for the time
+  // left, so that nothing was done either, and with `kOutcomeUnknown` if a
+  // leader may have taken the call.
   void Call(schema::fleet_request request, core::monotonic_time deadline,
             callback done);
 
@@ -62,7 +70,7 @@
   void Try(std::shared_ptr<attempt_state> attempt);
   void TryRemote(std::shared_ptr<attempt_state> attempt,
                  const std::string& address);
-  void Retry(std::shared_ptr<attempt_state> attempt);
+  void Retry(std::shared_ptr<attempt_state> attempt, core::milliseconds pause);
   void OnReply(std::shared_ptr<attempt_state> attempt,
                const schema::fleet_reply& reply);
 
@@ -70,6 +78,8 @@
   net::async_http_client& client_;
   job_gateway_options options_;
   job_gateway_hooks hooks_;
+  // Shared with callbacks, which a leader may call after the gateway's end.
+  std::shared_ptr<unstored_calls> unstored_;
 };
 
 }  // namespace waxwingfront::fleet
