--- /dev/null
+++ b/tests/platform/store_client_test.cc
@@ -0,0 +1,74 @@
+#include "platform/store_client.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "support/loop_runner.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+using core::milliseconds;
+
+// A store whose answer to one call comes in parts, as over a slow link.
+class trickling_store {
+ public:
+  trickling_store() : socket_(Poco::Net::SocketAddress("127.0.0.1", 0)) {
+    address = socket_.address().toString();
+    thread_ = std::thread([this] { Answer(); });
+  }
+  trickling_store(const trickling_store&) = delete;
+  trickling_store& operator=(const trickling_store&) = delete;
+  ~trickling_store() { thread_.join(); }
+
+  std::string address;
+
+ private:
+  void Answer() {
+    constexpr milliseconds kPause{60};
+    constexpr std::size_t kParts = 10;
+    const std::string body = R"({"at":7,"key":"k","value":"","revision":3})";
+    Poco::Net::StreamSocket caller = socket_.acceptConnection();
+    std::array<char, 4096> request{};
+    caller.receiveBytes(request.data(), static_cast<int>(request.size()));
+    Send(caller, "HTTP/1.1 200 OK\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n");
+    const std::size_t part = body.size() / kParts + 1;
+    for (std::size_t at = 0; at < body.size(); at += part) {
+      std::this_thread::sleep_for(kPause);
+      Send(caller, body.substr(at, part));
+    }
+  }
+
+  static void Send(Poco::Net::StreamSocket& caller, const std::string& text) {
+    caller.sendBytes(text.data(), static_cast<int>(text.size()));
+  }
+
+  Poco::Net::ServerSocket socket_;
+  std::thread thread_;
+};
+
+TEST_CASE("an answer of the store that keeps coming is waited for",
+          "[platform]") {
+  trickling_store store;
+  net::event_loop loop;
+  net::async_http_client client(loop, {});
+  const fleet::store_services services =
+      platform::StoreAt(store.address, client);
+  std::optional<core::result<fleet::store_page>> page;
+  services.get("k", [&page](core::result<fleet::store_page> got) {
+    page = std::move(got);
+  });
+  REQUIRE(RunUntil(loop, [&page] { return page.has_value(); }));
+  REQUIRE(*page);
+  CHECK((*page)->items.front().revision == 3);
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
