Keep room and judge serving tasks without going over all work each round

Cause: KeepRoom summed up all work of all executors for each lasting task that waits long, and such tasks were judged everywhere in each round, as their costs change with time. What lasting tasks use is now counted as they come and go, and their stage of waiting and the reserve tell when costs may have changed.

--- a/src/waxwingfront/fleet/executor_state.cc
+++ b/src/waxwingfront/fleet/executor_state.cc
@@ -71,8 +71,10 @@
 void executor_state::Add(task_state& task) {
   Touch();
   active.push_back(&task);
-  if (task.Spec().long_running()) ++lasting;
   used += task.Needs();
+  if (!task.Spec().long_running()) return;
+  ++lasting;
+  used_by_lasting += task.Needs();
 }
 
 void executor_state::Remove(const task_state& task) {
@@ -80,8 +82,10 @@
   if (found == active.end()) return;
   Touch();
   active.erase(found);
-  if (task.Spec().long_running()) --lasting;
   used -= task.Needs();
+  if (!task.Spec().long_running()) return;
+  --lasting;
+  used_by_lasting -= task.Needs();
 }
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -104,8 +104,10 @@
 
   // Invalid after each change of `active` and each report.
   mutable sharing_view sharing;
-  // Active tasks that run until they are stopped.
+  // Active tasks that run until they are stopped, and what is committed to
+  // them.
   std::size_t lasting = 0;
+  core::resources used_by_lasting;
 
   // What may make room or a place on it has changed.
   void Touch() {
@@ -119,6 +121,8 @@
   bool BeginRound(std::uint64_t round, core::monotonic_time now);
 
   core::resources Free() const { return info.capacity - used; }
+  // What is free once all tasks that end by themselves have ended.
+  core::resources FreeLater() const { return info.capacity - used_by_lasting; }
   bool HasLabel(std::string_view label) const;
   bool Usable(core::monotonic_time now) const;
   // Whether its room is kept for another job.
--- a/src/waxwingfront/fleet/placement.cc
+++ b/src/waxwingfront/fleet/placement.cc
@@ -29,15 +29,6 @@
          UnderStepLimit(executor, task);
 }
 
-// What is free once all tasks that end by themselves have ended.
-core::resources FreeLater(const executor_state& executor) {
-  core::resources free = executor.Free();
-  for (const task_state* const task : executor.active) {
-    if (!task->Spec().long_running()) free += task->Needs();
-  }
-  return free;
-}
-
 }  // namespace
 
 bool Fits(const executor_state& executor, const task_state& task) {
@@ -71,14 +62,14 @@
               std::string_view service, core::monotonic_time now) {
   executor_state* best = nullptr;
   std::size_t kept_for_others = 0;
+  const core::resources needs = task.Needs();
   for (auto& [id, executor] : state.executors) {
     if (executor.KeptFromJob(task.job, now)) {
       ++kept_for_others;
       continue;
     }
-    if (executor.info.service != service || !executor.Usable(now) ||
-        !Permitted(executor, task) ||
-        !FreeLater(executor).Holds(task.Needs())) {
+    if (!executor.FreeLater().Holds(needs) || !executor.Usable(now) ||
+        executor.info.service != service || !Permitted(executor, task)) {
       continue;
     }
     // One that is kept already stays the choice; else the one that lacks least.
--- a/src/waxwingfront/fleet/sharing_model.cc
+++ b/src/waxwingfront/fleet/sharing_model.cc
@@ -87,7 +87,10 @@
     const double base = row.tail_ms * kBaseShareOfLowest;
     if (image.base_ms == 0.0 || base < image.base_ms) image.base_ms = base;
     const double utilisation = Utilisation(row.image, row.tail_ms);
-    const auto [entry, added] = jobs_.try_emplace(std::string(row.job));
+    auto entry = jobs_.find(row.job);
+    if (entry == jobs_.end()) {
+      entry = jobs_.try_emplace(std::string(row.job)).first;
+    }
     job_load& job = entry->second;
     job.image = index;
     const double own =
--- a/src/waxwingfront/fleet/sharing_policy.cc
+++ b/src/waxwingfront/fleet/sharing_policy.cc
@@ -115,24 +115,40 @@
   return OrdinaryCost(executor, task);
 }
 
+sharing_policy::serving_stage sharing_policy::StageOf(
+    const task_state& task, core::monotonic_time now) {
+  const auto waited = now - task.waiting_since;
+  if (waited < kGatherTime) return serving_stage::kGathers;
+  return waited < kServingPatience ? serving_stage::kParticular
+                                   : serving_stage::kAnywhere;
+}
+
+bool sharing_policy::MayOpen() const {
+  return free_executors_ > kReservedShare * executors_;
+}
+
 double sharing_policy::ServingCost(const executor_state& executor,
                                    const task_state& task,
                                    core::monotonic_time now) const {
-  if (now - task.waiting_since < kGatherTime) return kNever;
+  const serving_stage stage = StageOf(task, now);
+  if (stage == serving_stage::kGathers) return kNever;
   const double free = FreeShare(executor, task);
   if (executor.lasting == 0) {
     const double cost = free + kOpensCost;
-    if (free_executors_ > kReservedShare * executors_) return cost;
-    return now - task.waiting_since < kServingPatience ? kNever
-                                                       : cost + kReservedCost;
+    if (MayOpen()) return cost;
+    return stage == serving_stage::kParticular ? kNever : cost + kReservedCost;
   }
   double alike = 1.0;
   bool own_job = false;
+  const std::string* last = nullptr;
   for (const task_state* const other : executor.active) {
     if (!other->Spec().long_running()) continue;
     own_job |= other->job == task.job;
-    alike = std::min(
-        alike, model_.Similarity(task.Spec().image(), other->Spec().image()));
+    const std::string& image = other->Spec().image();
+    // Alike ones are placed together: most are of the image before.
+    if (last != nullptr && image == *last) continue;
+    last = &image;
+    alike = std::min(alike, model_.Similarity(task.Spec().image(), image));
   }
   const double mixing =
       View(executor, now).images > 1 ? kMixedImagesCost : kSpoilsImageCost;
@@ -150,9 +166,12 @@
 
 std::optional<std::uint64_t> sharing_policy::Epoch(
     const task_state& task, core::monotonic_time now) const {
-  if (task.Spec().long_running()) return std::nullopt;
-  if (!task.Spec().fills()) return 0;
-  return model_.Solved() * kJobHopes + Hope(task, now);
+  if (task.Spec().fills()) {
+    return model_.Solved() * kJobHopes + Hope(task, now);
+  }
+  if (!task.Spec().long_running()) return 0;
+  return static_cast<std::uint64_t>(StageOf(task, now)) * 2 +
+         (MayOpen() ? 1 : 0);
 }
 
 std::size_t sharing_policy::Hope(const task_state& task,
--- a/src/waxwingfront/fleet/sharing_policy.h
+++ b/src/waxwingfront/fleet/sharing_policy.h
@@ -57,6 +57,12 @@
     }
   };
 
+  // How particular a serving task is, by the time that it has waited.
+  enum class serving_stage { kGathers, kParticular, kAnywhere };
+  static serving_stage StageOf(const task_state& task,
+                               core::monotonic_time now);
+  // Whether a serving task may be the first on an executor.
+  bool MayOpen() const;
   double ServingCost(const executor_state& executor, const task_state& task,
                      core::monotonic_time now) const;
   double FillingCost(const executor_state& executor, const task_state& task,
