--- a/src/waxwingfront/fleet/sharing_model.cc
+++ b/src/waxwingfront/fleet/sharing_model.cc
@@ -12,10 +12,6 @@
 
 using seconds = std::chrono::duration<double>;
 
-// Images beyond this number share the prior: the regression stays small.
-constexpr std::size_t kMaxImages = 32;
-// Place of the constant term in the regression.
-constexpr std::size_t kIntercept = kMaxImages;
 // Time constant of reported tails; fits best in recorded reports (0.5 to 1 s).
 constexpr double kTailSmoothingSeconds = 0.7;
 // Reports lose their weight with this time constant.
@@ -54,14 +50,17 @@
   constexpr double kMillisPerCore = 1000.0;
   const double scale =
       kReferenceMillis / std::max(1.0, capacity_millis) / kMillisPerCore;
-  std::vector<double> cores(kMaxImages, 0.0);
+  image_cores cores{};
   for (const filling_use& row : filling) {
     const std::size_t index = FillingIndex(row.image);
     if (index < kMaxImages) cores[index] += row.cpu_millis * scale;
   }
-  const auto [entry, added] = uses_.try_emplace(std::string(executor));
+  auto entry = uses_.find(executor);
+  const bool added = entry == uses_.end();
+  if (added) entry = uses_.try_emplace(std::string(executor)).first;
   executor_use& use = entry->second;
   if (added) {
+    use.number = ++executors_;
     use.cores = cores;
   } else {
     const double keep =
@@ -98,7 +97,7 @@
     const task_load before =
         std::exchange(job.tasks[row.index], {.at = now,
                                              .own = own,
-                                             .executor = std::string(executor),
+                                             .executor = use.number,
                                              .utilisation = utilisation,
                                              .cores = use.cores});
     UpdateOwnLoad(job, now);
@@ -110,12 +109,12 @@
 void sharing_model::UpdateOwnLoad(job_load& job, core::monotonic_time now) {
   std::vector<double> recent;
   recent.reserve(job.tasks.size());
-  const std::string* executor = nullptr;
+  std::optional<std::uint64_t> executor;
   job.spread = false;
   for (const auto& [index, task] : job.tasks) {
     if (now - task.at > kOwnLoadWindow) continue;
     recent.push_back(task.own);
-    if (executor == nullptr) executor = &task.executor;
+    if (!executor) executor = task.executor;
     job.spread = job.spread || task.executor != *executor;
   }
   const std::size_t rank = recent.size() / 2;
@@ -164,7 +163,7 @@
   return index;
 }
 
-double sharing_model::Disturbance(const std::vector<double>& cores,
+double sharing_model::Disturbance(const image_cores& cores,
                                   const serving_image& image) {
   double sum = 0.0;
   for (std::size_t i = 0; i < kMaxImages; ++i) {
@@ -187,7 +186,7 @@
       now.at - before.at > kChangeWindow) {
     return;
   }
-  std::vector<double> change(kMaxImages);
+  image_cores change{};
   for (std::size_t i = 0; i < kMaxImages; ++i) {
     change[i] = now.cores[i] - before.cores[i];
   }
@@ -196,9 +195,8 @@
   AddRow(change, image, disturbance, 0.0);
 }
 
-void sharing_model::AddRow(const std::vector<double>& cores,
-                           serving_image& image, double disturbance,
-                           double constant) {
+void sharing_model::AddRow(const image_cores& cores, serving_image& image,
+                           double disturbance, double constant) {
   for (std::size_t i = 0; i < kMaxImages; ++i) {
     if (cores[i] == 0.0) continue;
     for (std::size_t j = 0; j < kMaxImages; ++j) {
--- a/src/waxwingfront/fleet/sharing_model.h
+++ b/src/waxwingfront/fleet/sharing_model.h
@@ -3,6 +3,7 @@
 #ifndef WAXWINGFRONT_FLEET_SHARING_MODEL_H_
 #define WAXWINGFRONT_FLEET_SHARING_MODEL_H_
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -107,13 +108,21 @@
     std::vector<std::vector<double>> normal;
     std::vector<double> right;
   };
+  // Images beyond this number share the prior: the regression stays small.
+  static constexpr std::size_t kMaxImages = 32;
+  // Place of the constant term in the regression.
+  static constexpr std::size_t kIntercept = kMaxImages;
+  // For each filling image.
+  using image_cores = std::array<double, kMaxImages>;
+
   struct task_load {
     core::monotonic_time at;
     double own = 0.0;
-    std::string executor;
+    // Number of its executor.
+    std::uint64_t executor = 0;
     double utilisation = 0.0;
     // Cores of filling images in use beside it.
-    std::vector<double> cores;
+    image_cores cores{};
   };
   struct dated_load {
     core::monotonic_time at;
@@ -130,9 +139,11 @@
     std::deque<dated_load> history;
   };
   struct executor_use {
+    // Never given twice.
+    std::uint64_t number = 0;
     core::monotonic_time at;
     // Cores in use for each filling image, smoothed like the tails are.
-    std::vector<double> cores;
+    image_cores cores{};
   };
 
   std::size_t FillingIndex(std::string_view image);
@@ -146,9 +157,9 @@
   // disturbances from the own load, which changes slowly.
   static void Compare(serving_image& image, const job_load& job,
                       const task_load& before, const task_load& now);
-  static void AddRow(const std::vector<double>& cores, serving_image& image,
+  static void AddRow(const image_cores& cores, serving_image& image,
                      double disturbance, double constant);
-  static double Disturbance(const std::vector<double>& cores,
+  static double Disturbance(const image_cores& cores,
                             const serving_image& image);
   void Solve(core::monotonic_time now);
   static void SolveImage(serving_image& image, std::size_t filling);
@@ -161,6 +172,7 @@
   std::vector<double> heaviness_;
   std::vector<double> sensitivity_;
   std::map<std::string, executor_use, std::less<>> uses_;
+  std::uint64_t executors_ = 0;
   std::map<std::string, job_load, std::less<>> jobs_;
   core::monotonic_time solved_{};
   std::uint64_t solutions_ = 0;
