--- a/bench/fleet_core_bench.cc
+++ b/bench/fleet_core_bench.cc
@@ -7,9 +7,6 @@
 #include <cmath>
 #include <cstdint>
 #include <cstdlib>
-#include <ctime>
-#include <functional>
-#include <iomanip>
 #include <iostream>
 #include <map>
 #include <random>
@@ -17,6 +14,8 @@
 #include <string_view>
 #include <vector>
 
+#include "cost_table.h"
+#include "fleet_load.h"
 #include "waxwingfront/fleet/fleet_core.h"
 
 namespace waxwingfront::fleet {
@@ -35,10 +34,7 @@
 constexpr std::int64_t kCapacity = 32'000;
 constexpr std::int64_t kMemoryMb = 128'000;
 constexpr std::uint32_t kSeed = 20261204;
-constexpr int kServingImages = 10;
-constexpr int kFillingImages = 18;
 constexpr double kBaseTailMs = 4.0;
-constexpr std::int64_t kTargetMs = 18;
 constexpr double kMillis = 1000.0;
 
 struct play_options {
@@ -51,42 +47,6 @@
   bool advised = false;
 };
 
-double ThreadSeconds() {
-  timespec time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  constexpr double kNanos = 1e-9;
-  return static_cast<double>(time.tv_sec) +
-         static_cast<double>(time.tv_nsec) * kNanos;
-}
-
-struct job_class {
-  std::string_view queue;
-  double share;
-  double steps;
-  double most_steps;
-  double width;
-  double width_spread;
-  double most_width;
-  double cpu;
-  double cpu_spread;
-  double most_cpu;
-  double memory;
-  double work_ms;
-  double most_work_ms;
-  double failing;
-  double apart;
-  // Jobs that are there at the start.
-  int filled;
-};
-
-constexpr std::array<job_class, 3> kClasses{
-    {{"field-check", 16.5, 1.6, 4, 9.5, 0.8, 57, 5700, 0.45, 17'000, 11'000,
-      640, 1600, 0.05, 0.15, 0},
-     {"loop-design", 27.7, 2.0, 5, 20, 0.6, 80, 3500, 0.3, 7000, 6400, 1700,
-      4300, 0.02, 0.0, 47},
-     {"loop-watch", 0.906, 1.0, 1, 14, 0.4, 28, 6400, 0.25, 10'000, 13'000, 320,
-      800, 0.0, 0.5, 163}}};
-
 class fleet_play {
  public:
   explicit fleet_play(const play_options& chosen) : options_(chosen) {
@@ -117,10 +77,7 @@
       Mix(std::to_string(at.unix_ms) + "/" + std::to_string(task.index));
       if (fate == run_fate::kDone) ++done_;
     };
-    core_.Runs().on_final = [this](const job_state& job) {
-      ++finished_;
-      static_cast<void>(job);
-    };
+    core_.Runs().on_final = [this](const job_state&) { ++finished_; };
   }
 
   void Run() {
@@ -135,10 +92,10 @@
       Holds();
       Answers();
       if (now_ % kTickMs == 0) {
-        Timed("tick", [this] { core_.Tick(Now()); });
+        costs_.Timed("tick", [this] { core_.Tick(Now()); });
       }
       if (now_ % kPlanMs == 0) {
-        Timed("plan", [this] { core_.Plan(Now()); });
+        costs_.Timed("plan", [this] { core_.Plan(Now()); });
       }
       Write();
       Obey(core_.TakeOrders());
@@ -153,24 +110,9 @@
               << active << ", jobs ended " << finished_ << "\nstarts "
               << static_cast<double>(starts_) / seconds << "/s, runs done "
               << static_cast<double>(done_) / seconds << "/s, records "
-              << static_cast<double>(records_) / seconds
-              << "/s\nentry point    calls      us a call  us a start   cores\n"
-              << std::fixed;
-    double sum = 0.0;
-    constexpr double kMicros = 1e6;
-    for (const auto& [name, cost] : costs_) {
-      sum += cost.seconds;
-      std::cout << std::left << std::setw(14) << name << " " << std::setw(8)
-                << cost.calls << " " << std::right << std::setprecision(1)
-                << std::setw(11)
-                << cost.seconds * kMicros / static_cast<double>(cost.calls)
-                << " " << std::setw(11)
-                << cost.seconds * kMicros / static_cast<double>(starts_) << " "
-                << std::setprecision(4) << std::setw(8)
-                << cost.seconds / seconds << "\n";
-    }
-    std::cout << "sum of cores " << sum / seconds << "\ndigest " << std::hex
-              << digest_ << "\n";
+              << static_cast<double>(records_) / seconds << "/s\n";
+    costs_.Print(starts_, seconds);
+    std::cout << "digest " << std::hex << digest_ << "\n";
   }
 
  private:
@@ -191,25 +133,12 @@
     std::uint64_t ends = 0;
     std::int64_t held_ms = -kHoldWaitMs;
   };
-  struct cost {
-    std::int64_t calls = 0;
-    double seconds = 0.0;
-  };
-
   moment Now() const {
     constexpr core::milliseconds kStart{1'000'000};
     return {.now = core::monotonic_time(kStart + core::milliseconds(now_)),
             .unix_ms = kUnixStartMs + now_};
   }
 
-  void Timed(const std::string& name, const std::function<void()>& action) {
-    const double before = ThreadSeconds();
-    action();
-    cost& entry = costs_[name];
-    entry.seconds += ThreadSeconds() - before;
-    ++entry.calls;
-  }
-
   void Mix(std::string_view text) {
     constexpr std::uint64_t kPrime = 1099511628211ULL;
     for (const char letter : text) {
@@ -217,12 +146,6 @@
     }
   }
 
-  double Draw(double mean, double spread, double most) {
-    std::lognormal_distribution<double> shape(
-        std::log(mean) - spread * spread / 2, spread);
-    return std::min(most, shape(random_));
-  }
-
   void AddExecutor(int index) {
     std::string number = std::to_string(index);
     number.insert(0, 3 - std::min<std::size_t>(3, number.size()), '0');
@@ -241,57 +164,16 @@
 
   void Submit(const job_class& one) {
     const auto kind = static_cast<std::size_t>(&one - kClasses.data());
-    schema::fleet_job job;
-    job.set_id("job-" + std::to_string(++submitted_) + "-0123456789abcdef");
-    job.set_queue(std::string(one.queue));
-    job.set_service("bucle-api");
+    int image = 0;
+    schema::fleet_job job = DrawJob(random_, kind, ++submitted_, image);
     job.set_accepted_unix_ms(Now().unix_ms);
-    job.set_payload(std::string(300, 'x'));
-    std::uniform_real_distribution<double> unit(0.0, 1.0);
-    const int steps = kind == 2
-                          ? 1
-                          : std::max(1, static_cast<int>(std::lround(Draw(
-                                            one.steps, 0.4, one.most_steps))));
-    const auto image = static_cast<int>(
-        random_() % (kind == 1 ? kFillingImages : kServingImages));
-    for (int s = 0; s < steps; ++s) {
-      schema::fleet_step& step = *job.add_steps();
-      step.set_task_count(static_cast<std::uint32_t>(std::max(
-          1.0, std::round(Draw(one.width, one.width_spread, one.most_width)))));
-      step.set_cpu_millis(static_cast<std::int64_t>(
-          Draw(one.cpu, one.cpu_spread, one.most_cpu)));
-      step.set_memory_mb(
-          static_cast<std::int64_t>(Draw(one.memory, 0.3, 2 * one.memory)));
-      step.set_estimated_ms(
-          static_cast<std::int64_t>(Draw(one.work_ms, 0.5, one.most_work_ms)));
-      if (s > 0) step.add_after(static_cast<std::uint32_t>(s - 1));
-      if (unit(random_) < one.apart) step.set_max_per_executor(1);
-      step.set_fills(kind == 1);
-      step.set_checkpointing(kind == 1);
-      step.set_long_running(kind == 2);
-      if (kind == 2) step.set_target_ms(kTargetMs);
-      if (kind != 0) {
-        step.set_image((kind == 1 ? "fill-" : "serve-") +
-                       std::to_string(image));
-      }
-    }
     kinds_[job.id()] = {kind, image};
-    Timed("submit", [&] { core_.Submit(job, Now()); });
+    costs_.Timed("submit", [&] { core_.Submit(job, Now()); });
   }
 
   void Arrive() {
     due_ += options_.jobs * static_cast<double>(kStepMs) / kMillis;
-    double all = 0.0;
-    for (const job_class& one : kClasses) all += one.share;
-    for (; due_ >= 1.0; due_ -= 1.0) {
-      double pick = std::uniform_real_distribution<double>(0.0, all)(random_);
-      const job_class* chosen = kClasses.data();
-      while (pick > chosen->share && chosen + 1 < kClasses.end()) {
-        pick -= chosen->share;
-        ++chosen;
-      }
-      Submit(*chosen);
-    }
+    for (; due_ >= 1.0; due_ -= 1.0) Submit(DrawClass(random_));
   }
 
   void Work() {
@@ -352,7 +234,8 @@
       if (now_ - one.held_ms < wait) continue;
       one.held_ms = now_;
       const hold_report report = Report(one);
-      Timed("hold", [&] { core_.OnHold(one.id, report, Now().now, Now()); });
+      costs_.Timed("hold",
+                   [&] { core_.OnHold(one.id, report, Now().now, Now()); });
     }
   }
 
@@ -395,7 +278,7 @@
     for (const std::string& executor : request.executors) {
       reply.permits.push_back({.executor = executor, .ticket = "t"});
     }
-    Timed("advice", [&] { core_.OnAdvice(request, reply, Now()); });
+    costs_.Timed("advice", [&] { core_.OnAdvice(request, reply, Now()); });
   }
 
   void Answers() {
@@ -405,7 +288,7 @@
       const auto [kind, image] = kinds_.at(order.task.job);
       const job_class& one = kClasses.at(kind);
       std::uniform_real_distribution<double> unit(0.0, 1.0);
-      const double work = Draw(one.work_ms, 0.5, one.most_work_ms);
+      const double work = Draw(random_, one.work_ms, 0.5, one.most_work_ms);
       sites_[places_.at(order.executor)].runs.push_back(
           {.order = order,
            .kind = kind,
@@ -414,7 +297,7 @@
            .left_ms = work,
            .work_ms = work,
            .fails = unit(random_) < one.failing});
-      Timed("start answer", [&] {
+      costs_.Timed("start answer", [&] {
         core_.OnStartAnswer(order, start_outcome::kAccepted, Now());
       });
       return true;
@@ -424,12 +307,13 @@
   void Write() {
     if (writing_ && now_ >= written_ms_) {
       writing_ = false;
-      Timed("stored", [this] { core_.Journal().Stored(++revision_, Now()); });
+      costs_.Timed("stored",
+                   [this] { core_.Journal().Stored(++revision_, Now()); });
     }
     if (writing_) return;
     std::vector<record_write> writes;
-    Timed("next batch",
-          [&] { writes = core_.Journal().NextBatch(options_.records); });
+    costs_.Timed("next batch",
+                 [&] { writes = core_.Journal().NextBatch(options_.records); });
     if (writes.empty()) return;
     records_ += writes.size();
     writing_ = true;
@@ -437,7 +321,7 @@
   }
 
   void Restart() {
-    costs_.clear();
+    costs_ = {};
     starts_ = 0;
     done_ = 0;
     finished_ = 0;
@@ -458,7 +342,7 @@
   std::map<std::string, std::pair<std::size_t, int>> kinds_;
   std::array<std::array<double, kFillingImages>, kServingImages> pressures_{};
   std::vector<sent_start> sent_;
-  std::map<std::string, cost> costs_;
+  cost_table costs_;
   double due_ = 0.0;
   int submitted_ = 0;
   std::int64_t starts_ = 0;
--- /dev/null
+++ b/bench/fleet_load.h
@@ -0,0 +1,60 @@
+// Jobs as the grown Bucle Andino's callers submit them.
+#ifndef WAXWINGFRONT_BENCH_FLEET_LOAD_H_
+#define WAXWINGFRONT_BENCH_FLEET_LOAD_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <string_view>
+
+#include "waxwingfront/schema/gen/fleet.pb.h"
+
+namespace waxwingfront::fleet {
+
+inline constexpr int kServingImages = 10;
+inline constexpr int kFillingImages = 18;
+
+struct job_class {
+  std::string_view queue;
+  // Of the jobs submitted.
+  double share;
+  double steps;
+  double most_steps;
+  double width;
+  double width_spread;
+  double most_width;
+  double cpu;
+  double cpu_spread;
+  double most_cpu;
+  double memory;
+  double work_ms;
+  double most_work_ms;
+  double failing;
+  // Share of steps with one task an executor.
+  double apart;
+  // Jobs that are there at the start.
+  int filled;
+};
+
+// Ordinary, filling and lasting jobs.
+inline constexpr std::array<job_class, 3> kClasses{
+    {{"field-check", 16.5, 1.6, 4, 9.5, 0.8, 57, 5700, 0.45, 17'000, 11'000,
+      640, 1600, 0.05, 0.15, 0},
+     {"loop-design", 27.7, 2.0, 5, 20, 0.6, 80, 3500, 0.3, 7000, 6400, 1700,
+      4300, 0.02, 0.0, 47},
+     {"loop-watch", 0.906, 1.0, 1, 14, 0.4, 28, 6400, 0.25, 10'000, 13'000, 320,
+      800, 0.0, 0.5, 163}}};
+
+double Draw(std::mt19937& random, double mean, double spread, double most);
+
+// The class of the next job.
+const job_class& DrawClass(std::mt19937& random);
+
+// A job of the class whose tasks run the image of that number.
+schema::fleet_job DrawJob(std::mt19937& random, std::size_t kind, int number,
+                          int& image);
+
+}  // namespace waxwingfront::fleet
+
+#endif  // WAXWINGFRONT_BENCH_FLEET_LOAD_H_
