Keep a leader while renewals are late, and never lead again on a lease given up

Callers saw requests without a leader and orders that stopped although the leader lived.

* A renewal waited for the time-out of the one before.
Two lost answers in a row used up a lease.
Now a renewal without an answer for 200 ms is joined by another one, three at most; the latest sending time that was answered counts.
A token that was given up is not taken up again.
* While a process waits before its claim it goes on watching the key, so that it grants no lease in vain, and a doubt does not start its wait again.

Tests, seen to fail with each mechanism taken out: "renewals whose answers are lost do not end orders" (orders paused), "a process that resigned does not lead until its lease's end arrives" (elected 2 times in place of 1), "a process that waits before its claim claims nothing once another leads" (1 lease in place of 0), "doubts during a vacancy do not put a claim off" (no leader within 1 s), "a leader that lost the store is not ready until the store answers" (ready).

--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -1,5 +1,7 @@
 #include "waxwingfront/fleet/leadership.h"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace waxwingfront::fleet {
@@ -18,11 +20,19 @@
     if (revision != 0 && revision < latest_token) return;
     if (revision != 0) latest_token = revision;
     const std::string address = value.substr(0, value.find(' '));
+    if (!address.empty()) OnTaken();
     if (address == leader) return;
     leader = address;
     hooks.on_leader(leader);
   }
 
+  // Leadership is not free any more.
+  void OnTaken() {
+    ++vacancy;
+    claim_pending = false;
+    waited = false;
+  }
+
   // Calls `step` later, unless something else has taken its place.
   void Later(core::milliseconds delay, void (internal::*step)()) {
     loop.After(delay, [self = shared_from_this(), step, round = round] {
@@ -41,9 +51,13 @@
         return;
       }
       self->watched = page->at;
+      self->answered = core::Now();
       const store_item& item = page->items.front();
       if (item.revision == 0) {
         self->OnVacant();
+      } else if (item.revision == self->given_up) {
+        // The end of its lease is on its way.
+        self->Watch();
       } else if (item.value == self->OwnValue()) {
         self->OnClaimed(item.revision);
       } else {
@@ -73,6 +87,7 @@
       return;
     }
     watched = news->at;
+    answered = core::Now();
     if (news->changes.empty()) {
       Watch();
       return;
@@ -88,13 +103,22 @@
 
   void OnVacant() {
     SetLeader("", 0);
-    if (resigned) {
-      Watch();
-      return;
-    }
-    const core::milliseconds delay(
-        hooks.random(options.claim_spread.count() + 1));
-    Later(delay, &internal::Claim);
+    if (!resigned && !claim_pending) PlanClaim();
+    Watch();
+  }
+
+  // The key is watched meanwhile, so that no claim is made in vain. What is
+  // added to the spread is waited once a vacancy, whatever happens during it.
+  void PlanClaim() {
+    claim_pending = true;
+    core::milliseconds delay(hooks.random(options.claim_spread.count() + 1));
+    if (!waited && hooks.claim_wait) delay = hooks.claim_wait(delay);
+    loop.After(delay, [self = shared_from_this(), planned = vacancy] {
+      if (self->vacancy != planned || !self->claim_pending) return;
+      self->claim_pending = false;
+      self->waited = true;
+      self->Claim();
+    });
   }
 
   void Claim() {
@@ -135,36 +159,60 @@
 
   void OnClaimed(std::int64_t revision) {
     ++round;
+    OnTaken();
     leading = true;
+    ++term;
     token = revision;
     latest_token = revision;
     leader = options.address;
+    renewals = 0;
     hooks.on_leader(leader);
     hooks.on_elected(token, core::Now());
     Renew();
   }
 
+  // Sends a renewal, and the next one when this one is answered or late: an
+  // answer that is lost or waits must not take the time of the next.
   void Renew() {
     if (!leading) return;
-    const int started = ++round;
     const std::int64_t asked_ms = hooks.boot_time_ms();
-    store.renew_lease(lease.id, [self = shared_from_this(), started, asked_ms,
+    ++renewals;
+    store.renew_lease(lease.id, [self = shared_from_this(), of = term, asked_ms,
                                  asked = core::Now()](lease_status status) {
-      if (self->round != started) return;
+      if (!self->leading || self->term != of) return;
       if (self->hooks.on_stage) {
         self->hooks.on_stage(load_stage::kRenewal, core::Now() - asked);
       }
-      if (status == lease_status::kEnded) {
-        self->StepDown("lease ended");
-        return;
-      }
-      if (status == lease_status::kAlive) {
-        self->valid_until_ms = asked_ms + self->lease.ttl.count();
-      }
-      const bool alive = status == lease_status::kAlive;
-      self->Later(alive ? self->options.renew_every : self->options.retry,
-                  &internal::Renew);
+      self->OnRenewal(status, asked_ms);
     });
+    Later(options.renewal_late, &internal::RenewBesides);
+  }
+
+  void RenewBesides() {
+    if (renewals == 0) return;
+    if (renewals < options.max_renewals) {
+      Renew();
+      return;
+    }
+    Later(options.renewal_late, &internal::RenewBesides);
+  }
+
+  void OnRenewal(lease_status status, std::int64_t asked_ms) {
+    --renewals;
+    if (status == lease_status::kEnded) {
+      StepDown("lease ended");
+      return;
+    }
+    if (status != lease_status::kAlive) {
+      if (renewals > 0) return;
+      ++round;
+      Later(options.retry, &internal::Renew);
+      return;
+    }
+    answered = core::Now();
+    valid_until_ms = std::max(valid_until_ms, asked_ms + lease.ttl.count());
+    ++round;
+    Later(options.renew_every, &internal::Renew);
   }
 
   bool MayOrder() const {
@@ -175,6 +223,8 @@
   void StepDown(std::string_view reason) {
     if (!leading) return;
     leading = false;
+    // What deposed this process may have been its own way to the store.
+    answered.reset();
     ++round;
     leader.clear();
     hooks.on_deposed(reason);
@@ -182,6 +232,20 @@
     Observe();
   }
 
+  // Leads no more under this token, whatever the key says until `Release`.
+  void GiveUp(std::string_view reason) {
+    if (!leading) return;
+    given_up = token;
+    given_up_lease = lease.id;
+    StepDown(reason);
+  }
+
+  void Release() {
+    if (given_up_lease == 0) return;
+    store.end_lease(given_up_lease);
+    given_up_lease = 0;
+  }
+
   net::event_loop& loop;
   const store_services& store;
   leadership_options options;
@@ -191,11 +255,26 @@
   std::int64_t watched = 0;
   store_lease lease;
   std::int64_t valid_until_ms = 0;
+  // Counts the times that this process came to lead.
+  int term = 0;
+  // Renewals of this term that are on their way.
+  int renewals = 0;
   std::int64_t token = 0;
+  // Token under which this process leads no more, whatever the key says.
+  std::int64_t given_up = 0;
+  // Its lease; 0 once its end was sent.
+  std::int64_t given_up_lease = 0;
   // Token of the latest leader known.
   std::int64_t latest_token = 0;
   bool leading = false;
   bool resigned = false;
+  // Counts the times that leadership was taken, as far as this process saw.
+  int vacancy = 0;
+  bool claim_pending = false;
+  // The added wait of this vacancy is over.
+  bool waited = false;
+  // Last answer of the store about the key or its lease.
+  std::optional<core::monotonic_time> answered;
   // Last look at the key on request, to bound the calls to the store.
   core::monotonic_time doubted{};
   // Answers to calls of an earlier round are ignored.
@@ -207,7 +286,11 @@
     : internal_(std::make_shared<internal>(loop, store, std::move(options),
                                            std::move(hooks))) {}
 
-leadership::~leadership() { ++internal_->round; }
+leadership::~leadership() {
+  internal_->leading = false;
+  ++internal_->round;
+  ++internal_->vacancy;
+}
 
 void leadership::Start() { internal_->Observe(); }
 
@@ -240,11 +323,19 @@
 }
 
 void leadership::Resign() {
-  const bool led = internal_->leading;
   internal_->resigned = true;
-  if (!led) return;
-  internal_->StepDown("resigned");
-  internal_->store.end_lease(internal_->lease.id);
+  internal_->GiveUp("resigned");
+  internal_->Release();
+}
+
+void leadership::HandOver() { internal_->GiveUp("handed over"); }
+
+void leadership::Release() { internal_->Release(); }
+
+bool leadership::FollowsStore() const {
+  return !internal_->resigned && internal_->answered &&
+         core::Now() - *internal_->answered <=
+             internal_->options.watch + internal_->options.watch_slack;
 }
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/leadership.h
+++ b/src/waxwingfront/fleet/leadership.h
@@ -25,10 +25,15 @@
   // the usual minimum of the platform would lengthen each take-over.
   core::milliseconds lease{1500};
   core::milliseconds renew_every{400};
+  // A renewal without an answer for this long is joined by another one.
+  core::milliseconds renewal_late{200};
+  int max_renewals = 3;
   // Part of the lease that is given up for rounding and clock drift.
   core::milliseconds lease_margin{100};
   // Longest wait of one watch call, so that a silent connection is found.
   core::milliseconds watch{2000};
+  // A watch's answer may take this much longer.
+  core::milliseconds watch_slack{500};
   // Processes wait up to this long before they claim, so that not all do.
   core::milliseconds claim_spread{80};
   core::milliseconds retry{150};
@@ -48,6 +53,9 @@
   stage_hook on_stage;
   // Uniform number below `limit`.
   std::function<std::int64_t(std::int64_t limit)> random;
+  // Wait before a claim, given this process's part of the spread, which is the
+  // wait if this is not set.
+  std::function<core::milliseconds(core::milliseconds spread)> claim_wait;
 };
 
 class leadership {
@@ -76,6 +84,14 @@
   void Doubt();
   // Gives leadership up and does not claim it again; still follows the leader.
   void Resign();
+  // Orders nothing more, so that another process can lead. The key stays until
+  // `Release` or the end of its lease.
+  void HandOver();
+  // Lets others claim what was handed over.
+  void Release();
+
+  // The store has answered lately, and since this process last led.
+  bool FollowsStore() const;
 
  private:
   struct internal;
--- a/tests/waxwingfront/fleet/leadership_test.cc
+++ b/tests/waxwingfront/fleet/leadership_test.cc
@@ -15,13 +15,15 @@
 
 struct candidate {
   candidate(net::event_loop& loop, fake_store& shared,
-            const std::string& address)
+            const std::string& address,
+            milliseconds claim_delay = milliseconds(0))
       : store(shared.Services()),
         place(loop, store,
               {.address = address,
                .nonce = address,
                .lease = milliseconds(300),
                .renew_every = milliseconds(80),
+               .renewal_late = milliseconds(40),
                .lease_margin = milliseconds(20),
                .watch = milliseconds(200),
                .claim_spread = milliseconds(0),
@@ -31,7 +33,16 @@
                .on_deposed = [this](std::string_view) { ++deposed; },
                .on_leader = [](const std::string&) {},
                .boot_time_ms = [this] { return clock_ms(); },
-               .random = [](std::int64_t) { return 0; }}) {
+               .random = [](std::int64_t) { return 0; },
+               .claim_wait =
+                   [claim_delay](milliseconds spread) {
+                     return spread + claim_delay;
+                   }}) {
+    const auto grant = store.grant_lease;
+    store.grant_lease = [this, grant](milliseconds ttl, auto done) {
+      ++leases;
+      grant(ttl, done);
+    };
     place.Start();
   }
 
@@ -44,6 +55,7 @@
   std::function<std::int64_t()> clock_ms = SteadyMs;
   int elected = 0;
   int deposed = 0;
+  int leases = 0;
   fleet::store_services store;
   leadership place;
 };
@@ -128,5 +140,124 @@
   CHECK(one.place.Leader() == "two");
 }
 
+TEST_CASE("renewals whose answers are lost do not end orders", "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate one(loop, store, "one");
+  REQUIRE(RunUntil(loop, [&] { return one.place.MayOrder(); }));
+  // Of three answers two are lost, which is known after a time-out.
+  const auto renew = one.store.renew_lease;
+  int renewals = 0;
+  one.store.renew_lease = [&](std::int64_t lease, auto done) {
+    if (++renewals % 3 == 0) return renew(lease, done);
+    loop.After(milliseconds(150),
+               [done] { done(fleet::lease_status::kUnknown); });
+  };
+  bool gap = false;
+  RunUntil(
+      loop,
+      [&] {
+        gap |= !one.place.MayOrder();
+        return gap;
+      },
+      milliseconds(2000));
+  CHECK_FALSE(gap);
+}
+
+TEST_CASE("a process that resigned does not lead until its lease's end arrives",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate one(loop, store, "one");
+  REQUIRE(RunUntil(loop, [&] { return one.elected == 1; }));
+  const auto end = one.store.end_lease;
+  one.store.end_lease = [&](std::int64_t lease) {
+    loop.After(milliseconds(100), [end, lease] { end(lease); });
+  };
+  one.place.Resign();
+  RunFor(loop, milliseconds(200));
+  CHECK(one.elected == 1);
+  CHECK(store.Value(std::string(fleet::kLeaderKey)).empty());
+}
+
+TEST_CASE(
+    "a process that waits before its claim claims nothing once another "
+    "leads",
+    "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate weak(loop, store, "weak", milliseconds(200));
+  candidate strong(loop, store, "strong");
+  REQUIRE(RunUntil(loop, [&] { return weak.place.Leader() == "strong"; }));
+  RunFor(loop, milliseconds(300));
+  CHECK(weak.elected + weak.leases == 0);
+}
+
+TEST_CASE("doubts during a vacancy do not put a claim off", "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate weak(loop, store, "weak", milliseconds(150));
+  REQUIRE(RunUntil(
+      loop,
+      [&] {
+        weak.place.Doubt();
+        return weak.elected == 1;
+      },
+      milliseconds(1000)));
+}
+
+TEST_CASE("a leader that hands over orders nothing and can lead again",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate one(loop, store, "one", milliseconds(100));
+  REQUIRE(RunUntil(loop, [&] { return one.elected == 1; }));
+  candidate two(loop, store, "two");
+  const std::int64_t token = one.place.Token();
+  one.place.HandOver();
+  CHECK_FALSE(one.place.MayOrder());
+  RunFor(loop, milliseconds(50));
+  CHECK(one.elected + two.elected == 1);
+  one.place.Release();
+  REQUIRE(RunUntil(loop, [&] { return two.elected == 1; }));
+  CHECK(two.place.Token() > token);
+  two.place.Resign();
+  CHECK(RunUntil(loop, [&] { return one.elected == 2; }));
+}
+
+TEST_CASE("a leader that lost the store is not ready until the store answers",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate one(loop, store, "one");
+  REQUIRE(RunUntil(loop, [&] { return one.elected == 1; }));
+  CHECK(one.place.FollowsStore());
+  store.down = true;
+  one.place.Hear(one.place.Token() + 1, "two");
+  CHECK_FALSE(one.place.FollowsStore());
+  RunFor(loop, milliseconds(100));
+  CHECK_FALSE(one.place.FollowsStore());
+  store.down = false;
+  CHECK(RunUntil(loop, [&] { return one.place.FollowsStore(); }));
+}
+
+TEST_CASE("only a process that the store answers follows it", "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate one(loop, store, "one");
+  CHECK_FALSE(one.place.FollowsStore());
+  REQUIRE(RunUntil(loop, [&] { return one.elected == 1; }));
+  candidate two(loop, store, "two");
+  REQUIRE(RunUntil(loop, [&] { return two.place.FollowsStore(); }));
+  RunFor(loop, milliseconds(800));
+  CHECK(two.place.FollowsStore());
+  store.down = true;
+  CHECK(RunUntil(loop, [&] { return !two.place.FollowsStore(); }));
+  store.down = false;
+  CHECK(RunUntil(loop, [&] { return two.place.FollowsStore(); }));
+  two.place.Resign();
+  CHECK_FALSE(two.place.FollowsStore());
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
