Let the process lead whose machine bears the most

Callers saw hardly any job accepted on grown fleets: the leader was whoever claimed first after a random delay. Of 35 machines 27 have a seventh of the processor and a twentieth of the link of the others, and a leader there falls behind, renews late and is replaced by the next weak one.

A process knows its strength from its settings (the scarcer of processor share and link). leader_choice decides, without a network: a weaker process waits up to 400 ms longer before a claim, and a leader hands over to a markedly stronger process that answered lately and is ready. Strengths are in records of their own and in the answers to announcements; processes of the previous version read and send what they did. All members hear of a hand-over, so that pauses between them hold for the whole fleet. The leader watches the members' records, so that it sees a process that joins at once, with the same number of calls while nothing changes.

Tests, seen to fail with strengths ignored: "a weak leader does not keep leadership from a strong process", "after a loss of power the strong process leads at once" (the weak one leads in both).

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -1,6 +1,7 @@
 #include "waxwingfront/fleet/fleet_node.h"
 
 #include <ctime>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -73,9 +74,20 @@
   }
 
   void StartLeadership() {
+    leader_choice_options wanted = options.choice;
+    wanted.address = server.Address();
+    wanted.strength = options.strength;
+    choice.emplace(std::move(wanted));
     announcer = std::make_unique<leader_announcer>(
-        loop, http, store, server.Address(), options.announcer);
-    announcer->Join();
+        loop, http, store, server.Address(), options.announcer,
+        leader_announcer_hooks{
+            .strongest = [this] { return choice->StrongestReady(core::Now()); },
+            .on_answer =
+                [this](const std::string& address,
+                       const schema::fleet_standing& standing) {
+                  OnStanding(address, standing);
+                }});
+    announcer->Join(options.strength);
     leadership_options chosen = options.leadership;
     chosen.address = server.Address();
     chosen.nonce = std::to_string(random());
@@ -98,12 +110,47 @@
                   return std::uniform_int_distribution<std::int64_t>(
                       0, limit - 1)(random);
                 },
+            .claim_wait =
+                [this](core::milliseconds spread) {
+                  return choice->ClaimWait(spread, core::Now());
+                },
         });
-    place->Start();
+    announcer->ReadStrongest([this](std::int64_t strength) {
+      choice->OnStrongest(strength);
+      place->Start();
+    });
+  }
+
+  void OnStanding(const std::string& address,
+                  const schema::fleet_standing& standing) {
+    const core::monotonic_time now = core::Now();
+    choice->OnStanding(
+        address, {.strength = standing.strength(), .ready = standing.ready()},
+        now);
+    const auto successor = choice->Successor(now);
+    if (!successor || !place->Leading()) return;
+    log.Write("leader_hands_over",
+              {{"token", place->Token()}, {"address", *successor}});
+    choice->OnHandover(*successor, now);
+    place->HandOver();
+    announcer->HandOver(*successor, [this] { place->Release(); });
+  }
+
+  std::string Announced(const schema::fleet_leadership& news) {
+    place->Hear(news.token(), news.address());
+    if (!news.successor().empty()) {
+      choice->OnHandover(news.successor(), core::Now());
+    }
+    choice->OnStrongest(news.strongest());
+    schema::fleet_standing standing;
+    standing.set_strength(options.strength);
+    standing.set_ready(place->FollowsStore() && manifests.Current());
+    return standing.SerializeAsString();
   }
 
   void OnElected(std::int64_t token, core::monotonic_time claimed) {
-    log.Write("leader_elected", {{"token", token}});
+    log.Write("leader_elected",
+              {{"token", token}, {"strength", options.strength}});
     announcer->Start(token);
     leader = std::make_unique<fleet_leader>(
         loop, store, executors, token, claimed, options.leader,
@@ -130,9 +177,11 @@
     }
     if (request.target == kAnnouncePath) {
       schema::fleet_leadership news;
-      const bool valid = news.ParseFromString(request.body) && place;
-      if (valid) place->Hear(news.token(), news.address());
-      respond({.status = valid ? net::kHttpOk : net::kHttpBadRequest});
+      if (!news.ParseFromString(request.body) || !place) {
+        respond({.status = net::kHttpBadRequest});
+        return;
+      }
+      respond({.body = Announced(news)});
       return;
     }
     schema::fleet_request call;
@@ -171,6 +220,7 @@
   metrics::registry metrics;
   load_monitor load;
   manifest_follower manifests;
+  std::optional<leader_choice> choice;
   std::unique_ptr<leader_announcer> announcer;
   std::unique_ptr<leadership> place;
   std::unique_ptr<fleet_leader> leader;
@@ -201,6 +251,10 @@
   return {};
 }
 
+const std::string& fleet_node::Address() const {
+  return internal_->server.Address();
+}
+
 const std::optional<manifest>& fleet_node::Manifest() const {
   return internal_->manifests.Current();
 }
--- a/src/waxwingfront/fleet/fleet_node.h
+++ b/src/waxwingfront/fleet/fleet_node.h
@@ -3,6 +3,7 @@
 #ifndef WAXWINGFRONT_FLEET_FLEET_NODE_H_
 #define WAXWINGFRONT_FLEET_FLEET_NODE_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -13,6 +14,7 @@
 #include "waxwingfront/fleet/fleet_leader.h"
 #include "waxwingfront/fleet/job_gateway.h"
 #include "waxwingfront/fleet/leader_announcer.h"
+#include "waxwingfront/fleet/leader_choice.h"
 #include "waxwingfront/fleet/leadership.h"
 #include "waxwingfront/fleet/load_monitor.h"
 #include "waxwingfront/fleet/manifest_follower.h"
@@ -28,6 +30,10 @@
 struct fleet_node_options {
   // Address for calls of other processes, and for the metrics.
   std::string internal_address;
+  // What the machine bears, see `StrengthOf`; 0: not known.
+  std::int64_t strength = 0;
+  // `address` and `strength` of this process are filled in.
+  leader_choice_options choice;
   leadership_options leadership;
   leader_announcer_options announcer;
   manifest_follower_options manifest;
@@ -51,6 +57,9 @@
 
   core::result<void> Start();
 
+  // Where other processes reach this one, once it has started.
+  const std::string& Address() const;
+
   const std::optional<manifest>& Manifest() const;
 
   // Whether requests can be served: there are a manifest and a leader.
--- a/src/waxwingfront/fleet/leader_announcer.h
+++ b/src/waxwingfront/fleet/leader_announcer.h
@@ -4,6 +4,7 @@
 #define WAXWINGFRONT_FLEET_LEADER_ANNOUNCER_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -12,36 +13,59 @@
 #include "waxwingfront/fleet/platform_services.h"
 #include "waxwingfront/net/async_http_client.h"
 #include "waxwingfront/net/event_loop.h"
+#include "waxwingfront/schema/gen/fleet.pb.h"
 
 namespace waxwingfront::fleet {
 
-// Path of announcements between processes; the body is a `fleet_leadership`.
+// Path of announcements between processes; the body is a `fleet_leadership`,
+// that of the answer a `fleet_standing`.
 inline constexpr std::string_view kAnnouncePath = "/fleet/leader";
 
 struct leader_announcer_options {
   core::milliseconds period{1000};
-  // Between two looks at the list of members.
+  // Longest wait of a watch of the members: after it all are read again.
   core::milliseconds refresh{10'000};
   core::milliseconds timeout{500};
   core::milliseconds retry{200};
+  // Longest wait until all know of a hand-over: nobody leads meanwhile.
+  core::milliseconds handover{150};
+};
+
+struct leader_announcer_hooks {
+  // Strength of the strongest other process that could lead; 0: not known.
+  std::function<std::int64_t()> strongest;
+  // A process has answered an announcement.
+  std::function<void(const std::string& address,
+                     const schema::fleet_standing& standing)>
+      on_answer;
 };
 
 class leader_announcer {
  public:
   leader_announcer(net::event_loop& loop, net::async_http_client& client,
                    const store_services& store, std::string address,
-                   leader_announcer_options options);
+                   leader_announcer_options options,
+                   leader_announcer_hooks hooks);
   leader_announcer(const leader_announcer&) = delete;
   leader_announcer& operator=(const leader_announcer&) = delete;
   ~leader_announcer();
 
-  // Enters this process into the list of members, until the store has it.
-  void Join();
+  // Enters this process and its strength into the list of members, until the
+  // store has it.
+  void Join(std::int64_t strength);
+
+  // The largest strength that a process other than this one has entered, or 0.
+  // `done` is called once, also if the store does not answer.
+  void ReadStrongest(std::function<void(std::int64_t strength)> done);
 
   // Announces this process as the leader until `Stop`.
   void Start(std::int64_t token);
   void Stop();
 
+  // Tells the members, as they were known last, who claims leadership next.
+  // `told` is called once all have answered or the time for it is over.
+  void HandOver(const std::string& successor, std::function<void()> told);
+
  private:
   struct internal;
   std::shared_ptr<internal> internal_;
--- a/src/waxwingfront/fleet/record_keys.h
+++ b/src/waxwingfront/fleet/record_keys.h
@@ -12,6 +12,8 @@
 // Names the leader, under its lease.
 inline constexpr std::string_view kLeaderKey = "wf/leader";
 inline constexpr std::string_view kMembersPrefix = "wf/members/";
+// Not in the members' records, whose whole value earlier versions call.
+inline constexpr std::string_view kStrengthsPrefix = "wf/strengths/";
 inline constexpr std::string_view kSharingKey = "wf/sharing";
 inline constexpr std::string_view kJobPrefix = "wf/jobs/";
 inline constexpr std::string_view kProgressPrefix = "wf/progress/";
--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -25,7 +25,8 @@
     "listen.readiness=10.0.0.1:8167\nip_address=10.0.0.1\n"
     "internal_port_range=7720,7735\nplatform.address=10.0.0.7:8169\n"
     "bounds.grace_s=6\nbounds.max_hold_ms=10000\nplatform.min_ttl_ms=1000\n"
-    "limits.link_mbps=10.0\na_field_of_tomorrow=1\n";
+    "limits.cpu_share=0.1\nlimits.cores=2\nlimits.link_mbps=10.0\n"
+    "a_field_of_tomorrow=1\n";
 
 TEST_CASE("the platform's settings give addresses and bounds", "[platform]") {
   const settings_file file(kWhole);
@@ -34,7 +35,8 @@
   CHECK(settings->internal_address == "10.0.0.1:7720");
   CHECK(settings->store_address == "10.0.0.7:8169");
   CHECK(settings->grace == core::milliseconds(6000));
-  CHECK(settings->link_mbps == 10.0);
+  CHECK(settings->machine.cores == Approx(0.2));
+  CHECK(settings->machine.link_mbps == 10.0);
 }
 
 TEST_CASE("settings without an address or a file are a failure", "[platform]") {
--- /dev/null
+++ b/tests/waxwingfront/fleet/fleet_node_test.cc
@@ -0,0 +1,131 @@
+#include "waxwingfront/fleet/fleet_node.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "support/fake_store.h"
+#include "support/loop_runner.h"
+#include "waxwingfront/fleet/record_keys.h"
+#include "waxwingfront/schema/gen/fleet.pb.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+using core::milliseconds;
+
+constexpr std::int64_t kWeak = 69'000;
+constexpr std::int64_t kStrong = 500'000;
+
+struct fleet_process {
+  fleet_process(net::event_loop& loop, fake_store& shared,
+                std::int64_t strength)
+      : client(loop, {}),
+        store(shared.Services()),
+        node(loop, client, store, executors, Options(strength), log) {
+    started = node.Start().has_value();
+  }
+
+  static fleet::fleet_node_options Options(std::int64_t strength) {
+    fleet::fleet_node_options options;
+    options.internal_address = "127.0.0.1:0";
+    options.strength = strength;
+    options.leadership.claim_spread = milliseconds(10);
+    options.announcer.period = milliseconds(200);
+    return options;
+  }
+
+  std::int64_t Elections() {
+    const std::string text = node.Metrics().Text();
+    const std::string line =
+        "waxwingfront_events_total{event=\"leader_elected\"} ";
+    const std::size_t at = text.find(line);
+    return at == std::string::npos ? 0
+                                   : std::stoll(text.substr(at + line.size()));
+  }
+
+  bool Leads(fake_store& shared) const {
+    const std::string leader = shared.Value(std::string(fleet::kLeaderKey));
+    return !leader.empty() &&
+           leader.substr(0, leader.find(' ')) == node.Address();
+  }
+
+  net::async_http_client client;
+  fleet::store_services store;
+  fleet::executor_services executors;
+  logging::event_log log{{}};
+  fleet::fleet_node node;
+  bool started = false;
+};
+
+TEST_CASE("a weak leader does not keep leadership from a strong process",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  store.Put("manifest", "1");
+  fleet_process weak(loop, store, kWeak);
+  REQUIRE(weak.started);
+  REQUIRE(RunUntil(loop, [&] { return weak.Leads(store); }));
+  fleet_process strong(loop, store, kStrong);
+  REQUIRE(strong.started);
+  REQUIRE(RunUntil(loop, [&] { return strong.Leads(store); }));
+  RunFor(loop, milliseconds(1000));
+  CHECK(strong.Leads(store));
+  CHECK(weak.Elections() == 1);
+}
+
+TEST_CASE("after a loss of power the strong process leads at once", "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  schema::fleet_strength before;
+  before.set_strength(kStrong);
+  store.Put(std::string(fleet::kStrengthsPrefix) + "127.0.0.1:1",
+            before.SerializeAsString());
+  fleet_process weak(loop, store, kWeak);
+  RunFor(loop, milliseconds(150));
+  fleet_process strong(loop, store, kStrong);
+  REQUIRE(RunUntil(loop, [&] { return strong.Leads(store); }));
+  CHECK(weak.Elections() == 0);
+}
+
+TEST_CASE("a process enters its strength for those that start later",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  fleet_process one(loop, store, kWeak);
+  const std::string key =
+      std::string(fleet::kStrengthsPrefix) + one.node.Address();
+  REQUIRE(RunUntil(loop, [&] { return !store.Value(key).empty(); }));
+  schema::fleet_strength entered;
+  REQUIRE(entered.ParseFromString(store.Value(key)));
+  CHECK(entered.strength() == kWeak);
+}
+
+TEST_CASE("a weak process leads when the strong one ends", "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  store.Put("manifest", "1");
+  fleet_process weak(loop, store, kWeak);
+  fleet_process strong(loop, store, kStrong);
+  REQUIRE(RunUntil(loop, [&] { return strong.Leads(store); }));
+  const std::int64_t before = weak.Elections();
+  strong.node.Resign();
+  CHECK(RunUntil(
+      loop, [&] { return weak.Leads(store); }, milliseconds(1000)));
+  RunFor(loop, milliseconds(1000));
+  CHECK(weak.Leads(store));
+  CHECK(weak.Elections() == before + 1);
+}
+
+TEST_CASE("members' records hold addresses as the previous version reads them",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  fleet_process one(loop, store, kWeak);
+  const std::string key =
+      std::string(fleet::kMembersPrefix) + one.node.Address();
+  REQUIRE(RunUntil(loop, [&] { return !store.Value(key).empty(); }));
+  CHECK(store.Value(key) == one.node.Address());
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
--- /dev/null
+++ b/tests/waxwingfront/fleet/leader_choice_test.cc
@@ -0,0 +1,197 @@
+#include "waxwingfront/fleet/leader_choice.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace waxwingfront::tests {
+namespace {
+
+using core::milliseconds;
+using core::monotonic_time;
+using fleet::leader_choice;
+
+// Simulated time begins where a clock that counts from the boot may be.
+monotonic_time At(std::int64_t ms) { return monotonic_time(milliseconds(ms)); }
+
+leader_choice Choice(std::int64_t strength,
+                     const std::string& address = "own") {
+  return leader_choice({.address = address, .strength = strength});
+}
+
+const fleet::leader_choice_options kDefaults;
+constexpr milliseconds kSpread(50);
+
+TEST_CASE("strength is the scarcer of processor and link", "[fleet]") {
+  const auto small = fleet::StrengthOf({.cores = 0.069, .link_mbps = 10});
+  const auto medium = fleet::StrengthOf({.cores = 0.12, .link_mbps = 10});
+  const auto large = fleet::StrengthOf({.cores = 0.5, .link_mbps = 200});
+  CHECK(small < medium);
+  CHECK(medium < large);
+  CHECK(medium == fleet::StrengthOf({.cores = 0.5, .link_mbps = 10}));
+  CHECK(large == fleet::StrengthOf({.cores = 0.5, .link_mbps = 200}));
+  CHECK(fleet::StrengthOf({.cores = 0.5}) == 0);
+  CHECK(fleet::StrengthOf({.link_mbps = 10}) == 0);
+}
+
+TEST_CASE("the strongest process claims at once and weaker ones wait longer",
+          "[fleet]") {
+  rc::prop("the wait is bounded and falls with strength", [] {
+    const auto strongest = *rc::gen::inRange<std::int64_t>(1, 2'000'000);
+    const auto one = *rc::gen::inRange<std::int64_t>(1, 2'000'000);
+    const auto two = *rc::gen::inRange<std::int64_t>(one, 2'000'000);
+    leader_choice weak = Choice(one);
+    leader_choice strong = Choice(two);
+    weak.OnStrongest(strongest);
+    strong.OnStrongest(strongest);
+    const auto waits = weak.ClaimWait(kSpread, At(0));
+    RC_ASSERT(waits >= strong.ClaimWait(kSpread, At(0)));
+    RC_ASSERT(waits <= kSpread + kDefaults.longest_delay);
+    if (one >= strongest) RC_ASSERT(waits == kSpread);
+  });
+}
+
+TEST_CASE("a process claims within a bounded time whatever it has heard",
+          "[fleet]") {
+  rc::prop("records, answers and hand-overs in any order", [] {
+    leader_choice choice = Choice(*rc::gen::inRange<std::int64_t>(0, 1000));
+    std::int64_t now = 0;
+    const auto facts =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6000));
+    for (const int fact : facts) {
+      now += fact / 3;
+      const std::string address = std::to_string(fact % 4);
+      if (fact % 3 == 0) choice.OnStrongest(fact);
+      if (fact % 3 == 1) choice.OnHandover(address, At(now));
+      choice.OnStanding(address, {.strength = fact, .ready = fact % 2 == 0},
+                        At(now));
+      RC_ASSERT(choice.ClaimWait(kSpread, At(now)) >= milliseconds(0));
+      RC_ASSERT(choice.ClaimWait(kSpread, At(now)) <=
+                kSpread + kDefaults.longest_delay);
+    }
+  });
+}
+
+TEST_CASE("a weak process beside the strongest waits longer than a claim takes",
+          "[fleet]") {
+  leader_choice weak =
+      Choice(fleet::StrengthOf({.cores = 0.069, .link_mbps = 10}));
+  weak.OnStrongest(fleet::StrengthOf({.cores = 0.5, .link_mbps = 200}));
+  CHECK(weak.ClaimWait(kSpread, At(0)) > kSpread + milliseconds(300));
+}
+
+TEST_CASE("machines of equal or unknown strength never wait or hand over",
+          "[fleet]") {
+  rc::prop("whatever they hear of each other", [] {
+    const auto strength = *rc::gen::element<std::int64_t>(0, 1, 69'000);
+    leader_choice choice = Choice(strength);
+    std::int64_t now = 0;
+    const auto facts =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4000));
+    for (const int fact : facts) {
+      now += fact;
+      if (fact % 2 == 0) choice.OnStrongest(strength);
+      choice.OnStanding(
+          std::to_string(fact % 5),
+          {.strength = fact % 3 == 0 ? 0 : strength, .ready = fact % 7 != 0},
+          At(now));
+      RC_ASSERT(choice.ClaimWait(kSpread, At(now)) == kSpread);
+      RC_ASSERT(!choice.Successor(At(now)));
+    }
+  });
+}
+
+TEST_CASE("a leader hands over to the strongest ready process that answered",
+          "[fleet]") {
+  leader_choice choice = Choice(100);
+  choice.OnStanding("ending", {.strength = 900, .ready = false}, At(10));
+  choice.OnStanding("silent", {.strength = 800, .ready = true}, At(10));
+  CHECK(choice.Successor(At(20)) == "silent");
+  const std::int64_t later = 20 + kDefaults.answer_age.count();
+  choice.OnStanding("little", {.strength = 149, .ready = true}, At(later));
+  CHECK_FALSE(choice.Successor(At(later)));
+  choice.OnStanding("more", {.strength = 150, .ready = true}, At(later));
+  CHECK(choice.Successor(At(later)) == "more");
+  choice.OnStanding("most", {.strength = 500, .ready = true}, At(later));
+  CHECK(choice.Successor(At(later)) == "most");
+}
+
+TEST_CASE("processes of the previous version lead and follow without strength",
+          "[fleet]") {
+  leader_choice choice = Choice(100);
+  // Their answers are empty, and so is what they announce.
+  choice.OnStanding("previous", {}, At(0));
+  choice.OnStrongest(0);
+  CHECK_FALSE(choice.Successor(At(0)));
+  CHECK(choice.ClaimWait(kSpread, At(0)) == kSpread);
+  choice.OnStrongest(200);
+  choice.OnStrongest(0);
+  CHECK(choice.ClaimWait(kSpread, At(0)) > kSpread);
+}
+
+TEST_CASE("the named successor claims first and others follow if it does not",
+          "[fleet]") {
+  rc::prop("whatever their strengths", [] {
+    const auto strength = *rc::gen::inRange<std::int64_t>(0, 1000);
+    const auto strongest = *rc::gen::inRange<std::int64_t>(0, 1000);
+    leader_choice named = Choice(strength, "named");
+    leader_choice other = Choice(strength, "other");
+    for (leader_choice* choice : {&named, &other}) {
+      choice->OnStrongest(strongest);
+      choice->OnHandover("named", At(0));
+    }
+    RC_ASSERT(named.ClaimWait(kSpread, At(1)) == milliseconds(0));
+    RC_ASSERT(other.ClaimWait(kSpread, At(1)) ==
+              kSpread + kDefaults.longest_delay);
+    const auto after = At(kDefaults.claim_time.count());
+    RC_ASSERT(named.ClaimWait(kSpread, after) ==
+              other.ClaimWait(kSpread, after));
+  });
+}
+
+TEST_CASE("a stronger process that never keeps leadership is asked ever rarer",
+          "[fleet]") {
+  rc::prop("hand-overs do not flap", [] {
+    const auto failing = *rc::gen::inRange(1, 4);
+    const auto step = *rc::gen::inRange(20, 400);
+    leader_choice choice = Choice(100);
+    constexpr std::int64_t kTenMinutes = 600'000;
+    int handovers = 0;
+    for (std::int64_t now = 0; now < kTenMinutes; now += step) {
+      for (int i = 0; i < failing; ++i) {
+        choice.OnStanding(std::to_string(i), {.strength = 500, .ready = true},
+                          At(now));
+      }
+      const auto successor = choice.Successor(At(now));
+      if (!successor) continue;
+      ++handovers;
+      choice.OnHandover(*successor, At(now));
+      RC_ASSERT(!choice.Successor(At(now + 1)));
+    }
+    // Pauses of 5, 10, 20, 40 and from then on 80 s fill ten minutes.
+    RC_ASSERT(handovers <= failing * 12);
+    RC_ASSERT(handovers >= failing * 5);
+  });
+}
+
+TEST_CASE("a hand-over long after the last one has a short pause again",
+          "[fleet]") {
+  leader_choice choice = Choice(100);
+  const auto ready = [&](std::int64_t now) {
+    choice.OnStanding("strong", {.strength = 500, .ready = true}, At(now));
+    return choice.Successor(At(now)).has_value();
+  };
+  choice.OnHandover("strong", At(0));
+  choice.OnHandover("strong", At(1000));
+  CHECK_FALSE(ready(10'000));
+  CHECK(ready(11'001));
+  choice.OnHandover("strong", At(200'000));
+  CHECK_FALSE(ready(204'999));
+  CHECK(ready(205'000));
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
