--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -99,6 +99,8 @@
     std::uint64_t version;
   };
   std::deque<unstored_end> unstored_ends;
+  // Job whose storing the first of them waits for; empty if none.
+  std::string end_waits_for;
 
   // Not used for new work until then.
   core::monotonic_time avoid_until{};
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -32,7 +32,6 @@
   journal_.on_job_stored = [this](job_state& job, moment at) {
     runs_.OnJobStored(job, at);
   };
-  journal_.on_batch_stored = [this] { runs_.OnBatchStored(); };
 }
 
 placement_cost fleet_core::PlacementCost() {
@@ -54,6 +53,15 @@
 }
 
 bool fleet_core::Plan(moment at, const std::function<bool()>& enough) {
+  for (const std::string& id : std::exchange(unplanned_, {})) {
+    job_state* const job = state_.FindJob(id);
+    if (job == nullptr) continue;
+    job->planned_for = true;
+    // Whether or not it is placed, its caller waits.
+    if (job->job_revision == 0 && !job->in_batch_as) {
+      state_.unstored.Add(*job, store_urgency::kAtOnce);
+    }
+  }
   sharing_.CountExecutors(at.now);
   if (!deadlines_.MayPlace(at.now)) return true;
   const bool all = planner_.Plan(at, enough);
@@ -103,6 +111,7 @@
   auto fresh = std::make_unique<job_state>(std::move(job), at.now);
   state_.live.push_back(fresh.get());
   state_.Changed(*fresh);
+  unplanned_.push_back(id);
   state_.jobs[id] = std::move(fresh);
   return submission::kNew;
 }
@@ -189,7 +198,7 @@
       std::ranges::count_if(state_.executors, [](const auto& entry) {
         return entry.second.registered && !entry.second.in_contact;
       });
-  return {.unstored_jobs = state_.unstored.size(),
+  return {.unstored_jobs = state_.unstored.Size(),
           .live_jobs = state_.live.size(),
           .executors = state_.executors.size(),
           .executors_out_of_contact = static_cast<std::size_t>(out_of_contact)};
@@ -248,6 +257,7 @@
 void fleet_core::DropOldJobs(moment at) {
   for (auto& [id, job] : state_.jobs) {
     if (!job->Final() || job->removing) continue;
+    if (job->stored_version < job->version) continue;
     if (at.unix_ms - job->EndedUnixMs() < options_.retention.count()) continue;
     if (job->AnyActive()) continue;
     job->removing = true;
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "waxwingfront/fleet/fleet_journal.h"
 #include "waxwingfront/fleet/fleet_state.h"
@@ -129,6 +130,8 @@
   planner planner_;
   rebalancer rebalancer_;
   core::monotonic_time unreached_lapse_{};
+  // New jobs that no round of planning has looked at.
+  std::vector<std::string> unplanned_;
 };
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/fleet_journal.cc
+++ b/src/waxwingfront/fleet/fleet_journal.cc
@@ -4,91 +4,128 @@
 #include <utility>
 
 namespace waxwingfront::fleet {
+namespace {
 
-std::vector<record_write> fleet_journal::NextBatch(std::size_t max_writes) {
-  std::vector<record_write> writes;
-  if (!in_flight_.empty()) return writes;
-  while (!state_.unstored.empty() && writes.size() + 2 <= max_writes) {
-    const std::string id = std::move(state_.unstored.front());
-    state_.unstored.pop_front();
-    job_state* const job = state_.FindJob(id);
-    if (job == nullptr) continue;
-    job->queued_for_store = false;
-    const bool new_job = job->job_revision == 0;
-    if (new_job) {
-      writes.push_back({.kind = record_kind::kJob,
-                        .id = id,
-                        .expected_revision = 0,
-                        .value = job->Spec().SerializeAsString()});
-    }
-    const bool progress = !new_job || job->AnyActive() || job->Final();
-    if (progress) {
-      writes.push_back({.kind = record_kind::kProgress,
-                        .id = id,
-                        .expected_revision = job->progress_revision,
-                        .value = job->ToRecord().SerializeAsString()});
-    }
-    in_flight_.push_back({.id = id,
-                          .version = job->version,
-                          .state = job->State(),
-                          .wrote_job = new_job,
-                          .wrote_progress = progress,
-                          .removed = false});
+// Urgent changes do not wait for a batch that is fuller than 1 in this.
+constexpr std::size_t kUrgentPartOfBatch = 3;
+
+}  // namespace
+
+waiting_changes fleet_journal::Waiting(std::size_t max_writes) const {
+  const bool urgent = state_.unstored.AnyUrgent();
+  const std::size_t enough =
+      urgent ? max_writes / kUrgentPartOfBatch : max_writes;
+  return {.any = state_.unstored.Size() > 0 || !removals_.empty(),
+          .urgent = urgent,
+          .full = state_.unstored.Ready() >= enough};
+}
+
+write_batch fleet_journal::NextBatch(std::size_t max_writes) {
+  write_batch batch{.number = last_batch_ + 1};
+  batch_entries entries;
+  for (job_state* const job : state_.unstored.Take(max_writes)) {
+    WriteChanges(*job, batch.records, entries);
   }
-  while (!removals_.empty() && writes.size() + 2 <= max_writes) {
-    const std::string id = std::move(removals_.back());
+  while (!removals_.empty() && batch.records.size() + 2 <= max_writes) {
+    const job_state* const job = state_.FindJob(removals_.back());
     removals_.pop_back();
-    job_state* const job = state_.FindJob(id);
-    if (job == nullptr) continue;
+    if (job != nullptr) WriteRemoval(*job, batch.records, entries);
+  }
+  if (entries.empty()) return {};
+  last_batch_ = batch.number;
+  in_flight_[batch.number] = std::move(entries);
+  return batch;
+}
+
+void fleet_journal::WriteChanges(job_state& job,
+                                 std::vector<record_write>& writes,
+                                 batch_entries& entries) {
+  const bool new_job = job.job_revision == 0;
+  if (new_job) {
     writes.push_back({.kind = record_kind::kJob,
-                      .id = id,
-                      .expected_revision = job->job_revision,
-                      .remove = true,
-                      .value = {}});
+                      .id = job.Id(),
+                      .expected_revision = 0,
+                      .value = job.Spec().SerializeAsString()});
+  }
+  const bool progress = !new_job || job.AnyActive() || job.Final();
+  if (progress) {
     writes.push_back({.kind = record_kind::kProgress,
-                      .id = id,
-                      .expected_revision = job->progress_revision,
-                      .remove = true,
-                      .value = {}});
-    in_flight_.push_back({.id = id,
-                          .version = job->version,
-                          .state = job->State(),
-                          .wrote_job = false,
-                          .wrote_progress = false,
-                          .removed = true});
+                      .id = job.Id(),
+                      .expected_revision = job.progress_revision,
+                      .value = job.ToRecord().SerializeAsString()});
   }
-  return writes;
+  entries.push_back({.id = job.Id(),
+                     .version = job.version,
+                     .state = job.State(),
+                     .wrote_job = new_job,
+                     .wrote_progress = progress,
+                     .removed = false});
 }
 
-void fleet_journal::Stored(std::int64_t revision, moment at) {
-  const std::vector<batch_entry> batch = std::exchange(in_flight_, {});
-  for (const batch_entry& entry : batch) {
-    job_state* const job = state_.FindJob(entry.id);
-    if (job == nullptr) continue;
-    if (entry.removed) {
-      state_.jobs.erase(entry.id);
-      continue;
-    }
-    if (entry.wrote_job) {
-      job->job_revision = revision;
-      job->milestones.stored = at.now;
-    }
-    if (entry.wrote_progress) job->progress_revision = revision;
-    job->stored_version = entry.version;
-    job->stored_state = entry.state;
-    if (on_job_stored) on_job_stored(*job, at);
-    std::vector<std::function<void(bool)>> ready;
-    std::erase_if(job->waiters, [&](job_state::waiter& waiter) {
-      if (waiter.version > job->stored_version) return false;
-      ready.push_back(std::move(waiter.done));
-      return true;
-    });
-    for (const auto& done : ready) done(true);
+void fleet_journal::WriteRemoval(const job_state& job,
+                                 std::vector<record_write>& writes,
+                                 batch_entries& entries) {
+  writes.push_back({.kind = record_kind::kJob,
+                    .id = job.Id(),
+                    .expected_revision = job.job_revision,
+                    .remove = true,
+                    .value = {}});
+  writes.push_back({.kind = record_kind::kProgress,
+                    .id = job.Id(),
+                    .expected_revision = job.progress_revision,
+                    .remove = true,
+                    .value = {}});
+  entries.push_back({.id = job.Id(),
+                     .version = job.version,
+                     .state = job.State(),
+                     .wrote_job = false,
+                     .wrote_progress = false,
+                     .removed = true});
+}
+
+fleet_journal::batch_entries fleet_journal::TakeBatch(std::uint64_t batch) {
+  const auto found = in_flight_.find(batch);
+  if (found == in_flight_.end()) return {};
+  batch_entries entries = std::move(found->second);
+  in_flight_.erase(found);
+  return entries;
+}
+
+void fleet_journal::Stored(std::uint64_t batch, std::int64_t revision,
+                           moment at) {
+  for (const batch_entry& entry : TakeBatch(batch)) {
+    OnEntryStored(entry, revision, at);
+  }
+}
+
+void fleet_journal::OnEntryStored(const batch_entry& entry,
+                                  std::int64_t revision, moment at) {
+  job_state* const job = state_.FindJob(entry.id);
+  if (job == nullptr) return;
+  if (entry.removed) {
+    state_.jobs.erase(entry.id);
+    return;
+  }
+  if (entry.wrote_job) {
+    job->job_revision = revision;
+    job->milestones.stored = at.now;
   }
-  if (on_batch_stored) on_batch_stored();
+  if (entry.wrote_progress) job->progress_revision = revision;
+  job->stored_version = entry.version;
+  job->stored_state = entry.state;
+  state_.unstored.Settle(*job);
+  if (on_job_stored) on_job_stored(*job, at);
+  std::vector<std::function<void(bool)>> ready;
+  std::erase_if(job->waiters, [&](job_state::waiter& waiter) {
+    if (waiter.version > job->stored_version) return false;
+    ready.push_back(std::move(waiter.done));
+    return true;
+  });
+  for (const auto& done : ready) done(true);
 }
 
-void fleet_journal::Conflicted(std::span<const record_revision> actual) {
+void fleet_journal::Conflicted(std::uint64_t batch,
+                               std::span<const record_revision> actual) {
   for (const record_revision& record : actual) {
     job_state* const job = state_.FindJob(record.id);
     if (job == nullptr) continue;
@@ -98,19 +135,17 @@
       job->progress_revision = record.revision;
     }
   }
-  Unanswered();
+  Unanswered(batch);
 }
 
-void fleet_journal::Unanswered() {
-  const std::vector<batch_entry> batch = std::exchange(in_flight_, {});
-  for (auto entry = batch.rbegin(); entry != batch.rend(); ++entry) {
-    job_state* const job = state_.FindJob(entry->id);
+void fleet_journal::Unanswered(std::uint64_t batch) {
+  for (const batch_entry& entry : TakeBatch(batch)) {
+    job_state* const job = state_.FindJob(entry.id);
     if (job == nullptr) continue;
-    if (entry->removed) {
-      removals_.push_back(entry->id);
-    } else if (!job->queued_for_store) {
-      job->queued_for_store = true;
-      state_.unstored.push_front(entry->id);
+    if (entry.removed) {
+      removals_.push_back(entry.id);
+    } else {
+      state_.unstored.Return(*job);
     }
   }
 }
--- a/src/waxwingfront/fleet/fleet_journal.h
+++ b/src/waxwingfront/fleet/fleet_journal.h
@@ -4,11 +4,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <span>
 #include <string>
 #include <vector>
 
 #include "waxwingfront/fleet/fleet_state.h"
+#include "waxwingfront/fleet/write_pacer.h"
 
 namespace waxwingfront::fleet {
 
@@ -32,29 +34,36 @@
   std::int64_t revision = 0;
 };
 
-// One batch is on its way at most. A batch without an answer is followed by one
-// that expects the same revisions, so that of the two only one takes effect.
+struct write_batch {
+  std::uint64_t number = 0;
+  std::vector<record_write> records;
+};
+
+// Several batches may be on their way, each with jobs of its own. A batch
+// without an answer is followed by others that expect the same revisions, so
+// that for each job only one takes effect.
 class fleet_journal {
  public:
   explicit fleet_journal(fleet_state& state) : state_(state) {}
 
   // Called for each job of a stored batch, before its waiters.
   std::function<void(job_state&, moment)> on_job_stored;
-  // Called once for a stored batch, after all its jobs.
-  std::function<void()> on_batch_stored;
 
-  // The next writes, empty if there are none or a batch is on its way. A job
-  // takes two writes at most.
-  std::vector<record_write> NextBatch(std::size_t max_writes);
+  // What no batch carries, if one takes `max_writes`.
+  waiting_changes Waiting(std::size_t max_writes) const;
+
+  // The next writes, none if there are no changes of jobs that are not in a
+  // batch already. A job takes two writes at most.
+  write_batch NextBatch(std::size_t max_writes);
 
   // The batch took effect as `revision`.
-  void Stored(std::int64_t revision, moment at);
+  void Stored(std::uint64_t batch, std::int64_t revision, moment at);
 
   // The batch took no effect because records have other revisions.
-  void Conflicted(std::span<const record_revision> actual);
+  void Conflicted(std::uint64_t batch, std::span<const record_revision> actual);
 
   // The batch may or may not have taken effect, or surely did not.
-  void Unanswered();
+  void Unanswered(std::uint64_t batch);
 
   // Calls `done` once the job's present state is stored.
   void OnceStored(job_state& job, std::function<void(bool)> done);
@@ -74,9 +83,19 @@
     bool wrote_progress;
     bool removed;
   };
+  using batch_entries = std::vector<batch_entry>;
+
+  void WriteChanges(job_state& job, std::vector<record_write>& writes,
+                    batch_entries& entries);
+  void WriteRemoval(const job_state& job, std::vector<record_write>& writes,
+                    batch_entries& entries);
+  batch_entries TakeBatch(std::uint64_t batch);
+  void OnEntryStored(const batch_entry& entry, std::int64_t revision,
+                     moment at);
 
   fleet_state& state_;
-  std::vector<batch_entry> in_flight_;
+  std::uint64_t last_batch_ = 0;
+  std::map<std::uint64_t, batch_entries> in_flight_;
   std::vector<std::string> removals_;
 };
 
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -23,6 +23,7 @@
         hooks(std::move(callbacks)),
         log(events),
         core(chosen.core),
+        pacer(chosen.writes),
         driver(
             event_loop, executors, core, leader_token, chosen.driver,
             {.may_order = hooks.may_order,
@@ -62,7 +63,8 @@
   }
 
   void Depose(std::string_view reason) {
-    if (closed) return;
+    if (closed || deposed) return;
+    deposed = true;
     loop.Post([self = shared_from_this(), words = std::string(reason)] {
       if (!self->closed) self->hooks.on_deposed(words);
     });
@@ -191,10 +193,14 @@
       if (!core.Plan(hooks.now(), enough)) Progress();
       Measure(load_stage::kPlanning, began);
     }
+    SendOrders();
+    StoreNext();
+  }
+
+  void SendOrders() {
     const orders decided = core.TakeOrders();
     driver.Send(decided);
     advice.Send(decided.advice);
-    StoreNext();
   }
 
   void Measure(load_stage stage, core::monotonic_time since) const {
@@ -202,22 +208,41 @@
   }
 
   void StoreNext() {
-    if (write_in_flight || write_due || !hooks.may_order()) return;
-    const core::monotonic_time now = core::Now();
-    if (now < next_write) {
-      write_due = true;
-      Later(std::chrono::ceil<core::milliseconds>(next_write - now), [this] {
-        write_due = false;
-        StoreNext();
-      });
-      return;
+    while (!deposed && hooks.may_order()) {
+      const auto start =
+          pacer.NextStart(core.Journal().Waiting(options.max_records));
+      if (!start) return;
+      const core::monotonic_time now = core::Now();
+      if (*start > now) {
+        StoreAt(*start, now);
+        return;
+      }
+      const write_batch batch = core.Journal().NextBatch(options.max_records);
+      if (batch.records.empty()) return;
+      pacer.Started(now);
+      Write(batch);
     }
-    const std::vector<record_write> records =
-        core.Journal().NextBatch(options.max_records);
-    if (records.empty()) return;
+  }
+
+  // A round of planning that is due adds to what is stored, and stores it.
+  void StoreBeforeRound() {
+    const bool full = core.Journal().Waiting(options.max_records).full;
+    if (!progress_due || full) StoreNext();
+  }
+
+  void StoreAt(core::monotonic_time start, core::monotonic_time now) {
+    if (store_due && *store_due <= start) return;
+    store_due = start;
+    Later(std::chrono::ceil<core::milliseconds>(start - now), [this, start] {
+      if (store_due == start) store_due.reset();
+      StoreBeforeRound();
+    });
+  }
+
+  void Write(const write_batch& batch) {
     store_write write;
     write.expect.push_back({.key = std::string(kLeaderKey), .revision = token});
-    for (const record_write& record : records) {
+    for (const record_write& record : batch.records) {
       std::string key = RecordKey(record.kind, record.id);
       write.expect.push_back(
           {.key = key, .revision = record.expected_revision});
@@ -227,43 +252,38 @@
         write.put.push_back({.key = std::move(key), .value = record.value});
       }
     }
-    write_in_flight = true;
-    next_write = now + options.write_pause;
-    store.write(write, [self = shared_from_this(),
-                        sent = now](const store_write_reply& reply) {
+    store.write(write, [self = shared_from_this(), number = batch.number,
+                        sent = core::Now()](const store_write_reply& reply) {
       if (self->closed) return;
       self->Measure(load_stage::kStoreWrite, sent);
-      self->OnWritten(reply);
+      self->OnWritten(number, reply);
     });
   }
 
-  void OnWritten(const store_write_reply& reply) {
-    write_in_flight = false;
-    switch (reply.status) {
-      case store_write_status::kApplied:
-        SetStoreLost(false);
-        core.Journal().Stored(reply.revision, hooks.now());
-        driver.OnStored();
-        Progress();
-        return;
-      case store_write_status::kConflict:
-        OnConflict(reply);
-        return;
-      default:
-        SetStoreLost(true);
-        core.Journal().Unanswered();
-        next_write = core::Now() + options.retry;
-        StoreNext();
-        return;
+  void OnWritten(std::uint64_t batch, const store_write_reply& reply) {
+    const bool carried_out = reply.status == store_write_status::kApplied ||
+                             reply.status == store_write_status::kConflict;
+    pacer.Answered(carried_out, core::Now());
+    SetStoreLost(!carried_out);
+    if (reply.status == store_write_status::kApplied) {
+      core.Journal().Stored(batch, reply.revision, hooks.now());
+      driver.OnStored();
+      SendOrders();
+      Progress();
+    } else if (reply.status == store_write_status::kConflict) {
+      OnConflict(batch, reply);
+    } else {
+      core.Journal().Unanswered(batch);
     }
+    StoreBeforeRound();
   }
 
-  void OnConflict(const store_write_reply& reply) {
+  void OnConflict(std::uint64_t batch, const store_write_reply& reply) {
     std::vector<record_revision> actual;
     for (const store_item& item : reply.actual) {
       if (item.key == kLeaderKey) {
         if (item.revision != token) {
-          core.Journal().Unanswered();
+          core.Journal().Unanswered(batch);
           Depose("the leader's key is another's");
           return;
         }
@@ -273,8 +293,7 @@
     }
     log.Write("write_conflict",
               {{"records", static_cast<std::int64_t>(actual.size())}});
-    core.Journal().Conflicted(actual);
-    StoreNext();
+    core.Journal().Conflicted(batch, actual);
   }
 
   void SetStoreLost(bool lost) {
@@ -297,17 +316,17 @@
   fleet_leader_hooks hooks;
   logging::event_log& log;
   fleet_core core;
+  write_pacer pacer;
   executor_driver driver;
   advice_driver advice;
   fleet_loader loader;
   executor_registry registry;
   bool loaded = false;
   bool closed = false;
+  bool deposed = false;
   bool progress_due = false;
-  bool write_in_flight = false;
-  bool write_due = false;
   bool store_lost = false;
-  core::monotonic_time next_write{};
+  std::optional<core::monotonic_time> store_due;
   core::monotonic_time next_plan{};
 };
 
--- a/src/waxwingfront/fleet/fleet_leader.h
+++ b/src/waxwingfront/fleet/fleet_leader.h
@@ -15,6 +15,7 @@
 #include "waxwingfront/fleet/executor_registry.h"
 #include "waxwingfront/fleet/fleet_core.h"
 #include "waxwingfront/fleet/platform_services.h"
+#include "waxwingfront/fleet/write_pacer.h"
 #include "waxwingfront/logging/event_log.h"
 #include "waxwingfront/net/event_loop.h"
 
@@ -24,8 +25,7 @@
   fleet_options core;
   executor_driver_options driver;
   advice_driver_options advice;
-  // Pause between two transactions, which gathers changes: each has a price.
-  core::milliseconds write_pause{20};
+  write_pacer_options writes;
   // Pause between two rounds of planning: starts wait for a transaction anyway.
   core::milliseconds plan_pause{15};
   // Time that a round of planning takes at most before what else is due has its
--- a/src/waxwingfront/fleet/fleet_state.cc
+++ b/src/waxwingfront/fleet/fleet_state.cc
@@ -1,6 +1,7 @@
 #include "waxwingfront/fleet/fleet_state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace waxwingfront::fleet {
 
@@ -35,11 +36,15 @@
   return queue != nullptr && queue->advised;
 }
 
-void fleet_state::Changed(job_state& job) {
+void fleet_state::Changed(job_state& job, store_urgency urgency) {
   ++job.version;
-  if (job.queued_for_store) return;
-  job.queued_for_store = true;
-  unstored.push_back(job.Id());
+  const bool accepted = job.job_revision == 0 && !job.in_batch_as;
+  if (job.EndAwaited() || (accepted && job.planned_for)) {
+    urgency = store_urgency::kAtOnce;
+  } else if (accepted) {
+    urgency = store_urgency::kAfterPlanning;
+  }
+  unstored.Add(job, urgency);
 }
 
 void fleet_state::Release(task_state& task, core::monotonic_time now) {
@@ -52,6 +57,31 @@
   task.pace_percent = kFullPace;
 }
 
+void fleet_state::AcknowledgeEnds(executor_state& executor) {
+  while (!executor.unstored_ends.empty()) {
+    const executor_state::unstored_end& end = executor.unstored_ends.front();
+    job_state* const job = end.job.empty() ? nullptr : FindJob(end.job);
+    if (job != nullptr && job->stored_version < end.version) {
+      if (executor.end_waits_for == end.job) return;
+      executor.end_waits_for = end.job;
+      job->ends_kept_at.push_back(executor.info.id);
+      return;
+    }
+    executor.acknowledged = end.number;
+    executor.unstored_ends.pop_front();
+  }
+  executor.end_waits_for.clear();
+}
+
+void fleet_state::AcknowledgeEndsIn(job_state& job) {
+  for (const std::string& id : std::exchange(job.ends_kept_at, {})) {
+    executor_state* const executor = FindExecutor(id);
+    if (executor == nullptr) continue;
+    executor->end_waits_for.clear();
+    AcknowledgeEnds(*executor);
+  }
+}
+
 void fleet_state::StopAll(job_state& job, core::monotonic_time now) {
   job.ForEachTask([this, now](task_state& task) {
     if (task.Active()) Stop(task, now);
--- a/src/waxwingfront/fleet/fleet_state.h
+++ b/src/waxwingfront/fleet/fleet_state.h
@@ -3,7 +3,6 @@
 #define WAXWINGFRONT_FLEET_FLEET_STATE_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -15,6 +14,7 @@
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/fleet/executor_state.h"
 #include "waxwingfront/fleet/job_state.h"
+#include "waxwingfront/fleet/store_queue.h"
 #include "waxwingfront/fleet/types.h"
 
 namespace waxwingfront::fleet {
@@ -32,8 +32,7 @@
   std::map<std::string, executor_state, std::less<>> executors;
   // Jobs that may have tasks to place, in no order.
   std::vector<job_state*> live;
-  // Jobs with changes that the store does not have, oldest change first.
-  std::deque<std::string> unstored;
+  store_queue unstored;
   orders outgoing;
   // All changes of executors' entries until then are known; nothing where no
   // entries are followed.
@@ -51,12 +50,18 @@
   // Whether an adviser tells which executors may run the job's tasks.
   bool IsAdvised(const job_state& job) const;
 
-  // Notes that `job` differs from its records.
-  void Changed(job_state& job);
+  // Notes that `job` differs from its records. What callers wait for is stored
+  // at once whatever `urgency` says.
+  void Changed(job_state& job, store_urgency urgency = store_urgency::kEnd);
 
   // Marks the task's run as over, without a verdict on the task.
   void Release(task_state& task, core::monotonic_time now);
 
+  // Lets the executor forget ends that are stored.
+  void AcknowledgeEnds(executor_state& executor);
+  // The same for executors whose ends have waited for `job` to be stored.
+  void AcknowledgeEndsIn(job_state& job);
+
   // Stops whatever runs of `job`.
   void StopAll(job_state& job, core::monotonic_time now);
   // Asks for a stop of the task's run; releases it if nothing was sent yet.
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -32,6 +32,19 @@
   kSucceeded,
 };
 
+// How soon the store should learn of a change, soonest first.
+enum class store_urgency {
+  // Somebody waits for the answer: accepted and cancelled jobs, final states.
+  kAtOnce,
+  // Tasks wait to be started.
+  kStart,
+  // Ends that executors keep until they are stored.
+  kEnd,
+  // New jobs that the next round of planning will look at: their placements
+  // then go with them.
+  kAfterPlanning,
+};
+
 // Paces in percent of a task's full speed.
 inline constexpr int kFullPace = 100;
 inline constexpr int kUnknownPace = -1;
@@ -151,6 +164,10 @@
   // Whether no task of the job needs to run again.
   bool AllSucceeded() const;
   bool AnyActive() const;
+  // Whether callers wait for the store to learn of the job's end.
+  bool EndAwaited() const {
+    return Final() && stored_state < schema::FLEET_COMPLETED;
+  }
   bool AnyBegun() const;
 
   // Calls `visit` with each task.
@@ -162,8 +179,16 @@
   // Changes of the job that the store must learn, see `fleet_journal`.
   std::uint64_t version = 1;
   std::uint64_t stored_version = 0;
-  bool queued_for_store = false;
   job_milestones milestones;
+  // Urgency of changes that no batch carries and of those that one does, see
+  // `store_queue`.
+  std::optional<store_urgency> unstored_as;
+  std::optional<store_urgency> in_batch_as;
+  std::uint64_t store_turn = 0;
+  // A round of planning has looked at it.
+  bool planned_for = false;
+  // Executors that may forget ends once this job's changes are stored.
+  std::vector<std::string> ends_kept_at;
   // Its records are being removed.
   bool removing = false;
   std::int64_t job_revision = 0;
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -282,7 +282,7 @@
 void planner::Place(task_state& task, executor_state& executor,
                     std::uint32_t run, moment at) {
   job_state& job = *task.job;
-  state_.Changed(job);
+  state_.Changed(job, store_urgency::kStart);
   task.phase = task_phase::kPlaced;
   if (!job.milestones.placed) job.milestones.placed = at.now;
   task.placed_version = job.version;
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -37,6 +37,7 @@
     executor->acknowledged = 0;
     executor->processed = 0;
     executor->unstored_ends.clear();
+    executor->end_waits_for.clear();
     // An earlier leader may have sent a deadline as far as its reach allows,
     // and this one may have sent starts to the new incarnation already.
     executor->deadline_sent_ms = report.clock_ms + hold_reach_.count();
@@ -104,7 +105,7 @@
     Over(*task, FateOf(end.how), at);
     executor.unstored_ends.push_back({end.number, job.Id(), job.version});
   }
-  AcknowledgeEnds(executor);
+  state_.AcknowledgeEnds(executor);
 }
 
 void run_tracker::TakeRunning(executor_state& executor,
@@ -228,6 +229,7 @@
 }
 
 void run_tracker::OnJobStored(job_state& job, moment at) {
+  state_.AcknowledgeEndsIn(job);
   const bool advised = state_.IsAdvised(job);
   job.ForEachTask([this, &job, at, advised](task_state& task) {
     if (task.phase != task_phase::kPlaced ||
@@ -265,21 +267,6 @@
   if (accepted_here && on_begun) on_begun(job);
 }
 
-void run_tracker::OnBatchStored() {
-  for (auto& [id, executor] : state_.executors) AcknowledgeEnds(executor);
-}
-
-void run_tracker::AcknowledgeEnds(executor_state& executor) {
-  while (!executor.unstored_ends.empty()) {
-    const executor_state::unstored_end& end = executor.unstored_ends.front();
-    const job_state* const job =
-        end.job.empty() ? nullptr : state_.FindJob(end.job);
-    if (job != nullptr && job->stored_version < end.version) return;
-    executor.acknowledged = end.number;
-    executor.unstored_ends.pop_front();
-  }
-}
-
 void run_tracker::Over(task_state& task, run_fate fate, moment at) {
   job_state& job = *task.job;
   executor_state* const executor = state_.FindExecutor(task.executor);
--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -57,11 +57,9 @@
   // Nobody knows at which pace the task works now.
   void OnPaceFailed(const pace_order& order);
 
-  // A job's record was stored: sends the starts that it permits.
+  // A job's record was stored: sends the starts that it permits and lets the
+  // executors forget the ends in it.
   void OnJobStored(job_state& job, moment at);
-  // All records of a transaction were stored: lets the executors forget the
-  // ends in them.
-  void OnBatchStored();
 
   // Ends runs whose lease has lapsed and repeats stops.
   void Tick(moment at);
@@ -82,7 +80,6 @@
   void CountHealth(executor_state& executor, const task_state& task,
                    run_fate fate, moment at);
   void FinishJob(job_state& job, schema::fleet_job_state state, moment at);
-  void AcknowledgeEnds(executor_state& executor);
 
   fleet_state& state_;
   run_tracker_options options_;
--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -27,6 +27,7 @@
     "bounds.grace_s=6\nbounds.max_hold_ms=10000\n"
     "bounds.drain_ms=3000\nplatform.min_ttl_ms=1000\n"
     "limits.cpu_share=0.1\nlimits.cores=2\nlimits.link_mbps=10.0\n"
+    "platform.writes_per_s=1200.0\n"
     "a_field_of_tomorrow=1\n";
 
 TEST_CASE("the platform's settings give addresses and bounds", "[platform]") {
@@ -39,6 +40,7 @@
   CHECK(settings->drain_bound == core::milliseconds(3000));
   CHECK(settings->machine.cores == Approx(0.2));
   CHECK(settings->machine.link_mbps == 10.0);
+  CHECK(settings->store_writes_per_s == 1200.0);
 }
 
 TEST_CASE("settings without an address or a file are a failure", "[platform]") {
--- a/tests/support/fleet_scene.cc
+++ b/tests/support/fleet_scene.cc
@@ -79,8 +79,10 @@
 }
 
 void fleet_scene::Store(std::int64_t at_ms) {
-  while (!core_.Journal().NextBatch(kMaxRecords).empty()) {
-    core_.Journal().Stored(++revision_, At(at_ms));
+  for (;;) {
+    const fleet::write_batch batch = core_.Journal().NextBatch(kMaxRecords);
+    if (batch.records.empty()) return;
+    core_.Journal().Stored(batch.number, ++revision_, At(at_ms));
   }
 }
 
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -7,8 +7,6 @@
 
 namespace waxwingfront::tests {
 
-using fleet::record_kind;
-
 schema::fleet_job WorldJob(const std::string& id) {
   schema::fleet_job job;
   job.set_id(id);
@@ -192,14 +190,16 @@
   }
 }
 
+std::vector<std::string> fleet_world::Violations() const {
+  std::vector<std::string> all = rules_.Violations();
+  all.insert(all.end(), records_.Violations().begin(),
+             records_.Violations().end());
+  return all;
+}
+
 std::optional<schema::fleet_progress> fleet_world::Progress(
     const std::string& job) const {
-  const auto found = store_.find(Key(record_kind::kProgress, job));
-  schema::fleet_progress progress;
-  if (found == store_.end() || !progress.ParseFromString(found->second.value)) {
-    return std::nullopt;
-  }
-  return progress;
+  return records_.Progress(job);
 }
 
 bool fleet_world::AllFinal() const {
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "support/fake_executor.h"
+#include "support/fake_records.h"
 #include "support/fleet_rules.h"
 #include "waxwingfront/fleet/fleet_core.h"
 
@@ -26,8 +27,13 @@
   // Out of 1000 messages.
   int lost = 30;
   int late = 30;
+  // Batches that the store gets a second time, late.
+  int doubled = 0;
   // Faults a second, out of 1000: crashes, cuts and new leaders.
   int faults = 300;
+  // Batches of records on their way at a time, and records in each.
+  int batches = 1;
+  std::size_t batch_records = 15;
   // No executor crashes and no link is cut: only leaders change.
   bool sound_executors = false;
   // Executors that begin to drain, out of 1000 a second.
@@ -54,18 +60,12 @@
   void Run(std::int64_t ms, bool calm);
 
   // What broke; empty while nothing did.
-  const std::vector<std::string>& Violations() const {
-    return rules_.Violations();
-  }
+  std::vector<std::string> Violations() const;
   // Whether every job is stored as completed or failed.
   bool AllFinal() const;
 
  private:
   struct leader;
-  struct stored {
-    std::string value;
-    std::int64_t revision = 0;
-  };
   struct event {
     std::int64_t at_ms;
     std::uint64_t order;
@@ -109,8 +109,8 @@
   void HoldAll(const std::shared_ptr<leader>& who);
   void Send(const std::shared_ptr<leader>& who, const fleet::orders& decided);
   void Write(const std::shared_ptr<leader>& who);
-  bool Apply(std::int64_t token, const std::vector<fleet::record_write>& batch,
-             std::vector<fleet::record_revision>& actual);
+  void SendBatch(const std::shared_ptr<leader>& who,
+                 const fleet::write_batch& batch);
   std::optional<schema::fleet_progress> Progress(const std::string& job) const;
   void Fault();
   void Work();
@@ -122,9 +122,7 @@
   std::vector<event> events_;
   std::vector<fake_executor> executors_;
   std::vector<std::int64_t> cut_until_;
-  std::map<std::string, stored> store_;
-  std::int64_t revision_ = 100;
-  std::int64_t leader_token_ = 0;
+  fake_records records_;
   std::shared_ptr<leader> current_;
   std::set<std::string> jobs_;
   // Executors whose entries say that they drain.
--- a/tests/support/fleet_world_leader.cc
+++ b/tests/support/fleet_world_leader.cc
@@ -8,8 +8,6 @@
 namespace waxwingfront::tests {
 namespace {
 
-using fleet::record_kind;
-
 fleet::manifest Manifest() {
   fleet::manifest wanted;
   wanted.version = 1;
@@ -83,24 +81,13 @@
 
 void fleet_world::Elect() {
   if (current_) current_->lease_until_ms = now_ms_ + Between(0, kLeaseMs);
-  leader_token_ = ++revision_;
-  current_ = std::make_shared<leader>(leader_token_);
+  current_ = std::make_shared<leader>(records_.Claim());
   fleet::fleet_core& core = current_->core;
   core.SetManifest(Manifest());
-  for (const auto& [key, item] : store_) {
-    if (!key.starts_with("job/")) continue;
-    schema::fleet_job job;
-    job.ParseFromString(item.value);
-    std::optional<schema::fleet_progress> progress;
-    std::int64_t progress_revision = 0;
-    const auto found = store_.find(Key(record_kind::kProgress, job.id()));
-    if (found != store_.end()) {
-      progress.emplace();
-      progress->ParseFromString(found->second.value);
-      progress_revision = found->second.revision;
-    }
-    core.Restore(job, item.revision, progress, progress_revision, Now());
-  }
+  records_.ForEachJob([&](const schema::fleet_job& job, std::int64_t revision) {
+    core.Restore(job, revision, records_.Progress(job.id()),
+                 records_.ProgressRevision(job.id()), Now());
+  });
   for (const std::string& id : draining_) rules_.OnDrainTold(id, now_ms_);
   ListExecutors(current_);
   current_->entries_seen = entries_version_;
@@ -220,61 +207,47 @@
 }
 
 void fleet_world::Write(const std::shared_ptr<leader>& who) {
-  if (who->writing) return;
-  const std::vector<fleet::record_write> batch =
-      who->core.Journal().NextBatch(kMaxRecords);
-  if (batch.empty()) return;
-  who->writing = true;
+  while (who->writing < options_.batches) {
+    const fleet::write_batch batch =
+        who->core.Journal().NextBatch(options_.batch_records);
+    if (batch.records.empty()) return;
+    ++who->writing;
+    SendBatch(who, batch);
+  }
+}
+
+void fleet_world::SendBatch(const std::shared_ptr<leader>& who,
+                            const fleet::write_batch& batch) {
   const bool lost = !calm_ && Chance(options_.lost);
   const bool late = !calm_ && Chance(options_.late);
+  const auto apply = [this, token = who->token, batch] {
+    return records_.Apply(token, batch.records);
+  };
+  if (!calm_ && options_.doubled > 0 && Chance(options_.doubled)) {
+    After(Between(500, 3000), apply);
+  }
   After(late ? Between(500, 3000) : Between(2, 10),
-        [this, who, batch, lost, late] {
-          std::vector<fleet::record_revision> actual;
-          const bool applied = Apply(who->token, batch, actual);
+        [this, who, apply, number = batch.number, lost, late] {
+          const fake_records::outcome result = apply();
           if (lost || late) return;
-          const auto read = [this, who, applied, actual] {
-            who->writing = false;
+          const auto read = [this, who, number, result] {
+            --who->writing;
             if (now_ms_ >= who->lease_until_ms) return;
-            if (applied) {
-              who->core.Journal().Stored(revision_, Now());
-            } else if (who->token != leader_token_) {
+            if (result.applied) {
+              who->core.Journal().Stored(number, result.revision, Now());
+            } else if (who->token != records_.Token()) {
               who->lease_until_ms = 0;
             } else {
-              who->core.Journal().Conflicted(actual);
+              who->core.Journal().Conflicted(number, result.actual);
             }
           };
           After(Between(2, 10), [this, who, read] { Deliver(who, read); });
         });
   if (!lost && !late) return;
-  After(kOrderTimeoutMs, [who] {
-    who->writing = false;
-    who->core.Journal().Unanswered();
+  After(kOrderTimeoutMs, [who, number = batch.number] {
+    --who->writing;
+    who->core.Journal().Unanswered(number);
   });
 }
 
-bool fleet_world::Apply(std::int64_t token,
-                        const std::vector<fleet::record_write>& batch,
-                        std::vector<fleet::record_revision>& actual) {
-  bool holds = token == leader_token_;
-  for (const fleet::record_write& write : batch) {
-    const auto found = store_.find(Key(write.kind, write.id));
-    const std::int64_t revision =
-        found == store_.end() ? 0 : found->second.revision;
-    holds &= revision == write.expected_revision;
-    actual.push_back(
-        {.kind = write.kind, .id = write.id, .revision = revision});
-  }
-  if (!holds) return false;
-  ++revision_;
-  for (const fleet::record_write& write : batch) {
-    if (write.remove) {
-      store_.erase(Key(write.kind, write.id));
-    } else {
-      store_[Key(write.kind, write.id)] = {.value = write.value,
-                                           .revision = revision_};
-    }
-  }
-  return true;
-}
-
 }  // namespace waxwingfront::tests
--- a/tests/support/fleet_world_leader.h
+++ b/tests/support/fleet_world_leader.h
@@ -29,14 +29,9 @@
 inline constexpr int kMaxAttempts = 3;
 inline constexpr std::uint32_t kFirstStepTasks = 3;
 inline constexpr std::uint32_t kSecondStepTasks = 2;
-inline constexpr std::size_t kMaxRecords = 15;
 inline constexpr int kThousand = 1000;
 inline constexpr std::int64_t kCpuMillis = 1000;
 
-inline std::string Key(fleet::record_kind kind, const std::string& id) {
-  return (kind == fleet::record_kind::kJob ? "job/" : "progress/") + id;
-}
-
 inline std::size_t Index(const std::string& executor) {
   return std::stoul(executor.substr(1));
 }
@@ -55,7 +50,8 @@
   std::int64_t token;
   // Its own clock says that it leads until then.
   std::int64_t lease_until_ms = std::numeric_limits<std::int64_t>::max();
-  bool writing = false;
+  // Batches without an answer.
+  int writing = 0;
   std::set<int> holding;
   // It reads nothing until then.
   std::int64_t busy_until_ms = 0;
--- a/tests/waxwingfront/fleet/executor_driver_test.cc
+++ b/tests/waxwingfront/fleet/executor_driver_test.cc
@@ -72,8 +72,8 @@
   }
 
   void Store() {
-    core.Journal().NextBatch(15);
-    core.Journal().Stored(++revision, {.now = core::Now()});
+    const fleet::write_batch batch = core.Journal().NextBatch(15);
+    core.Journal().Stored(batch.number, ++revision, {.now = core::Now()});
   }
 
   std::int64_t revision = 1;
@@ -100,8 +100,8 @@
   REQUIRE(RunUntil(one.loop, [&] { return !one.holds.empty(); }));
   one.core.Submit(JobOf("job", 1, 1000), {.now = core::Now()});
   one.core.Plan({.now = core::Now()});
-  one.core.Journal().NextBatch(15);
-  one.core.Journal().Stored(2, {.now = core::Now()});
+  const fleet::write_batch batch = one.core.Journal().NextBatch(15);
+  one.core.Journal().Stored(batch.number, 2, {.now = core::Now()});
   one.silent = true;
   one.driver.Send(one.core.TakeOrders());
   REQUIRE(RunUntil(one.loop, [&] { return one.holds.size() >= 6; }));
--- a/tests/waxwingfront/fleet/fleet_core_property_test.cc
+++ b/tests/waxwingfront/fleet/fleet_core_property_test.cc
@@ -65,6 +65,25 @@
   return options;
 }
 
+TEST_CASE("several batches at a time neither double nor lose a task",
+          "[fleet]") {
+  rc::prop("the same with lost, late and doubled batches of few jobs", [] {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    fleet_world world(seed, {.jobs = 12,
+                             .lost = 80,
+                             .late = 80,
+                             .doubled = 80,
+                             .faults = 300,
+                             .batches = 3,
+                             .batch_records = 3});
+    world.Run(kTroubleMs, false);
+    RequireNoViolation(world);
+    world.Run(kCalmMs, true);
+    RequireNoViolation(world);
+    RC_ASSERT(world.AllFinal());
+  });
+}
+
 TEST_CASE("a slow leader serves less but breaks no rule", "[fleet]") {
   rc::prop("sound executors, an end that was listed counts", [] {
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
--- a/tests/waxwingfront/fleet/fleet_journal_test.cc
+++ b/tests/waxwingfront/fleet/fleet_journal_test.cc
@@ -1,8 +1,11 @@
 #include "waxwingfront/fleet/fleet_journal.h"
 
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <string>
 #include <vector>
 
+#include "support/fake_records.h"
 #include "support/fleet_scene.h"
 
 namespace waxwingfront::tests {
@@ -10,6 +13,7 @@
 
 using fleet::record_kind;
 using fleet::record_write;
+using fleet::write_batch;
 
 constexpr std::size_t kMaxRecords = 15;
 
@@ -27,9 +31,10 @@
   CHECK_FALSE(core.Shown("job").has_value());
 
   SECTION("the batch takes effect") {
-    CHECK(core.Journal().NextBatch(kMaxRecords).size() == 1);
+    const write_batch batch = core.Journal().NextBatch(kMaxRecords);
+    CHECK(batch.records.size() == 1);
     CHECK(answers == 0);
-    core.Journal().Stored(7, At(10));
+    core.Journal().Stored(batch.number, 7, At(10));
     CHECK(answers == 1);
     CHECK(stored);
     CHECK(core.Shown("job") == schema::FLEET_QUEUED);
@@ -49,23 +54,25 @@
   fleet_scene scene;
   fleet::fleet_journal& journal = scene.Core().Journal();
   scene.Core().Submit(JobOf("job", 1, 1000), At(0));
-  const std::vector<record_write> first = journal.NextBatch(kMaxRecords);
-  REQUIRE(first.size() == 1);
-  CHECK(journal.NextBatch(kMaxRecords).empty());
-  journal.Unanswered();
-  const std::vector<record_write> second = journal.NextBatch(kMaxRecords);
-  REQUIRE(second.size() == 1);
-  CHECK(second[0].expected_revision == first[0].expected_revision);
+  const write_batch first = journal.NextBatch(kMaxRecords);
+  REQUIRE(first.records.size() == 1);
+  CHECK(journal.NextBatch(kMaxRecords).records.empty());
+  journal.Unanswered(first.number);
+  const write_batch second = journal.NextBatch(kMaxRecords);
+  REQUIRE(second.records.size() == 1);
+  CHECK(second.records[0].expected_revision ==
+        first.records[0].expected_revision);
 
   SECTION("the first took effect after all") {
     const std::vector<fleet::record_revision> actual = {
         {.kind = record_kind::kJob, .id = "job", .revision = 9}};
-    journal.Conflicted(actual);
+    journal.Conflicted(second.number, actual);
     // The job's record stands; what is left is written under what it is.
-    for (const record_write& write : journal.NextBatch(kMaxRecords)) {
+    const write_batch third = journal.NextBatch(kMaxRecords);
+    for (const record_write& write : third.records) {
       CHECK(write.kind == record_kind::kProgress);
     }
-    journal.Stored(10, At(20));
+    journal.Stored(third.number, 10, At(20));
     CHECK(scene.Core().Shown("job").has_value());
   }
 }
@@ -81,17 +88,123 @@
   std::size_t jobs = 0;
   fleet::fleet_journal& journal = scene.Core().Journal();
   for (;;) {
-    const std::vector<record_write> batch = journal.NextBatch(kMaxRecords);
-    if (batch.empty()) break;
-    CHECK(batch.size() <= kMaxRecords);
-    for (const record_write& write : batch) {
+    const write_batch batch = journal.NextBatch(kMaxRecords);
+    if (batch.records.empty()) break;
+    CHECK(batch.records.size() <= kMaxRecords);
+    for (const record_write& write : batch.records) {
       if (write.kind == record_kind::kJob) ++jobs;
     }
-    journal.Stored(5, At(20));
+    journal.Stored(batch.number, 5, At(20));
   }
   CHECK(jobs == 40);
 }
 
+TEST_CASE("a job is in one batch at a time", "[fleet]") {
+  fleet_scene scene;
+  fleet::fleet_core& core = scene.Core();
+  fleet::fleet_journal& journal = core.Journal();
+  core.Submit(JobOf("first", 1, 1000), At(0));
+  const write_batch first = journal.NextBatch(kMaxRecords);
+  core.Submit(JobOf("second", 1, 1000), At(0));
+  core.Cancel("first", At(1));
+  const write_batch second = journal.NextBatch(kMaxRecords);
+  REQUIRE(second.records.size() == 1);
+  CHECK(second.records[0].id == "second");
+  CHECK(journal.NextBatch(kMaxRecords).records.empty());
+
+  // Answers may come in any order.
+  journal.Stored(second.number, 8, At(5));
+  CHECK_FALSE(core.Shown("first").has_value());
+  journal.Stored(first.number, 9, At(6));
+  CHECK(core.Shown("first") == schema::FLEET_QUEUED);
+  const write_batch third = journal.NextBatch(kMaxRecords);
+  REQUIRE(third.records.size() == 1);
+  CHECK(third.records[0].kind == record_kind::kProgress);
+  journal.Stored(third.number, 10, At(7));
+  CHECK(core.Shown("first") == schema::FLEET_CANCELLED);
+}
+
+TEST_CASE("a late duplicate of a batch never replaces a newer record",
+          "[fleet]") {
+  fleet_scene scene;
+  fleet::fleet_core& core = scene.Core();
+  fleet::fleet_journal& journal = core.Journal();
+  fake_records records;
+  const std::int64_t token = records.Claim();
+  for (const char* const id : {"a", "b", "c"}) {
+    core.Submit(JobOf(id, 1, 1000), At(0));
+    const write_batch batch = journal.NextBatch(kMaxRecords);
+    const auto result = records.Apply(token, batch.records);
+    journal.Stored(batch.number, result.revision, At(1));
+  }
+  scene.AddExecutor("x", 10'000, 5);
+  core.Plan(At(10));
+  const write_batch late = journal.NextBatch(kMaxRecords);
+  REQUIRE(late.records.size() == 3);
+  journal.Unanswered(late.number);
+  core.Cancel("a", At(20));
+
+  // The jobs of the batch go on in others.
+  const write_batch one = journal.NextBatch(1);
+  const write_batch two = journal.NextBatch(kMaxRecords);
+  REQUIRE(one.records.size() == 1);
+  REQUIRE(one.records[0].id == "a");
+  REQUIRE(two.records.size() == 2);
+
+  SECTION("it takes effect last") {
+    const auto stored = records.Apply(token, one.records);
+    REQUIRE(stored.applied);
+    journal.Stored(one.number, stored.revision, At(30));
+    CHECK_FALSE(records.Apply(token, late.records).applied);
+    CHECK(records.Progress("a")->state() == schema::FLEET_CANCELLED);
+  }
+  SECTION("it takes effect first") {
+    REQUIRE(records.Apply(token, late.records).applied);
+    for (const write_batch* const batch : {&two, &one}) {
+      const auto refused = records.Apply(token, batch->records);
+      REQUIRE_FALSE(refused.applied);
+      journal.Conflicted(batch->number, refused.actual);
+    }
+    const write_batch again = journal.NextBatch(kMaxRecords);
+    REQUIRE(again.records.size() == 3);
+    const auto stored = records.Apply(token, again.records);
+    REQUIRE(stored.applied);
+    journal.Stored(again.number, stored.revision, At(30));
+    CHECK(records.Progress("a")->state() == schema::FLEET_CANCELLED);
+    CHECK(core.TakeOrders().starts.size() == 2);
+  }
+  CHECK(records.Violations().empty());
+}
+
+TEST_CASE(
+    "an executor may forget ends in their order once their jobs are stored",
+    "[fleet]") {
+  fleet_scene scene;
+  fleet::fleet_core& core = scene.Core();
+  scene.AddExecutor("x", 4000);
+  core.Submit(JobOf("first", 2, 1000), At(0));
+  core.Submit(JobOf("second", 2, 1000), At(0));
+  scene.StepAccepted(1);
+  const auto end_of = [](std::uint64_t number, const std::string& job) {
+    return fleet::ended_report{.number = number,
+                               .task = {.job = job, .index = 0},
+                               .run = 1,
+                               .how = fleet::run_end::kDone};
+  };
+  scene.Report("x", 5, {}, {end_of(1, "first"), end_of(2, "second")});
+  fleet::fleet_journal& journal = core.Journal();
+  const write_batch first = journal.NextBatch(1);
+  const write_batch second = journal.NextBatch(1);
+  REQUIRE(first.records.size() == 1);
+  REQUIRE(second.records.size() == 1);
+  REQUIRE(first.records[0].id == "first");
+  // Ends are forgotten in their order only.
+  journal.Stored(second.number, 8, At(10));
+  CHECK(core.FindExecutor("x")->acknowledged == 0);
+  journal.Stored(first.number, 9, At(11));
+  CHECK(core.FindExecutor("x")->acknowledged == 2);
+}
+
 TEST_CASE("an ended job is forgotten once nobody may ask for it any more",
           "[fleet]") {
   fleet_scene scene;
@@ -102,11 +215,10 @@
   core.Tick(At(100'000));
   CHECK(core.Shown("job") == schema::FLEET_CANCELLED);
   core.Tick(At(160'000));
-  const std::vector<record_write> removal =
-      core.Journal().NextBatch(kMaxRecords);
-  REQUIRE(removal.size() == 2);
-  CHECK(removal[0].remove);
-  core.Journal().Stored(9, At(160'010));
+  const write_batch removal = core.Journal().NextBatch(kMaxRecords);
+  REQUIRE(removal.records.size() == 2);
+  CHECK(removal.records[0].remove);
+  core.Journal().Stored(removal.number, 9, At(160'010));
   CHECK_FALSE(core.Shown("job").has_value());
 }
 
--- /dev/null
+++ b/tests/waxwingfront/fleet/store_queue_test.cc
@@ -0,0 +1,109 @@
+#include "waxwingfront/fleet/store_queue.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "support/fleet_scene.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+using fleet::job_state;
+using fleet::store_urgency;
+
+constexpr std::size_t kMaxRecords = 15;
+
+// Jobs that the store has.
+class queued_jobs {
+ public:
+  job_state& Add(const std::string& id, store_urgency urgency) {
+    jobs_.push_back(std::make_unique<job_state>(JobOf(id, 1, 1000), At(0).now));
+    jobs_.back()->job_revision = 1;
+    queue.Add(*jobs_.back(), urgency);
+    return *jobs_.back();
+  }
+
+  std::string Take(std::size_t max_records) {
+    std::string ids;
+    for (const job_state* const job : queue.Take(max_records)) {
+      ids += job->Id() + " ";
+    }
+    return ids;
+  }
+
+  fleet::store_queue queue;
+
+ private:
+  std::vector<std::unique_ptr<job_state>> jobs_;
+};
+
+TEST_CASE("the most urgent changes are stored first and then the oldest",
+          "[fleet]") {
+  queued_jobs jobs;
+  jobs.Add("end", store_urgency::kEnd);
+  jobs.Add("start1", store_urgency::kStart);
+  job_state& raised = jobs.Add("raised", store_urgency::kEnd);
+  jobs.Add("start2", store_urgency::kStart);
+  jobs.queue.Add(raised, store_urgency::kAtOnce);
+  CHECK(jobs.queue.AnyUrgent());
+  CHECK(jobs.Take(1) == "raised ");
+  CHECK_FALSE(jobs.queue.AnyUrgent());
+  CHECK(jobs.Take(1) == "start1 ");
+  CHECK(jobs.Take(1) == "start2 ");
+  CHECK(jobs.Take(1) == "end ");
+  CHECK(jobs.queue.Size() == 0);
+}
+
+TEST_CASE("no change waits for more urgent ones for ever", "[fleet]") {
+  queued_jobs jobs;
+  jobs.Add("start", store_urgency::kStart);
+  jobs.Add("end", store_urgency::kEnd);
+  for (int i = 0; i < 100; ++i) {
+    jobs.Add("urgent", store_urgency::kAtOnce);
+  }
+  const std::string first = jobs.Take(kMaxRecords);
+  CHECK(first.find("start ") != std::string::npos);
+  CHECK(first.find("end ") != std::string::npos);
+}
+
+TEST_CASE("a new job is stored with its first placements and not before",
+          "[fleet]") {
+  queued_jobs jobs;
+  for (int i = 0; i < 20; ++i) jobs.Add("start", store_urgency::kStart);
+  job_state& fresh = jobs.Add("new", store_urgency::kAfterPlanning);
+  CHECK(jobs.queue.Ready() == 20);
+  CHECK(jobs.Take(kMaxRecords).find("new") == std::string::npos);
+  // Planned for.
+  jobs.queue.Add(fresh, store_urgency::kAtOnce);
+  CHECK(jobs.Take(1) == "new ");
+}
+
+TEST_CASE("a job whose batch failed takes its old place", "[fleet]") {
+  queued_jobs jobs;
+  job_state& failed = jobs.Add("failed", store_urgency::kStart);
+  CHECK(jobs.Take(1) == "failed ");
+  jobs.Add("later", store_urgency::kStart);
+  jobs.queue.Add(failed, store_urgency::kEnd);
+  // It is in a batch.
+  CHECK(jobs.Take(1) == "later ");
+  jobs.Add("last", store_urgency::kStart);
+  jobs.queue.Return(failed);
+  CHECK(jobs.Take(1) == "failed ");
+  jobs.queue.Settle(failed);
+  CHECK(jobs.Take(kMaxRecords) == "last ");
+}
+
+TEST_CASE("what changed beside a stored batch queues after it", "[fleet]") {
+  queued_jobs jobs;
+  job_state& job = jobs.Add("job", store_urgency::kStart);
+  CHECK(jobs.Take(kMaxRecords) == "job ");
+  jobs.queue.Add(job, store_urgency::kEnd);
+  CHECK(jobs.queue.Size() == 0);
+  jobs.queue.Settle(job);
+  CHECK(jobs.Take(kMaxRecords) == "job ");
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
--- /dev/null
+++ b/tests/waxwingfront/fleet/write_pacer_test.cc
@@ -0,0 +1,226 @@
+#include "waxwingfront/fleet/write_pacer.h"
+
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "support/fake_records.h"
+#include "support/fleet_scene.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+using fleet::write_batch;
+using fleet::write_pacer;
+using fleet::write_pacer_options;
+
+constexpr std::size_t kMaxRecords = 15;
+constexpr std::int64_t kAnswerMs = 4;
+// Median from acceptance to the first start that the users ask for.
+constexpr std::int64_t kFirstStartMs = 30;
+
+// Stores what the scene changes, a millisecond at a time, as the leader does.
+class paced_store {
+ public:
+  paced_store(fleet_scene& scene, write_pacer_options options)
+      : scene_(scene), pacer_(options), token_(records_.Claim()) {}
+
+  // Without an answer of the store if not `answers`.
+  bool answers = true;
+
+  void Run(std::int64_t ms) {
+    for (const std::int64_t end = now_ms_ + ms; now_ms_ < end; ++now_ms_) {
+      Answer();
+      Start();
+    }
+  }
+
+  std::int64_t Now() const { return now_ms_; }
+  std::size_t Calls() const { return calls_; }
+  std::size_t MostInFlight() const { return most_in_flight_; }
+  // When the job was last stored.
+  std::int64_t StoredAt(const std::string& job) const {
+    const auto found = stored_at_.find(job);
+    return found == stored_at_.end() ? -1 : found->second;
+  }
+
+ private:
+  void Answer() {
+    const auto due = in_flight_.find(now_ms_);
+    if (due == in_flight_.end()) return;
+    const std::vector<write_batch> batches = std::move(due->second);
+    in_flight_.erase(due);
+    for (const write_batch& batch : batches) {
+      --count_;
+      pacer_.Answered(answers, At(now_ms_).now);
+      fleet::fleet_journal& journal = scene_.Core().Journal();
+      if (!answers) {
+        journal.Unanswered(batch.number);
+        continue;
+      }
+      const auto result = records_.Apply(token_, batch.records);
+      REQUIRE(result.applied);
+      journal.Stored(batch.number, result.revision, At(now_ms_));
+      for (const auto& record : batch.records) stored_at_[record.id] = now_ms_;
+    }
+  }
+
+  void Start() {
+    fleet::fleet_journal& journal = scene_.Core().Journal();
+    for (;;) {
+      const auto start = pacer_.NextStart(journal.Waiting(kMaxRecords));
+      if (!start || *start > At(now_ms_).now) return;
+      write_batch batch = journal.NextBatch(kMaxRecords);
+      REQUIRE_FALSE(batch.records.empty());
+      pacer_.Started(At(now_ms_).now);
+      ++calls_;
+      most_in_flight_ = std::max(most_in_flight_, ++count_);
+      in_flight_[now_ms_ + kAnswerMs].push_back(std::move(batch));
+    }
+  }
+
+  fleet_scene& scene_;
+  write_pacer pacer_;
+  fake_records records_;
+  std::int64_t token_;
+  std::int64_t now_ms_ = 0;
+  std::map<std::int64_t, std::vector<write_batch>> in_flight_;
+  std::map<std::string, std::int64_t> stored_at_;
+  std::size_t count_ = 0;
+  std::size_t most_in_flight_ = 0;
+  std::size_t calls_ = 0;
+};
+
+std::string Name(int number) { return "job" + std::to_string(number); }
+
+// Jobs in the store, none of them begun.
+void SubmitStored(fleet_scene& scene, paced_store& store, int jobs) {
+  for (int i = 0; i < jobs; ++i) {
+    scene.Core().Submit(JobOf(Name(i), 1, 1000), At(store.Now()));
+  }
+  store.Run(2000);
+  for (int i = 0; i < jobs; ++i) REQUIRE(store.StoredAt(Name(i)) >= 0);
+}
+
+TEST_CASE("200 changed jobs do not delay the median start beyond its target",
+          "[fleet]") {
+  fleet_scene scene;
+  paced_store store(scene, {});
+  SubmitStored(scene, store, 200);
+  scene.AddExecutor("a", 1'000'000, store.Now());
+  scene.Core().Plan(At(store.Now()));
+  const std::int64_t placed = store.Now();
+  store.Run(1000);
+  int in_time = 0;
+  for (int i = 0; i < 200; ++i) {
+    const std::int64_t stored = store.StoredAt(Name(i));
+    REQUIRE(stored > placed);
+    if (stored - placed <= kFirstStartMs) ++in_time;
+  }
+  CHECK(in_time >= 100);
+  CHECK(scene.Core().TakeOrders().starts.size() == 200);
+}
+
+TEST_CASE("a cancel does not wait behind 200 placements", "[fleet]") {
+  fleet_scene scene;
+  paced_store store(scene, {});
+  SubmitStored(scene, store, 201);
+  // Room for all but the last job, which is cancelled while it waits.
+  scene.AddExecutor("a", 200'000, store.Now());
+  scene.Core().Plan(At(store.Now()));
+  store.Run(1);
+  const std::int64_t cancelled = store.Now();
+  scene.Core().Cancel(Name(200), At(cancelled));
+  // A write that has begun may have to end first.
+  store.Run(2 * kAnswerMs);
+  CHECK(scene.Core().Shown(Name(200)) == schema::FLEET_CANCELLED);
+}
+
+TEST_CASE(
+    "at a low rate changes are gathered for a pause and written one by one",
+    "[fleet]") {
+  fleet_scene scene;
+  paced_store store(scene, {});
+  constexpr std::int64_t kRunMs = 1000;
+  const write_pacer_options options;
+  // A new job every 5 ms.
+  for (int i = 0; store.Now() < kRunMs; ++i) {
+    scene.Core().Submit(JobOf(Name(i), 1, 1000), At(store.Now()));
+    store.Run(5);
+  }
+  CHECK(store.Calls() <=
+        static_cast<std::size_t>(kRunMs / options.pause.count()));
+  CHECK(store.MostInFlight() == 1);
+}
+
+TEST_CASE("writes stay within the rate however much has changed", "[fleet]") {
+  fleet_scene scene;
+  const write_pacer_options options{.max_per_s = 100.0, .max_burst = 5.0};
+  paced_store store(scene, options);
+  for (int i = 0; i < 4000; ++i) {
+    scene.Core().Submit(JobOf(Name(i), 1, 1000), At(0));
+  }
+  store.Run(1000);
+  CHECK(store.Calls() <= 105);
+  CHECK(store.MostInFlight() <= options.max_in_flight);
+}
+
+TEST_CASE("a store that does not answer is asked once a pause", "[fleet]") {
+  fleet_scene scene;
+  const write_pacer_options options;
+  paced_store store(scene, options);
+  store.answers = false;
+  for (int i = 0; i < 200; ++i) {
+    scene.Core().Submit(JobOf(Name(i), 1, 1000), At(0));
+  }
+  store.Run(20);
+  const std::size_t before = store.Calls();
+  CHECK(before <= options.max_in_flight);
+  store.Run(1000);
+  CHECK(store.Calls() - before <=
+        static_cast<std::size_t>(1000 / options.retry.count()) + 1);
+  store.answers = true;
+  store.Run(1000);
+  for (int i = 0; i < 200; ++i) CHECK(store.StoredAt(Name(i)) >= 0);
+}
+
+TEST_CASE("ends are stored although new jobs fill every batch", "[fleet]") {
+  fleet_scene scene;
+  paced_store store(scene, {});
+  scene.AddExecutor("a", 2000);
+  scene.Core().Submit(JobOf("old", 2, 1000), At(0));
+  scene.Core().Plan(At(0));
+  store.Run(100);
+  for (const auto& start : scene.Core().TakeOrders().starts) {
+    scene.Core().OnStartAnswer(start, fleet::start_outcome::kAccepted,
+                               At(store.Now()));
+  }
+  int jobs = 0;
+  const auto submit_many = [&] {
+    for (int i = 0; i < 50; ++i) {
+      scene.Core().Submit(JobOf(Name(jobs++), 1, 1000), At(store.Now()));
+    }
+    scene.Core().Plan(At(store.Now()));
+  };
+  submit_many();
+  scene.Report("a", store.Now(),
+               {{.task = {.job = "old", .index = 1}, .run = 1}},
+               {{.number = 1,
+                 .task = {.job = "old", .index = 0},
+                 .run = 1,
+                 .how = fleet::run_end::kDone}});
+  const std::int64_t ended = store.Now();
+  while (store.StoredAt("old") < ended && store.Now() < ended + 200) {
+    submit_many();
+    store.Run(10);
+  }
+  CHECK(store.StoredAt("old") >= ended);
+  CHECK(scene.Core().FindExecutor("a")->acknowledged == 1);
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
