Do not take a cut answer of the registry's watch for all changes

Found in review: a watch answer counted as all changes up to its sending.

An answer with 250 changes or more confirms nothing; the next one does. The new test fails without this: placing was permitted after an answer of 500.

--- a/src/waxwingfront/fleet/executor_registry.cc
+++ b/src/waxwingfront/fleet/executor_registry.cc
@@ -7,6 +7,13 @@
 #include <vector>
 
 namespace waxwingfront::fleet {
+namespace {
+
+// An answer with this many changes may be a part of them: the store cuts
+// answers at about twice as many.
+constexpr std::size_t kMaybeCut = 250;
+
+}  // namespace
 
 struct executor_registry::internal : std::enable_shared_from_this<internal> {
   internal(net::event_loop& event_loop, const store_services& services,
@@ -116,7 +123,7 @@
         Remove(change.key.substr(store.executors_prefix.size()));
       }
     }
-    core.ConfirmEntries(sent);
+    if (news->changes.size() < kMaybeCut) core.ConfirmEntries(sent);
     if (!news->changes.empty()) hooks.on_change();
     Watch(news->at);
   }
--- /dev/null
+++ b/tests/waxwingfront/fleet/executor_registry_test.cc
@@ -0,0 +1,78 @@
+#include "waxwingfront/fleet/executor_registry.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "support/fleet_scene.h"
+#include "support/loop_runner.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+using core::milliseconds;
+
+// A store with one executor whose watch is answered by the test.
+struct registry_scene {
+  registry_scene() {
+    store.executors_prefix = "executors/";
+    store.range = [](std::string_view, std::string_view, auto done) {
+      done(fleet::store_page{.items = {{.key = "executors/a", .revision = 1}},
+                             .at = 1});
+    };
+    store.watch = [this](std::string_view, std::int64_t, milliseconds,
+                         auto done) { watches.push_back(done); };
+    store.read_executor = [](std::string_view, std::string_view) {
+      return core::result<fleet::executor_info>(
+          fleet::executor_info{.id = "a", .address = "a", .service = "s"});
+    };
+    registry.Start();
+  }
+
+  // Answers the watch that is open with so many changes.
+  void Answer(std::size_t changes) {
+    fleet::store_changes news{.at = ++revision};
+    for (std::size_t i = 0; i < changes; ++i) {
+      news.changes.push_back({.key = "executors/a", .value = "entry"});
+    }
+    const auto done = watches.back();
+    done(news);
+  }
+
+  // Whether work may be placed at `ms`.
+  bool MayPlaceAt(std::int64_t ms) {
+    return core.Deadlines().MayPlace(At(ms).now);
+  }
+
+  net::event_loop loop;
+  logging::event_log log{{.descriptor = -1}};
+  fleet::store_services store;
+  std::vector<std::function<void(core::result<fleet::store_changes>)>> watches;
+  std::int64_t revision = 1;
+  fleet::fleet_core core{{}};
+  std::int64_t now_ms = 0;
+  fleet::executor_registry registry{loop,
+                                    store,
+                                    core,
+                                    {},
+                                    {.now = [this] { return At(now_ms); },
+                                     .on_listed = [] {},
+                                     .on_change = [] {}},
+                                    log};
+};
+
+TEST_CASE("entries do not count as known after an answer that may be cut",
+          "[fleet]") {
+  registry_scene scene;
+  scene.now_ms = 20'000;
+  // Answers the watch that was sent at the start.
+  scene.Answer(0);
+  scene.Answer(500);
+  CHECK_FALSE(scene.MayPlaceAt(20'000));
+  scene.Answer(3);
+  CHECK(scene.MayPlaceAt(20'000));
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
