Hold an executor again first that lost one answer

Found in review: after one unanswered hold an executor with runs waited behind all that had been called in vain.

An executor that answered the hold before the last and has runs now comes before first calls and repeated ones.

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -71,14 +71,21 @@
     if (OnlyUnstored(executor)) return;
     if (executor.reached && executor.in_contact) {
       Hold(id, slot, now);
-    } else if (slot.unanswered) {
-      firsts.Add(id, hold_urgency::kRepeated);
     } else {
-      firsts.Add(id, executor.active.empty() ? hold_urgency::kNew
-                                             : hold_urgency::kRuns);
+      firsts.Add(id, UrgencyOf(executor, slot));
     }
   }
 
+  static hold_urgency UrgencyOf(const executor_state& executor,
+                                const hold_slot& slot) {
+    const bool runs = !executor.active.empty();
+    if (slot.unanswered) {
+      const bool once = executor.reached && executor.unanswered_holds == 1;
+      return runs && once ? hold_urgency::kLostOnce : hold_urgency::kRepeated;
+    }
+    return runs ? hold_urgency::kRuns : hold_urgency::kNew;
+  }
+
   void Schedule(const std::string& id, hold_slot& slot,
                 core::monotonic_time now) {
     slot.scheduled = true;
--- a/src/waxwingfront/fleet/first_holds.h
+++ b/src/waxwingfront/fleet/first_holds.h
@@ -30,6 +30,8 @@
                                const first_holds_options& options);
 
 enum class hold_urgency {
+  // It answered the hold before the last, and runs there have little time left.
+  kLostOnce,
   // Not called yet, and runs are recorded there.
   kRuns,
   kNew,
--- a/tests/waxwingfront/fleet/executor_driver_test.cc
+++ b/tests/waxwingfront/fleet/executor_driver_test.cc
@@ -261,5 +261,51 @@
   CHECK(one.holds.empty());
 }
 
+// Answers the holds from the `from`th on, in vain, until there is none left or
+// `id` is called. Gives how many others were called before it.
+std::size_t CallsBefore(driven& one, std::size_t from, const std::string& id) {
+  std::size_t others = 0;
+  for (std::size_t i = from; i < one.holds.size(); ++i) {
+    if (one.holds[i].executor == id) return others;
+    ++others;
+    const auto answer = one.late[i];
+    answer(core::Failure(core::error_code::kUnreachable, "cut off"));
+    RunFor(one.loop, milliseconds(2));
+    if (others > 4 * one.core.Executors().size()) break;
+  }
+  return others;
+}
+
+TEST_CASE("an executor that lost one answer is held before the dead ones",
+          "[fleet]") {
+  driven one;
+  for (char id = 'b'; id <= 'z'; ++id) one.AddExecutor({id});
+  one.driver.HoldAll();
+  one.held_back = true;
+  one.holds.clear();
+  one.Begin(JobOf("job", 1, 1000));
+  REQUIRE(one.starts.size() == 1);
+  REQUIRE(RunUntil(one.loop, [&] { return one.holds.size() == 1; }));
+  const std::string living = one.starts[0].executor;
+  for (const auto& [id, executor] : one.core.Executors()) {
+    one.core.FindExecutor(id)->in_contact = id == living;
+  }
+  one.driver.HoldAll();
+  // All others have been called in vain, and are called again.
+  for (std::size_t i = 1; i < one.core.Executors().size(); ++i) {
+    REQUIRE(i < one.holds.size());
+    const auto answer = one.late[i];
+    answer(core::Failure(core::error_code::kUnreachable, "cut off"));
+  }
+  RunFor(one.loop, milliseconds(20));
+  const std::size_t open = one.core.Executors().size();
+  REQUIRE(one.holds.size() == open + kFirstHolds);
+  const auto lost = one.late[0];
+  lost(core::Failure(core::error_code::kOutcomeUnknown, "no answer"));
+  RunFor(one.loop, milliseconds(20));
+  // Those in flight go first, and no others.
+  CHECK(CallsBefore(one, open, living) == kFirstHolds);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
