A claim of leadership names its lease

A claim whose write had no answer could take effect after the next lease was granted. The process then took its key under the first lease for the claim of the second, led, and renewed the second. The first one ended, the key went, and another process could claim while this one still ordered.

The value names the lease as well, so only the claim under the lease that is renewed makes a leader. A value of an earlier claim of this process has its lease ended and the key is claimed anew. A claim that takes effect while the key is watched leads under its own lease; before, the process only took itself for the known leader until that lease ended. Values of the previous version keep their meaning: the address ends at the first space.

--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -1,7 +1,9 @@
 #include "waxwingfront/fleet/leadership.h"
 
 #include <algorithm>
+#include <charconv>
 #include <optional>
+#include <system_error>
 #include <utility>
 
 namespace waxwingfront::fleet {
@@ -14,7 +16,16 @@
         options(std::move(chosen)),
         hooks(std::move(callbacks)) {}
 
-  std::string OwnValue() const { return options.address + " " + options.nonce; }
+  // Starts the value of each claim of this process.
+  std::string OwnPrefix() const {
+    return options.address + " " + options.nonce + " ";
+  }
+
+  // A claim names its lease: one that took effect late must not pass for the
+  // claim under the lease that is renewed.
+  std::string OwnValue() const {
+    return OwnPrefix() + std::to_string(lease.id);
+  }
 
   void SetLeader(const std::string& value, std::int64_t revision) {
     if (revision != 0 && revision < latest_token) return;
@@ -55,14 +66,8 @@
       const store_item& item = page->items.front();
       if (item.revision == 0) {
         self->OnVacant();
-      } else if (item.revision == self->given_up) {
-        // The end of its lease is on its way.
-        self->Watch();
-      } else if (item.value == self->OwnValue()) {
-        self->OnClaimed(item.revision);
       } else {
-        self->SetLeader(item.value, item.revision);
-        self->Watch();
+        self->OnHeld(item.value, item.revision);
       }
     });
   }
@@ -97,10 +102,38 @@
       OnVacant();
       return;
     }
-    SetLeader(*last.value, last.revision);
+    OnHeld(*last.value, last.revision);
+  }
+
+  void OnHeld(const std::string& value, std::int64_t revision) {
+    if (revision != given_up) {
+      if (value == OwnValue() && !resigned) {
+        OnClaimed(revision);
+        return;
+      }
+      if (value.starts_with(OwnPrefix())) {
+        EndClaim(value);
+      } else {
+        SetLeader(value, revision);
+      }
+    }
+    // The end of the lease of what was given up is on its way.
     Watch();
   }
 
+  // Nobody leads under the lease of an earlier claim of this process.
+  void EndClaim(const std::string& value) {
+    OnTaken();
+    SetLeader("", 0);
+    const char* const end = value.data() + value.size();
+    std::int64_t claimed_under = 0;
+    const auto read =
+        std::from_chars(value.data() + OwnPrefix().size(), end, claimed_under);
+    if (read.ec == std::errc() && read.ptr == end) {
+      store.end_lease(claimed_under);
+    }
+  }
+
   void OnVacant() {
     SetLeader("", 0);
     if (!resigned && !claim_pending) PlanClaim();
--- a/tests/waxwingfront/fleet/leadership_test.cc
+++ b/tests/waxwingfront/fleet/leadership_test.cc
@@ -33,7 +33,7 @@
                .on_deposed = [this](std::string_view) { ++deposed; },
                .on_leader = [](const std::string&) {},
                .boot_time_ms = [this] { return clock_ms(); },
-               .random = [](std::int64_t) { return 0; },
+               .random = [this](std::int64_t) { return spread_part; },
                .claim_wait =
                    [claim_delay](milliseconds spread) {
                      return spread + claim_delay;
@@ -53,6 +53,8 @@
   }
 
   std::function<std::int64_t()> clock_ms = SteadyMs;
+  // Milliseconds.
+  std::int64_t spread_part = 0;
   int elected = 0;
   int deposed = 0;
   int leases = 0;
@@ -259,5 +261,80 @@
   CHECK_FALSE(two.place.FollowsStore());
 }
 
+TEST_CASE("a claim that takes effect late makes no leader without its lease",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  const fleet::store_services direct = store.Services();
+  candidate one(loop, store, "one");
+  fleet::store_write kept;
+  int writes = 0;
+  int grants = 0;
+  one.store.write = [&](const fleet::store_write& write, auto done) {
+    if (++writes > 1) return direct.write(write, done);
+    kept = write;
+    loop.After(milliseconds(5), [done] {
+      done({.status = fleet::store_write_status::kUnknown});
+    });
+  };
+  one.store.grant_lease = [&](milliseconds ttl, auto done) {
+    if (++grants > 1 && !kept.put.empty()) {
+      direct.write(kept, [](const fleet::store_write_reply&) {});
+      kept.put.clear();
+    }
+    direct.grant_lease(ttl, done);
+  };
+  REQUIRE(RunUntil(loop, [&] { return one.place.MayOrder(); }));
+  REQUIRE(store.Value(std::string(fleet::kLeaderKey)).starts_with("one"));
+  std::int64_t renewed = 0;
+  one.store.renew_lease = [&](std::int64_t lease, auto done) {
+    renewed = lease;
+    direct.renew_lease(lease, done);
+  };
+  REQUIRE(RunUntil(loop, [&] { return renewed != 0; }));
+  const std::int64_t held = store.LeaseOf(std::string(fleet::kLeaderKey));
+  CHECK(renewed == held);
+  // Nobody renews it, so that it ends.
+  candidate two(loop, store, "two");
+  if (renewed != held) store.EndLease(held);
+  RunFor(loop, milliseconds(200));
+  CHECK_FALSE((one.place.MayOrder() && two.place.MayOrder()));
+}
+
+TEST_CASE("a claim that takes effect before the next one leads", "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  const fleet::store_services direct = store.Services();
+  candidate one(loop, store, "one");
+  one.spread_part = 150;
+  one.store.write = [&](const fleet::store_write& write, auto done) {
+    loop.After(milliseconds(5), [done] {
+      done({.status = fleet::store_write_status::kUnknown});
+    });
+    loop.After(milliseconds(50), [&direct, write] {
+      direct.write(write, [](const fleet::store_write_reply&) {});
+    });
+  };
+  REQUIRE(RunUntil(loop, [&] { return one.leases == 1; }));
+  std::int64_t renewed = 0;
+  one.store.renew_lease = [&](std::int64_t lease, auto done) {
+    renewed = lease;
+    direct.renew_lease(lease, done);
+  };
+  REQUIRE(RunUntil(
+      loop, [&] { return renewed != 0; }, milliseconds(1000)));
+  CHECK(one.leases == 1);
+  CHECK(one.place.MayOrder());
+  CHECK(renewed == store.LeaseOf(std::string(fleet::kLeaderKey)));
+}
+
+TEST_CASE("a value of the previous version names its leader", "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  store.Put(std::string(fleet::kLeaderKey), "previous 17");
+  candidate one(loop, store, "one");
+  CHECK(RunUntil(loop, [&] { return one.place.Leader() == "previous"; }));
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
