Count the answers of members that a slow link delays

A weak leader whose link is full got the answers to its announcements after more than the 500 ms that it waited, and dropped them. It counted nobody as ready, had no successor and kept leadership, just where it had to hand it over.

It waits for an answer as long as one counts (2.5 s), which also covers a connection that is made slowly. The age of an answer counts from the sending of its announcement, so one that was long on its way says as little as before of the present, and it does not take the place of a newer one.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -84,8 +84,9 @@
             .strongest = [this] { return choice->StrongestReady(core::Now()); },
             .on_answer =
                 [this](const std::string& address,
-                       const schema::fleet_standing& standing) {
-                  OnStanding(address, standing);
+                       const schema::fleet_standing& standing,
+                       core::monotonic_time asked) {
+                  OnStanding(address, standing, asked);
                 }});
     announcer->Join(options.strength);
     leadership_options chosen = options.leadership;
@@ -122,11 +123,12 @@
   }
 
   void OnStanding(const std::string& address,
-                  const schema::fleet_standing& standing) {
+                  const schema::fleet_standing& standing,
+                  core::monotonic_time asked) {
     const core::monotonic_time now = core::Now();
     choice->OnStanding(
         address, {.strength = standing.strength(), .ready = standing.ready()},
-        now);
+        asked);
     const auto successor = choice->Successor(now);
     if (!successor || !place->Leading()) return;
     log.Write("leader_hands_over",
--- a/src/waxwingfront/fleet/leader_announcer.cc
+++ b/src/waxwingfront/fleet/leader_announcer.cc
@@ -109,15 +109,16 @@
     news.set_address(address);
     news.set_strongest(hooks.strongest());
     const std::string body = news.SerializeAsString();
+    const core::monotonic_time asked = core::Now();
     for (const std::string& member : members) {
       Tell(member, body,
-           [self = shared_from_this(), started,
-            member](const core::result<net::http_reply>& reply) {
+           [self = shared_from_this(), started, member,
+            asked](const core::result<net::http_reply>& reply) {
              if (self->closed || self->round != started) return;
              schema::fleet_standing standing;
              if (reply && reply->status == net::kHttpOk &&
                  standing.ParseFromString(reply->body)) {
-               self->hooks.on_answer(member, standing);
+               self->hooks.on_answer(member, standing, asked);
              }
            });
     }
@@ -132,7 +133,8 @@
                  .method = "POST",
                  .target = std::string(kAnnouncePath),
                  .body = body,
-                 .timeout = options.timeout},
+                 .timeout = options.timeout,
+                 .longest = options.timeout},
                 std::move(done));
   }
 
--- a/src/waxwingfront/fleet/leader_announcer.h
+++ b/src/waxwingfront/fleet/leader_announcer.h
@@ -25,7 +25,9 @@
   core::milliseconds period{1000};
   // Longest wait of a watch of the members: after it all are read again.
   core::milliseconds refresh{10'000};
-  core::milliseconds timeout{500};
+  // As long as an answer counts: a full link of the leader delays them, also
+  // the connections that they need.
+  core::milliseconds timeout{2500};
   core::milliseconds retry{200};
   // Longest wait until all know of a hand-over: nobody leads meanwhile.
   core::milliseconds handover{150};
@@ -34,9 +36,10 @@
 struct leader_announcer_hooks {
   // Strength of the strongest other process that could lead; 0: not known.
   std::function<std::int64_t()> strongest;
-  // A process has answered an announcement.
+  // A process has answered an announcement that was sent at `asked`.
   std::function<void(const std::string& address,
-                     const schema::fleet_standing& standing)>
+                     const schema::fleet_standing& standing,
+                     core::monotonic_time asked)>
       on_answer;
 };
 
--- a/src/waxwingfront/fleet/leader_choice.cc
+++ b/src/waxwingfront/fleet/leader_choice.cc
@@ -26,8 +26,12 @@
 
 void leader_choice::OnStanding(const std::string& address,
                                const member_standing& standing,
-                               core::monotonic_time now) {
-  answers_[address] = {.standing = standing, .at = now};
+                               core::monotonic_time asked) {
+  const auto [entry, first] =
+      answers_.try_emplace(address, answer{.standing = standing, .at = asked});
+  if (!first && entry->second.at <= asked) {
+    entry->second = {.standing = standing, .at = asked};
+  }
 }
 
 void leader_choice::OnHandover(const std::string& successor,
--- a/src/waxwingfront/fleet/leader_choice.h
+++ b/src/waxwingfront/fleet/leader_choice.h
@@ -58,9 +58,9 @@
 
   // The strongest other process, as records or the leader tell; 0: not known.
   void OnStrongest(std::int64_t strength);
-  // A process answered an announcement of this one.
+  // A process answered an announcement that this one sent at `asked`.
   void OnStanding(const std::string& address, const member_standing& standing,
-                  core::monotonic_time now);
+                  core::monotonic_time asked);
   // A leader, this one or another, hands over to the process at `successor`.
   void OnHandover(const std::string& successor, core::monotonic_time now);
 
@@ -77,6 +77,7 @@
  private:
   struct answer {
     member_standing standing;
+    // When it was asked for.
     core::monotonic_time at;
   };
   struct handover {
--- a/tests/waxwingfront/fleet/leader_choice_test.cc
+++ b/tests/waxwingfront/fleet/leader_choice_test.cc
@@ -119,6 +119,13 @@
   CHECK(choice.Successor(At(later)) == "most");
 }
 
+TEST_CASE("a late answer does not take the place of a newer one", "[fleet]") {
+  leader_choice choice = Choice(100);
+  choice.OnStanding("strong", {.strength = 900, .ready = false}, At(2000));
+  choice.OnStanding("strong", {.strength = 900, .ready = true}, At(1000));
+  CHECK_FALSE(choice.Successor(At(2000)));
+}
+
 TEST_CASE("processes of the previous version lead and follow without strength",
           "[fleet]") {
   leader_choice choice = Choice(100);
