An answer from an executor's old address ends no run at its new one

Callers saw a task run twice: a hold to executor X at a1 was in flight, X came back at a2 under its id, a task was started there, and another executor at a1 then answered 421 to the old hold. The answer was taken as word of X whatever address and time the hold had, so all runs of X, starting ones too, counted as forgotten and were placed again.

The answer now comes with the hold's address and sending time. It says nothing where the executor's address is another one by now (no answer, the next hold goes to the right address). Otherwise it ends runs that were confirmed, or whose stop was sent, before the hold; a start on its way has an answer of its own.

Failing before, on the code of: 'an answer from an executor's old address ends no run at its new one' (2 runs ended, 0 wanted). With the address and time passed but the time not looked at: 'a hold that another executor answered ends no later run' (1 ended, 0 wanted).

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -128,23 +128,22 @@
       }
     }
     slot.in_flight = true;
-    executors.hold(request,
-                   [self = shared_from_this(), id, now, wait = request.wait,
-                    late = std::make_shared<bool>(false)](
-                       const core::result<hold_report>& report) {
-                     if (self->closed) return;
-                     if (std::exchange(*late, true)) {
-                       self->OnLateHold(id, now, report);
-                       return;
-                     }
-                     self->LearnPace(now, wait, report.has_value());
-                     if (wait.count() == 0)
-                       self->Measure(load_stage::kHold, now);
-                     self->OnHold(id, now, report);
-                   });
+    executors.hold(request, [self = shared_from_this(), id, now,
+                             wait = request.wait, address = request.address,
+                             late = std::make_shared<bool>(false)](
+                                const core::result<hold_report>& report) {
+      if (self->closed) return;
+      if (std::exchange(*late, true)) {
+        self->OnLateHold(id, now, report);
+        return;
+      }
+      self->LearnPace(now, wait, report.has_value());
+      if (wait.count() == 0) self->Measure(load_stage::kHold, now);
+      self->OnHold(id, {.address = address, .sent = now}, report);
+    });
   }
 
-  void OnHold(const std::string& id, core::monotonic_time sent,
+  void OnHold(const std::string& id, const hold_origin& hold,
               const core::result<hold_report>& report) {
     hold_slot& slot = slots[id];
     slot.in_flight = false;
@@ -167,13 +166,13 @@
                   {{"executor", id}, {"cause", report.error().detail}});
       }
       if (report.error().code == core::error_code::kOtherIncarnation) {
-        core.Runs().OnGone(id, at);
+        core.Runs().OnGone(id, hold, at);
       } else {
         core.Runs().OnNoAnswer(id);
       }
       slot.not_before = at.now + options.retry;
     } else {
-      TakeReport(*executor, slot, sent, *report, at);
+      TakeReport(*executor, slot, hold.sent, *report, at);
       slot.pause_end = at.now + pace.Pause();
       slot.not_before = slot.pause_end;
       if (executor->processed > executor->acknowledged) {
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -11,6 +11,21 @@
 // Executors list this many ends at once.
 constexpr std::size_t kEndsAtOnce = 500;
 
+// Whether the run was surely there, if anywhere, when a hold was sent that its
+// executor did not get. A start on its way has an answer of its own.
+bool KnownBefore(const task_state& task, core::monotonic_time sent) {
+  switch (task.phase) {
+    case task_phase::kOrphaned:
+      return true;
+    case task_phase::kRunning:
+      return task.confirmed < sent;
+    case task_phase::kStopping:
+      return task.stop_sent_at < sent;
+    default:
+      return false;
+  }
+}
+
 // Any member's checkpoint is good for its whole gang, whose members must all
 // start from the same one.
 void TakeCheckpoint(task_state& task, const std::string& checkpoint) {
@@ -68,14 +83,14 @@
   ++executor->unanswered_holds;
 }
 
-void run_tracker::OnGone(std::string_view executor_id, moment at) {
+void run_tracker::OnGone(std::string_view executor_id, const hold_origin& hold,
+                         moment at) {
   OnNoAnswer(executor_id);
   executor_state* const executor = state_.FindExecutor(executor_id);
-  if (executor == nullptr) return;
+  if (executor == nullptr || executor->info.address != hold.address) return;
   const std::vector<task_state*> active = executor->active;
   for (task_state* const task : active) {
-    // What is placed has not been sent; its start will be refused.
-    if (task->Active() && task->phase != task_phase::kPlaced) {
+    if (KnownBefore(*task, hold.sent)) {
       Over(*task, run_fate::kForgotten, at);
     }
   }
--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -13,6 +13,12 @@
 
 namespace waxwingfront::fleet {
 
+// Where and when a hold was sent.
+struct hold_origin {
+  std::string_view address;
+  core::monotonic_time sent;
+};
+
 struct run_tracker_options {
   // Pause before work is sent again to an executor that left an order without
   // an answer: single answers are lost, the next hold tells more.
@@ -47,8 +53,9 @@
   void OnHold(std::string_view executor, const hold_report& report,
               core::monotonic_time sent, moment at);
   void OnNoAnswer(std::string_view executor);
-  // Another executor has its address: nothing runs on this one any more.
-  void OnGone(std::string_view executor, moment at);
+  // Another executor answered at the address that the hold went to. Says
+  // nothing of runs elsewhere, nor of those that were confirmed since.
+  void OnGone(std::string_view executor, const hold_origin& hold, moment at);
 
   void OnStartAnswer(const start_order& order, start_outcome outcome,
                      moment at);
--- a/tests/waxwingfront/fleet/executor_driver_test.cc
+++ b/tests/waxwingfront/fleet/executor_driver_test.cc
@@ -261,5 +261,28 @@
   CHECK(one.holds.empty());
 }
 
+TEST_CASE("an answer from an executor's old address ends no run at its new one",
+          "[fleet]") {
+  driven one;
+  one.driver.HoldAll();
+  REQUIRE(RunUntil(one.loop, [&] { return !one.holds.empty(); }));
+  one.held_back = true;
+  one.Begin(JobOf("before", 1, 1000));
+  REQUIRE(RunUntil(one.loop, [&] { return one.late.size() == 1; }));
+  one.core.SetExecutor({.id = "a",
+                        .address = "a2",
+                        .service = "s",
+                        .capacity = {.processor_milli = 8000}});
+  one.Begin(JobOf("after", 1, 1000));
+  REQUIRE(one.starts.size() == 2);
+  int over = 0;
+  one.core.Runs().on_over = [&over](const fleet::task_state&, fleet::run_fate,
+                                    fleet::moment) { ++over; };
+  const auto answer = one.late[0];
+  answer(core::Failure(core::error_code::kOtherIncarnation, "another"));
+  CHECK(over == 0);
+  CHECK_FALSE(one.core.FindExecutor("a")->in_contact);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
--- a/tests/waxwingfront/fleet/run_tracker_test.cc
+++ b/tests/waxwingfront/fleet/run_tracker_test.cc
@@ -159,5 +159,37 @@
   CHECK(after.stops[0].run == 4);
 }
 
+TEST_CASE("a hold that another executor answered ends no later run",
+          "[fleet]") {
+  started one;
+  fleet_scene& scene = one.scene;
+  int over = 0;
+  scene.Core().Runs().on_over = [&over](const fleet::task_state&,
+                                        fleet::run_fate,
+                                        fleet::moment) { ++over; };
+  const auto gone = [&scene](std::string_view address, std::int64_t sent_ms) {
+    scene.Core().Runs().OnGone(
+        "a", {.address = address, .sent = At(sent_ms).now}, At(1000));
+  };
+  gone("a", 5);
+  CHECK(over == 0);
+  scene.Core().OnStartAnswer(one.start, start_outcome::kAccepted, At(20));
+  gone("a", 15);
+  CHECK(over == 0);
+  gone("another", 30);
+  CHECK(over == 0);
+  SECTION("one that ran before it is over") {
+    gone("a", 30);
+    CHECK(over == 1);
+  }
+  SECTION("one that was to stop before it is over") {
+    scene.Core().Cancel("job", At(40));
+    gone("a", 35);
+    CHECK(over == 0);
+    gone("a", 45);
+    CHECK(over == 1);
+  }
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
