Leases that another sender or clock set are bounded by the longest hold

A run could be repeated while its executor still had it: the lease of an executor that a leader first reaches, or that came back as another incarnation, was taken to reach 7 s (hold_reach). A start whose deadline was reckoned by the old incarnation's clock, or by another program version, is shortened by the executor only to its longest hold, 10 s.

fleet_options gets longest_hold (max_hold of the platform's settings, 10 s by default); run_tracker uses it for such executors, FinishRestore for those never reached. Deadlines of this leader on a clock that it has sampled keep hold_reach. Only executors that left wait longer: those that answer are asked, and silent ones with an entry wait 21 s anyway.

Failing before: 'a new incarnation may keep runs as long as executors hold any' (run started again 10.2 s after the answer of a clock that may be 2 % slow, none wanted); 'a leader that takes over late waits for executors that are there' with its new check at 12.0 s (1 over, 0 wanted). lease_expiry_test's kLapsedMs held for 7 s of reach only; it is now 10.25 s (lapse at 10.21 s) and, after a take-over, 12.1 s (lapse at 12.04 s), with a check just before that is new.

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -17,7 +17,9 @@
       sharing_(state_),
       distance_(options.remote_factor),
       deadlines_(state_, options.deadlines),
-      runs_(state_, options.runs, options.deadlines.hold_reach),
+      runs_(state_, options.runs,
+            {.hold_reach = options.deadlines.hold_reach,
+             .longest_hold = options.longest_hold}),
       journal_(state_),
       planner_(state_, PlacementCost(), PlacementEpoch(), distance_),
       rebalancer_(state_, {}, PlacementCost()) {
@@ -87,7 +89,7 @@
 
 void fleet_core::FinishRestore(moment claimed) {
   const auto reach = std::chrono::duration_cast<core::milliseconds>(
-      (options_.deadlines.hold_reach + options_.leader_lease) / kSlowestClock);
+      (options_.longest_hold + options_.leader_lease) / kSlowestClock);
   unreached_lapse_ = claimed.now + reach + kLapseSlack;
   for (auto& [id, executor] : state_.executors) {
     executor.unreached_lapse = unreached_lapse_;
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -23,6 +23,8 @@
 
 struct fleet_options {
   order_deadline_options deadlines;
+  // Executors shorten any deadline to this far ahead of its arrival.
+  core::milliseconds longest_hold{10'000};
   // Time that the store gives a leader between renewals.
   core::milliseconds leader_lease{1500};
   // How long a final job can be asked for.
@@ -46,7 +48,8 @@
                const std::optional<schema::fleet_progress>& progress,
                std::int64_t progress_revision, moment at);
   // All jobs and executors of the store are known. Runs of executors that have
-  // not answered by then count as over at `claimed` plus lease and reach.
+  // not answered by then count as over at `claimed` plus lease and longest
+  // hold.
   void FinishRestore(moment claimed);
 
   bool Knows(const std::string& id) const { return state_.jobs.contains(id); }
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -52,9 +52,9 @@
     executor->acknowledged = 0;
     executor->processed = 0;
     executor->unstored_ends.clear();
-    // An earlier leader may have sent a deadline as far as its reach allows,
-    // and this one may have sent starts to the new incarnation already.
-    executor->deadline_sent_ms = report.clock_ms + hold_reach_.count();
+    // Another leader may have sent a deadline, or this one a start reckoned by
+    // the clock of the incarnation before.
+    executor->deadline_sent_ms = report.clock_ms + bounds_.longest_hold.count();
   }
   if (reborn) {
     // The new incarnation knows nothing of stops.
@@ -260,9 +260,9 @@
     task.phase = task_phase::kStarting;
     if (!job.milestones.ordered) job.milestones.ordered = at.now;
     // The start is sent a little later, with a deadline below this.
-    executor->deadline_sent_ms =
-        std::max(executor->deadline_sent_ms,
-                 ClockAtMost(*executor->clock, at.now) + hold_reach_.count());
+    executor->deadline_sent_ms = std::max(
+        executor->deadline_sent_ms,
+        ClockAtMost(*executor->clock, at.now) + bounds_.hold_reach.count());
     state_.outgoing.starts.push_back({.executor = task.executor,
                                       .task = task.Ref(),
                                       .run = task.run,
--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -19,6 +19,14 @@
   core::monotonic_time sent;
 };
 
+// How far ahead of its sending a deadline lies at most.
+struct deadline_bounds {
+  // One that this leader sent on its executor's present clock.
+  core::milliseconds hold_reach;
+  // Any other: executors shorten deadlines to this.
+  core::milliseconds longest_hold;
+};
+
 struct run_tracker_options {
   // Pause before work is sent again to an executor that left an order without
   // an answer: single answers are lost, the next hold tells more.
@@ -35,10 +43,9 @@
 
 class run_tracker {
  public:
-  // `hold_reach`: how far ahead of its sending a deadline lies at most.
   run_tracker(fleet_state& state, run_tracker_options options,
-              core::milliseconds hold_reach)
-      : state_(state), options_(options), hold_reach_(hold_reach) {}
+              deadline_bounds bounds)
+      : state_(state), options_(options), bounds_(bounds) {}
 
   // Called with each run that is over, for logs and estimates.
   std::function<void(const task_state&, run_fate, moment)> on_over;
@@ -93,7 +100,7 @@
 
   fleet_state& state_;
   run_tracker_options options_;
-  core::milliseconds hold_reach_;
+  deadline_bounds bounds_;
 };
 
 }  // namespace waxwingfront::fleet
--- a/tests/waxwingfront/fleet/lease_expiry_test.cc
+++ b/tests/waxwingfront/fleet/lease_expiry_test.cc
@@ -10,7 +10,10 @@
 
 constexpr std::int64_t kCores = 8000;
 // Longer than any lease at a clock that is 2 % slow.
-constexpr std::int64_t kLapsedMs = 10'000;
+constexpr std::int64_t kLapsedMs = 10'250;
+// The same, from a take-over on while the leader before may still have led.
+constexpr std::int64_t kInheritedLapsedMs = 12'100;
+constexpr std::int64_t kInheritedMs = 12'000;
 constexpr std::int64_t kSilentMs = 30'000;
 constexpr int kAskedOften = 10;
 
@@ -91,10 +94,12 @@
   int over = 0;
   after.Runs().on_over = [&over](const fleet::task_state&, fleet::run_fate,
                                  fleet::moment) { ++over; };
-  after.Tick(At(1000 + kLapsedMs));
+  after.Tick(At(1000 + kInheritedLapsedMs));
   CHECK(over == 0);
   after.ForgetExecutor("a");
-  after.Tick(At(1000 + kLapsedMs));
+  after.Tick(At(1000 + kInheritedMs));
+  CHECK(over == 0);
+  after.Tick(At(1000 + kInheritedLapsedMs));
   CHECK(over == 1);
 }
 
--- a/tests/waxwingfront/fleet/run_tracker_test.cc
+++ b/tests/waxwingfront/fleet/run_tracker_test.cc
@@ -78,6 +78,26 @@
   REQUIRE(scene.Step(7200).starts.size() == 1);
 }
 
+TEST_CASE("a new incarnation may keep runs as long as executors hold any",
+          "[fleet]") {
+  // It shortens a deadline on its predecessor's clock to its longest hold.
+  started one;
+  fleet_scene& scene = one.scene;
+  scene.AddExecutor("b", kCores, 10);
+  scene.Core().OnHold("a",
+                      {.born_ms = 2,
+                       .clock_ms = 0,
+                       .running = {{.task = one.start.task, .run = 1}}},
+                      At(20).now, At(20));
+  scene.Core().ForgetExecutor("a");
+  scene.Core().Runs().OnNoAnswer("a");
+  // A clock that is 2 % slow reaches 10'000 after 10'205 ms.
+  scene.Core().Tick(At(20 + 10'200));
+  CHECK(scene.Step(20 + 10'200).starts.empty());
+  scene.Core().Tick(At(20 + 10'210));
+  CHECK(scene.Step(20 + 10'210).starts.size() == 1);
+}
+
 TEST_CASE("an end is acknowledged only once it is stored", "[fleet]") {
   started one;
   fleet_scene& scene = one.scene;
