--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "support/loop_runner.h"
+#include "waxwingfront/net/async_http_server.h"
 
 namespace waxwingfront::tests {
 namespace {
@@ -70,5 +71,46 @@
   CHECK((*page)->items.front().revision == 3);
 }
 
+// A store that answers everything with the same after a while.
+struct late_store {
+  late_store(milliseconds delay, std::string body)
+      : server(loop, {.address = "127.0.0.1:0"},
+               [this, delay, body = std::move(body)](
+                   const net::server_request&,
+                   const net::async_http_server::responder& respond) {
+                 ++calls;
+                 loop.After(delay, [respond, body] {
+                   respond({.status = 200, .body = body});
+                 });
+               }) {
+    REQUIRE(server.Start());
+    services = platform::StoreAt(server.Address(), client);
+  }
+
+  // Writes anew after each write without an answer.
+  void WriteUntilApplied() {
+    services.write({}, [this](const fleet::store_write_reply& reply) {
+      applied = reply.status == fleet::store_write_status::kApplied;
+      if (!applied) WriteUntilApplied();
+    });
+  }
+
+  int calls = 0;
+  bool applied = false;
+  net::event_loop loop;
+  net::async_http_client client{loop, {}};
+  net::async_http_server server;
+  fleet::store_services services;
+};
+
+TEST_CASE("a store whose answers always come late is heard in the end",
+          "[platform]") {
+  late_store store(milliseconds(800), R"({"revision":3})");
+  store.WriteUntilApplied();
+  CHECK(RunUntil(store.loop, [&store] { return store.applied; }));
+  // Waits double up to the bound, and the first late answer raises them.
+  CHECK(store.calls <= 6);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
