Use a leader's late answer, and don't call it over and over

Callers whose leader took longer than a second got "outcome unknown" at their deadline, although the leader had answered; cancels stayed without an answer, and each call came to the leader once a second.

Cause: an attempt given up after `attempt` dropped its answer with its connection, and the call was sent again without end.

Each attempt is now listened for until the call's deadline, and the first final answer to any attempt ends the call, once. One leader has at most two unanswered attempts of a call; one whose connection has closed counts no more. A late refusal ends nothing, as another attempt may have arrived, and neither does a late "unknown job" of a former leader. The leader's place is doubted once per `attempt` meanwhile, as before.

--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -2,20 +2,56 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include "waxwingfront/net/http_status.h"
 
 namespace waxwingfront::fleet {
+namespace {
+
+std::optional<schema::fleet_reply> Parse(
+    const core::result<net::http_reply>& reply) {
+  schema::fleet_reply answer;
+  if (!reply || reply->status != net::kHttpOk ||
+      !answer.ParseFromString(reply->body)) {
+    return std::nullopt;
+  }
+  return answer;
+}
+
+}  // namespace
 
 struct job_gateway::attempt_state {
   schema::fleet_request request;
   core::monotonic_time deadline;
   // Until then a leader is looked for.
   core::monotonic_time patient_until;
+  // Null once it was called.
   callback done;
   // A leader may have taken the call without an answer.
   bool may_have_arrived = false;
+  // Addresses of the attempts that can still be answered.
+  std::vector<std::weak_ptr<const std::string>> open;
+  core::monotonic_time doubted;
+  // Before then the call is not sent again.
+  core::monotonic_time paused_until;
+
+  void End(core::result<schema::fleet_reply> result) {
+    if (const callback called = std::exchange(done, nullptr)) {
+      called(std::move(result));
+    }
+  }
+
+  std::size_t Unanswered(const std::string& address) {
+    std::erase_if(open, [](const auto& at) { return at.expired(); });
+    return static_cast<std::size_t>(
+        std::ranges::count_if(open, [&address](const auto& at) {
+          const auto opened = at.lock();
+          return opened != nullptr && *opened == address;
+        }));
+  }
 };
 
 job_gateway::job_gateway(net::event_loop& loop, net::async_http_client& client,
@@ -37,15 +73,16 @@
 }
 
 void job_gateway::Try(std::shared_ptr<attempt_state> attempt) {
+  if (!attempt->done) return;
   const core::monotonic_time now = core::Now();
   if (attempt->may_have_arrived && now >= attempt->deadline) {
-    attempt->done(core::Failure(core::error_code::kOutcomeUnknown,
-                                "the leader did not answer in time"));
+    attempt->End(core::Failure(core::error_code::kOutcomeUnknown,
+                               "the leader did not answer in time"));
     return;
   }
   if (!attempt->may_have_arrived && now >= attempt->patient_until) {
-    attempt->done(core::Failure(core::error_code::kNoOwner,
-                                "no leader could be reached in time"));
+    attempt->End(core::Failure(core::error_code::kNoOwner,
+                               "no leader could be reached in time"));
     return;
   }
   const auto left =
@@ -62,35 +99,79 @@
     Retry(std::move(attempt), options_.retry);
     return;
   }
+  if (attempt->Unanswered(address) >= options_.max_unanswered) {
+    if (now - attempt->doubted >= options_.attempt) Doubt(*attempt);
+    Retry(std::move(attempt), options_.retry);
+    return;
+  }
+  if (now < attempt->paused_until) {
+    Retry(std::move(attempt), options_.retry);
+    return;
+  }
   TryRemote(std::move(attempt), address);
 }
 
 void job_gateway::TryRemote(std::shared_ptr<attempt_state> attempt,
                             const std::string& address) {
   const core::milliseconds left(attempt->request.left_ms());
+  const core::milliseconds timeout = std::min(left, options_.attempt);
+  // The connection drops its hook, and `open` with it, when no answer can come
+  // on it any more.
+  auto open = std::make_shared<const std::string>(address);
+  attempt->open.push_back(open);
   net::http_call call{.address = address,
                       .method = "POST",
                       .target = std::string(kFleetCallPath),
                       .body = attempt->request.SerializeAsString(),
-                      .timeout = std::min(left, options_.attempt),
-                      .longest = left};
+                      .timeout = timeout,
+                      .longest = left,
+                      .late_wait = left - timeout,
+                      .on_late = [this, attempt, open = std::move(open)](
+                                     const net::http_reply& reply) {
+                        if (attempt->done) OnLateReply(*attempt, *open, reply);
+                      }};
   client_.Send(
       std::move(call),
       [this, attempt](const core::result<net::http_reply>& reply) {
-        schema::fleet_reply answer;
-        if (reply && reply->status == net::kHttpOk &&
-            answer.ParseFromString(reply->body)) {
-          OnReply(attempt, answer);
+        if (!attempt->done) return;
+        if (const auto answer = Parse(reply)) {
+          OnReply(attempt, *answer);
           return;
         }
         if (reply || reply.error().code != core::error_code::kUnreachable) {
           attempt->may_have_arrived = true;
         }
-        hooks_.doubt();
+        Doubt(*attempt);
         Retry(attempt, options_.retry);
       });
 }
 
+void job_gateway::OnLateReply(attempt_state& attempt,
+                              const std::string& address,
+                              const net::http_reply& reply) {
+  const auto answer = Parse(reply);
+  if (!answer) return;
+  switch (answer->outcome()) {
+    case schema::FLEET_OK:
+      attempt.End(*answer);
+      break;
+    case schema::FLEET_UNKNOWN_JOB:
+      // A later leader may know the job.
+      if (address == hooks_.leader()) attempt.End(*answer);
+      break;
+    case schema::FLEET_OVERLOADED:
+      attempt.paused_until = core::Now() + options_.overloaded_retry;
+      break;
+    default:
+      break;
+  }
+}
+
+void job_gateway::Doubt(attempt_state& attempt) {
+  attempt.doubted = core::Now();
+  hooks_.doubt();
+}
+
 void job_gateway::Retry(std::shared_ptr<attempt_state> attempt,
                         core::milliseconds pause) {
   loop_.After(pause, [this, attempt = std::move(attempt)] { Try(attempt); });
@@ -98,6 +179,7 @@
 
 void job_gateway::OnReply(std::shared_ptr<attempt_state> attempt,
                           const schema::fleet_reply& reply) {
+  if (!attempt->done) return;
   if (reply.outcome() == schema::FLEET_NOT_LEADING ||
       reply.outcome() == schema::FLEET_OUTCOME_UNKNOWN) {
     attempt->may_have_arrived |=
@@ -110,11 +192,11 @@
       Retry(std::move(attempt), options_.overloaded_retry);
       return;
     }
-    attempt->done(core::Failure(core::error_code::kOverloaded,
-                                "the leader is behind with its records"));
+    attempt->End(core::Failure(core::error_code::kOverloaded,
+                               "the leader is behind with its records"));
     return;
   }
-  attempt->done(reply);
+  attempt->End(reply);
 }
 
 void job_gateway::Answer(const schema::fleet_request& request,
--- a/src/waxwingfront/fleet/job_gateway.h
+++ b/src/waxwingfront/fleet/job_gateway.h
@@ -2,6 +2,7 @@
 #ifndef WAXWINGFRONT_FLEET_JOB_GATEWAY_H_
 #define WAXWINGFRONT_FLEET_JOB_GATEWAY_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,6 +29,8 @@
   // Longest wait for one answer of the leader: a silent connection is given up
   // while there is time for another.
   core::milliseconds attempt{1000};
+  // Attempts of one call that one leader may have without an answer.
+  std::size_t max_unanswered = 2;
   // A call that has reached no leader for this long is refused while its caller
   // has time to come back: about half a take-over, after which a caller at this
   // process is better off at another.
@@ -52,7 +55,8 @@
   job_gateway(net::event_loop& loop, net::async_http_client& client,
               job_gateway_options options, job_gateway_hooks hooks);
 
-  // Calls the leader until it has answered or `deadline` is over. Fails with
+  // Calls the leader until it has answered or `deadline` is over; `done` is
+  // called once, with the first final answer to any attempt. Fails with
   // `kNoOwner` if no leader was reached within the patience, so that nothing
   // was done, with `kOverloaded` if the leader is too far behind for the time
   // left, so that nothing was done either, and with `kOutcomeUnknown` if a
@@ -73,6 +77,10 @@
   void Retry(std::shared_ptr<attempt_state> attempt, core::milliseconds pause);
   void OnReply(std::shared_ptr<attempt_state> attempt,
                const schema::fleet_reply& reply);
+  // Takes the answer to an attempt that was given up; others go on.
+  void OnLateReply(attempt_state& attempt, const std::string& address,
+                   const net::http_reply& reply);
+  void Doubt(attempt_state& attempt);
 
   net::event_loop& loop_;
   net::async_http_client& client_;
--- a/tests/waxwingfront/fleet/job_gateway_test.cc
+++ b/tests/waxwingfront/fleet/job_gateway_test.cc
@@ -1,6 +1,10 @@
 #include "waxwingfront/fleet/job_gateway.h"
 
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
 #include <catch2/catch.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -8,6 +12,7 @@
 #include "support/fake_store.h"
 #include "support/fleet_scene.h"
 #include "support/loop_runner.h"
+#include "waxwingfront/net/async_http_server.h"
 
 namespace waxwingfront::tests {
 namespace {
@@ -62,6 +67,128 @@
   CHECK(reply.error().code == core::error_code::kNoOwner);
 }
 
+// A leader elsewhere, which answers each call when a test says so, and a
+// process that calls it.
+struct remote_leader {
+  remote_leader()
+      : server(loop, {.address = "127.0.0.1:0"},
+               [this](const net::server_request&,
+                      const net::async_http_server::responder& respond) {
+                 held.push_back(respond);
+                 if (on_call) on_call(respond);
+               }),
+        gateway(loop, client,
+                {.retry = milliseconds(10),
+                 .overloaded_retry = milliseconds(10),
+                 .attempt = milliseconds(50),
+                 .patience = milliseconds(1000)},
+                {.local = [] { return nullptr; },
+                 .leader = [this] { return leader; },
+                 .doubt = [] {},
+                 .now = [] { return At(0); }}) {
+    REQUIRE(server.Start());
+    leader = server.Address();
+  }
+
+  void Cancel(milliseconds time) {
+    schema::fleet_request request;
+    request.set_cancel("job");
+    gateway.Call(std::move(request), core::Now() + time,
+                 [this](core::result<schema::fleet_reply> reply) {
+                   replies.push_back(std::move(reply));
+                 });
+  }
+
+  static net::server_answer Reply(schema::fleet_outcome outcome) {
+    schema::fleet_reply reply;
+    reply.set_outcome(outcome);
+    return {.status = 200, .body = reply.SerializeAsString()};
+  }
+
+  net::event_loop loop;
+  std::vector<net::async_http_server::responder> held;
+  std::function<void(const net::async_http_server::responder&)> on_call;
+  std::string leader;
+  std::vector<core::result<schema::fleet_reply>> replies;
+  net::async_http_client client{loop, {}};
+  net::async_http_server server;
+  fleet::job_gateway gateway;
+};
+
+TEST_CASE("a leader that answers late is not called over and over", "[fleet]") {
+  remote_leader site;
+  site.on_call = [&site](const net::async_http_server::responder& respond) {
+    site.loop.After(milliseconds(200), [respond] {
+      respond(remote_leader::Reply(schema::FLEET_OK));
+    });
+  };
+  site.Cancel(milliseconds(1000));
+  REQUIRE(RunUntil(site.loop, [&site] { return !site.replies.empty(); }));
+  CHECK(site.replies[0]);
+  CHECK(site.held.size() <= 2);
+  // The answer to the other attempt ends nothing a second time.
+  RunFor(site.loop, milliseconds(300));
+  CHECK(site.replies.size() == 1);
+  CHECK(site.held.size() <= 2);
+}
+
+TEST_CASE("a silent leader is called on a second connection and no more",
+          "[fleet]") {
+  remote_leader site;
+  site.Cancel(milliseconds(500));
+  REQUIRE(RunUntil(site.loop, [&site] { return !site.replies.empty(); }));
+  CHECK(site.held.size() == 2);
+  REQUIRE_FALSE(site.replies[0]);
+  CHECK(site.replies[0].error().code == core::error_code::kOutcomeUnknown);
+}
+
+TEST_CASE("a late refusal of one attempt does not deny the other", "[fleet]") {
+  remote_leader site;
+  site.Cancel(milliseconds(500));
+  REQUIRE(RunUntil(site.loop, [&site] { return site.held.size() == 2; }));
+  RunFor(site.loop, milliseconds(100));
+  site.held[0](remote_leader::Reply(schema::FLEET_OVERLOADED));
+  // The refused attempt is made anew.
+  REQUIRE(RunUntil(site.loop, [&site] { return site.held.size() == 3; }));
+  site.held[2](remote_leader::Reply(schema::FLEET_NOT_LEADING));
+  REQUIRE(RunUntil(site.loop, [&site] { return !site.replies.empty(); }));
+  REQUIRE_FALSE(site.replies[0]);
+  CHECK(site.replies[0].error().code == core::error_code::kOutcomeUnknown);
+}
+
+TEST_CASE("a former leader that late knows no such job ends no call",
+          "[fleet]") {
+  remote_leader site;
+  site.Cancel(milliseconds(500));
+  REQUIRE(RunUntil(site.loop, [&site] { return site.held.size() == 2; }));
+  RunFor(site.loop, milliseconds(100));
+  site.leader.clear();
+  site.held[0](remote_leader::Reply(schema::FLEET_UNKNOWN_JOB));
+  RunFor(site.loop, milliseconds(50));
+  CHECK(site.replies.empty());
+  site.held[1](remote_leader::Reply(schema::FLEET_OK));
+  REQUIRE(RunUntil(site.loop, [&site] { return !site.replies.empty(); }));
+  CHECK(site.replies[0]);
+}
+
+TEST_CASE("closed connections of unanswered attempts free the way for another",
+          "[fleet]") {
+  Poco::Net::ServerSocket leader(Poco::Net::SocketAddress("127.0.0.1", 0));
+  remote_leader site;
+  site.leader = leader.address().toString();
+  site.Cancel(milliseconds(5000));
+  RunFor(site.loop, milliseconds(300));
+  const Poco::Timespan soon(0, 500'000);
+  for (int i = 0; i < 2; ++i) {
+    REQUIRE(leader.poll(soon, Poco::Net::Socket::SELECT_READ));
+    leader.acceptConnection().close();
+  }
+  CHECK_FALSE(leader.poll(0, Poco::Net::Socket::SELECT_READ));
+  RunFor(site.loop, milliseconds(100));
+  CHECK(leader.poll(soon, Poco::Net::Socket::SELECT_READ));
+  CHECK(site.replies.empty());
+}
+
 // A process that leads, with a store that can be taken away.
 struct leading_process {
   leading_process()
