--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -112,5 +112,24 @@
   CHECK(store.calls <= 6);
 }
 
+TEST_CASE("ranges and watches of a late store are waited for like other calls",
+          "[platform]") {
+  late_store store(milliseconds(800), R"({"revision":3,"at":3})");
+  store.WriteUntilApplied();
+  REQUIRE(RunUntil(store.loop, [&store] { return store.applied; }));
+  std::optional<core::result<fleet::store_page>> page;
+  store.services.range("k", "", [&page](core::result<fleet::store_page> got) {
+    page = std::move(got);
+  });
+  std::optional<core::result<fleet::store_changes>> news;
+  store.services.watch("k", 1, milliseconds(0),
+                       [&news](core::result<fleet::store_changes> got) {
+                         news = std::move(got);
+                       });
+  REQUIRE(RunUntil(store.loop, [&] { return page && news; }));
+  CHECK(page->has_value());
+  CHECK(news->has_value());
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
