--- a/bench/fleet_core_bench.cc
+++ b/bench/fleet_core_bench.cc
@@ -307,15 +307,17 @@
   void Write() {
     if (writing_ && now_ >= written_ms_) {
       writing_ = false;
-      costs_.Timed("stored",
-                   [this] { core_.Journal().Stored(++revision_, Now()); });
+      costs_.Timed("stored", [this] {
+        core_.Journal().Stored(batch_, ++revision_, Now());
+      });
     }
     if (writing_) return;
-    std::vector<record_write> writes;
+    write_batch writes;
     costs_.Timed("next batch",
                  [&] { writes = core_.Journal().NextBatch(options_.records); });
-    if (writes.empty()) return;
-    records_ += writes.size();
+    if (writes.records.empty()) return;
+    batch_ = writes.number;
+    records_ += writes.records.size();
     writing_ = true;
     written_ms_ = now_ + kWriteMs;
   }
@@ -349,6 +351,8 @@
   std::int64_t done_ = 0;
   std::int64_t finished_ = 0;
   std::size_t records_ = 0;
+  // Number of the batch on its way.
+  std::uint64_t batch_ = 0;
   bool writing_ = false;
   std::int64_t written_ms_ = 0;
   std::int64_t revision_ = 1;
