Do not lead by a claim that was on its way when the process resigned

Found in review: a process that was told to stop while its claim was on its way led once the answer came, and nobody else could until it had gone. It now ends the claim's lease. The new test fails without this: no other process was elected.

--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -182,11 +182,13 @@
     store.write(claim, [self = shared_from_this(),
                         started](const store_write_reply& reply) {
       if (self->round != started) return;
-      if (reply.status == store_write_status::kApplied) {
+      const bool applied = reply.status == store_write_status::kApplied;
+      if (applied && !self->resigned) {
         self->OnClaimed(reply.revision);
-      } else {
-        self->Observe();
+        return;
       }
+      if (applied) self->store.end_lease(self->lease.id);
+      self->Observe();
     });
   }
 
--- a/tests/waxwingfront/fleet/leadership_test.cc
+++ b/tests/waxwingfront/fleet/leadership_test.cc
@@ -328,6 +328,24 @@
   CHECK(renewed == store.LeaseOf(std::string(fleet::kLeaderKey)));
 }
 
+TEST_CASE("a process that resigns while its claim is on its way never leads",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate one(loop, store, "one");
+  const auto write = one.store.write;
+  std::function<void()> claim_on_its_way;
+  one.store.write = [&](const fleet::store_write& claim, auto done) {
+    claim_on_its_way = [&write, claim, done] { write(claim, done); };
+  };
+  REQUIRE(RunUntil(loop, [&] { return claim_on_its_way != nullptr; }));
+  one.place.Resign();
+  claim_on_its_way();
+  candidate two(loop, store, "two");
+  REQUIRE(RunUntil(loop, [&] { return two.elected == 1; }));
+  CHECK(one.elected == 0);
+}
+
 TEST_CASE("a value of the previous version names its leader", "[fleet]") {
   net::event_loop loop;
   fake_store store(loop);
