Test that waiting jobs see larger executors and a new manifest

Found in review: no test noticed when a step without room was not looked at again after its executor had grown or its queue had moved to another service. With either taken out of the planner, its test fails (no start where one is wanted).

--- a/tests/waxwingfront/fleet/planner_work_test.cc
+++ b/tests/waxwingfront/fleet/planner_work_test.cc
@@ -211,6 +211,52 @@
   CHECK(scene.Core().Looks() - tried <= kWaiting + kRoom);
 }
 
+// A job that has found no room on the only executor of its service, "a".
+struct waiting_scene {
+  waiting_scene() {
+    scene.AddExecutor("a", 1000);
+    scene.Core().Submit(JobOf("first", 1, 1000), At(0));
+    REQUIRE(scene.StepAccepted(10).starts.size() == 1);
+    scene.Core().Submit(JobOf("second", 1, 1000), At(20));
+    REQUIRE(scene.Step(30).starts.empty());
+    REQUIRE(scene.Step(45).starts.empty());
+  }
+
+  fleet_scene scene;
+};
+
+TEST_CASE("a job without room sees that its executor has grown", "[fleet]") {
+  waiting_scene waiting;
+  waiting.scene.Core().SetExecutor(
+      {.id = "a",
+       .address = "a",
+       .service = "s",
+       .capacity = {.processor_milli = 2000, .memory_mib = 1'000'000}});
+  CHECK(waiting.scene.Step(60).starts.size() == 1);
+}
+
+TEST_CASE("a job without room follows its queue to another service",
+          "[fleet]") {
+  waiting_scene waiting;
+  fleet_scene& scene = waiting.scene;
+  scene.Core().SetExecutor(
+      {.id = "b",
+       .address = "b",
+       .service = "t",
+       .capacity = {.processor_milli = 1000, .memory_mib = 1'000'000}});
+  scene.Report("b", 50, {});
+  REQUIRE(scene.Step(60).starts.empty());
+  REQUIRE(scene.Step(75).starts.empty());
+  fleet::manifest moved = ManifestOf({{}});
+  ++moved.version;
+  moved.queues.front().service = "t";
+  moved.services.push_back({.name = "t"});
+  scene.Core().SetManifest(moved);
+  const fleet::orders orders = scene.Step(90);
+  REQUIRE(orders.starts.size() == 1);
+  CHECK(orders.starts.front().executor == "b");
+}
+
 TEST_CASE("a round that ends early goes on where it ended, urgent jobs first",
           "[fleet]") {
   constexpr int kJobs = 3;
