Count jobs as waiting until one of their tasks is known to have begun

Cause: a job counted as begun as soon as a task had a run number and was not placed, so one whose starts were refused, held back or not answered had begun for good.

It now has begun once an executor has confirmed, listed or ended a run, or the record shows a success, a failure or a checkpoint. The test fails before: 0 waiting jobs where 1 is wanted, before the answer and after the refusal.

--- a/src/waxwingfront/fleet/job_state.cc
+++ b/src/waxwingfront/fleet/job_state.cc
@@ -91,17 +91,6 @@
   return false;
 }
 
-bool job_state::AnyBegun() const {
-  for (const occurrence_state& occurrence : occurrences_) {
-    for (const step_state& step : occurrence.steps) {
-      for (const task_state& task : step.tasks) {
-        if (task.run > 0 && task.phase != task_phase::kPlaced) return true;
-      }
-    }
-  }
-  return false;
-}
-
 void job_state::ForEachTask(const std::function<void(task_state&)>& visit) {
   for (occurrence_state& occurrence : occurrences_) {
     for (step_state& step : occurrence.steps) {
@@ -154,6 +143,8 @@
     task->run = entry.run();
     task->failures = entry.failures();
     task->checkpoint = entry.checkpoint();
+    begun_ |= entry.succeeded() || entry.failures() > 0 ||
+              !entry.checkpoint().empty();
     if (entry.succeeded()) {
       task->phase = task_phase::kSucceeded;
       ++occurrences_[entry.occurrence()].steps[entry.step()].succeeded;
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -168,7 +168,9 @@
   bool EndAwaited() const {
     return Final() && stored_state < schema::FLEET_COMPLETED;
   }
-  bool AnyBegun() const;
+  // Whether a task is known to have begun; an order alone says nothing.
+  bool AnyBegun() const { return begun_; }
+  void SetBegun() { begun_ = true; }
 
   // Calls `visit` with each task.
   void ForEachTask(const std::function<void(task_state&)>& visit);
@@ -211,6 +213,7 @@
   core::monotonic_time accepted_;
   schema::fleet_job_state state_ = schema::FLEET_QUEUED;
   std::int64_t ended_unix_ms_ = 0;
+  bool begun_ = false;
   std::vector<occurrence_state> occurrences_;
 };
 
--- a/src/waxwingfront/fleet/run_fate.cc
+++ b/src/waxwingfront/fleet/run_fate.cc
@@ -20,6 +20,8 @@
   return run_fate::kFailed;
 }
 
+bool IsListed(run_fate fate) { return fate <= run_fate::kAlone; }
+
 std::string_view FateName(run_fate fate) {
   switch (fate) {
     case run_fate::kDone:
--- a/src/waxwingfront/fleet/run_fate.h
+++ b/src/waxwingfront/fleet/run_fate.h
@@ -28,6 +28,9 @@
 
 run_fate FateOf(run_end how);
 
+// Whether an executor listed the end, so that the run had begun.
+bool IsListed(run_fate fate);
+
 }  // namespace waxwingfront::fleet
 
 #endif  // WAXWINGFRONT_FLEET_RUN_FATE_H_
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -275,6 +275,7 @@
 }
 
 void run_tracker::NoteBegun(job_state& job, moment at) const {
+  job.SetBegun();
   job_milestones& reached = job.milestones;
   if (reached.begun) return;
   reached.begun = at.now;
@@ -286,6 +287,7 @@
   job_state& job = *task.job;
   executor_state* const executor = state_.FindExecutor(task.executor);
   if (executor != nullptr) CountHealth(*executor, task, fate, at);
+  if (IsListed(fate)) NoteBegun(job, at);
   if (on_over) on_over(task, fate, at);
   state_.Release(task, at.now);
   if (task.Spec().gang()) EndGangRun(task, fate, at);
--- a/tests/waxwingfront/fleet/run_tracker_test.cc
+++ b/tests/waxwingfront/fleet/run_tracker_test.cc
@@ -211,5 +211,20 @@
   }
 }
 
+TEST_CASE("a job whose starts were all refused still counts as waiting",
+          "[fleet]") {
+  fleet_scene scene;
+  scene.AddExecutor("a", 8000);
+  scene.Core().Submit(JobOf("job", 1, 1000), At(0));
+  const fleet::orders orders = scene.Step(10);
+  REQUIRE(orders.starts.size() == 1);
+  CHECK(scene.Core().Waiting("q") == 1);
+  scene.Core().OnStartAnswer(orders.starts[0], fleet::start_outcome::kNoRoom,
+                             At(20));
+  CHECK(scene.Core().Waiting("q") == 1);
+  REQUIRE(scene.StepAccepted(1000).starts.size() == 1);
+  CHECK(scene.Core().Waiting("q") == 0);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
