--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -13,6 +13,20 @@
 
 namespace waxwingfront::fleet {
 
+// Where and when a hold was sent.
+struct hold_origin {
+  std::string_view address;
+  core::monotonic_time sent;
+};
+
+// How far ahead of its sending a deadline lies at most.
+struct deadline_bounds {
+  // One that this leader sent on its executor's present clock.
+  core::milliseconds hold_reach;
+  // Any other: executors shorten deadlines to this.
+  core::milliseconds longest_hold;
+};
+
 struct run_tracker_options {
   // Pause before work is sent again to an executor that left an order without
   // an answer: single answers are lost, the next hold tells more.
@@ -29,10 +43,9 @@
 
 class run_tracker {
  public:
-  // `hold_reach`: how far ahead of its sending a deadline lies at most.
   run_tracker(fleet_state& state, run_tracker_options options,
-              core::milliseconds hold_reach)
-      : state_(state), options_(options), hold_reach_(hold_reach) {}
+              deadline_bounds bounds)
+      : state_(state), options_(options), bounds_(bounds) {}
 
   // Called with each run that is over, for logs and estimates.
   std::function<void(const task_state&, run_fate, moment)> on_over;
@@ -47,8 +60,9 @@
   void OnHold(std::string_view executor, const hold_report& report,
               core::monotonic_time sent, moment at);
   void OnNoAnswer(std::string_view executor);
-  // Another executor has its address: nothing runs on this one any more.
-  void OnGone(std::string_view executor, moment at);
+  // Another executor answered at the address that the hold went to. Says
+  // nothing of runs elsewhere, nor of those that were confirmed since.
+  void OnGone(std::string_view executor, const hold_origin& hold, moment at);
 
   void OnStartAnswer(const start_order& order, start_outcome outcome,
                      moment at);
@@ -83,7 +97,7 @@
 
   fleet_state& state_;
   run_tracker_options options_;
-  core::milliseconds hold_reach_;
+  deadline_bounds bounds_;
 };
 
 }  // namespace waxwingfront::fleet
