--- a/src/waxwingfront/bundle/document_check.cc
+++ b/src/waxwingfront/bundle/document_check.cc
@@ -107,7 +107,9 @@
   void key(const std::string& name) override {
     level& object = levels_.back();
     object.field = nullptr;
-    object.value_path = object.path.empty() ? name : object.path + "." + name;
+    // An empty name is quoted, since its path would be empty otherwise.
+    const std::string shown = name.empty() ? R"("")" : name;
+    object.value_path = object.path.empty() ? shown : object.path + "." + shown;
     if (object.type == nullptr) return;
     object.field = FindField(*object.type, name);
     if (object.field == nullptr) {
--- a/tests/waxwingfront/bundle/bundle_check_test.cc
+++ b/tests/waxwingfront/bundle/bundle_check_test.cc
@@ -98,6 +98,17 @@
   CHECK(paths == expected);
 }
 
+// Guards against a problem whose path is empty, so that the operator is not
+// told where it is.
+TEST_CASE("a member with an empty name is reported with a path",
+          "[bundle][check]") {
+  CHECK(ProblemPaths(WithReplaced(R"("site")", R"("": 1, "site")")) ==
+        std::vector<std::string>{R"("")"});
+  CHECK(ProblemPaths(
+            WithReplaced(R"("tail_latency")", R"("": 0, "tail_latency")")) ==
+        std::vector<std::string>{R"(weights."")"});
+}
+
 // Guards against documents that exceed the size limit of the store or of
 // messages between entries.
 TEST_CASE("the size of a bundle and of its lists is bounded",
