Let two tests answer a hold only once its report is complete

Cause: the tests changed the stand-in's report after the start. Change: the hold is answered by the test after the report is set. Checks and bounds are unchanged; the wait for the first check is gone.

--- a/tests/waxwingfront/fleet/executor_driver_test.cc
+++ b/tests/waxwingfront/fleet/executor_driver_test.cc
@@ -71,6 +71,16 @@
     driver.Send(core.TakeOrders());
   }
 
+  // Answers the hold in flight, or else the next one, with `report`. Expects
+  // `delay_responses`, so that no hold is answered before `report` is complete.
+  void AnswerHold() {
+    REQUIRE(RunUntil(loop, [this] { return !callbacks.empty(); }));
+    const auto respond = callbacks.front();
+    callbacks.clear();
+    delay_responses = false;
+    respond(report);
+  }
+
   void Store() {
     const fleet::write_batch batch = core.Journal().NextBatch(15);
     core.Journal().Stored(batch.number, ++revision, {.now = core::Now()});
@@ -226,6 +236,7 @@
           "[fleet]") {
   driver_scene scene;
   scene.driver.HoldAll();
+  scene.delay_responses = true;
   scene.SubmitAndStart(JobOf("job", 2, 1000));
   REQUIRE(scene.starts.size() == 2);
   scene.report.ended = {{.number = 1,
@@ -234,7 +245,8 @@
                          .how = fleet::run_end::kDone}};
   scene.report.running = {{.task = scene.starts[1].task, .run = 1}};
   const fleet::executor_state& executor = *scene.core.FindExecutor("a");
-  REQUIRE(RunUntil(scene.loop, [&] { return executor.processed == 1; }));
+  scene.AnswerHold();
+  REQUIRE(executor.processed == 1);
   scene.holds.clear();
   RunFor(scene.loop, milliseconds(100));
   CHECK(scene.holds.size() <= 1);
@@ -248,6 +260,7 @@
 TEST_CASE("an executor that runs nothing has no hold in flight", "[fleet]") {
   driver_scene scene;
   scene.driver.HoldAll();
+  scene.delay_responses = true;
   scene.SubmitAndStart(JobOf("job", 1, 1000));
   REQUIRE(scene.starts.size() == 1);
   scene.report.ended = {{.number = 1,
@@ -255,7 +268,8 @@
                          .run = 1,
                          .how = fleet::run_end::kDone}};
   const fleet::executor_state& executor = *scene.core.FindExecutor("a");
-  REQUIRE(RunUntil(scene.loop, [&] { return executor.processed == 1; }));
+  scene.AnswerHold();
+  REQUIRE(executor.processed == 1);
   scene.holds.clear();
   for (int i = 0; i < 5; ++i) {
     RunFor(scene.loop, milliseconds(100));
