Do not resend a rejected request whose next rejection would be late

Cause: a request was sent again until its deadline. Change: a request is sent again only while twice the slowest rejection so far fits into the remaining time. The router's clock is an option, and the test replaces the real clock by one that rejections advance: deadline, expected error and the rate of one rejection in 5 ms stay, and the answer has to come before the deadline. A rejection that takes more than twice as long as all before it still ends as unknown, which is what the caller may rely on.

--- a/src/waxwingfront/front/request_router.cc
+++ b/src/waxwingfront/front/request_router.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "waxwingfront/front/attempt_history.h"
+#include "waxwingfront/front/rejection_time.h"
 #include "waxwingfront/front/upstream.h"
 
 namespace waxwingfront::front {
@@ -38,9 +39,8 @@
 // Returns the time at which an attempt is abandoned. A request that may be
 // retried keeps half of its remaining time for another executor.
 core::monotonic_time AttemptDeadline(const service_request& request,
-                                     bool may_retry) {
+                                     bool may_retry, core::monotonic_time now) {
   if (!may_retry) return request.deadline;
-  const core::monotonic_time now = core::Now();
   return now + (request.deadline - now) / 2;
 }
 
@@ -129,7 +129,7 @@
 }
 
 bool request_router::CannotMeetDeadline(const service_request& request) const {
-  const core::monotonic_time now = core::Now();
+  const core::monotonic_time now = options_.now();
   if (now >= request.deadline) return true;
   const std::shared_ptr<const routing_table> table = table_.Load();
   const service_route* route = FindService(table.get(), request.service);
@@ -141,13 +141,13 @@
 core::result<service_reply> request_router::Attempt(
     upstream& target, const service_request& request,
     core::monotonic_time limit) const {
-  const core::monotonic_time begin = core::Now();
+  const core::monotonic_time begin = options_.now();
   core::result<service_reply> reply = target.Send(request, limit);
   target.ReleaseSlot();
   const std::shared_ptr<const routing_table> table = table_.Load();
   const service_route* route = FindService(table.get(), request.service);
   if (reply && route != nullptr) {
-    route->response_time->Observe(core::Now() - begin);
+    route->response_time->Observe(options_.now() - begin);
   }
   return reply;
 }
@@ -174,6 +174,7 @@
 core::result<service_reply> request_router::Route(
     const service_request& request) {
   attempt_history history;
+  rejection_time rejections;
   upstream_list tried;
   retries_.OnFirstAttempt();
   int attempt = 1;
@@ -182,16 +183,21 @@
     if (!target) return tl::unexpected(history.FinalError(target.error()));
     const bool may_retry =
         attempt < options_.max_attempts && request.idempotent;
+    const core::monotonic_time sent = options_.now();
     core::result<service_reply> reply =
-        Attempt(**target, request, AttemptDeadline(request, may_retry));
+        Attempt(**target, request, AttemptDeadline(request, may_retry, sent));
     if (reply) return reply;
     const bool rejected = reply.error().code == core::error_code::kOverloaded;
     history.OnFailure(std::move(reply.error()));
     if (rejected) {
       // Another entry uses the slot for now, so this executor stays a
       // candidate.
+      rejections.OnRejection(options_.now() - sent);
       std::this_thread::sleep_for(kRejectionBackoff);
-      if (!CannotMeetDeadline(request)) continue;
+      if (rejections.LeavesTimeFor(request.deadline - options_.now()) &&
+          !CannotMeetDeadline(request)) {
+        continue;
+      }
       return tl::unexpected(
           history.FinalError({.code = core::error_code::kDeadlineExceeded,
                               .detail = "all slots stay busy"}));
--- a/src/waxwingfront/front/request_router.h
+++ b/src/waxwingfront/front/request_router.h
@@ -36,6 +36,8 @@
   wait_queue_options waiting;
   // Id of this entry.
   std::string entry_id;
+  // The clock of the requests' deadlines.
+  std::function<core::monotonic_time()> now = core::Now;
 };
 
 class request_router {
--- a/tests/waxwingfront/front/request_router_test.cc
+++ b/tests/waxwingfront/front/request_router_test.cc
@@ -1,5 +1,6 @@
 #include "waxwingfront/front/request_router.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <thread>
 #include <vector>
@@ -193,20 +194,49 @@
   CHECK(closing.Requests() == 20);
 }
 
-// Guards against requests that keep retrying busy executors with no time left.
+// A clock that only rejections advance, so that the deadline does not depend on
+// the machine's load. It is ahead of the real clock, so that no socket times
+// out.
+class rejection_clock {
+ public:
+  explicit rejection_clock(core::milliseconds step) : step_(step) {}
+  core::monotonic_time Now() const {
+    return start_ + rejections_.load() * step_;
+  }
+  scripted_response Reject() {
+    ++rejections_;
+    return {.bytes =
+                "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+                "Waxwingfront-Not-Started: 1\r\n\r\n"};
+  }
+
+ private:
+  core::milliseconds step_;
+  core::monotonic_time start_ = core::Now() + std::chrono::hours(1);
+  std::atomic<int> rejections_{0};
+};
+
+// Guards against requests that keep retrying busy executors with no time left,
+// and against a last rejection that arrives after the deadline, so that the
+// outcome is unknown.
 TEST_CASE("a request that all executors refuse ends as not run in time",
           "[front][deadline]") {
-  const scripted_server busy([](const std::string&, int) {
-    return scripted_response{.bytes =
-                                 "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
-                                 "Waxwingfront-Not-Started: 1\r\n\r\n"};
-  });
-  request_router router({});
+  const auto step = GENERATE(core::milliseconds(1), core::milliseconds(5),
+                             core::milliseconds(30), core::milliseconds(70));
+  rejection_clock clock(step);
+  const scripted_server busy(
+      [&clock](const std::string&, int) { return clock.Reject(); });
+  request_router router({.now = [&clock] { return clock.Now(); }});
   router.OnHosts(ViewOf({busy.Address()}));
-  CHECK(FailureOf(router.Route(Request("POST", kShortDeadline))) ==
-        error_code::kDeadlineExceeded);
+  service_request request = Request("POST");
+  request.received = clock.Now();
+  request.deadline = clock.Now() + kShortDeadline;
+  const core::monotonic_time begin = core::Now();
+  CHECK(FailureOf(router.Route(request)) == error_code::kDeadlineExceeded);
+  CHECK(clock.Now() < request.deadline);
+  CHECK(busy.Requests() <= kShortDeadline / step);
   // At most one rejection every 5 ms.
-  CHECK(busy.Requests() <= kShortDeadline.count() / 5);
+  CHECK(busy.Requests() * core::milliseconds(5) <= core::Now() - begin);
 }
 
 TEST_CASE("requests to a service without executors fail with no_upstream",
