Measure sign-offs with the default time limit of a store call

Cause: since the entries of test sites give a store call 333 ms, so that three fit into the short lease of other tests. Change: the limit is an option of the test site; the measurement takes the product's default of 1,000 ms. Delay and bound are unchanged.

--- a/tests/support/process_site.cc
+++ b/tests/support/process_site.cc
@@ -118,8 +118,9 @@
   for (const std::string& peer : peer_addresses_) file << peer << ",";
   file << "\n[platform]\nstore_address = " << store_address_
        << "\nhost_list_address = " << host_list_address_
-       << "\nstore_timeout_ms = 333\nhost_poll_ms = 100\nbundle_poll_ms = "
-       << options.bundle_poll_ms << "\n";
+       << "\nstore_timeout_ms = " << options.store_timeout_ms
+       << "\nhost_poll_ms = 100\nbundle_poll_ms = " << options.bundle_poll_ms
+       << "\n";
   file << (options.more_settings.empty() ? QuickBatchSettings()
                                          : options.more_settings);
 }
--- a/tests/support/process_site.h
+++ b/tests/support/process_site.h
@@ -31,6 +31,9 @@
   int task_lease_ms = 1500;
   // Time between two reads of the bundle head by an entry.
   int bundle_poll_ms = 100;
+  // Time limit of an entry's store call; three fit into the lease of
+  // `QuickBatchSettings`.
+  int store_timeout_ms = 333;
 };
 
 // Returns batch settings with short times: a lease of 1 s, a grace period of
--- a/tests/waxwingfront/bundle/rollout_test.cc
+++ b/tests/waxwingfront/bundle/rollout_test.cc
@@ -16,8 +16,9 @@
 // Design target: 1,700 changes per day, each in force at all entries within
 // 11 s.
 constexpr core::milliseconds kInForceLimit{11000};
-// Default poll interval.
+// Defaults of the settings: poll interval and time limit of a store call.
 constexpr int kDefaultPollMs = 2000;
+constexpr int kDefaultStoreTimeoutMs = 1000;
 
 std::string DocumentOf(int number) {
   return R"({"site": "test", "services": [{"name": "dispatch"}],
@@ -88,7 +89,8 @@
   process_site site({.entries = kEntries,
                      .workers = 1,
                      .more_settings = "[front]\nthreads = 8\n",
-                     .bundle_poll_ms = kDefaultPollMs});
+                     .bundle_poll_ms = kDefaultPollMs,
+                     .store_timeout_ms = kDefaultStoreTimeoutMs});
   REQUIRE(site.AwaitReady());
   for (const std::string delay_ms : {"0", "100", "500"}) {
     site.SetStoreFaults("{\"delay_ms\": " + delay_ms + "}");
