Check nesting and ranges of every document from outside

Cause: RapidJSON's recursive parser overflowed the stack at 120,000 nested levels and ended the process: in an executor's entry, in the manifest, in an executor's answer and in a job's body, which any caller can send. Ports out of range, negative or huge capacities, start times and estimates, and ids with control characters were accepted; sums of them overflow, and a run number beyond 32 bits was cut to another run's. Text with half a surrogate pair was accepted into a job whose record could not be read back.

--- a/src/waxwingfront/cli/explain_command.cc
+++ b/src/waxwingfront/cli/explain_command.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "waxwingfront/cli/output.h"
+#include "waxwingfront/core/json_object.h"
 
 namespace waxwingfront::cli {
 namespace {
@@ -41,13 +42,12 @@
   const std::size_t brace = line.find('{');
   if (brace == std::string_view::npos) return;
   line.remove_prefix(brace);
-  rapidjson::Document parsed;
-  parsed.Parse(line.data(), line.size());
-  if (parsed.HasParseError() || !parsed.IsObject()) return;
-  const auto time = parsed.FindMember("time_ms");
-  const auto event = parsed.FindMember("event");
-  if (time == parsed.MemberEnd() || !time->value.IsInt64() ||
-      event == parsed.MemberEnd() || !event->value.IsString()) {
+  const auto parsed = core::ParseJsonObject(line);
+  if (!parsed) return;
+  const auto time = parsed->FindMember("time_ms");
+  const auto event = parsed->FindMember("event");
+  if (time == parsed->MemberEnd() || !time->value.IsInt64() ||
+      event == parsed->MemberEnd() || !event->value.IsString()) {
     return;
   }
   if (line.find(id) == std::string_view::npos &&
@@ -56,7 +56,7 @@
   }
   std::ostringstream text;
   text << time->value.GetInt64();
-  for (const auto& member : parsed.GetObject()) {
+  for (const auto& member : parsed->GetObject()) {
     const std::string_view name = member.name.GetString();
     if (name == "time_ms") continue;
     const bool value_only = name == "node" || name == "event";
--- a/tests/platform/entries_test.cc
+++ b/tests/platform/entries_test.cc
@@ -45,6 +45,102 @@
   CHECK_FALSE(ReadExecutor("servers/i-7", broken));
 }
 
+std::string Nested(std::string_view open, std::string_view close,
+                   std::size_t levels) {
+  std::string text;
+  for (std::size_t i = 0; i < levels; ++i) text += open;
+  for (std::size_t i = 0; i < levels; ++i) text += close;
+  return text;
+}
+
+std::string ManyLabels() {
+  std::string list = "[0";
+  for (int i = 0; i < 10000; ++i) list += ",0";
+  return list + "]";
+}
+
+// Guards against a process that ends, or stops following the list, because of
+// one odd entry.
+TEST_CASE("an entry with a field out of range names the field", "[platform]") {
+  struct odd_field {
+    std::string field;
+    std::string from;
+    std::string to;
+  };
+  const auto odd = GENERATE(values<odd_field>(
+      {{"address", "10.0.0.9:80", "10.0.0.9:99999"},
+       {"address", "10.0.0.9:80", "10.0.0.9:0"},
+       {"address", "10.0.0.9:80", "10.0.0.9:-1"},
+       {"address", "10.0.0.9:80", "10.0.0.9"},
+       {"address", "10.0.0.9:80", "10.0.0.9:18446744073709551617"},
+       {"address", "10.0.0.9:80", ""},
+       {"address", "10.0.0.9:80", "host.example:80"},
+       {"capacity.cpu", "16000", "9223372036854775807"},
+       {"capacity.cpu", "16000", "92233720368547758070"},
+       {"capacity.cpu", "16000", "1e300"},
+       {"capacity.cpu", "16000", "-1"},
+       {"capacity.memory_request_mb", "32768", "-9223372036854775808"},
+       {"capacity.gpu", R"("gpu":0)", R"("gpu":-1)"},
+       {"born", R"("born":17)", R"("born":9223372036854775807)"},
+       {"born", R"("born":17)", R"("born":-1)"},
+       {"born", R"("born":17)", R"("born":"17")"},
+       {"slots", R"("slots":8)", R"("slots":4294967296)"},
+       {"sequence", R"("sequence":4)", R"("sequence":{})"},
+       {"zone", R"("zone":"z")", R"("zone":"\udead")"},
+       {"labels", R"(["a","r1-3"])", ManyLabels()},
+       {"state", "ready", std::string(5000, 'x')}}));
+  const auto info =
+      ReadExecutor("servers/i-7", Replaced(kEntry, odd.from, odd.to));
+  REQUIRE_FALSE(info);
+  CHECK(info.error().code == core::error_code::kProtocol);
+  CHECK(info.error().detail.size() < 256);
+  // A lone surrogate is no JSON text at all.
+  if (odd.field != "zone") CHECK(info.error().detail.starts_with(odd.field));
+}
+
+TEST_CASE("a key that holds no executor's id is rejected", "[platform]") {
+  const std::string id =
+      GENERATE(std::string(), std::string("a b"), std::string("a\r\nX: 1"),
+               std::string("\xc4\x8d"), std::string(300, 'a'));
+  CHECK_FALSE(ReadExecutor("servers/" + id, kEntry));
+}
+
+// Guards against a parser that recurses once a level and exhausts its stack.
+TEST_CASE("deeply nested documents are rejected", "[platform]") {
+  const std::size_t levels = GENERATE(33, 1000, 120'000, 500'000);
+  const std::string deep =
+      GENERATE_COPY(Nested("[", "]", levels), Nested(R"({"a":)", "}", levels),
+                    Nested("[", "", levels), Nested(R"([{"a":)", "}]", levels));
+  CHECK_FALSE(ReadExecutor("servers/i-7", deep));
+  CHECK_FALSE(ReadExecutor(
+      "servers/i-7", Replaced(kEntry, R"("slots":8)", R"("extra":)" + deep)));
+  CHECK_FALSE(ReadManifest(R"({"version":1,"routes":[],"x":)" + deep + "}"));
+  CHECK_FALSE(ReadJob(R"({"spec":"","steps":[{}],"x":)" + deep + "}"));
+}
+
+TEST_CASE("nesting of a usual depth in an unknown field is accepted",
+          "[platform]") {
+  const std::string extra = R"("extra":)" + Nested("[", "]", 16);
+  CHECK(ReadExecutor("servers/i-7", Replaced(kEntry, R"("slots":8)", extra)));
+}
+
+TEST_CASE("a manifest with a number out of range names the field",
+          "[platform]") {
+  const std::string wrong =
+      GENERATE(std::string(R"("priority":9223372036854775807)"),
+               std::string(R"("max_attempts":4294967297)"),
+               std::string(R"("stretch":1e200)"),
+               std::string(R"("target_duration_ms":9223372036854775807)"),
+               std::string(R"("timeout_ms":-1)"));
+  const auto manifest = ReadManifest(
+      R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+      R"("service":"s",)" +
+      wrong + "}]}");
+  REQUIRE_FALSE(manifest);
+  const std::string name = wrong.substr(1, wrong.find(':') - 2);
+  CHECK(manifest.error().detail.starts_with("routes[0]." + name));
+}
+
 TEST_CASE("queues, services and limits of a manifest are parsed",
           "[platform]") {
   const auto manifest = ReadManifest(
@@ -99,6 +195,44 @@
   CHECK(job.error().code == core::error_code::kInvalidRequest);
 }
 
+// Guards against sums and products that overflow, and against a caller that is
+// not told which field is wrong.
+TEST_CASE("a submission with a number out of range names the field",
+          "[platform]") {
+  const std::string field =
+      GENERATE(std::string("cpu"), std::string("memory_request_mb"),
+               std::string("gpu"), std::string("estimated_ms"),
+               std::string("target_ms"), std::string("max_per_server"),
+               std::string("may_miss"), std::string("count"));
+  const std::string value = GENERATE(
+      std::string("9223372036854775807"), std::string("-1"),
+      std::string("1e300"), std::string(R"("many")"), std::string("[]"));
+  const auto job =
+      ReadJob(R"({"steps":[{},{")" + field + R"(":)" + value + "}]}");
+  REQUIRE_FALSE(job);
+  CHECK(job.error().code == core::error_code::kInvalidRequest);
+  CHECK(job.error().detail.starts_with("steps[1]." + field));
+}
+
+TEST_CASE("occurrences beyond the range of the clock are rejected",
+          "[platform]") {
+  const std::string times = GENERATE(
+      std::string(R"("first_run_ms":9223372036854775807)"),
+      std::string(R"("first_run_ms":-1)"),
+      std::string(R"("interval_ms":9223372036854775807)"),
+      std::string(R"("first_run_ms":4000000000000,"interval_ms":31000000000)"));
+  const auto job =
+      ReadJob(R"({"steps":[{}],"repetitions":1000,)" + times + "}");
+  REQUIRE_FALSE(job);
+  CHECK(job.error().code == core::error_code::kInvalidRequest);
+}
+
+TEST_CASE("text that is not UTF-8 is rejected", "[platform]") {
+  // It could not be read back from a job's record.
+  CHECK_FALSE(ReadJob("{\"spec\":\"\xff\",\"steps\":[{}]}"));
+  CHECK_FALSE(ReadJob(R"({"spec":"\udead","steps":[{}]})"));
+}
+
 TEST_CASE("a task's name is parsed back to the same task", "[platform]") {
   const fleet::task_ref task{
       .job = "5c0e7a21d94b36f8", .occurrence = 0, .step = 1, .index = 17};
