Treat a malformed entry of a known executor as a removed one

Cause: a known executor whose entry turned malformed was kept when the change was seen by the watch, and removed when the list was read again. Change: it is removed both times, since such an entry names no executor to use: no new task is placed there, while what runs on it is held as long as it answers. The logged key is cut to 128 bytes, and executor_removed is logged for known executors only.

--- a/src/waxwingfront/fleet/executor_registry.cc
+++ b/src/waxwingfront/fleet/executor_registry.cc
@@ -12,6 +12,8 @@
 // A response with this many changes may be incomplete: the store truncates
 // responses at about twice as many.
 constexpr std::size_t kMaybeTruncated = 250;
+// Longest part of a malformed entry's key that is logged.
+constexpr std::size_t kMaxLoggedKeyBytes = 128;
 
 }  // namespace
 
@@ -71,12 +73,17 @@
     Watch(first_revision);
   }
 
+  // Returns the executor's id. A malformed entry names no executor: one that is
+  // known gets no new tasks, as if its entry were gone, while what runs on it
+  // is held as long as it answers.
   std::optional<std::string> ReadEntry(const std::string& key,
                                        const std::string& value) {
     core::result<executor_info> info = store.read_executor(key, value);
     if (!info) {
       log.Write("executor_entry_ignored",
-                {{"key", key}, {"cause", info.error().detail}});
+                {{"key", key.substr(0, kMaxLoggedKeyBytes)},
+                 {"cause", info.error().detail}});
+      Remove(key.substr(store.executors_prefix.size()));
       return std::nullopt;
     }
     std::string id = info->id;
@@ -94,7 +101,10 @@
   }
 
   void Remove(const std::string& id) {
-    log.Write("executor_removed", {{"executor", id}});
+    const executor_state* const known = core.FindExecutor(id);
+    if (known != nullptr && known->registered) {
+      log.Write("executor_removed", {{"executor", id}});
+    }
     core.RemoveExecutor(id);
   }
 
--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -149,6 +149,24 @@
   CHECK(scene.Registered() == kExecutors + 2);
 }
 
+// Guards against an executor that is kept or removed depending on how the
+// change was seen.
+TEST_CASE("an executor whose entry turns malformed gets no new tasks",
+          "[platform][fleet]") {
+  odd_entry_scene scene(EntryAt("10.0.0.7:80"));
+  REQUIRE(scene.Registered() == kExecutors + 1);
+  SECTION("seen by the watch") {
+    scene.Change({{"servers/odd", EntryAt("10.0.0.7:0")}});
+  }
+  SECTION("seen in the list") {
+    scene.odd = EntryAt("10.0.0.7:0");
+    scene.ListAgain();
+  }
+  CHECK(scene.Registered() == kExecutors);
+  const fleet::executor_state* const executor = scene.core.FindExecutor("odd");
+  CHECK((executor == nullptr || !executor->registered));
+}
+
 // Generates a document by replacing a few spans of a valid one.
 rc::Gen<std::string> AlmostValid(std::string valid) {
   return rc::gen::exec([valid = std::move(valid)] {
