Limit a job's objective to a year

Cause: estimates times the queue's stretch, times three, exceed the range of the clock for a chain of long estimates, and the deadline overflows. Change: the objective is limited before it is converted.

--- a/src/waxwingfront/fleet/job_deadlines.cc
+++ b/src/waxwingfront/fleet/job_deadlines.cc
@@ -9,6 +9,8 @@
 // A job is late but still useful up to this multiple of its objective, as the
 // platform defines.
 constexpr int kLateFactor = 3;
+// Longest objective, so that deadlines stay within the clock's range.
+constexpr core::milliseconds kMaxObjective{366LL * 24 * 60 * 60 * 1000};
 
 struct path_lengths {
   core::milliseconds total{0};
@@ -42,10 +44,12 @@
   const path_lengths path = CriticalPath(job, occurrence);
   core::milliseconds objective = path.total;
   if (queue != nullptr) {
-    objective = std::chrono::duration_cast<core::milliseconds>(path.total *
-                                                               queue->stretch) +
+    objective = std::chrono::duration_cast<core::milliseconds>(
+                    std::min<std::chrono::duration<double, std::milli>>(
+                        path.total * queue->stretch, kMaxObjective)) +
                 queue->target_duration;
   }
+  objective = std::min(objective, kMaxObjective);
   const core::monotonic_time start = job.DueStart(occurrence);
   return {.due = start + objective,
           .latest_useful_end = start + kLateFactor * objective,
