Reject long-running jobs that would take the room of short ones

Cause: on the large site long-running jobs arrive faster than they leave, and each keeps 154 cores until it is cancelled. Change: standing_admission counts the room beside the long-running tasks in typical short tasks, and remembers the highest number of these that ran or waited lately. Jobs that are useless already or fit nowhere claim no room. The leader logs job_without_room with its figures.

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -15,6 +15,7 @@
 fleet_core::fleet_core(fleet_options options)
     : options_(options),
       sharing_(state_),
+      admission_(state_, options.admission),
       distance_(options.remote_factor),
       deadlines_(state_, options.deadlines),
       runs_(state_, options.runs,
@@ -219,7 +220,16 @@
          !executor.active.empty() || executor.processed > executor.acknowledged;
 }
 
+std::optional<standing_room> fleet_core::MissingRoom(
+    const schema::fleet_job& job) const {
+  const queue_spec* const queue = state_.FindQueue(job.queue());
+  const standing_room figures = admission_.RoomFor(
+      job, queue == nullptr ? std::string_view(job.service()) : queue->service);
+  return admission_.MayAdmit(figures) ? std::nullopt : std::optional(figures);
+}
+
 void fleet_core::Tick(moment at) {
+  admission_.Sample(at);
   runs_.Tick(at);
   DropOldJobs(at);
   DropUnused();
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -19,6 +19,7 @@
 #include "waxwingfront/fleet/rebalancer.h"
 #include "waxwingfront/fleet/run_tracker.h"
 #include "waxwingfront/fleet/sharing_policy.h"
+#include "waxwingfront/fleet/standing_admission.h"
 
 namespace waxwingfront::fleet {
 
@@ -33,6 +34,7 @@
   // Factor by which a task's duration grows away from its data.
   double remote_factor = 1.0;
   run_tracker_options runs;
+  standing_admission_options admission;
 };
 
 enum class submission { kNew, kDuplicate };
@@ -55,6 +57,9 @@
 
   bool HasJob(const std::string& id) const { return state_.jobs.contains(id); }
   submission Submit(schema::fleet_job job, moment at);
+  // Returns the room for the long-running tasks of a new job, or nothing if it
+  // may be accepted.
+  std::optional<standing_room> MissingRoom(const schema::fleet_job& job) const;
   // Returns false if there is no such job.
   bool Cancel(const std::string& id, moment at);
   // Returns the stored state, or nothing if there is no such job.
@@ -128,6 +133,7 @@
   fleet_options options_;
   fleet_state state_;
   sharing_policy sharing_;
+  standing_admission admission_;
   locality distance_;
   order_deadlines deadlines_;
   run_tracker runs_;
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -50,7 +50,11 @@
                  [this] { return HoldsValidLease() ? leader.get() : nullptr; },
              .leader = [this] { return RemoteLeader(); },
              .recheck_leader = [this] { election->RecheckLeader(); },
-             .now = ReadClocks}),
+             .now = ReadClocks,
+             .on_no_room =
+                 [this](const std::string& job, const standing_room& figures) {
+                   LogNoRoom(job, figures);
+                 }}),
         server(loop,
                {.address = options.internal_address,
                 .limits = {.max_body_bytes = kMaxCallBytes}},
@@ -207,6 +211,14 @@
     };
   }
 
+  void LogNoRoom(const std::string& job, const standing_room& figures) {
+    log.Write("job_without_room",
+              {{"job", job},
+               {"room", static_cast<std::int64_t>(figures.room)},
+               {"demand", static_cast<std::int64_t>(figures.demand)},
+               {"displaced", static_cast<std::int64_t>(figures.displaced)}});
+  }
+
   void FlushLog() {
     log.Flush();
     loop.After(options.log_flush, [this] { FlushLog(); });
--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -193,6 +193,10 @@
       Retry(std::move(call), options_.overloaded_retry);
       return;
     }
+    if (reply.retry_after_ms() > 0) {
+      call->End(reply);
+      return;
+    }
     call->End(core::Failure(core::error_code::kOverloaded,
                             "the leader is behind with its records"));
     return;
@@ -200,6 +204,14 @@
   call->End(reply);
 }
 
+bool job_gateway::RejectsForRoom(const fleet_core& core,
+                                 const schema::fleet_job& job) const {
+  if (core.HasJob(job.id())) return false;
+  const std::optional<standing_room> missing = core.MissingRoom(job);
+  if (missing && hooks_.on_no_room) hooks_.on_no_room(job.id(), *missing);
+  return missing.has_value();
+}
+
 void job_gateway::Handle(const schema::fleet_request& request,
                          std::function<void(schema::fleet_reply)> done) {
   fleet_leader* const leader = hooks_.local();
@@ -232,6 +244,12 @@
         reply.set_outcome(schema::FLEET_OVERLOADED);
         break;
       }
+      if (RejectsForRoom(core, request.submit())) {
+        reply.set_outcome(schema::FLEET_OVERLOADED);
+        reply.set_retry_after_ms(
+            static_cast<std::uint32_t>(options_.no_room_retry.count()));
+        break;
+      }
       core.Submit(request.submit(), hooks_.now());
       once_stored(request.submit().id());
       return;
--- a/src/waxwingfront/fleet/job_gateway.h
+++ b/src/waxwingfront/fleet/job_gateway.h
@@ -31,6 +31,9 @@
   core::milliseconds attempt_timeout{1000};
   // Attempts of one call that may be in flight to one leader.
   std::size_t max_in_flight = 2;
+  // When the caller of a long-running job without room should try again. Room
+  // is freed by cancels, which arrive over tens of seconds.
+  core::milliseconds no_room_retry{5000};
   // A call that has reached no leader for this long is rejected while its
   // caller has time to retry: about half of a takeover, after which a caller of
   // this process is better off at another.
@@ -46,6 +49,8 @@
   // Called when a call to the leader has failed.
   std::function<void()> recheck_leader;
   std::function<moment()> now;
+  // Called when this process, as the leader, rejects a job without room.
+  std::function<void(const std::string& job, const standing_room&)> on_no_room;
 };
 
 class job_gateway {
@@ -60,7 +65,8 @@
   // leader was reached within `leader_search_timeout`, so that nothing was
   // done; with `kOverloaded` if the leader's backlog is too long for the
   // remaining time, so that nothing was done either; and with `kOutcomeUnknown`
-  // if a leader may have received the call.
+  // if a leader may have received the call. A job without room is a reply with
+  // the outcome `FLEET_OVERLOADED`.
   void Call(schema::fleet_request request, core::monotonic_time deadline,
             callback done);
 
@@ -80,6 +86,9 @@
   void OnLateReply(call_state& call, const std::string& address,
                    const net::http_reply& reply);
   void RecheckLeader(call_state& call);
+  // True if the job is new and there is no room for it.
+  bool RejectsForRoom(const fleet_core& core,
+                      const schema::fleet_job& job) const;
 
   net::event_loop& loop_;
   net::async_http_client& client_;
--- a/tests/waxwingfront/fleet/job_gateway_test.cc
+++ b/tests/waxwingfront/fleet/job_gateway_test.cc
@@ -160,6 +160,25 @@
   CHECK(remote.replies[0].error().code == core::error_code::kOutcomeUnknown);
 }
 
+// Guards against a caller who waits for room until its deadline.
+TEST_CASE("a rejection for lack of room is passed on at once", "[fleet]") {
+  remote_leader remote;
+  remote.on_call = [](const net::async_http_server::responder& respond) {
+    schema::fleet_reply reply;
+    reply.set_outcome(schema::FLEET_OVERLOADED);
+    reply.set_retry_after_ms(5000);
+    respond({.status = 200, .body = reply.SerializeAsString()});
+  };
+  remote.Cancel(milliseconds(5000));
+  REQUIRE(RunUntil(
+      remote.loop, [&remote] { return !remote.replies.empty(); },
+      milliseconds(1000)));
+  REQUIRE(remote.replies[0]);
+  CHECK(remote.replies[0]->outcome() == schema::FLEET_OVERLOADED);
+  CHECK(remote.replies[0]->retry_after_ms() == 5000);
+  CHECK(remote.responders.size() == 1);
+}
+
 TEST_CASE(
     "a late unknown-job response from a former leader does not end the call",
     "[fleet]") {
