Stop runs of final jobs only where executors still report them

Cause: the record of a final job keeps the runs that were active when it was written. Change: such runs wait for the executor's first report like all others. Those that it lists are stopped, the others are over.

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -104,9 +104,6 @@
   for (auto& [id, executor] : state_.executors) {
     executor.unreached_expiry = unreached_expiry_;
   }
-  for (job_state* const job : state_.live) {
-    if (job->Final()) state_.StopAll(*job, claimed.now);
-  }
 }
 
 submission fleet_core::Submit(schema::fleet_job job, moment at) {
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -151,6 +151,9 @@
       task->confirmed = at.now;
       task->percent_changed = at.now;
       task->last_within_target = at.now;
+      // The record of a final job lists runs that had not ended yet when it was
+      // written. Only those that executors still list need a stop.
+      if (task->job->Final()) state_.Stop(*task, at.now);
     }
     if (row.percent != task->percent) task->percent_changed = at.now;
     task->percent = row.percent;
