Give suspect executors one task at a time, and none that has failed

Cause: an executor that fails all it starts frees its room at once, so it got eight tasks of one job in a round, and again 2 s later. It counted as healthy as soon as a run that had begun before the failures succeeded. Change: executor_health decides. After a failure an executor gets one task at a time, none that has failed already, and with each failing job a longer pause (1, 2, 4 s); only runs placed after the failure make up for it, one each, and it is forgotten after 5 s. A job that has failed elsewhere makes no executor suspect. Tasks that have failed prefer executors with a recent success. None of this applies while most executors of the service are suspect. A play of failing executors ends without a failed job; the tests of one task at a time and of retries failed before.

--- a/src/waxwingfront/fleet/executor_state.cc
+++ b/src/waxwingfront/fleet/executor_state.cc
@@ -41,6 +41,15 @@
          now >= avoid_until;
 }
 
+bool executor_state::HealthPermits(const task_state& task,
+                                   core::monotonic_time now) const {
+  if (!peers_are_healthy || !health.IsSuspect(now)) return true;
+  if (task.failures > 0) return false;
+  return std::ranges::none_of(active, [this](const task_state* other) {
+    return other->placed_at >= health.LastFailure();
+  });
+}
+
 bool executor_state::AllLeasesExpired(core::monotonic_time now) const {
   if (!reached) return now > unreached_expiry;
   return clock && DefinitelyPast(*clock, deadline_sent_ms, now);
@@ -50,10 +59,14 @@
   const bool usable = Usable(now);
   const job_state* const reserved =
       now < reserved_until ? reserved_for : nullptr;
-  if (!touched && usable == was_usable_ && reserved == was_reserved_for_)
+  const bool suspect = peers_are_healthy && health.IsSuspect(now);
+  if (!touched && usable == was_usable_ && suspect == was_suspect_ &&
+      reserved == was_reserved_for_) {
     return false;
+  }
   touched = false;
   was_usable_ = usable;
+  was_suspect_ = suspect;
   was_reserved_for_ = reserved;
   changed_round = round;
   return true;
--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "waxwingfront/core/clock.h"
+#include "waxwingfront/fleet/executor_health.h"
 #include "waxwingfront/fleet/job_deadlines.h"
 #include "waxwingfront/fleet/job_state.h"
 #include "waxwingfront/fleet/types.h"
@@ -113,8 +114,10 @@
   // Never dereferenced, because the job may no longer exist.
   const job_state* reserved_for = nullptr;
   core::monotonic_time reserved_until{};
-  int consecutive_failures = 0;
-  std::string last_failed_job;
+  executor_health health;
+  // At least half of the usable executors of its service are not suspect, so
+  // that tasks can do without it. Set at the start of each planning round.
+  bool peers_are_healthy = false;
 
   // Utilisation that is kept free below the latency targets of its serving
   // tasks.
@@ -147,6 +150,8 @@
   }
   bool HasLabel(std::string_view label) const;
   bool Usable(core::monotonic_time now) const;
+  // True if its health permits another run of the task.
+  bool HealthPermits(const task_state& task, core::monotonic_time now) const;
   // Returns the number of the last end that it may forget: 0 if another
   // incarnation may receive it, since that counts its ends from 1.
   std::uint64_t ForgettableEnd() const {
@@ -172,6 +177,7 @@
  private:
   // Values at the latest planning round.
   bool was_usable_ = false;
+  bool was_suspect_ = false;
   const job_state* was_reserved_for_ = nullptr;
 };
 
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -70,6 +70,8 @@
   core::monotonic_time stop_confirmed_at{};
   core::monotonic_time stop_sent_at{};
   core::monotonic_time waiting_since{};
+  // When its newest run was placed.
+  core::monotonic_time placed_at{};
   // First version of the job that contains the current placement.
   std::uint64_t placed_version = 0;
   // The executor's last report contains the run.
--- a/src/waxwingfront/fleet/placement.cc
+++ b/src/waxwingfront/fleet/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace waxwingfront::fleet {
 namespace {
@@ -44,7 +45,7 @@
   placement_rejections rejections;
   for (const auto& [id, executor] : state.executors) {
     if (executor.info.service != service) continue;
-    if (!executor.Usable(now)) {
+    if (!executor.Usable(now) || !executor.HealthPermits(task, now)) {
       ++rejections.unusable;
     } else if (executor.ReservedForOtherJob(task.job, now)) {
       ++rejections.reserved;
@@ -91,10 +92,29 @@
   best->reserved_until = now + kReservationTime;
 }
 
+void ComparePeers(fleet_state& state, core::monotonic_time now) {
+  struct service_health {
+    std::size_t usable = 0;
+    std::size_t suspect = 0;
+  };
+  std::map<std::string_view, service_health> services;
+  for (const auto& [id, executor] : state.executors) {
+    if (!executor.Usable(now)) continue;
+    service_health& service = services[executor.info.service];
+    ++service.usable;
+    if (executor.health.IsSuspect(now)) ++service.suspect;
+  }
+  for (auto& [id, executor] : state.executors) {
+    const service_health& service = services[executor.info.service];
+    executor.peers_are_healthy = 2 * service.suspect <= service.usable;
+  }
+}
+
 bool MayHost(const executor_state& executor, const task_state& task,
              std::string_view service, core::monotonic_time now) {
   // The most selective conditions come first.
   return executor.Free().Holds(task.Needs()) && executor.Usable(now) &&
+         executor.HealthPermits(task, now) &&
          !executor.ReservedForOtherJob(task.job, now) &&
          executor.info.service == service && Permitted(executor, task);
 }
--- a/src/waxwingfront/fleet/placement.h
+++ b/src/waxwingfront/fleet/placement.h
@@ -55,6 +55,9 @@
 void ReserveCapacity(fleet_state& state, const task_state& task,
                      std::string_view service, core::monotonic_time now);
 
+// Sets `peers_are_healthy` of all executors.
+void ComparePeers(fleet_state& state, core::monotonic_time now);
+
 // True if the executor belongs to `service`, is usable and fits the task.
 bool MayHost(const executor_state& executor, const task_state& task,
              std::string_view service, core::monotonic_time now);
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -21,6 +21,10 @@
 // response. The platform expects 30 for each step.
 constexpr std::size_t kMaxAdvisedExecutors = 30;
 
+// Added to the cost of an executor without a recent success for a task that has
+// failed; higher than any load cost.
+constexpr double kUnprovenCost = 10.0;
+
 bool HasWaiting(const job_state& job) {
   for (const occurrence_state& occurrence : job.Occurrences()) {
     for (const step_state& step : occurrence.steps) {
@@ -60,6 +64,7 @@
 void planner::BeginRound(core::monotonic_time now) {
   ++round_;
   changed_.clear();
+  ComparePeers(state_, now);
   for (auto& [id, executor] : state_.executors) {
     if (executor.BeginRound(round_, now)) changed_.push_back(&executor);
   }
@@ -142,10 +147,15 @@
 
 void planner::PlanTasks(step_state& step, const placement_scope& scope,
                         moment at) {
-  // Costs of long-running tasks depend on all executors, and costs of tasks
-  // with a data rack depend on how long each task has waited.
+  // Costs of long-running tasks depend on all executors, costs of tasks with a
+  // data rack on how long each task has waited, and tasks that have failed are
+  // more selective.
   const schema::fleet_step& spec = step.tasks.front().Spec();
-  const bool same_cost = !spec.long_running() && spec.data_rack().empty();
+  const bool same_cost =
+      !spec.long_running() && spec.data_rack().empty() &&
+      std::ranges::all_of(step.tasks, [](const task_state& task) {
+        return task.phase != task_phase::kWaiting || task.failures == 0;
+      });
   const executor_state* selected = nullptr;
   for (task_state& task : step.tasks) {
     if (task.phase != task_phase::kWaiting) continue;
@@ -223,7 +233,9 @@
   }
   const double cost = cost_(executor, task, now);
   too_costly_ = too_costly_ || std::isinf(cost);
-  return cost;
+  // Its next failure may fail the job.
+  const bool risky = task.failures > 0 && !executor.health.IsProven(now);
+  return risky ? cost + kUnprovenCost : cost;
 }
 
 void planner::PlanGang(step_state& step, const placement_scope& scope,
@@ -296,6 +308,7 @@
   task.phase = task_phase::kPlaced;
   if (!job.milestones.placed) job.milestones.placed = at.now;
   task.placed_version = job.version;
+  task.placed_at = at.now;
   task.run = run;
   task.executor = executor.info.id;
   task.executor_born_ms = executor.info.born_ms;
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -355,15 +355,13 @@
 
 void run_tracker::UpdateHealth(executor_state& executor, const task_state& task,
                                run_outcome outcome, moment at) {
-  if (outcome == run_outcome::kDone) executor.consecutive_failures = 0;
+  if (outcome == run_outcome::kDone) executor.health.OnSuccess(task.placed_at);
   if (outcome != run_outcome::kFailed) return;
-  // Repeated failures of one job count once: a job that can never succeed
-  // fails on every executor and does not indicate an unhealthy executor.
-  if (executor.last_failed_job == task.job->Id()) return;
-  executor.last_failed_job = task.job->Id();
-  ++executor.consecutive_failures;
-  if (executor.consecutive_failures < options_.failures_before_avoiding) return;
-  executor.avoid_until = at.now + options_.avoid_time;
+  const core::milliseconds avoid =
+      executor.health.OnFailure(task.job->Id(), task.failures > 0, at.now);
+  if (avoid.count() > 0) {
+    executor.avoid_until = std::max(executor.avoid_until, at.now + avoid);
+  }
 }
 
 void run_tracker::FinishJob(job_state& job, schema::fleet_job_state state,
--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -31,10 +31,7 @@
   // How long an executor that left an order unanswered is avoided. The time is
   // short because single responses get lost and the next hold shows more.
   core::milliseconds unanswered_avoid_time{300};
-  // Consecutive failed runs on an executor before it is avoided.
-  int failures_before_avoiding = 3;
-  // How long an executor that fails runs, rejects a start or cannot be reached
-  // is avoided.
+  // How long an executor that rejects a start or cannot be reached is avoided.
   core::milliseconds avoid_time{2000};
   // How long an executor without free capacity is avoided.
   core::milliseconds no_capacity_avoid_time{300};
--- /dev/null
+++ b/tests/waxwingfront/fleet/executor_health_test.cc
@@ -0,0 +1,215 @@
+#include "waxwingfront/fleet/executor_health.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "support/fleet_fixture.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+using core::milliseconds;
+
+TEST_CASE("an executor is avoided for longer with each failing job",
+          "[fleet][health]") {
+  fleet::executor_health health;
+  CHECK(health.OnFailure("a", false, At(0).now) == milliseconds(0));
+  CHECK(health.OnFailure("a", false, At(10).now) == milliseconds(0));
+  CHECK(health.OnFailure("b", false, At(20).now) == milliseconds(1000));
+  CHECK(health.OnFailure("c", false, At(1100).now) == milliseconds(2000));
+  CHECK(health.OnFailure("d", false, At(3200).now) == milliseconds(4000));
+  CHECK(health.OnFailure("e", false, At(7300).now) == milliseconds(4000));
+}
+
+// Guards against tasks that were started before the executor began to fail and
+// make it look healthy.
+TEST_CASE("only runs placed after a failure make up for it",
+          "[fleet][health]") {
+  fleet::executor_health health;
+  health.OnFailure("a", false, At(100).now);
+  health.OnFailure("b", false, At(200).now);
+  health.OnSuccess(At(150).now);
+  health.OnSuccess(At(300).now);
+  CHECK(health.IsSuspect(At(400).now));
+  CHECK(health.IsProven(At(400).now));
+  health.OnSuccess(At(400).now);
+  CHECK_FALSE(health.IsSuspect(At(500).now));
+  CHECK_FALSE(health.IsProven(At(5400).now));
+}
+
+TEST_CASE("a task that has failed prefers an executor with a recent success",
+          "[fleet][health]") {
+  fleet_fixture fixture;
+  fixture.AddExecutor("a", 1000);
+  fixture.Core().Submit(JobOf("job", 1, 1000), At(0));
+  const fleet::orders first = fixture.StepAccepted(10);
+  REQUIRE(first.starts.size() == 1);
+  // Best fit would prefer the smaller one.
+  fixture.AddExecutor("unproven", 2000, 20);
+  fixture.AddExecutor("proven", 8000, 20);
+  fixture.Core().FindExecutor("proven")->health.OnSuccess(At(20).now);
+  fixture.Report("a", 100, {},
+                 {{.number = 1,
+                   .task = first.starts[0].task,
+                   .run = 1,
+                   .how = fleet::run_end::kFailed}});
+  const fleet::orders second = fixture.Step(110);
+  REQUIRE(second.starts.size() == 1);
+  CHECK(second.starts[0].executor == "proven");
+}
+
+TEST_CASE("a job that fails everywhere makes no executor suspect",
+          "[fleet][health]") {
+  fleet::executor_health health;
+  health.OnFailure("hopeless", true, At(0).now);
+  CHECK_FALSE(health.IsSuspect(At(0).now));
+}
+
+TEST_CASE("a failure is forgotten after a while", "[fleet][health]") {
+  fleet::executor_health health;
+  health.OnFailure("a", false, At(0).now);
+  CHECK(health.IsSuspect(At(4999).now));
+  CHECK_FALSE(health.IsSuspect(At(5000).now));
+}
+
+// Guards against jobs that fail for good because of an executor that fails all
+// it starts, frees its capacity at once and so attracts all their attempts.
+struct failing_executors_play {
+  static constexpr int kExecutors = 20;
+  static constexpr int kFailing = 2;
+  static constexpr std::int64_t kStepMs = 20;
+  static constexpr std::int64_t kJobGapMs = 100;
+  static constexpr std::int64_t kWorkMs = 600;
+  static constexpr std::int64_t kFailMs = 60;
+  static constexpr std::int64_t kLengthMs = 12'000;
+  // The executors fail from here on.
+  static constexpr std::int64_t kFailFromMs = 2'000;
+
+  failing_executors_play() : fixture({{.name = "q", .max_attempts = 2}}) {
+    for (int i = 0; i < kExecutors; ++i) {
+      fixture.AddExecutor("e" + std::to_string(i), 16'000);
+    }
+    for (std::int64_t now = kStepMs; now <= kLengthMs; now += kStepMs) {
+      if (now % kJobGapMs == 0) {
+        fixture.Core().Submit(JobOf("job-" + std::to_string(jobs++), 8, 1000),
+                              At(now));
+      }
+      for (int i = 0; i < kExecutors; ++i) Report(i, now);
+      for (const fleet::start_order& start : fixture.StepAccepted(now).starts) {
+        running[start.executor].push_back({.order = start, .since = now});
+      }
+    }
+    for (int i = 0; i < jobs; ++i) {
+      const auto state = fixture.Core().StoredState("job-" + std::to_string(i));
+      if (state == schema::FLEET_FAILED) ++failed;
+    }
+  }
+
+  struct run {
+    fleet::start_order order;
+    std::int64_t since = 0;
+  };
+
+  void Report(int index, std::int64_t now) {
+    const std::string id = "e" + std::to_string(index);
+    const bool fails = index < kFailing && now >= kFailFromMs;
+    std::vector<fleet::ended_report> ended;
+    std::vector<fleet::running_report> rows;
+    for (const run& one : running[id]) {
+      if (now - one.since >= (fails ? kFailMs : kWorkMs)) {
+        ended.push_back(
+            {.number = ++end_numbers[id],
+             .task = one.order.task,
+             .run = one.order.run,
+             .how = fails ? fleet::run_end::kFailed : fleet::run_end::kDone});
+        failed_runs += fails ? 1 : 0;
+      } else {
+        rows.push_back(
+            {.task = one.order.task, .run = one.order.run, .percent = 50});
+      }
+    }
+    std::erase_if(running[id], [&](const run& one) {
+      return now - one.since >= (fails ? kFailMs : kWorkMs);
+    });
+    fixture.Report(id, now, std::move(rows), std::move(ended));
+  }
+
+  fleet_fixture fixture;
+  std::map<std::string, std::vector<run>> running;
+  std::map<std::string, std::uint64_t> end_numbers;
+  int jobs = 0;
+  int failed = 0;
+  int failed_runs = 0;
+};
+
+TEST_CASE("jobs survive executors that fail all they start",
+          "[fleet][health]") {
+  const failing_executors_play play;
+  CHECK(play.failed == 0);
+  // Two executors, each with the runs it had at first and then single ones.
+  CHECK(play.failed_runs <= 2 * (16 + 6));
+}
+
+// An executor on which a run has just failed, beside a healthy one without
+// room.
+struct suspect_scene {
+  suspect_scene() {
+    fixture.AddExecutor("a", 8000);
+    fixture.AddExecutor("full", 500);
+    fixture.Core().Submit(JobOf("first", 1, 1000), At(0));
+    start = fixture.StepAccepted(10).starts.at(0);
+    Report(100, fleet::run_end::kFailed);
+  }
+
+  // Reports the end of the latest start.
+  void Report(std::int64_t at_ms, fleet::run_end how) {
+    fixture.Report(
+        "a", at_ms, {},
+        {{.number = ++ends, .task = start.task, .run = start.run, .how = how}});
+  }
+
+  fleet_fixture fixture;
+  fleet::start_order start;
+  std::uint64_t ends = 0;
+};
+
+TEST_CASE("a task that has failed waits until no executor is suspect",
+          "[fleet][health]") {
+  suspect_scene scene;
+  CHECK(scene.fixture.Step(110).starts.empty());
+  CHECK(scene.fixture.Step(4900).starts.empty());
+  CHECK(scene.fixture.Step(5200).starts.size() == 1);
+}
+
+TEST_CASE("a suspect executor gets one task at a time", "[fleet][health]") {
+  suspect_scene scene;
+  scene.fixture.Core().Submit(JobOf("second", 4, 1000), At(200));
+  const fleet::orders probe = scene.fixture.StepAccepted(210);
+  REQUIRE(probe.starts.size() == 1);
+  CHECK(scene.fixture.StepAccepted(400).starts.empty());
+  scene.start = probe.starts[0];
+  scene.Report(900, fleet::run_end::kDone);
+  // The failed task of the first job, too.
+  CHECK(scene.fixture.StepAccepted(910).starts.size() == 4);
+}
+
+TEST_CASE("executors are used alike if most of them are suspect",
+          "[fleet][health]") {
+  fleet_fixture fixture;
+  fixture.AddExecutor("a", 8000);
+  fixture.Core().Submit(JobOf("first", 1, 1000), At(0));
+  const fleet::orders first = fixture.StepAccepted(10);
+  fixture.Report("a", 100, {},
+                 {{.number = 1,
+                   .task = first.starts.at(0).task,
+                   .run = 1,
+                   .how = fleet::run_end::kFailed}});
+  fixture.Core().Submit(JobOf("second", 4, 1000), At(200));
+  CHECK(fixture.StepAccepted(210).starts.size() == 5);
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
