Play more failing executors than a pause alone can bear

Cause: the play of failing executors passed without one task at a time. Change: 4 of 20 executors fail and a job comes every 60 ms.

--- a/tests/waxwingfront/fleet/executor_health_test.cc
+++ b/tests/waxwingfront/fleet/executor_health_test.cc
@@ -79,9 +79,9 @@
 // it starts, frees its capacity at once and so attracts all their attempts.
 struct failing_executors_play {
   static constexpr int kExecutors = 20;
-  static constexpr int kFailing = 2;
+  static constexpr int kFailing = 4;
   static constexpr std::int64_t kStepMs = 20;
-  static constexpr std::int64_t kJobGapMs = 100;
+  static constexpr std::int64_t kJobGapMs = 60;
   static constexpr std::int64_t kWorkMs = 600;
   static constexpr std::int64_t kFailMs = 60;
   static constexpr std::int64_t kLengthMs = 12'000;
@@ -149,8 +149,8 @@
           "[fleet][health]") {
   const failing_executors_play play;
   CHECK(play.failed == 0);
-  // Two executors, each with the runs it had at first and then single ones.
-  CHECK(play.failed_runs <= 2 * (16 + 6));
+  // Each with the tasks of one job at first, and then single ones.
+  CHECK(play.failed_runs <= failing_executors_play::kFailing * (8 + 6));
 }
 
 // An executor on which a run has just failed, beside a healthy one without
