Suspect executors from failures of two jobs on

Cause: single failures are usually the job's own. Change: an executor is suspect from the second failing job on. Tasks that have failed still prefer executors with a recent success and no failure since.

--- a/src/waxwingfront/fleet/executor_health.cc
+++ b/src/waxwingfront/fleet/executor_health.cc
@@ -14,17 +14,17 @@
 core::milliseconds executor_health::OnFailure(std::string_view job,
                                               bool has_failed_elsewhere,
                                               core::monotonic_time now) {
-  if (has_failed_elsewhere && !IsSuspect(now)) return core::milliseconds(0);
-  if (!IsSuspect(now)) failures_ = 0;
+  if (now - last_failure_ >= options_.suspicion_time) failures_ = 0;
+  if (has_failed_elsewhere && failures_ == 0) return core::milliseconds(0);
   last_failure_ = now;
   if (failures_ > 0 && last_failed_job_ == job) return core::milliseconds(0);
   last_failed_job_ = job;
   ++failures_;
-  if (failures_ < options_.failures_before_avoiding) {
+  if (failures_ < options_.failures_before_suspicion) {
     return core::milliseconds(0);
   }
   core::milliseconds avoid = options_.avoid_time;
-  for (int i = options_.failures_before_avoiding;
+  for (int i = options_.failures_before_suspicion;
        i < failures_ && avoid < options_.max_avoid_time; ++i) {
     avoid *= 2;
   }
--- a/src/waxwingfront/fleet/executor_health.h
+++ b/src/waxwingfront/fleet/executor_health.h
@@ -2,8 +2,9 @@
 //
 // An executor that fails all it starts frees its capacity at once, so it
 // attracts more tasks than any other and can use up all attempts of a job
-// within a second. After a failure it therefore gets one task at a time until a
-// run succeeds, and none that has failed before.
+// within a second. After failures of two jobs it therefore gets one task at a
+// time until runs succeed, and none that has failed before. A single failure is
+// usually the job's own fault.
 #ifndef WAXWINGFRONT_FLEET_EXECUTOR_HEALTH_H_
 #define WAXWINGFRONT_FLEET_EXECUTOR_HEALTH_H_
 
@@ -21,8 +22,8 @@
   // works.
   core::milliseconds proven_time{5000};
   // Consecutive failures, each of another job than the one before, from which
-  // the executor is avoided.
-  int failures_before_avoiding = 2;
+  // the executor is suspect and avoided.
+  int failures_before_suspicion = 2;
   // How long it is avoided at first; doubles with each further failure.
   core::milliseconds avoid_time{1000};
   core::milliseconds max_avoid_time{4000};
@@ -43,14 +44,16 @@
   core::milliseconds OnFailure(std::string_view job, bool has_failed_elsewhere,
                                core::monotonic_time now);
 
-  // True if a run failed recently and none has succeeded since.
+  // True if runs of several jobs failed recently and none has succeeded since.
   bool IsSuspect(core::monotonic_time now) const {
-    return failures_ > 0 && now - last_failure_ < options_.suspicion_time;
+    return failures_ >= options_.failures_before_suspicion &&
+           now - last_failure_ < options_.suspicion_time;
   }
   core::monotonic_time LastFailure() const { return last_failure_; }
-  // True if a run that was placed recently has succeeded.
+  // True if a run that was placed recently has succeeded, and no later one has
+  // failed.
   bool IsProven(core::monotonic_time now) const {
-    return now - last_success_placed_ < options_.proven_time;
+    return failures_ == 0 && now - last_success_placed_ < options_.proven_time;
   }
 
  private:
