Split the sampling of short tasks' demand

Cause: one function walked jobs, occurrences, steps and tasks in five levels and had a second copy of a task's needs. Change: ForEachShortTask says which tasks claim room; task_state::Needs is used where there is a task. No behaviour changes.

--- a/src/waxwingfront/fleet/standing_admission.cc
+++ b/src/waxwingfront/fleet/standing_admission.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <limits>
 #include <utility>
 #include <vector>
@@ -72,6 +73,30 @@
   return largest;
 }
 
+// Calls `visit` with each short task that runs, or that waits for room. Jobs
+// that are useless already wait behind the others, and tasks that exceed every
+// executor wait in vain, so neither claims room.
+void ForEachShortTask(const job_state& job, const queue_spec* queue,
+                      const core::resources& largest, moment at,
+                      const std::function<void(const task_state&)>& visit) {
+  for (std::uint32_t k = 0; k < job.Occurrences().size(); ++k) {
+    const bool useful =
+        FeasibilityOf(ComputeDeadlines(job, k, queue), at.now) !=
+        deadline_feasibility::kInfeasible;
+    const std::vector<step_state>& steps = job.Occurrences()[k].steps;
+    for (std::uint32_t s = 0; s < steps.size(); ++s) {
+      const std::vector<task_state>& tasks = steps[s].tasks;
+      if (!IsShort(tasks.front().Spec()) || steps[s].Done()) continue;
+      const bool may_start = useful && largest.Holds(tasks.front().Needs()) &&
+                             job.StepReady(k, s, at.unix_ms);
+      for (const task_state& task : tasks) {
+        const bool waits = may_start && task.phase == task_phase::kWaiting;
+        if (task.Active() || waits) visit(task);
+      }
+    }
+  }
+}
+
 }  // namespace
 
 void standing_admission::Sample(moment at) {
@@ -88,34 +113,19 @@
   std::map<std::string_view, core::resources> largest;
   for (const job_state* const job : state_.live) {
     if (job->Final()) continue;
-    short_demand* demand = nullptr;
     const std::string_view service = state_.ServiceOf(*job);
     if (!largest.contains(service)) {
       largest[service] = LargestCapacity(state_, service);
     }
-    const queue_spec* const queue = state_.FindQueue(job->Spec().queue());
-    for (std::uint32_t k = 0; k < job->Occurrences().size(); ++k) {
-      const std::vector<step_state>& steps = job->Occurrences()[k].steps;
-      // Jobs that are useless already wait behind the others and claim no room.
-      const bool useful =
-          FeasibilityOf(ComputeDeadlines(*job, k, queue), at.now) !=
-          deadline_feasibility::kInfeasible;
-      for (std::uint32_t s = 0; s < steps.size(); ++s) {
-        const schema::fleet_step& spec = job->Spec().steps(static_cast<int>(s));
-        if (!IsShort(spec) || steps[s].Done()) continue;
-        const bool ready = useful && largest[service].Holds(NeedsOf(spec)) &&
-                           job->StepReady(k, s, at.unix_ms);
-        for (const task_state& task : steps[s].tasks) {
-          const bool waits = ready && task.phase == task_phase::kWaiting;
-          if (!task.Active() && !waits) continue;
-          if (demand == nullptr) {
-            demand = &demands_[std::string(service)];
-          }
-          demand->sum += NeedsOf(spec);
-          ++demand->tasks;
-        }
-      }
-    }
+    short_demand* demand = nullptr;
+    ForEachShortTask(*job, state_.FindQueue(job->Spec().queue()),
+                     largest[service], at, [&](const task_state& task) {
+                       if (demand == nullptr) {
+                         demand = &demands_[std::string(service)];
+                       }
+                       demand->sum += task.Needs();
+                       ++demand->tasks;
+                     });
   }
   for (auto& [service, demand] : demands_) {
     if (demand.tasks == 0) continue;
