--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -17,8 +17,8 @@
 constexpr int kNotRun = 2;
 
 // From an executor's restart until its first status report, in
-// `RouteAfterRestart`: half of the usual interval.
-constexpr milliseconds kFirstReport{750};
+// `RouteAfterRestart`.
+constexpr milliseconds kFirstReport{100};
 
 void Wait(int ms) { std::this_thread::sleep_for(milliseconds(ms)); }
 
--- a/review/standin/http.cc
+++ b/review/standin/http.cc
@@ -32,17 +32,19 @@
   return address;
 }
 
-int Listen(std::uint16_t port) {
+// Returns a listening socket; -1 if the port is in use.
+int TryListen(std::uint16_t port) {
   const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   const sockaddr_in address = Loopback(port);
   if (bind(listener, reinterpret_cast<const sockaddr*>(&address),
-           sizeof(address)) != 0 ||
-      listen(listener, kBacklog) != 0) {
-    std::exit(2);
+           sizeof(address)) == 0 &&
+      listen(listener, kBacklog) == 0) {
+    return listener;
   }
-  return listener;
+  close(listener);
+  return -1;
 }
 
 std::string Unescape(std::string_view text) {
@@ -110,16 +112,24 @@
 }  // namespace
 
 std::uint16_t FreePort() {
-  const int probe = Listen(0);
-  sockaddr_in address{};
-  socklen_t size = sizeof(address);
-  getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
-  close(probe);
-  return ntohs(address.sin_port);
+  // Below the ports that the system picks for outgoing connections.
+  constexpr int kFirst = 20'000;
+  constexpr int kCount = 10'000;
+  constexpr int kSpread = 37;
+  static int next = getpid() * kSpread % kCount;
+  while (true) {
+    next = (next + 1) % kCount;
+    const auto port = static_cast<std::uint16_t>(kFirst + next);
+    const int probe = TryListen(port);
+    if (probe < 0) continue;
+    close(probe);
+    return port;
+  }
 }
 
 http_server::http_server(std::uint16_t port, handler handle)
-    : port_(port), listener_(Listen(port)), handle_(std::move(handle)) {
+    : port_(port), listener_(TryListen(port)), handle_(std::move(handle)) {
+  if (listener_ < 0) std::_Exit(2);
   std::thread([this] { Accept(); }).detach();
 }
 
