--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -1,6 +1,6 @@
-// Plays one case of the review: `small_site CASE RECORD`. Exits with 1 if the
-// rule was broken, 0 if it held, and 2 if the case could not run. With
-// TROUBLE=0 in the environment the disruption is left out.
+// Plays one case of the review: `small_site CASE TROUBLE RECORD`. Exits with 1
+// if the rule was broken, 0 if it held, and 2 if the case could not run. If
+// TROUBLE is 0, the disruption is left out.
 #include <cstdlib>
 #include <iostream>
 #include <map>
@@ -22,10 +22,10 @@
 
 void Wait(int ms) { std::this_thread::sleep_for(milliseconds(ms)); }
 
-bool Trouble() {
-  const char* const wanted = std::getenv("TROUBLE");
-  return wanted == nullptr || std::string(wanted) != "0";
-}
+// False if the disruption is left out.
+bool trouble = true;
+
+bool Trouble() { return trouble; }
 
 // Waits until the task has begun `count` times; false after `limit_ms`.
 bool AwaitBegun(const record& log, const std::string& task, int count,
@@ -226,7 +226,8 @@
 
 }  // namespace
 
-int Play(const std::string& name, record& log) {
+int Play(const std::string& name, bool with_trouble, record& log) {
+  trouble = with_trouble;
   const std::map<std::string, int (*)(record&)> cases = {
       {"budget-after-route-removed", BudgetAfterRouteRemoved},
       {"lost-after-route-removed", LostAfterRouteRemoved},
@@ -239,10 +240,11 @@
 }  // namespace waxwingfront::review
 
 int main(int argc, char** argv) {
-  if (argc != 3) return 2;
+  if (argc != 4) return 2;
   // Not destroyed, see `deployment`.
-  auto& log = *new waxwingfront::review::record(argv[2]);
-  const int outcome = waxwingfront::review::Play(argv[1], log);
+  auto& log = *new waxwingfront::review::record(argv[3]);
+  const int outcome =
+      waxwingfront::review::Play(argv[1], std::string(argv[2]) != "0", log);
   waxwingfront::review::deployment::Stop();
   log.Write(outcome == 1   ? "the rule was broken"
             : outcome == 0 ? "the rule held"
