Record the bounds on leases, so that a new leader knows them

Cause: a run on an executor that nobody reaches is over once its lease has lapsed. A new leader did not know its predecessor's leases and waited for the longest possible one, 12 s after its claim; each further change of leader started this anew. Then the tasks waited for room behind short tasks for another 2 s.

Change: the leader stores when all leases have lapsed, separately for executors that it does not reach, renews the record each 0.5 s and gives no lease beyond it. A new leader reads the record and counts from when its process first saw it. Long-running tasks whose run expired count as waiting since the executor was last heard of.

A rule on the claim's time alone cannot hold: the store may revoke the leader's key early, and then the former leader orders up to the claim and beyond.

--- a/src/waxwingfront/fleet/executor_state.cc
+++ b/src/waxwingfront/fleet/executor_state.cc
@@ -27,6 +27,14 @@
   return sample.clock_ms + ElapsedMs(sample.sent, now) + kRoundingMs;
 }
 
+core::monotonic_time LatestTimeOf(const clock_sample& sample,
+                                  std::int64_t deadline_ms) {
+  const std::int64_t remaining_ms =
+      std::max<std::int64_t>(0, deadline_ms + kRoundingMs - sample.clock_ms);
+  const auto elapsed = core::milliseconds(remaining_ms) / kMinClockRate;
+  return sample.received + std::chrono::ceil<core::milliseconds>(elapsed);
+}
+
 bool DefinitelyPast(const clock_sample& sample, std::int64_t deadline_ms,
                     core::monotonic_time now) {
   return EarliestClock(sample, now) > deadline_ms + kRoundingMs;
@@ -50,6 +58,11 @@
   });
 }
 
+core::monotonic_time executor_state::LeaseEnd() const {
+  return reached && clock ? LatestTimeOf(*clock, deadline_sent_ms)
+                          : unreached_expiry;
+}
+
 bool executor_state::AllLeasesExpired(core::monotonic_time now) const {
   if (!reached) return now > unreached_expiry;
   return clock && DefinitelyPast(*clock, deadline_sent_ms, now);
--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -37,6 +37,10 @@
                            core::monotonic_time now);
 std::int64_t LatestClock(const clock_sample& sample, core::monotonic_time now);
 
+// Returns when the executor's clock has certainly passed `deadline_ms`.
+core::monotonic_time LatestTimeOf(const clock_sample& sample,
+                                  std::int64_t deadline_ms);
+
 // True if the executor's clock has certainly passed `deadline_ms`.
 bool DefinitelyPast(const clock_sample& sample, std::int64_t deadline_ms,
                     core::monotonic_time now);
@@ -87,7 +91,7 @@
   std::optional<clock_sample> clock;
   // Latest deadline that this leader ever sent, on the executor's clock.
   std::int64_t deadline_sent_ms = 0;
-  // When all runs of an earlier leader have expired if it is never reached.
+  // When all leases that earlier leaders gave have lapsed.
   core::monotonic_time unreached_expiry{};
 
   // Ends up to this number are stored, and the executor may forget them.
@@ -163,6 +167,8 @@
     return reserved_for != nullptr && reserved_for != job &&
            now < reserved_until;
   }
+  // Returns when all leases have lapsed that were given so far.
+  core::monotonic_time LeaseEnd() const;
   // True if no run started by this or an earlier leader can still be active.
   bool AllLeasesExpired(core::monotonic_time now) const;
 
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -7,8 +7,17 @@
 namespace waxwingfront::fleet {
 namespace {
 
-// Covers message delays and clock rounding.
-constexpr core::milliseconds kLeaseExpirySlack{300};
+// Covers clock rounding and the executor's own time to end a run.
+constexpr core::milliseconds kLeaseExpirySlack{100};
+// Rounding of bounds on leases that were given up to the recorded bound.
+constexpr core::milliseconds kLeaseRounding{10};
+// Covers message delays where earlier leaders recorded no bounds.
+constexpr core::milliseconds kUnrecordedSlack{200};
+// Maximum time after a takeover for which the bounds of earlier leaders stay in
+// force, and the shortest remaining time for which that is worthwhile: starts
+// need leases of this length.
+constexpr core::milliseconds kMaxFirstHoldTime{1500};
+constexpr core::milliseconds kMinUsefulLease{3000};
 
 }  // namespace
 
@@ -17,9 +26,9 @@
       sharing_(state_),
       admission_(state_, options.admission),
       distance_(options.remote_factor),
-      deadlines_(state_, options.deadlines),
+      deadlines_(state_, leases_, options.deadlines),
       runs_(state_, options.runs,
-            {.hold_lease = options.deadlines.hold_lease,
+            {.start_lease = options.deadlines.drain_bound,
              .longest_hold = options.longest_hold}),
       journal_(state_),
       planner_(state_, PlacementCost(), PlacementEpoch(), distance_),
@@ -97,15 +106,60 @@
   state_.jobs[id] = std::move(restored);
 }
 
-void fleet_core::FinishRestore(moment claimed) {
+void fleet_core::FinishRestore(moment claimed,
+                               const std::optional<lease_lapses>& recorded) {
   const auto reach = std::chrono::duration_cast<core::milliseconds>(
       (options_.longest_hold + options_.leader_lease) / kMinClockRate);
-  unreached_expiry_ = claimed.now + reach + kLeaseExpirySlack;
+  inherited_ = recorded.value_or(lease_lapses{
+      .silent = {}, .others = claimed.now + reach + kUnrecordedSlack});
+  restored_at_ = claimed.now;
   for (auto& [id, executor] : state_.executors) {
-    executor.unreached_expiry = unreached_expiry_;
+    executor.unreached_expiry = inherited_.Of(id) + kLeaseExpirySlack;
   }
 }
 
+bool fleet_core::AwaitsFirstHolds(core::monotonic_time now) const {
+  if (now - restored_at_ >= kMaxFirstHoldTime ||
+      inherited_.others - now < kMinUsefulLease) {
+    return false;
+  }
+  return std::ranges::any_of(state_.executors, [](const auto& entry) {
+    const executor_state& executor = entry.second;
+    return !executor.active.empty() && !executor.info.address.empty() &&
+           !executor.reached && executor.unanswered_holds == 0;
+  });
+}
+
+core::monotonic_time fleet_core::HoldBound(core::monotonic_time now) const {
+  return now + std::chrono::ceil<core::milliseconds>(
+                   options_.deadlines.hold_lease / kMinClockRate);
+}
+
+schema::fleet_leases fleet_core::NextLeaseRecord(core::monotonic_time now) {
+  recorded_inherited_ = AwaitsFirstHolds(now);
+  if (recorded_inherited_) return leases_.Begin(inherited_, now);
+  lease_lapses lapses{.silent = {}, .others = HoldBound(now)};
+  for (const auto& [id, executor] : state_.executors) {
+    if (executor.active.empty()) continue;
+    const core::monotonic_time end =
+        executor.reached ? executor.LeaseEnd() : inherited_.Of(id);
+    const bool exceeds = end > lapses.others + kLeaseRounding;
+    if (!executor.in_contact || exceeds) lapses.silent[id] = end;
+  }
+  return leases_.Begin(std::move(lapses), now);
+}
+
+bool fleet_core::LeaseRecordOutdated(core::monotonic_time now) const {
+  if (!leases_.AnyStored()) return true;
+  if (recorded_inherited_) return !AwaitsFirstHolds(now);
+  const core::monotonic_time bound = HoldBound(now);
+  return std::ranges::any_of(state_.executors, [&](const auto& entry) {
+    const executor_state& executor = entry.second;
+    return executor.in_contact && executor.LeaseEnd() <= bound &&
+           leases_.ListsSilent(executor.info.id);
+  });
+}
+
 submission fleet_core::Submit(schema::fleet_job job, moment at) {
   const std::string id = job.id();
   if (state_.jobs.contains(id)) return submission::kDuplicate;
@@ -159,7 +213,7 @@
   const auto [entry, added] = state_.executors.try_emplace(id);
   if (added) {
     entry->second.info.id = id;
-    entry->second.unreached_expiry = unreached_expiry_;
+    entry->second.unreached_expiry = inherited_.Of(id) + kLeaseExpirySlack;
   }
   return entry->second;
 }
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -13,6 +13,7 @@
 
 #include "waxwingfront/fleet/fleet_journal.h"
 #include "waxwingfront/fleet/fleet_state.h"
+#include "waxwingfront/fleet/lease_ledger.h"
 #include "waxwingfront/fleet/load_monitor.h"
 #include "waxwingfront/fleet/order_deadlines.h"
 #include "waxwingfront/fleet/planner.h"
@@ -51,9 +52,18 @@
                const std::optional<schema::fleet_progress>& progress,
                std::int64_t progress_revision, moment at);
   // Marks all stored jobs and executors as loaded. Runs on executors that never
-  // respond count as ended at `claimed` plus the leader lease and the longest
-  // hold.
-  void FinishRestore(moment claimed);
+  // respond count as ended at the times that earlier leaders recorded, or at
+  // `claimed` plus the leader lease and the longest hold if they recorded none.
+  void FinishRestore(moment claimed,
+                     const std::optional<lease_lapses>& recorded = {});
+
+  // Bounds on leases that a later leader relies on. No lease is given before
+  // they are stored.
+  lease_ledger& Leases() { return leases_; }
+  // Begins a new version of their record, sent at `now`.
+  schema::fleet_leases NextLeaseRecord(core::monotonic_time now);
+  // True if the record delays work until a new version is stored.
+  bool LeaseRecordOutdated(core::monotonic_time now) const;
 
   bool HasJob(const std::string& id) const { return state_.jobs.contains(id); }
   submission Submit(schema::fleet_job job, moment at);
@@ -125,6 +135,11 @@
  private:
   placement_cost PlacementCost();
   placement_epoch PlacementEpoch();
+  // True while the first holds to executors with runs have no outcome yet.
+  // Until then, the recorded bounds of earlier leaders stay in force.
+  bool AwaitsFirstHolds(core::monotonic_time now) const;
+  // Returns the bound for executors in contact, if it is recorded at `now`.
+  core::monotonic_time HoldBound(core::monotonic_time now) const;
   void DropOldJobs(moment at);
   // Removes deregistered executors that cannot have active runs.
   void DropUnused();
@@ -135,12 +150,17 @@
   sharing_policy sharing_;
   standing_admission admission_;
   locality distance_;
+  lease_ledger leases_;
   order_deadlines deadlines_;
   run_tracker runs_;
   fleet_journal journal_;
   planner planner_;
   rebalancer rebalancer_;
-  core::monotonic_time unreached_expiry_{};
+  // Bounds on the leases that earlier leaders gave.
+  lease_lapses inherited_;
+  core::monotonic_time restored_at_{};
+  // The newest lease record repeats `inherited_`.
+  bool recorded_inherited_ = false;
   // New jobs that no planning round has considered yet.
   std::vector<std::string> unplanned_;
 };
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -26,7 +26,8 @@
         pacer(chosen.writes),
         driver(
             event_loop, executors, core, leader_token, chosen.driver,
-            {.may_order = hooks.may_order,
+            {.may_order =
+                 [this] { return hooks.may_order() && recorder.Valid(); },
              .on_fenced = [this] { Depose("an executor refused the token"); },
              .on_progress = [this] { ScheduleRound(); },
              .now = hooks.now,
@@ -36,8 +37,16 @@
                {.on_progress = [this] { ScheduleRound(); }, .now = hooks.now},
                events),
         loader(event_loop, services, core, chosen.retry,
-               {.now = hooks.now, .on_loaded = [this] { registry.Start(); }},
+               {.now = hooks.now, .on_loaded = [this] { LoadLeases(); }},
                events),
+        recorder(
+            event_loop, services, core, leader_token, chosen.leases,
+            {.may_order = hooks.may_order,
+             .now = hooks.now,
+             .first_seen = hooks.leases_first_seen,
+             .suspended = hooks.suspended,
+             .on_deposed = [this](std::string_view reason) { Depose(reason); }},
+            events),
         registry(event_loop, services, core, chosen.registry,
                  {.now = hooks.now,
                   .on_listed = [this] { OnListed(); },
@@ -144,10 +153,17 @@
                            {"fate", OutcomeName(outcome)}});
   }
 
+  void LoadLeases() {
+    recorder.Load([this](std::optional<lease_lapses> recorded) {
+      earlier_leases = std::move(recorded);
+      registry.Start();
+    });
+  }
+
   void OnListed() {
     if (!loaded) {
       loaded = true;
-      core.FinishRestore({.now = claimed, .unix_ms = 0});
+      core.FinishRestore({.now = claimed, .unix_ms = 0}, earlier_leases);
       log.Write(
           "leader_ready",
           {{"token", token},
@@ -171,6 +187,7 @@
 
   void Tick() {
     core.Tick(hooks.now());
+    recorder.Update();
     driver.HoldAll();
     ScheduleRound();
     Later(options.tick, [this] { Tick(); });
@@ -326,7 +343,9 @@
   executor_driver driver;
   advice_driver advice;
   fleet_loader loader;
+  lease_recorder recorder;
   executor_registry registry;
+  std::optional<lease_lapses> earlier_leases;
   bool loaded = false;
   bool closed = false;
   bool deposed = false;
--- a/src/waxwingfront/fleet/fleet_leader.h
+++ b/src/waxwingfront/fleet/fleet_leader.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,7 @@
 #include "waxwingfront/fleet/executor_driver.h"
 #include "waxwingfront/fleet/executor_registry.h"
 #include "waxwingfront/fleet/fleet_core.h"
+#include "waxwingfront/fleet/lease_recorder.h"
 #include "waxwingfront/fleet/platform_services.h"
 #include "waxwingfront/fleet/write_pacer.h"
 #include "waxwingfront/logging/event_log.h"
@@ -34,6 +36,7 @@
   core::milliseconds plan_budget{20};
   core::milliseconds retry{100};
   executor_registry_options registry;
+  lease_recorder_options leases;
   core::milliseconds tick{100};
   // Time between two records of the interference estimates; a later leader
   // loses the updates of up to this time.
@@ -48,6 +51,10 @@
   // Another process leads; `reason` states how this was detected.
   std::function<void(std::string_view reason)> on_deposed;
   std::function<moment()> now;
+  // See `lease_recorder_hooks`.
+  std::function<std::optional<core::monotonic_time>(std::int64_t revision)>
+      leases_first_seen;
+  std::function<core::milliseconds()> suspended;
   // Optional.
   stage_hook on_stage;
 };
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -22,6 +22,13 @@
   return time.tv_sec * kMsPerSecond + time.tv_nsec / kNsPerMs;
 }
 
+// Returns for how long the machine has been suspended since it started.
+core::milliseconds SuspendedTime() {
+  const auto running = std::chrono::duration_cast<core::milliseconds>(
+      core::Now().time_since_epoch());
+  return core::milliseconds(BootTimeMs()) - running;
+}
+
 moment ReadClocks() { return {.now = core::Now(), .unix_ms = core::UnixMs()}; }
 
 }  // namespace
@@ -44,6 +51,7 @@
               .leading = [this] { return leader != nullptr; }},
              metrics, log),
         manifests(loop, store, options.manifest, log),
+        leases(loop, store, options.leases),
         gateway(
             loop, client, options.gateway,
             {.local =
@@ -167,6 +175,11 @@
             .on_deposed =
                 [this](std::string_view why) { election->OnSuperseded(why); },
             .now = ReadClocks,
+            .leases_first_seen =
+                [this](std::int64_t revision) {
+                  return leases.FirstSeen(revision);
+                },
+            .suspended = SuspendedTime,
             .on_stage = StageHook()},
         log);
     if (manifests.Current()) leader->SetManifest(*manifests.Current());
@@ -238,6 +251,7 @@
   metrics::registry metrics;
   load_monitor load;
   manifest_follower manifests;
+  lease_observer leases;
   std::optional<leader_choice> choice;
   std::unique_ptr<leader_announcer> announcer;
   std::unique_ptr<leadership> election;
@@ -263,6 +277,7 @@
   auto listening = internal_->server.Start();
   if (!listening) return listening;
   internal_->manifests.Start();
+  internal_->leases.Start();
   internal_->StartLeadership();
   internal_->load.Start();
   internal_->FlushLog();
--- a/src/waxwingfront/fleet/fleet_node.h
+++ b/src/waxwingfront/fleet/fleet_node.h
@@ -16,6 +16,7 @@
 #include "waxwingfront/fleet/leader_announcer.h"
 #include "waxwingfront/fleet/leader_choice.h"
 #include "waxwingfront/fleet/leadership.h"
+#include "waxwingfront/fleet/lease_observer.h"
 #include "waxwingfront/fleet/load_monitor.h"
 #include "waxwingfront/fleet/manifest_follower.h"
 #include "waxwingfront/fleet/platform_services.h"
@@ -38,6 +39,7 @@
   leader_announcer_options announcer;
   manifest_follower_options manifest;
   fleet_leader_options leader;
+  lease_observer_options leases;
   job_gateway_options gateway;
   load_monitor_options load;
   core::milliseconds log_flush{200};
--- a/src/waxwingfront/fleet/order_deadlines.cc
+++ b/src/waxwingfront/fleet/order_deadlines.cc
@@ -36,7 +36,9 @@
   if (!executor.reached || !executor.clock || !executor.in_contact) {
     return std::nullopt;
   }
-  return RecordDeadline(executor, options_.hold_lease, now);
+  const core::milliseconds lease = LongestLease(executor, now);
+  if (lease.count() <= 0) return std::nullopt;
+  return RecordDeadline(executor, lease, now);
 }
 
 std::optional<std::int64_t> order_deadlines::ForStart(
@@ -50,7 +52,8 @@
       !executor->clock || !executor->registered || executor->info.draining) {
     return std::nullopt;
   }
-  const core::milliseconds validity = StartValidity(now);
+  const core::milliseconds validity =
+      std::min(StartValidity(now), LongestLease(*executor, now));
   if (validity < kMinStartValidity) return std::nullopt;
   if (now - executor->clock->sent > kMinRestartTime)
     executor->incarnation_uncertain_since = now;
@@ -58,8 +61,19 @@
 }
 
 bool order_deadlines::MayPlace(core::monotonic_time now) const {
-  return !state_.entries_as_of ||
-         now - *state_.entries_as_of <= options_.drain_bound * kPlacementShare;
+  const bool entries_current =
+      !state_.entries_as_of ||
+      now - *state_.entries_as_of <= options_.drain_bound * kPlacementShare;
+  return entries_current && leases_.AnyStored();
+}
+
+core::milliseconds order_deadlines::LongestLease(
+    const executor_state& executor, core::monotonic_time now) const {
+  const auto limit = leases_.Limit(executor.info.id);
+  if (!limit) return core::milliseconds(0);
+  const auto lease =
+      duration_cast<core::milliseconds>((*limit - now) * kMinClockRate);
+  return std::min(lease, options_.hold_lease);
 }
 
 core::milliseconds order_deadlines::StartValidity(
--- a/src/waxwingfront/fleet/order_deadlines.h
+++ b/src/waxwingfront/fleet/order_deadlines.h
@@ -9,6 +9,7 @@
 
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/fleet/fleet_state.h"
+#include "waxwingfront/fleet/lease_ledger.h"
 
 namespace waxwingfront::fleet {
 
@@ -24,8 +25,9 @@
 
 class order_deadlines {
  public:
-  order_deadlines(fleet_state& state, order_deadline_options options)
-      : state_(state), options_(options) {}
+  order_deadlines(fleet_state& state, const lease_ledger& leases,
+                  order_deadline_options options)
+      : state_(state), leases_(leases), options_(options) {}
 
   // Returns the deadline of a hold sent now, on the executor's clock; nothing
   // if the hold must not change the executor's lease.
@@ -38,14 +40,20 @@
   std::optional<std::int64_t> ForStart(const start_order& order,
                                        core::monotonic_time now) const;
 
-  // True if the executors' entries are recent enough to place work.
+  // True if the executors' entries are recent enough to place work, and starts
+  // may give leases.
   bool MayPlace(core::monotonic_time now) const;
 
  private:
   // Returns the time within which a start sent now may take effect.
   core::milliseconds StartValidity(core::monotonic_time now) const;
+  // Returns by how much an order sent now may extend the executor's leases, on
+  // the executor's clock.
+  core::milliseconds LongestLease(const executor_state& executor,
+                                  core::monotonic_time now) const;
 
   fleet_state& state_;
+  const lease_ledger& leases_;
   order_deadline_options options_;
 };
 
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -131,7 +131,11 @@
                        const placement_scope& scope, moment at) {
   if (!step.ready_since) {
     step.ready_since = at.now;
-    for (task_state& task : step.tasks) task.waiting_since = at.now;
+    for (task_state& task : step.tasks) {
+      // After a takeover, tasks that ran before have waited since their runs.
+      const bool ran_before = task.run > 0 && task.Spec().long_running();
+      if (!ran_before) task.waiting_since = at.now;
+    }
   }
   const std::uint64_t before = job.version;
   if (step.tasks.front().Spec().gang()) {
--- a/src/waxwingfront/fleet/record_keys.h
+++ b/src/waxwingfront/fleet/record_keys.h
@@ -16,6 +16,7 @@
 // value of those as an address.
 inline constexpr std::string_view kStrengthsPrefix = "wf/strengths/";
 inline constexpr std::string_view kSharingKey = "wf/sharing";
+inline constexpr std::string_view kLeasesKey = "wf/leases";
 inline constexpr std::string_view kJobPrefix = "wf/jobs/";
 inline constexpr std::string_view kProgressPrefix = "wf/progress/";
 
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -54,9 +54,8 @@
     executor->processed = 0;
     executor->pending_ends.clear();
     executor->awaited_job.clear();
-    // Another leader may have sent a deadline, or this leader may have sent a
-    // start with a deadline on the clock of the previous incarnation.
-    executor->deadline_sent_ms = report.clock_ms + bounds_.longest_hold.count();
+    executor->deadline_sent_ms =
+        report.clock_ms + LongestEarlierLease(*executor, sent).count();
   }
   if (restarted) {
     // The new incarnation has no record of earlier stops.
@@ -79,6 +78,16 @@
   EndUnlistedRuns(*executor, report, sent, at);
 }
 
+core::milliseconds run_tracker::LongestEarlierLease(
+    const executor_state& executor, core::monotonic_time sent) const {
+  // This leader may have sent a start with a deadline on the clock of the
+  // previous incarnation.
+  if (executor.reached) return bounds_.longest_hold;
+  const auto left =
+      std::chrono::ceil<core::milliseconds>(executor.unreached_expiry - sent);
+  return std::clamp(left, core::milliseconds(0), bounds_.longest_hold);
+}
+
 void run_tracker::OnHoldFailed(std::string_view executor_id) {
   executor_state* const executor = state_.FindExecutor(executor_id);
   if (executor == nullptr) return;
@@ -271,7 +280,7 @@
     // The start is sent slightly later, with a deadline before this bound.
     executor->deadline_sent_ms = std::max(
         executor->deadline_sent_ms,
-        LatestClock(*executor->clock, at.now) + bounds_.hold_lease.count());
+        LatestClock(*executor->clock, at.now) + bounds_.start_lease.count());
     state_.outgoing.starts.push_back({.executor = task.executor,
                                       .task = task.Ref(),
                                       .run = task.run,
@@ -372,6 +381,13 @@
   state_.MarkChanged(job);
 }
 
+core::monotonic_time run_tracker::SilentSince(
+    const executor_state& executor) const {
+  return executor.reached && executor.clock
+             ? executor.clock->received
+             : executor.LeaseEnd() - bounds_.longest_hold;
+}
+
 void run_tracker::Tick(moment at) {
   for (executor_state* const executor :
        ExpiredExecutors(state_, options_.expiry, at.now)) {
@@ -379,6 +395,9 @@
     for (task_state* const task : active) {
       if (task->phase == task_phase::kPlaced) continue;
       EndRun(*task, run_outcome::kExpired, at);
+      if (task->Spec().long_running()) {
+        task->waiting_since = SilentSince(*executor);
+      }
     }
   }
   for (auto& [id, executor] : state_.executors) {
--- a/tests/support/fleet_fixture.cc
+++ b/tests/support/fleet_fixture.cc
@@ -49,6 +49,11 @@
   return job;
 }
 
+void RecordLeases(fleet::fleet_core& core, core::monotonic_time now) {
+  core.NextLeaseRecord(now);
+  core.Leases().Stored();
+}
+
 fleet_fixture::fleet_fixture(const std::vector<queue_options>& queues,
                              fleet::fleet_options options)
     : core_(options) {
@@ -76,6 +81,11 @@
                 .running = std::move(running),
                 .ended = std::move(ended)},
                At(at_ms).now, At(at_ms));
+  RecordLeases(at_ms);
+}
+
+void fleet_fixture::RecordLeases(std::int64_t at_ms) {
+  tests::RecordLeases(core_, At(at_ms).now);
 }
 
 void fleet_fixture::Store(std::int64_t at_ms) {
@@ -87,6 +97,7 @@
 }
 
 fleet::orders fleet_fixture::Step(std::int64_t at_ms) {
+  RecordLeases(at_ms);
   core_.Plan(At(at_ms));
   Store(at_ms);
   return core_.TakeOrders();
--- a/tests/support/fleet_fixture.h
+++ b/tests/support/fleet_fixture.h
@@ -29,6 +29,9 @@
 schema::fleet_job JobOf(std::string_view id, std::uint32_t tasks,
                         std::int64_t cpu_millis, std::string_view queue = "q");
 
+// Stores the bounds on leases, so that the core gives leases from `now` on.
+void RecordLeases(fleet::fleet_core& core, core::monotonic_time now);
+
 // A core whose executors respond to holds, and whose changes are stored
 // immediately.
 class fleet_fixture {
@@ -45,6 +48,9 @@
   void Report(const std::string& id, std::int64_t at_ms,
               std::vector<fleet::running_report> running,
               std::vector<fleet::ended_report> ended = {});
+  // Stores the bounds on leases, sent and stored at `at_ms`. `Report` and
+  // `Step` do the same.
+  void RecordLeases(std::int64_t at_ms);
   // Runs a planning round, stores the changes and returns the orders.
   fleet::orders Step(std::int64_t at_ms);
   // The same, with all starts accepted.
--- a/tests/support/simulated_fleet.h
+++ b/tests/support/simulated_fleet.h
@@ -113,6 +113,7 @@
   void Send(const std::shared_ptr<leader>& instance,
             const fleet::orders& decided);
   void Write(const std::shared_ptr<leader>& instance);
+  void WriteLeases(const std::shared_ptr<leader>& instance);
   void SendBatch(const std::shared_ptr<leader>& instance,
                  const fleet::write_batch& batch);
   std::optional<schema::fleet_progress> Progress(const std::string& job) const;
@@ -127,6 +128,10 @@
   std::vector<fake_executor> executors_;
   std::vector<std::int64_t> unreachable_until_;
   fake_record_store records_;
+  // The stored lease record, its revision and the time of its writing.
+  std::optional<schema::fleet_leases> leases_;
+  std::int64_t leases_revision_ = 0;
+  std::int64_t leases_written_ms_ = 0;
   std::shared_ptr<leader> current_;
   std::set<std::string> jobs_;
   // Executors whose store entries are marked as draining.
--- a/tests/support/simulated_fleet_leader.cc
+++ b/tests/support/simulated_fleet_leader.cc
@@ -104,7 +104,18 @@
                                   : 0;
     current_->first_hold_ms.push_back(now_ms_ + wait);
   }
-  core.FinishRestore(Now());
+  std::optional<fleet::lease_lapses> recorded;
+  if (leases_) {
+    // Followers see a version soon after its writing, or not before they lead.
+    const std::int64_t seen_ms =
+        std::min(now_ms_, leases_written_ms_ + (ChancePerMille(kThousand / 2)
+                                                    ? kWatchLatencyMs
+                                                    : kWatchMs));
+    recorded = fleet::ToLapses(
+        *leases_, core::monotonic_time(core::milliseconds(seen_ms)));
+  }
+  current_->leases_revision = leases_revision_;
+  core.FinishRestore(Now(), recorded);
   // Callers that got no response submit their jobs again.
   for (const std::string& id : jobs_) core.Submit(TwoStepJob(id), Now());
   RunLeaderRound(current_);
@@ -115,6 +126,7 @@
 void simulated_fleet::RunLeaderRound(const std::shared_ptr<leader>& instance) {
   if (now_ms_ >= instance->lease_until_ms) return;
   instance->core.Tick(Now());
+  WriteLeases(instance);
   instance->core.Plan(Now());
   Send(instance, instance->core.TakeOrders());
   Write(instance);
@@ -235,6 +247,46 @@
   }
 }
 
+void simulated_fleet::WriteLeases(const std::shared_ptr<leader>& instance) {
+  const bool due = now_ms_ - instance->leases_sent_ms >= kLeaseRecordMs ||
+                   instance->core.LeaseRecordOutdated(Now().now);
+  if (instance->writing_leases || !due) return;
+  instance->writing_leases = true;
+  instance->leases_sent_ms = now_ms_;
+  const bool lost = !fault_free_ && ChancePerMille(options_.lost_per_mille);
+  const bool late = !fault_free_ && ChancePerMille(options_.late_per_mille);
+  const auto apply = [this, instance, expected = instance->leases_revision,
+                      record = instance->core.NextLeaseRecord(Now().now)] {
+    if (instance->token != records_.Token() || expected != leases_revision_) {
+      return false;
+    }
+    leases_ = record;
+    ++leases_revision_;
+    leases_written_ms_ = now_ms_;
+    return true;
+  };
+  const auto respond = [this, instance](bool applied) {
+    instance->writing_leases = false;
+    instance->leases_revision = leases_revision_;
+    if (applied) {
+      instance->core.Leases().Stored();
+    } else {
+      instance->core.Leases().Dropped();
+    }
+  };
+  After(late ? Between(500, 3000) : Between(2, 10),
+        [this, instance, apply, respond, lost, late] {
+          const bool applied = apply();
+          if (lost || late) return;
+          After(Between(2, 10), [this, instance, respond, applied] {
+            Deliver(instance, [respond, applied] { respond(applied); });
+          });
+        });
+  if (lost || late) {
+    After(kOrderTimeoutMs, [instance] { instance->writing_leases = false; });
+  }
+}
+
 void simulated_fleet::SendBatch(const std::shared_ptr<leader>& instance,
                                 const fleet::write_batch& batch) {
   const bool lost = !fault_free_ && ChancePerMille(options_.lost_per_mille);
--- a/tests/support/simulated_fleet_leader.h
+++ b/tests/support/simulated_fleet_leader.h
@@ -20,6 +20,7 @@
 inline constexpr std::int64_t kHoldLeaseMs = 7000;
 inline constexpr std::int64_t kDrainMs = 2000;
 inline constexpr std::int64_t kWatchMs = 300;
+inline constexpr std::int64_t kLeaseRecordMs = 500;
 inline constexpr std::int64_t kWatchLatencyMs = 10;
 // Time from the start of draining to the shutdown of an executor.
 inline constexpr std::int64_t kDrainingMs = 6000;
@@ -57,6 +58,11 @@
   std::int64_t busy_until_ms = 0;
   std::vector<std::int64_t> first_hold_ms;
   int entries_seen = 0;
+  // When the last version of the lease record was sent.
+  std::int64_t leases_sent_ms = 0;
+  // A version has no response yet.
+  bool writing_leases = false;
+  std::int64_t leases_revision = 0;
 };
 
 }  // namespace waxwingfront::tests
--- a/tests/waxwingfront/fleet/executor_driver_test.cc
+++ b/tests/waxwingfront/fleet/executor_driver_test.cc
@@ -53,6 +53,7 @@
                log) {
     core.SetManifest(ManifestOf({{}}));
     core.FinishRestore({.now = core::Now()});
+    RecordLeases(core, core::Now());
     AddExecutor("a");
   }
 
--- a/tests/waxwingfront/fleet/executor_registry_test.cc
+++ b/tests/waxwingfront/fleet/executor_registry_test.cc
@@ -42,6 +42,7 @@
 
   // True if work may be placed at `ms`.
   bool MayPlaceAt(std::int64_t ms) {
+    RecordLeases(core, At(ms).now);
     return core.Deadlines().MayPlace(At(ms).now);
   }
 
--- a/tests/waxwingfront/fleet/lease_expiry_test.cc
+++ b/tests/waxwingfront/fleet/lease_expiry_test.cc
@@ -60,6 +60,32 @@
   CHECK(fixture.StartsAt(kLapsedMs) == 1);
 }
 
+// Guards against lost long-running tasks that wait behind the short tasks that
+// arrive meanwhile.
+TEST_CASE("a long-running task of a lost executor goes before short tasks",
+          "[fleet]") {
+  // More than half of an executor's capacity.
+  constexpr std::int64_t kTaskMillis = kCores * 5 / 8;
+  fleet_fixture scene;
+  scene.AddExecutor("a", kCores);
+  schema::fleet_job lasting = JobOf("lasting", 1, kTaskMillis);
+  lasting.mutable_steps(0)->set_long_running(true);
+  lasting.mutable_steps(0)->set_image("image");
+  scene.Core().Submit(lasting, At(0));
+  // Long-running tasks are placed only after they have been compared for a
+  // while.
+  scene.Step(10);
+  REQUIRE(scene.StepAccepted(1000).starts.size() == 1);
+  scene.Core().RemoveExecutor("a");
+  scene.Core().Runs().OnHoldFailed("a");
+  scene.Core().Tick(At(kLapsedMs));
+  scene.AddExecutor("b", kCores, kLapsedMs);
+  scene.Core().Submit(JobOf("short", 1, kTaskMillis), At(kLapsedMs));
+  const fleet::orders decided = scene.Step(kLapsedMs + 10);
+  REQUIRE(decided.starts.size() == 1);
+  CHECK(decided.starts[0].task.job == "lasting");
+}
+
 TEST_CASE("a run is repeated if only its own executor stays silent for long",
           "[fleet]") {
   running_task_scene fixture;
--- a/tests/waxwingfront/fleet/order_deadlines_test.cc
+++ b/tests/waxwingfront/fleet/order_deadlines_test.cc
@@ -39,8 +39,10 @@
   // Sent at 100 ms, response sent at 2100 ms and read at 6000 ms.
   fixture.scene.Core().OnHold("a", {.born_ms = 1, .clock_ms = 2100},
                               At(100).now, At(6000));
+  fixture.scene.RecordLeases(6000);
   CHECK(fixture.scene.Core().Deadlines().ForHold(
             fixture.Executor(), At(6000).now) == 2100 + kHoldLeaseMs);
+  fixture.scene.RecordLeases(7000);
   // A clock that is 2 % slow shows 3080 another second later.
   CHECK(fixture.scene.Core().Deadlines().ForHold(
             fixture.Executor(), At(7000).now) == 3080 + kHoldLeaseMs);
@@ -102,6 +104,7 @@
     "[fleet]") {
   decided_start_scene fixture;
   fixture.scene.Core().ConfirmEntries(At(9000).now);
+  fixture.scene.RecordLeases(9000);
   fixture.Executor().acknowledged = 40;
   REQUIRE(fixture.Executor().ForgettableEnd() == 40);
   // No hold was sent to the executor for 9 s, so it may have restarted.
