Keep the queue's settings with each job

Cause: the limit of failed runs was looked up in the present manifest only. A new leader without a manifest had no limit either.

Change: a job's record holds the settings that its queue had at acceptance. They apply where the manifest does not have the queue.

The new tests failed with the lookup in the manifest alone ("a removed queue still limits the failed runs of its jobs", "a leader without a manifest limits failed runs").

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "waxwingfront/fleet/job_queue.h"
+
 namespace waxwingfront::fleet {
 namespace {
 
@@ -163,6 +165,9 @@
 submission fleet_core::Submit(schema::fleet_job job, moment at) {
   const std::string id = job.id();
   if (state_.jobs.contains(id)) return submission::kDuplicate;
+  // Processes of earlier versions do not record the settings.
+  const queue_spec* const queue = state_.FindQueue(job.queue());
+  if (!job.has_queue_settings() && queue != nullptr) SetQueue(*queue, job);
   auto fresh = std::make_unique<job_state>(std::move(job), at.now);
   state_.live.push_back(fresh.get());
   state_.MarkChanged(*fresh);
--- a/src/waxwingfront/fleet/fleet_state.cc
+++ b/src/waxwingfront/fleet/fleet_state.cc
@@ -11,6 +11,11 @@
   return found == current_manifest.queues.end() ? nullptr : &*found;
 }
 
+const queue_spec* fleet_state::QueueOf(const job_state& job) const {
+  const queue_spec* const present = FindQueue(job.Spec().queue());
+  return present == nullptr ? job.QueueAtAcceptance() : present;
+}
+
 job_state* fleet_state::FindJob(const std::string& id) {
   const auto found = jobs.find(id);
   return found == jobs.end() ? nullptr : found->second.get();
@@ -27,13 +32,13 @@
 }
 
 std::string_view fleet_state::ServiceOf(const job_state& job) const {
-  const queue_spec* const queue = FindQueue(job.Spec().queue());
+  const queue_spec* const queue = QueueOf(job);
   return queue == nullptr ? std::string_view(job.Spec().service())
                           : std::string_view(queue->service);
 }
 
 bool fleet_state::IsAdvised(const job_state& job) const {
-  const queue_spec* const queue = FindQueue(job.Spec().queue());
+  const queue_spec* const queue = QueueOf(job);
   return queue != nullptr && queue->advised;
 }
 
--- a/src/waxwingfront/fleet/fleet_state.h
+++ b/src/waxwingfront/fleet/fleet_state.h
@@ -39,12 +39,14 @@
   std::optional<core::monotonic_time> entries_as_of;
 
   const queue_spec* FindQueue(std::string_view name) const;
+  // Returns the job's queue in the manifest, or as it was at acceptance if the
+  // manifest has no such queue or is not known yet. Null if neither is known.
+  const queue_spec* QueueOf(const job_state& job) const;
   job_state* FindJob(const std::string& id);
   executor_state* FindExecutor(std::string_view id);
   task_state* FindTask(const task_ref& ref);
 
-  // Returns the service that runs the job's tasks: that of its queue, or the
-  // one recorded at acceptance if the queue no longer exists.
+  // Returns the service that runs the job's tasks.
   std::string_view ServiceOf(const job_state& job) const;
 
   // True if an adviser decides which executors may run the job's tasks.
--- a/src/waxwingfront/fleet/job_state.cc
+++ b/src/waxwingfront/fleet/job_state.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "waxwingfront/fleet/job_queue.h"
+
 namespace waxwingfront::fleet {
 
 task_ref task_state::Ref() const {
@@ -18,7 +20,9 @@
 }
 
 job_state::job_state(schema::fleet_job spec, core::monotonic_time accepted)
-    : spec_(std::move(spec)), accepted_(accepted) {
+    : spec_(std::move(spec)),
+      queue_(RecordedQueue(spec_)),
+      accepted_(accepted) {
   occurrences_.resize(std::max<std::uint32_t>(1, spec_.repetitions()));
   for (std::uint32_t k = 0; k < occurrences_.size(); ++k) {
     std::vector<step_state>& steps = occurrences_[k].steps;
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -143,6 +143,11 @@
   const schema::fleet_job& Spec() const { return spec_; }
   const std::string& Id() const { return spec_.id(); }
   core::monotonic_time Accepted() const { return accepted_; }
+  // The job's queue when it was accepted; null if its settings were not
+  // recorded.
+  const queue_spec* QueueAtAcceptance() const {
+    return queue_ ? &*queue_ : nullptr;
+  }
 
   schema::fleet_job_state State() const { return state_; }
   bool Final() const { return state_ >= schema::FLEET_COMPLETED; }
@@ -216,6 +221,7 @@
   std::int64_t DueUnixMs(std::uint32_t occurrence) const;
 
   schema::fleet_job spec_;
+  std::optional<queue_spec> queue_;
   core::monotonic_time accepted_;
   schema::fleet_job_state state_ = schema::FLEET_QUEUED;
   std::int64_t ended_unix_ms_ = 0;
--- a/src/waxwingfront/fleet/lease_expiry.cc
+++ b/src/waxwingfront/fleet/lease_expiry.cc
@@ -1,5 +1,6 @@
 #include "waxwingfront/fleet/lease_expiry.h"
 
+#include <algorithm>
 #include <cstddef>
 
 namespace waxwingfront::fleet {
@@ -47,4 +48,22 @@
   return expired;
 }
 
+core::milliseconds LongestEarlierLease(const executor_state& executor,
+                                       core::milliseconds longest_hold,
+                                       core::monotonic_time sent) {
+  // This leader may have sent a start with a deadline on the clock of the
+  // previous incarnation.
+  if (executor.reached) return longest_hold;
+  const auto left =
+      std::chrono::ceil<core::milliseconds>(executor.unreached_expiry - sent);
+  return std::clamp(left, core::milliseconds(0), longest_hold);
+}
+
+core::monotonic_time SilentSince(const executor_state& executor,
+                                 core::milliseconds longest_hold) {
+  return executor.reached && executor.clock
+             ? executor.clock->received
+             : executor.LeaseEnd() - longest_hold;
+}
+
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/lease_expiry.h
+++ b/src/waxwingfront/fleet/lease_expiry.h
@@ -25,6 +25,17 @@
     fleet_state& state, const lease_expiry_options& options,
     core::monotonic_time now);
 
+// Returns how long leases may last that were given, before the response to a
+// hold sent at `sent`, by earlier leaders or to an earlier incarnation.
+core::milliseconds LongestEarlierLease(const executor_state& executor,
+                                       core::milliseconds longest_hold,
+                                       core::monotonic_time sent);
+
+// Returns when the executor was last heard of, or the earliest such time if an
+// earlier leader reached it last.
+core::monotonic_time SilentSince(const executor_state& executor,
+                                 core::milliseconds longest_hold);
+
 }  // namespace waxwingfront::fleet
 
 #endif  // WAXWINGFRONT_FLEET_LEASE_EXPIRY_H_
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -96,7 +96,7 @@
 
 planner::ranked_job planner::Rank(job_state& job,
                                   core::monotonic_time now) const {
-  const queue_spec* const spec = state_.FindQueue(job.Spec().queue());
+  const queue_spec* const spec = state_.QueueOf(job);
   const job_deadlines deadlines =
       ComputeDeadlines(job, FirstIncomplete(job), spec);
   const schema::fleet_step& first = job.Spec().steps(0);
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -55,7 +55,8 @@
     executor->pending_ends.clear();
     executor->awaited_job.clear();
     executor->deadline_sent_ms =
-        report.clock_ms + LongestEarlierLease(*executor, sent).count();
+        report.clock_ms +
+        LongestEarlierLease(*executor, bounds_.longest_hold, sent).count();
   }
   if (restarted) {
     // The new incarnation has no record of earlier stops.
@@ -78,16 +79,6 @@
   EndUnlistedRuns(*executor, report, sent, at);
 }
 
-core::milliseconds run_tracker::LongestEarlierLease(
-    const executor_state& executor, core::monotonic_time sent) const {
-  // This leader may have sent a start with a deadline on the clock of the
-  // previous incarnation.
-  if (executor.reached) return bounds_.longest_hold;
-  const auto left =
-      std::chrono::ceil<core::milliseconds>(executor.unreached_expiry - sent);
-  return std::clamp(left, core::milliseconds(0), bounds_.longest_hold);
-}
-
 void run_tracker::OnHoldFailed(std::string_view executor_id) {
   executor_state* const executor = state_.FindExecutor(executor_id);
   if (executor == nullptr) return;
@@ -355,7 +346,7 @@
     counted = &step.tasks.front();
   }
   ++counted->failures;
-  const queue_spec* const queue = state_.FindQueue(job.Spec().queue());
+  const queue_spec* const queue = state_.QueueOf(job);
   if (queue != nullptr &&
       counted->failures >= static_cast<std::uint32_t>(queue->max_attempts)) {
     FinishJob(job, schema::FLEET_FAILED, at);
@@ -381,13 +372,6 @@
   state_.MarkChanged(job);
 }
 
-core::monotonic_time run_tracker::SilentSince(
-    const executor_state& executor) const {
-  return executor.reached && executor.clock
-             ? executor.clock->received
-             : executor.LeaseEnd() - bounds_.longest_hold;
-}
-
 void run_tracker::Tick(moment at) {
   for (executor_state* const executor :
        ExpiredExecutors(state_, options_.expiry, at.now)) {
@@ -396,7 +380,7 @@
       if (task->phase == task_phase::kPlaced) continue;
       EndRun(*task, run_outcome::kExpired, at);
       if (task->Spec().long_running()) {
-        task->waiting_since = SilentSince(*executor);
+        task->waiting_since = SilentSince(*executor, bounds_.longest_hold);
       }
     }
   }
--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -87,13 +87,6 @@
                     moment at);
   void EndUnlistedRuns(executor_state& executor, const hold_report& report,
                        core::monotonic_time sent, moment at);
-  // Returns how long leases may last that were given before the response to a
-  // hold sent at `sent` by earlier leaders or to an earlier incarnation.
-  core::milliseconds LongestEarlierLease(const executor_state& executor,
-                                         core::monotonic_time sent) const;
-  // Returns when the executor was last heard of, or the earliest such time if
-  // an earlier leader reached it last.
-  core::monotonic_time SilentSince(const executor_state& executor) const;
   void MarkBegun(job_state& job, moment at) const;
   void EndRun(task_state& task, run_outcome outcome, moment at);
   // Ends the runs of a gang's other members when one member's run has ended.
--- a/src/waxwingfront/fleet/sharing_policy.cc
+++ b/src/waxwingfront/fleet/sharing_policy.cc
@@ -178,7 +178,7 @@
 
 std::size_t sharing_policy::Feasibility(const task_state& task,
                                         core::monotonic_time now) const {
-  const queue_spec* const queue = state_.FindQueue(task.job->Spec().queue());
+  const queue_spec* const queue = state_.QueueOf(*task.job);
   return static_cast<std::size_t>(
       FeasibilityOf(ComputeDeadlines(*task.job, task.occurrence, queue), now));
 }
@@ -317,9 +317,8 @@
   std::vector<pace_claim> claims;
   for (task_state* const task : executor.active) {
     if (!task->Spec().fills() || task->phase != task_phase::kRunning) continue;
-    const job_deadlines deadlines =
-        ComputeDeadlines(*task->job, task->occurrence,
-                         state_.FindQueue(task->job->Spec().queue()));
+    const job_deadlines deadlines = ComputeDeadlines(
+        *task->job, task->occurrence, state_.QueueOf(*task->job));
     claims.push_back({.feasibility = FeasibilityOf(deadlines, now),
                       .due = deadlines.due,
                       .task = task});
--- a/src/waxwingfront/fleet/standing_admission.cc
+++ b/src/waxwingfront/fleet/standing_admission.cc
@@ -118,8 +118,8 @@
       largest[service] = LargestCapacity(state_, service);
     }
     short_demand* demand = nullptr;
-    ForEachShortTask(*job, state_.FindQueue(job->Spec().queue()),
-                     largest[service], at, [&](const task_state& task) {
+    ForEachShortTask(*job, state_.QueueOf(*job), largest[service], at,
+                     [&](const task_state& task) {
                        if (demand == nullptr) {
                          demand = &demands_[std::string(service)];
                        }
--- a/tests/waxwingfront/fleet/run_tracker_test.cc
+++ b/tests/waxwingfront/fleet/run_tracker_test.cc
@@ -10,6 +10,7 @@
 using fleet::start_outcome;
 
 constexpr std::int64_t kCores = 8000;
+constexpr std::size_t kMaxRecords = 15;
 
 struct started_job_scene {
   fleet_fixture scene;
@@ -136,6 +137,65 @@
   CHECK(scene.Core().StoredState("job") == schema::FLEET_FAILED);
 }
 
+// Guards against a task that is started for ever because the limit was looked
+// up in the present manifest only.
+TEST_CASE("a removed queue still limits the failed runs of its jobs",
+          "[fleet]") {
+  started_job_scene fixture;
+  fleet_fixture& scene = fixture.scene;
+  fleet::manifest without_queue;
+  without_queue.version = 2;
+  scene.Core().SetManifest(without_queue);
+  fleet::start_order start = fixture.start;
+  for (std::uint64_t attempt = 1; attempt <= 3; ++attempt) {
+    const auto now = static_cast<std::int64_t>(attempt) * 3000;
+    scene.Core().OnStartResponse(start, start_outcome::kAccepted, At(now));
+    scene.Report("a", now + 10, {},
+                 {{.number = attempt,
+                   .task = start.task,
+                   .run = start.run,
+                   .how = fleet::run_end::kFailed}});
+    const fleet::orders next = scene.Step(now + 20);
+    REQUIRE(next.starts.size() == (attempt < 3 ? 1 : 0));
+    if (!next.starts.empty()) start = next.starts[0];
+  }
+  CHECK(scene.Core().StoredState("job") == schema::FLEET_FAILED);
+}
+
+// The same for a leader that has loaded the job and not yet the manifest.
+TEST_CASE("a leader without a manifest limits failed runs", "[fleet]") {
+  fleet_fixture before;
+  before.Core().Submit(JobOf("job", 1, 1000), At(0));
+  const fleet::write_batch batch =
+      before.Core().Journal().NextBatch(kMaxRecords);
+  REQUIRE(batch.records.size() == 1);
+  schema::fleet_job job;
+  REQUIRE(job.ParseFromString(batch.records[0].value));
+  schema::fleet_progress progress;
+  progress.set_state(schema::FLEET_RUNNING);
+  schema::fleet_task& task = *progress.add_tasks();
+  task.set_run(3);
+  task.set_failures(2);
+  task.set_active(true);
+  task.set_executor("a");
+  fleet::fleet_core after({});
+  after.SetExecutor({.id = "a", .address = "a", .service = "s"});
+  after.Restore(job, 1, progress, 1, At(1000));
+  after.FinishRestore(At(1000));
+  after.OnHold("a",
+               {.born_ms = 1,
+                .clock_ms = 1100,
+                .ended = {{.number = 1,
+                           .task = {.job = "job"},
+                           .run = 3,
+                           .how = fleet::run_end::kFailed}}},
+               At(1100).now, At(1100));
+  const fleet::write_batch end = after.Journal().NextBatch(kMaxRecords);
+  REQUIRE(end.records.size() == 1);
+  REQUIRE(progress.ParseFromString(end.records[0].value));
+  CHECK(progress.state() == schema::FLEET_FAILED);
+}
+
 TEST_CASE("lapsed, stopped and lost runs do not count as attempts", "[fleet]") {
   started_job_scene fixture;
   fleet_fixture& scene = fixture.scene;
