Start tasks only on the incarnation that the entry describes

Cause: labels and capacity of the previous incarnation's entry stayed in use until the next report, and idle executors got starts without any sign that they were still the same.

Change: an executor is used only if the entry's incarnation is the one that responds to holds, and a start is sent only after a response to a hold of the last 2 s; an executor that was idle for longer is held while the placement is being stored. Holds wait for 1 s at most, so that executors with runs need no hold of their own.

The test "a new incarnation that got a start gets no acknowledgement of its end" expected the start that is now forbidden; it is replaced by one that forbids the start, the deadline and the acknowledgement, each of which the executor's next response permits again.

--- /dev/null
+++ b/src/waxwingfront/fleet/decision_log.cc
@@ -0,0 +1,75 @@
+#include "waxwingfront/fleet/decision_log.h"
+
+#include <optional>
+
+namespace waxwingfront::fleet {
+
+void decision_log::Placed(const task_state& task,
+                          std::int64_t manifest_version) {
+  log_.Write("task_placed", {{"job", task.job->Id()},
+                             {"step", std::int64_t{task.step}},
+                             {"task", std::int64_t{task.index}},
+                             {"run", std::int64_t{task.run}},
+                             {"executor", task.executor},
+                             {"manifest", manifest_version}});
+}
+
+void decision_log::Waiting(const task_state& task,
+                           const placement_rejections& rejections, moment at) {
+  const auto waited = std::chrono::duration_cast<core::milliseconds>(
+      at.now - task.waiting_since);
+  log_.Write("task_waits",
+             {{"job", task.job->Id()},
+              {"step", std::int64_t{task.step}},
+              {"task", std::int64_t{task.index}},
+              {"waited_ms", std::int64_t{waited.count()}},
+              {"unusable", std::int64_t{rejections.unusable}},
+              {"kept", std::int64_t{rejections.reserved}},
+              {"no_room", std::int64_t{rejections.no_capacity}},
+              {"not_permitted", std::int64_t{rejections.not_permitted}},
+              {"too_costly", std::int64_t{rejections.too_costly}}});
+}
+
+void decision_log::JobBegun(const job_state& job) {
+  const auto since = [&job](std::optional<core::monotonic_time> reached) {
+    const auto took = reached.value_or(job.Accepted()) - job.Accepted();
+    return std::chrono::duration_cast<core::milliseconds>(took).count();
+  };
+  const job_milestones& reached = job.milestones;
+  log_.Write("job_begun", {{"job", job.Id()},
+                           {"queue", job.Spec().queue()},
+                           {"stored_ms", since(reached.stored)},
+                           {"placed_ms", since(reached.placed)},
+                           {"ordered_ms", since(reached.ordered)},
+                           {"begun_ms", since(reached.begun)}});
+}
+
+void decision_log::JobFinal(const job_state& job) {
+  const auto took = std::chrono::duration_cast<core::milliseconds>(
+      core::Now() - job.Accepted());
+  log_.Write("job_ended", {{"job", job.Id()},
+                           {"queue", job.Spec().queue()},
+                           {"state", schema::fleet_job_state_Name(job.State())},
+                           {"took_ms", std::int64_t{took.count()}}});
+}
+
+void decision_log::Moved(const task_state& task) {
+  log_.Write("task_moved", {{"job", task.job->Id()},
+                            {"step", std::int64_t{task.step}},
+                            {"task", std::int64_t{task.index}},
+                            {"run", std::int64_t{task.run}},
+                            {"executor", task.executor},
+                            {"pace", std::int64_t{task.pace_percent}}});
+}
+
+void decision_log::RunEnded(const task_state& task, run_outcome outcome) {
+  log_.Write("run_over", {{"job", task.job->Id()},
+                          {"step", std::int64_t{task.step}},
+                          {"task", std::int64_t{task.index}},
+                          {"run", std::int64_t{task.run}},
+                          {"executor", task.executor},
+                          {"percent", std::int64_t{task.percent}},
+                          {"fate", OutcomeName(outcome)}});
+}
+
+}  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -106,7 +106,8 @@
   // True if the executor runs nothing and only waits for its ends to be stored:
   // a hold would return the same ends again.
   static bool OnlyAwaitsStore(const executor_state& executor) {
-    return executor.reached && executor.in_contact && executor.active.empty();
+    return executor.reached && executor.in_contact &&
+           !executor.restart_expected && executor.active.empty();
   }
 
   void SendFirstHolds() {
@@ -127,7 +128,7 @@
     hold_request request{.address = executor.info.address,
                          .executor = id,
                          .token = token,
-                         .acknowledged = executor.ForgettableEnd()};
+                         .acknowledged = executor.ForgettableEnd(now)};
     if (const auto deadline_ms = core.Deadlines().ForHold(executor, now)) {
       request.deadline_ms = *deadline_ms;
       // An end that is not stored yet would make the executor respond at once.
@@ -178,7 +179,7 @@
       if (report.error().code == core::error_code::kOtherIncarnation) {
         core.Runs().OnOtherIncarnation(id, hold, at);
       } else {
-        core.Runs().OnHoldFailed(id);
+        core.Runs().OnHoldFailed(id, at);
       }
       slot.not_before = at.now + options.retry;
     } else {
@@ -338,6 +339,8 @@
   internal_->SendFirstHolds();
 }
 
+void executor_driver::Hold(const std::string& id) { internal_->Pump(id); }
+
 void executor_driver::OnStored() {
   for (const std::string& id : std::exchange(internal_->awaiting_store, {})) {
     const executor_state* const executor = internal_->core.FindExecutor(id);
--- a/src/waxwingfront/fleet/executor_driver.h
+++ b/src/waxwingfront/fleet/executor_driver.h
@@ -20,9 +20,10 @@
 namespace waxwingfront::fleet {
 
 struct executor_driver_options {
-  // Maximum time for which an executor may delay its response to a hold; the
-  // platform accepts at most 2 s.
-  core::milliseconds max_hold_wait{2000};
+  // Maximum time for which an executor may delay its response to a hold. With
+  // the pause between holds, it is shorter than `kMinRestartTime`, so that
+  // starts need not wait for another hold.
+  core::milliseconds max_hold_wait{1000};
   // Maximum number of concurrent holds to executors that are not in contact.
   std::size_t max_first_holds = first_hold_queue_options{}.max_in_flight;
   hold_pace_options pace;
@@ -55,6 +56,8 @@
 
   // Sends a hold to each executor that needs one and has none in flight.
   void HoldAll();
+  // The same for one executor.
+  void Hold(const std::string& id);
   // Called when a transaction was stored: sends holds to the executors that
   // waited for it.
   void OnStored();
--- a/src/waxwingfront/fleet/executor_state.cc
+++ b/src/waxwingfront/fleet/executor_state.cc
@@ -45,8 +45,8 @@
 }
 
 bool executor_state::Usable(core::monotonic_time now) const {
-  return registered && reached && in_contact && !info.draining &&
-         now >= avoid_until;
+  return registered && reached && in_contact && MatchesEntry() &&
+         !info.draining && now >= avoid_until;
 }
 
 bool executor_state::HealthPermits(const task_state& task,
--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -30,6 +30,9 @@
 // drift of 2 %.
 inline constexpr double kMinClockRate = 0.98;
 
+// A crashed executor needs at least this long to be back under its id.
+inline constexpr core::milliseconds kMinRestartTime{2000};
+
 // Return bounds on the executor's clock in milliseconds. Deadlines to send are
 // computed from the earliest value, so that they hold however long the response
 // was delayed or unread; bounds on sent deadlines are computed from the latest.
@@ -74,7 +77,12 @@
 
 class executor_state {
  public:
+  // The entry's values, but the incarnation that responds to holds.
   executor_info info;
+  // The incarnation that wrote the entry; 0 if the entry does not tell.
+  std::int64_t entry_born_ms = 0;
+  // The entry is of another incarnation and newer than the last response.
+  bool restart_expected = false;
   // Its entry is in the store.
   bool registered = false;
   // It has responded to a hold of this leader in its current incarnation.
@@ -96,9 +104,6 @@
 
   // Ends up to this number are stored, and the executor may forget them.
   std::uint64_t acknowledged = 0;
-  // When a start was sent so long after the last response that another
-  // incarnation may have received it; reset by the response to a later hold.
-  std::optional<core::monotonic_time> incarnation_uncertain_since;
   // Ends up to this number have been processed.
   std::uint64_t processed = 0;
   // An end that may be acknowledged once its job's version is stored.
@@ -153,13 +158,23 @@
     return info.capacity - used_by_long_running;
   }
   bool HasLabel(std::string_view label) const;
+  // True if the entry describes the incarnation that responds. A new one may
+  // have other labels and another capacity.
+  bool MatchesEntry() const {
+    return entry_born_ms == 0 || entry_born_ms == info.born_ms;
+  }
+  // True if it responded so recently that it cannot have been replaced by
+  // another incarnation since.
+  bool HeldRecently(core::monotonic_time now) const {
+    return in_contact && clock && now - clock->sent < kMinRestartTime;
+  }
   bool Usable(core::monotonic_time now) const;
   // True if its health permits another run of the task.
   bool HealthPermits(const task_state& task, core::monotonic_time now) const;
   // Returns the number of the last end that it may forget: 0 if another
   // incarnation may receive it, since that counts its ends from 1.
-  std::uint64_t ForgettableEnd() const {
-    return in_contact && !incarnation_uncertain_since ? acknowledged : 0;
+  std::uint64_t ForgettableEnd(core::monotonic_time now) const {
+    return HeldRecently(now) ? acknowledged : 0;
   }
   // True if its free capacity is reserved for another job.
   bool ReservedForOtherJob(const job_state* job,
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -230,8 +230,11 @@
   // runs.
   const std::int64_t held_incarnation = executor.info.born_ms;
   executor.info = std::move(info);
+  executor.entry_born_ms = executor.info.born_ms;
   executor.Touch();
-  if (executor.reached) executor.info.born_ms = held_incarnation;
+  if (!executor.reached) return;
+  executor.info.born_ms = held_incarnation;
+  executor.restart_expected = !executor.MatchesEntry();
 }
 
 void fleet_core::RemoveExecutor(std::string_view id) {
@@ -273,7 +276,8 @@
 bool fleet_core::NeedsHold(const executor_state& executor) {
   if (executor.info.address.empty()) return false;
   return !executor.reached || !executor.in_contact ||
-         !executor.active.empty() || executor.processed > executor.acknowledged;
+         executor.restart_expected || !executor.active.empty() ||
+         executor.processed > executor.acknowledged;
 }
 
 std::optional<standing_room> fleet_core::MissingRoom(
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -93,8 +93,8 @@
   void ConfirmEntries(core::monotonic_time as_of);
   load_levels Levels() const;
 
-  // True if the executor has active runs or unacknowledged ends, or is not in
-  // contact.
+  // True if the executor has active runs or unacknowledged ends, is not in
+  // contact, or is said to have restarted.
   bool NeedsHold(std::string_view id) const;
   static bool NeedsHold(const executor_state& executor);
   executor_state* FindExecutor(std::string_view id) {
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
+#include "waxwingfront/fleet/decision_log.h"
 #include "waxwingfront/fleet/executor_registry.h"
 #include "waxwingfront/fleet/fleet_loader.h"
 #include "waxwingfront/fleet/record_keys.h"
@@ -22,6 +24,7 @@
         options(chosen),
         hooks(std::move(callbacks)),
         log(events),
+        decisions(events),
         core(chosen.core),
         pacer(chosen.writes),
         driver(
@@ -29,7 +32,11 @@
             {.may_order =
                  [this] { return hooks.may_order() && recorder.Valid(); },
              .on_fenced = [this] { Depose("an executor refused the token"); },
-             .on_progress = [this] { ScheduleRound(); },
+             .on_progress =
+                 [this] {
+                   SendOrders();
+                   ScheduleRound();
+                 },
              .now = hooks.now,
              .on_stage = hooks.on_stage},
             events),
@@ -57,22 +64,24 @@
                       }},
                  events) {
     core.Runs().on_run_ended = [this](const task_state& task,
-                                      run_outcome outcome,
-                                      moment) { LogRunEnded(task, outcome); };
+                                      run_outcome outcome, moment) {
+      decisions.RunEnded(task, outcome);
+    };
     core.Runs().on_job_begun = [this](const job_state& job) {
-      LogJobBegun(job);
+      decisions.JobBegun(job);
     };
     core.Runs().on_job_final = [this](const job_state& job) {
-      LogJobFinal(job);
+      decisions.JobFinal(job);
     };
     core.on_placed = [this](const task_state& task, moment) {
-      LogPlaced(task);
+      decisions.Placed(task, core.Manifest().version);
+      placed_on.insert(task.executor);
     };
-    core.on_waiting = [this](const task_state& task,
-                             const placement_rejections& rejections,
-                             moment at) { LogWaiting(task, rejections, at); };
+    core.on_waiting =
+        [this](const task_state& task, const placement_rejections& rejections,
+               moment at) { decisions.Waiting(task, rejections, at); };
     core.Rebalancer().on_move = [this](const task_state& task, moment) {
-      LogMoved(task);
+      decisions.Moved(task);
     };
   }
 
@@ -84,75 +93,6 @@
     });
   }
 
-  void LogPlaced(const task_state& task) {
-    log.Write("task_placed", {{"job", task.job->Id()},
-                              {"step", std::int64_t{task.step}},
-                              {"task", std::int64_t{task.index}},
-                              {"run", std::int64_t{task.run}},
-                              {"executor", task.executor},
-                              {"manifest", core.Manifest().version}});
-  }
-
-  void LogWaiting(const task_state& task,
-                  const placement_rejections& rejections, moment at) {
-    const auto waited = std::chrono::duration_cast<core::milliseconds>(
-        at.now - task.waiting_since);
-    log.Write("task_waits",
-              {{"job", task.job->Id()},
-               {"step", std::int64_t{task.step}},
-               {"task", std::int64_t{task.index}},
-               {"waited_ms", std::int64_t{waited.count()}},
-               {"unusable", std::int64_t{rejections.unusable}},
-               {"kept", std::int64_t{rejections.reserved}},
-               {"no_room", std::int64_t{rejections.no_capacity}},
-               {"not_permitted", std::int64_t{rejections.not_permitted}},
-               {"too_costly", std::int64_t{rejections.too_costly}}});
-  }
-
-  // Logs the times from acceptance to each milestone of the job's first task.
-  void LogJobBegun(const job_state& job) {
-    const auto since = [&job](std::optional<core::monotonic_time> reached) {
-      const auto took = reached.value_or(job.Accepted()) - job.Accepted();
-      return std::chrono::duration_cast<core::milliseconds>(took).count();
-    };
-    const job_milestones& reached = job.milestones;
-    log.Write("job_begun", {{"job", job.Id()},
-                            {"queue", job.Spec().queue()},
-                            {"stored_ms", since(reached.stored)},
-                            {"placed_ms", since(reached.placed)},
-                            {"ordered_ms", since(reached.ordered)},
-                            {"begun_ms", since(reached.begun)}});
-  }
-
-  void LogJobFinal(const job_state& job) {
-    const auto took = std::chrono::duration_cast<core::milliseconds>(
-        core::Now() - job.Accepted());
-    log.Write("job_ended",
-              {{"job", job.Id()},
-               {"queue", job.Spec().queue()},
-               {"state", schema::fleet_job_state_Name(job.State())},
-               {"took_ms", std::int64_t{took.count()}}});
-  }
-
-  void LogMoved(const task_state& task) {
-    log.Write("task_moved", {{"job", task.job->Id()},
-                             {"step", std::int64_t{task.step}},
-                             {"task", std::int64_t{task.index}},
-                             {"run", std::int64_t{task.run}},
-                             {"executor", task.executor},
-                             {"pace", std::int64_t{task.pace_percent}}});
-  }
-
-  void LogRunEnded(const task_state& task, run_outcome outcome) {
-    log.Write("run_over", {{"job", task.job->Id()},
-                           {"step", std::int64_t{task.step}},
-                           {"task", std::int64_t{task.index}},
-                           {"run", std::int64_t{task.run}},
-                           {"executor", task.executor},
-                           {"percent", std::int64_t{task.percent}},
-                           {"fate", OutcomeName(outcome)}});
-  }
-
   void LoadLeases() {
     recorder.Load([this](std::optional<lease_lapses> recorded) {
       earlier_leases = std::move(recorded);
@@ -214,6 +154,14 @@
       };
       if (!core.Plan(hooks.now(), out_of_time)) ScheduleRound();
       Measure(load_stage::kPlanning, began);
+      // While the placements are stored, executors that were not held recently
+      // show whether they are the same as before.
+      for (const std::string& id : std::exchange(placed_on, {})) {
+        const executor_state* const executor = core.FindExecutor(id);
+        if (executor != nullptr && !executor->HeldRecently(hooks.now().now)) {
+          driver.Hold(id);
+        }
+      }
     }
     SendOrders();
     WriteBatches();
@@ -338,6 +286,7 @@
   fleet_leader_options options;
   fleet_leader_hooks hooks;
   logging::event_log& log;
+  decision_log decisions;
   fleet_core core;
   write_pacer pacer;
   executor_driver driver;
@@ -353,6 +302,8 @@
   bool store_lost = false;
   std::optional<core::monotonic_time> scheduled_write;
   core::monotonic_time next_plan{};
+  // Executors of the tasks that the present round has placed.
+  std::set<std::string> placed_on;
 };
 
 fleet_leader::fleet_leader(net::event_loop& loop, const store_services& store,
--- a/src/waxwingfront/fleet/job_state.cc
+++ b/src/waxwingfront/fleet/job_state.cc
@@ -12,6 +12,19 @@
       .job = job->Id(), .occurrence = occurrence, .step = step, .index = index};
 }
 
+bool task_state::ConfirmedBefore(core::monotonic_time sent) const {
+  switch (phase) {
+    case task_phase::kOrphaned:
+      return true;
+    case task_phase::kRunning:
+      return confirmed < sent;
+    case task_phase::kStopping:
+      return stop_sent_at < sent;
+    default:
+      return false;
+  }
+}
+
 core::resources task_state::Needs() const {
   const schema::fleet_step& spec = Spec();
   return {.processor_milli = spec.fills() ? 0 : spec.cpu_millis(),
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -89,6 +89,10 @@
   bool Active() const {
     return phase != task_phase::kWaiting && phase != task_phase::kSucceeded;
   }
+  // True if the run, if it exists at all, was on its executor before a hold
+  // was sent that did not reach this executor. A start in flight gets a
+  // response of its own.
+  bool ConfirmedBefore(core::monotonic_time sent) const;
   const schema::fleet_step& Spec() const { return *spec; }
   task_ref Ref() const;
   core::resources Needs() const;
--- a/src/waxwingfront/fleet/order_deadlines.cc
+++ b/src/waxwingfront/fleet/order_deadlines.cc
@@ -12,8 +12,6 @@
 // A start that is valid for less than this would arrive too late: the slowest
 // links take 20 ms.
 constexpr core::milliseconds kMinStartValidity{100};
-// A crashed executor needs at least this long to be back under its id.
-constexpr core::milliseconds kMinRestartTime{2000};
 // Maximum age of the entries when work is placed, as a share of the drain
 // bound; the rest is for storing the placement and sending the start.
 constexpr double kPlacementShare = 0.6;
@@ -32,8 +30,11 @@
 std::optional<std::int64_t> order_deadlines::ForHold(
     executor_state& executor, core::monotonic_time now) const {
   // Without contact the lease is left to lapse, because its end would never be
-  // known if holds that may or may not arrive extended it.
-  if (!executor.reached || !executor.clock || !executor.in_contact) {
+  // known if holds that may or may not arrive extended it. After a long time
+  // without holds, the deadline might be on the clock of an earlier
+  // incarnation.
+  if (!executor.reached || !executor.clock || !executor.in_contact ||
+      now - executor.clock->received >= kMinRestartTime) {
     return std::nullopt;
   }
   const core::milliseconds lease = LongestLease(executor, now);
@@ -49,14 +50,13 @@
       task != nullptr && task->phase == task_phase::kStarting &&
       task->run == order.run && task->executor == order.executor;
   if (!current || task->job->Final() || executor == nullptr ||
-      !executor->clock || !executor->registered || executor->info.draining) {
+      !executor->registered || executor->info.draining ||
+      !executor->HeldRecently(now) || !executor->MatchesEntry()) {
     return std::nullopt;
   }
   const core::milliseconds validity =
       std::min(StartValidity(now), LongestLease(*executor, now));
   if (validity < kMinStartValidity) return std::nullopt;
-  if (now - executor->clock->sent > kMinRestartTime)
-    executor->incarnation_uncertain_since = now;
   return RecordDeadline(*executor, validity, now);
 }
 
--- a/src/waxwingfront/fleet/order_deadlines.h
+++ b/src/waxwingfront/fleet/order_deadlines.h
@@ -36,7 +36,7 @@
 
   // Returns the deadline of a start sent now; nothing if it must not be sent
   // because its task no longer needs it or its executor may have begun to
-  // drain.
+  // drain or been replaced by another incarnation.
   std::optional<std::int64_t> ForStart(const start_order& order,
                                        core::monotonic_time now) const;
 
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -11,22 +11,6 @@
 // Executors report at most this many ends at once.
 constexpr std::size_t kMaxEndsPerReport = 500;
 
-// True if the run, if it exists at all, was on the executor before a hold was
-// sent that did not reach this executor. A start in flight gets a response of
-// its own.
-bool ConfirmedBefore(const task_state& task, core::monotonic_time sent) {
-  switch (task.phase) {
-    case task_phase::kOrphaned:
-      return true;
-    case task_phase::kRunning:
-      return task.confirmed < sent;
-    case task_phase::kStopping:
-      return task.stop_sent_at < sent;
-    default:
-      return false;
-  }
-}
-
 // Any member's checkpoint is valid for the whole gang, whose members must all
 // start from the same one.
 void RecordCheckpoint(task_state& task, const std::string& checkpoint) {
@@ -70,30 +54,29 @@
   executor->reached = true;
   executor->in_contact = true;
   executor->unanswered_holds = 0;
-  if (executor->incarnation_uncertain_since &&
-      *executor->incarnation_uncertain_since <= sent) {
-    executor->incarnation_uncertain_since.reset();
-  }
+  executor->restart_expected = false;
   ProcessEnded(*executor, report, at);
   ProcessRunning(*executor, report, at);
   EndUnlistedRuns(*executor, report, sent, at);
+  SendPlacedStarts(*executor, at);
 }
 
-void run_tracker::OnHoldFailed(std::string_view executor_id) {
+void run_tracker::OnHoldFailed(std::string_view executor_id, moment at) {
   executor_state* const executor = state_.FindExecutor(executor_id);
   if (executor == nullptr) return;
   executor->in_contact = false;
   ++executor->unanswered_holds;
+  SendPlacedStarts(*executor, at);
 }
 
 void run_tracker::OnOtherIncarnation(std::string_view executor_id,
                                      const hold_origin& hold, moment at) {
-  OnHoldFailed(executor_id);
+  OnHoldFailed(executor_id, at);
   executor_state* const executor = state_.FindExecutor(executor_id);
   if (executor == nullptr || executor->info.address != hold.address) return;
   const std::vector<task_state*> active = executor->active;
   for (task_state* const task : active) {
-    if (ConfirmedBefore(*task, hold.sent)) {
+    if (task->ConfirmedBefore(hold.sent)) {
       EndRun(*task, run_outcome::kUnknownToExecutor, at);
     }
   }
@@ -252,33 +235,42 @@
 
 void run_tracker::OnJobStored(job_state& job, moment at) {
   state_.AcknowledgeEndsAwaiting(job);
-  const bool advised = state_.IsAdvised(job);
-  job.ForEachTask([this, &job, at, advised](task_state& task) {
-    if (task.phase != task_phase::kPlaced ||
-        task.placed_version > job.stored_version) {
-      return;
-    }
-    executor_state* const executor = state_.FindExecutor(task.executor);
-    const std::string_view permit =
-        job.StepOf(task).permits.Ticket(task.executor, at.now);
-    if (job.Final() || executor == nullptr || !executor->Usable(at.now) ||
-        (advised && permit.empty())) {
-      EndRun(task, run_outcome::kNotStarted, at);
-      return;
-    }
-    task.phase = task_phase::kStarting;
-    if (!job.milestones.ordered) job.milestones.ordered = at.now;
-    // The start is sent slightly later, with a deadline before this bound.
-    executor->deadline_sent_ms = std::max(
-        executor->deadline_sent_ms,
-        LatestClock(*executor->clock, at.now) + bounds_.start_lease.count());
-    state_.outgoing.starts.push_back({.executor = task.executor,
-                                      .task = task.Ref(),
-                                      .run = task.run,
-                                      .payload = job.Spec().payload(),
-                                      .checkpoint = task.checkpoint,
-                                      .permit = std::string(permit)});
-  });
+  job.ForEachTask([this, at](task_state& task) { SendPlacedStart(task, at); });
+}
+
+void run_tracker::SendPlacedStarts(executor_state& executor, moment at) {
+  const std::vector<task_state*> active = executor.active;
+  for (task_state* const task : active) SendPlacedStart(*task, at);
+}
+
+void run_tracker::SendPlacedStart(task_state& task, moment at) {
+  job_state& job = *task.job;
+  if (task.phase != task_phase::kPlaced ||
+      task.placed_version > job.stored_version) {
+    return;
+  }
+  executor_state* const executor = state_.FindExecutor(task.executor);
+  const std::string_view permit =
+      job.StepOf(task).permits.Ticket(task.executor, at.now);
+  if (job.Final() || executor == nullptr || !executor->Usable(at.now) ||
+      (state_.IsAdvised(job) && permit.empty())) {
+    EndRun(task, run_outcome::kNotStarted, at);
+    return;
+  }
+  // The response to the next hold shows which incarnation would get the start.
+  if (!executor->HeldRecently(at.now)) return;
+  task.phase = task_phase::kStarting;
+  if (!job.milestones.ordered) job.milestones.ordered = at.now;
+  // The start is sent slightly later, with a deadline before this bound.
+  executor->deadline_sent_ms = std::max(
+      executor->deadline_sent_ms,
+      LatestClock(*executor->clock, at.now) + bounds_.start_lease.count());
+  state_.outgoing.starts.push_back({.executor = task.executor,
+                                    .task = task.Ref(),
+                                    .run = task.run,
+                                    .payload = job.Spec().payload(),
+                                    .checkpoint = task.checkpoint,
+                                    .permit = std::string(permit)});
 }
 
 void run_tracker::MarkBegun(job_state& job, moment at) const {
--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -59,7 +59,7 @@
   void OnHold(std::string_view executor, const hold_report& report,
               core::monotonic_time sent, moment at);
   // Records that a hold failed and that contact with the executor is lost.
-  void OnHoldFailed(std::string_view executor);
+  void OnHoldFailed(std::string_view executor, moment at);
   // Another executor responded at the address that the hold went to. Does not
   // end runs at other addresses or runs that were confirmed since the hold was
   // sent.
@@ -87,6 +87,10 @@
                     moment at);
   void EndUnlistedRuns(executor_state& executor, const hold_report& report,
                        core::monotonic_time sent, moment at);
+  // Sends the start of a placed task once the placement is stored and the
+  // executor was held recently; releases the task if it may not start there.
+  void SendPlacedStart(task_state& task, moment at);
+  void SendPlacedStarts(executor_state& executor, moment at);
   void MarkBegun(job_state& job, moment at) const;
   void EndRun(task_state& task, run_outcome outcome, moment at);
   // Ends the runs of a gang's other members when one member's run has ended.
--- a/tests/support/fleet_fixture.cc
+++ b/tests/support/fleet_fixture.cc
@@ -1,5 +1,6 @@
 #include "support/fleet_fixture.h"
 
+#include <map>
 #include <utility>
 
 namespace waxwingfront::tests {
@@ -96,10 +97,32 @@
   }
 }
 
+void fleet_fixture::AnswerHolds(std::int64_t at_ms) {
+  std::map<std::string, std::vector<fleet::running_report>> reports;
+  for (const auto& [id, executor] : core_.Executors()) {
+    if (!executor.in_contact || executor.HeldRecently(At(at_ms).now)) continue;
+    for (const fleet::task_state* const task : executor.active) {
+      if (task->phase == fleet::task_phase::kPlaced) reports[id];
+    }
+  }
+  for (auto& [id, running] : reports) {
+    for (const fleet::task_state* const task : core_.FindExecutor(id)->active) {
+      if (task->phase == fleet::task_phase::kPlaced) continue;
+      running.push_back({.task = task->Ref(),
+                         .run = task->run,
+                         .checkpoint = {},
+                         .percent = task->percent,
+                         .reported_load = task->reported_load});
+    }
+    Report(id, at_ms, std::move(running));
+  }
+}
+
 fleet::orders fleet_fixture::Step(std::int64_t at_ms) {
   RecordLeases(at_ms);
   core_.Plan(At(at_ms));
   Store(at_ms);
+  AnswerHolds(at_ms);
   return core_.TakeOrders();
 }
 
--- a/tests/support/fleet_fixture.h
+++ b/tests/support/fleet_fixture.h
@@ -59,6 +59,10 @@
   void Store(std::int64_t at_ms);
 
  private:
+  // Responds to the holds that placements on executors need which were not
+  // held recently.
+  void AnswerHolds(std::int64_t at_ms);
+
   fleet::fleet_core core_;
   std::int64_t revision_ = 1;
 };
--- a/tests/support/simulated_fleet_leader.cc
+++ b/tests/support/simulated_fleet_leader.cc
@@ -158,7 +158,7 @@
     };
     SendCall(
         i, {.act =
-                [hold, deadline_ms, acknowledged = state->ForgettableEnd()] {
+                [hold, deadline_ms, acknowledged = state->ForgettableEnd(sent)] {
                   hold(acknowledged, deadline_ms);
                 },
             .reply =
@@ -178,7 +178,7 @@
                   if (responded && *permitted) {
                     instance->core.OnHold(id, *report, sent, Now());
                   } else {
-                    instance->core.Runs().OnHoldFailed(id);
+                    instance->core.Runs().OnHoldFailed(id, Now());
                   }
                 })});
   }
--- a/tests/waxwingfront/fleet/lease_expiry_test.cc
+++ b/tests/waxwingfront/fleet/lease_expiry_test.cc
@@ -31,7 +31,8 @@
   }
 
   void FailHolds(const std::string& id, int holds) {
-    for (int i = 0; i < holds; ++i) scene.Core().Runs().OnHoldFailed(id);
+    for (int i = 0; i < holds; ++i)
+      scene.Core().Runs().OnHoldFailed(id, At(20));
   }
 
   std::size_t StartsAt(std::int64_t at_ms) {
@@ -77,7 +78,7 @@
   scene.Step(10);
   REQUIRE(scene.StepAccepted(1000).starts.size() == 1);
   scene.Core().RemoveExecutor("a");
-  scene.Core().Runs().OnHoldFailed("a");
+  scene.Core().Runs().OnHoldFailed("a", At(2000));
   scene.Core().Tick(At(kLapsedMs));
   scene.AddExecutor("b", kCores, kLapsedMs);
   scene.Core().Submit(JobOf("short", 1, kTaskMillis), At(kLapsedMs));
--- a/tests/waxwingfront/fleet/lease_ledger_test.cc
+++ b/tests/waxwingfront/fleet/lease_ledger_test.cc
@@ -98,7 +98,7 @@
       if (ms <= kLostMs) {
         Report("a", ms, true);
       } else {
-        leader_->Runs().OnHoldFailed("a");
+        leader_->Runs().OnHoldFailed("a", At(ms));
       }
       Report("b", ms, false);
       leader_->Tick(At(ms));
@@ -197,11 +197,17 @@
   scene.AddExecutor("a", kCores);
   fleet::executor_state& executor = *scene.Core().FindExecutor("a");
   const auto deadline = [&](std::int64_t at_ms) {
+    scene.Core().OnHold("a", {.born_ms = 1, .clock_ms = at_ms}, Time(at_ms),
+                        At(at_ms));
     return scene.Core().Deadlines().ForHold(executor, Time(at_ms));
   };
   const std::int64_t whole = deadline(0).value();
   // The store has been away since: another leader counts from the last record.
-  CHECK(deadline(3000) <= whole + 1);
+  // On the slowest clock the lease still ends with the recorded one.
+  const auto extended = deadline(3000);
+  REQUIRE(extended);
+  CHECK(static_cast<double>(*extended - 3000) / fleet::kMinClockRate + 3000 <=
+        static_cast<double>(whole) / fleet::kMinClockRate + 1);
   CHECK_FALSE(deadline(8000));
   scene.RecordLeases(8000);
   CHECK(deadline(8000) > whole + 7000);
--- a/tests/waxwingfront/fleet/order_deadlines_test.cc
+++ b/tests/waxwingfront/fleet/order_deadlines_test.cc
@@ -56,6 +56,7 @@
   // Another leader may have been notified of the drain just after 0 ms.
   CHECK(*deadline <= kDrainBoundMs);
   CHECK(*deadline > 1500);
+  fixture.scene.Report("a", kDrainBoundMs - 100, {});
   CHECK_FALSE(fixture.Deadline(kDrainBoundMs));
   fixture.scene.Core().ConfirmEntries(At(1900).now);
   CHECK(fixture.Deadline(kDrainBoundMs));
@@ -99,22 +100,32 @@
   CHECK(again.starts[0].run == fixture.start.run + 1);
 }
 
+// Guards against starts on the clock, and acknowledgements of ends, of an
+// earlier incarnation.
 TEST_CASE(
-    "a new incarnation that got a start gets no acknowledgement of its end",
+    "an executor that may have restarted gets no start and no acknowledgement",
     "[fleet]") {
   decided_start_scene fixture;
   fixture.scene.Core().ConfirmEntries(At(9000).now);
   fixture.scene.RecordLeases(9000);
   fixture.Executor().acknowledged = 40;
-  REQUIRE(fixture.Executor().ForgettableEnd() == 40);
+  REQUIRE(fixture.Executor().ForgettableEnd(At(20).now) == 40);
+  REQUIRE(fixture.Deadline(20));
   // No hold was sent to the executor for 9 s, so it may have restarted.
-  REQUIRE(fixture.Deadline(9000));
-  CHECK(fixture.Executor().ForgettableEnd() == 0);
-  fixture.scene.Core().OnHold("a", {.born_ms = 1, .clock_ms = 8995},
-                              At(8990).now, At(9010));
-  CHECK(fixture.Executor().ForgettableEnd() == 0);
-  fixture.scene.Report("a", 9050, {});
-  CHECK(fixture.Executor().ForgettableEnd() == 40);
+  CHECK_FALSE(fixture.Deadline(9000));
+  CHECK_FALSE(fixture.scene.Core().Deadlines().ForHold(fixture.Executor(),
+                                                       At(9000).now));
+  CHECK(fixture.Executor().ForgettableEnd(At(9000).now) == 0);
+  // A response that was on its way for long tells nothing about the present.
+  fixture.scene.Core().OnHold("a", {.born_ms = 1, .clock_ms = 6995},
+                              At(6990).now, At(9010));
+  CHECK_FALSE(fixture.Deadline(9020));
+  CHECK(fixture.Executor().ForgettableEnd(At(9020).now) == 0);
+  fixture.scene.Report("a", 9050,
+                       {{.task = fixture.start.task,
+                         .run = fixture.start.run,
+                         .checkpoint = {}}});
+  CHECK(fixture.Executor().ForgettableEnd(At(9060).now) == 40);
 }
 
 }  // namespace
--- a/tests/waxwingfront/fleet/run_tracker_test.cc
+++ b/tests/waxwingfront/fleet/run_tracker_test.cc
@@ -72,7 +72,7 @@
   fleet::executor_state& executor = *scene.Core().FindExecutor("a");
   executor.deadline_sent_ms = 7000;
   scene.Core().RemoveExecutor("a");
-  scene.Core().Runs().OnHoldFailed("a");
+  scene.Core().Runs().OnHoldFailed("a", At(20));
   scene.Core().Tick(At(7050));
   CHECK(scene.Step(7050).starts.empty());
   // A clock that is 2 % slow reaches 7000 after 7143 ms.
@@ -93,7 +93,7 @@
                        .running = {{.task = fixture.start.task, .run = 1}}},
                       At(20).now, At(20));
   scene.Core().RemoveExecutor("a");
-  scene.Core().Runs().OnHoldFailed("a");
+  scene.Core().Runs().OnHoldFailed("a", At(20));
   // A clock that is 2 % slow reaches 10'000 after 10'205 ms.
   scene.Core().Tick(At(20 + 10'200));
   CHECK(scene.Step(20 + 10'200).starts.empty());
