Do not wait for a rack that cannot take a job

Cause: the wait for a rack depends on the task's estimate alone, 90 s for one of 90 s. Gangs that share a rack wait in the same way.

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -79,6 +79,9 @@
   }
   sharing_.CountExecutors(at.now);
   if (!deadlines_.MayPlace(at.now)) return true;
+  if (std::exchange(racks_changed_, false)) {
+    distance_.SetRacks(state_.executors);
+  }
   const bool all = planner_.Plan(at, should_stop);
   rebalancer_.Run(at);
   return all;
@@ -232,6 +235,7 @@
   executor.info = std::move(info);
   executor.entry_born_ms = executor.info.born_ms;
   executor.Touch();
+  racks_changed_ = true;
   if (!executor.reached) return;
   executor.info.born_ms = held_incarnation;
   executor.restart_expected = !executor.MatchesEntry();
@@ -241,6 +245,7 @@
   const auto found = state_.executors.find(id);
   if (found == state_.executors.end()) return;
   found->second.registered = false;
+  racks_changed_ = true;
   DropUnused();
 }
 
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -150,6 +150,8 @@
   sharing_policy sharing_;
   standing_admission admission_;
   locality distance_;
+  // Entries have changed since the last round of planning.
+  bool racks_changed_ = false;
   lease_ledger leases_;
   order_deadlines deadlines_;
   run_tracker runs_;
--- a/src/waxwingfront/fleet/locality.h
+++ b/src/waxwingfront/fleet/locality.h
@@ -4,6 +4,11 @@
 #ifndef WAXWINGFRONT_FLEET_LOCALITY_H_
 #define WAXWINGFRONT_FLEET_LOCALITY_H_
 
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/fleet/executor_state.h"
 #include "waxwingfront/fleet/job_state.h"
@@ -21,12 +26,21 @@
   double Cost(const executor_state& executor, const task_state& task,
               core::monotonic_time now) const;
 
+  // True if the task has waited long enough for its preferred placement, or if
+  // nothing of its job runs and the wait would let the job stand still.
+  bool WaitIsOver(const task_state& task, core::monotonic_time now) const;
+
+  // Determines which racks have executors that may get tasks.
+  void SetRacks(
+      const std::map<std::string, executor_state, std::less<>>& executors);
+
+ private:
   // Returns how long a task should wait for a placement on the preferred rack.
   // Waiting that long costs less than the time that the distance adds.
   core::milliseconds MaxWait(const schema::fleet_step& step) const;
 
- private:
   double remote_factor_;
+  std::set<std::string, std::less<>> racks_;
 };
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -259,8 +259,7 @@
       if (PlaceGang(step, scope, rack, at)) return;
     }
   }
-  const bool may_spread = !one_rack || at.now - first.waiting_since >=
-                                           distance_.MaxWait(first.Spec());
+  const bool may_spread = !one_rack || distance_.WaitIsOver(first, at.now);
   if (may_spread && PlaceGang(step, scope, {}, at)) return;
   RequestAdvice(step, first, scope, at);
 }
