--- a/src/waxwingfront/fleet/fleet_state.cc
+++ b/src/waxwingfront/fleet/fleet_state.cc
@@ -39,7 +39,7 @@
 
 bool fleet_state::IsAdvised(const job_state& job) const {
   const queue_spec* const queue = QueueOf(job);
-  return queue != nullptr && queue->advised;
+  return job.needs_permits || (queue != nullptr && queue->advised);
 }
 
 void fleet_state::MarkChanged(job_state& job, store_urgency urgency) {
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -201,6 +201,9 @@
   std::optional<store_urgency> pending_urgency;
   std::optional<store_urgency> in_flight_urgency;
   std::uint64_t store_sequence = 0;
+  // An executor rejected a start for want of a permit, so that the job is
+  // advised whatever is known of its queue.
+  bool needs_permits = false;
   // A planning round has considered it.
   bool planning_attempted = false;
   // Executors whose ends are acknowledged once this job's changes are stored.
--- a/tests/waxwingfront/fleet/step_permits_test.cc
+++ b/tests/waxwingfront/fleet/step_permits_test.cc
@@ -64,6 +64,35 @@
   }
 }
 
+// Guards against starts without tickets for ever.
+TEST_CASE("a job keeps its adviser when its queue is removed", "[fleet]") {
+  fleet_fixture fixture(std::vector<queue_options>{{.advised = true}});
+  fixture.AddExecutor("a", 8000);
+  fixture.Core().Submit(JobOf("job", 1, 1000), At(0));
+  fleet::manifest without_queue;
+  without_queue.version = 2;
+  fixture.Core().SetManifest(without_queue);
+  const fleet::orders asked = fixture.Step(10);
+  CHECK(asked.starts.empty());
+  CHECK(asked.advice.size() == 1);
+}
+
+TEST_CASE("a rejection for want of a ticket shows that a job is advised",
+          "[fleet]") {
+  fleet_fixture fixture;
+  fixture.AddExecutor("a", 8000);
+  fixture.Core().Submit(JobOf("job", 1, 1000), At(0));
+  const fleet::orders decided = fixture.Step(10);
+  REQUIRE(decided.starts.size() == 1);
+  fixture.Core().OnStartResponse(decided.starts[0],
+                                 fleet::start_outcome::kNotPermitted, At(20));
+  const fleet::orders next = fixture.Step(30);
+  CHECK(next.starts.empty());
+  REQUIRE(next.advice.size() == 1);
+  fixture.Core().OnAdvice(next.advice[0], Permit("a"), At(40));
+  CHECK(fixture.Step(50).starts.size() == 1);
+}
+
 TEST_CASE("advice is requested again after a failed request", "[fleet]") {
   fleet_fixture fixture(std::vector<queue_options>{{.advised = true}});
   fixture.AddExecutor("a", 8000);
