--- a/tests/support/simulated_fleet_leader.cc
+++ b/tests/support/simulated_fleet_leader.cc
@@ -156,31 +156,29 @@
                                  now_ms_, *report);
       return *permitted;
     };
-    SendCall(
-        i, {.act =
-                [hold, deadline_ms, acknowledged = state->ForgettableEnd(sent)] {
-                  hold(acknowledged, deadline_ms);
-                },
-            .reply =
-                [this, hold, &executor, report] {
-                  if (hold(0, 0))
-                    invariants_.OnEndsReported(executor, *report, now_ms_);
-                },
-            .wait_ms =
-                options_.max_hold_wait_ms > 0 && deadline_ms > 0 && !fault_free_
-                    ? Between(0, options_.max_hold_wait_ms)
-                    : 0,
-            .on_response =
-                ReceiveResponse(instance, [this, instance, i, id, sent, report,
-                                           permitted](bool responded) {
-                  instance->holding.erase(i);
-                  if (now_ms_ >= instance->lease_until_ms) return;
-                  if (responded && *permitted) {
-                    instance->core.OnHold(id, *report, sent, Now());
-                  } else {
-                    instance->core.Runs().OnHoldFailed(id, Now());
-                  }
-                })});
+    SendCall(i, {.act = [hold, deadline_ms,
+                         acknowledged = state->ForgettableEnd(
+                             sent)] { hold(acknowledged, deadline_ms); },
+                 .reply =
+                     [this, hold, &executor, report] {
+                       if (hold(0, 0))
+                         invariants_.OnEndsReported(executor, *report, now_ms_);
+                     },
+                 .wait_ms = options_.max_hold_wait_ms > 0 && deadline_ms > 0 &&
+                                    !fault_free_
+                                ? Between(0, options_.max_hold_wait_ms)
+                                : 0,
+                 .on_response = ReceiveResponse(
+                     instance, [this, instance, i, id, sent, report,
+                                permitted](bool responded) {
+                       instance->holding.erase(i);
+                       if (now_ms_ >= instance->lease_until_ms) return;
+                       if (responded && *permitted) {
+                         instance->core.OnHold(id, *report, sent, Now());
+                       } else {
+                         instance->core.Runs().OnHoldFailed(id, Now());
+                       }
+                     })});
   }
   After(kHoldMs, [this, instance] {
     Deliver(instance, [this, instance] { HoldAll(instance); });
