Keep the lease of an executor whose entry comes back

Cause: the state of an executor without runs is dropped with its entry. When the entry came back, the leader took the bound of earlier leaders for its leases, which may lie before the one that it gave itself. If the executor then got a start and was cut off at once, the leader could give its run up while the lease still ran.

Change: an executor that is new to the leader has no lease longer than the longest one of those dropped, or that of earlier leaders.

"an executor whose entry comes back keeps its earlier lease" failed before.

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -221,7 +221,8 @@
   const auto [entry, added] = state_.executors.try_emplace(id);
   if (added) {
     entry->second.info.id = id;
-    entry->second.unreached_expiry = inherited_.Of(id) + kLeaseExpirySlack;
+    entry->second.unreached_expiry =
+        std::max(inherited_.Of(id) + kLeaseExpirySlack, dropped_lease_end_);
   }
   return entry->second;
 }
@@ -257,6 +258,7 @@
   std::erase_if(state_.executors, [this](const auto& entry) {
     const auto& [id, executor] = entry;
     if (executor.registered || !executor.active.empty()) return false;
+    dropped_lease_end_ = std::max(dropped_lease_end_, executor.LeaseEnd());
     sharing_.RemoveExecutor(id);
     return true;
   });
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -161,6 +161,9 @@
   // Bounds on the leases that earlier leaders gave.
   lease_lapses inherited_;
   core::monotonic_time restored_at_{};
+  // When the leases of all executors that were dropped have lapsed. One of them
+  // may come back as it was.
+  core::monotonic_time dropped_lease_end_{};
   // The newest lease record repeats `inherited_`.
   bool recorded_inherited_ = false;
   // New jobs that no planning round has considered yet.
--- a/tests/waxwingfront/fleet/lease_expiry_test.cc
+++ b/tests/waxwingfront/fleet/lease_expiry_test.cc
@@ -87,6 +87,23 @@
   CHECK(decided.starts[0].task.job == "lasting");
 }
 
+// Guards against a lease that is forgotten with its executor's state while the
+// executor's entry is away.
+TEST_CASE("an executor whose entry comes back keeps its earlier lease",
+          "[fleet]") {
+  // After the leases of earlier leaders.
+  constexpr std::int64_t kLeaseMs = 20'000;
+  fleet_fixture scene;
+  scene.AddExecutor("a", kCores, kLeaseMs);
+  const auto lease = scene.Core().Deadlines().ForHold(
+      *scene.Core().FindExecutor("a"), At(kLeaseMs).now);
+  REQUIRE(lease);
+  scene.Core().RemoveExecutor("a");
+  REQUIRE(scene.Core().FindExecutor("a") == nullptr);
+  scene.AddExecutor("a", kCores, kLeaseMs + 1000);
+  CHECK(scene.Core().FindExecutor("a")->deadline_sent_ms >= *lease);
+}
+
 TEST_CASE("a run is repeated if only its own executor stays silent for long",
           "[fleet]") {
   running_task_scene fixture;
