Reserve capacity for the tasks of lost executors

Cause: short tasks take each gap before a larger long-running task finds room. Evidence: task_waits with no_room on 37 to 41 of 41 executors from the expiry on. One executor in 30 was reserved, for one job at a time and only once a task waited, and new long-running jobs were admitted into the same room.

Change: capacity_reserve assigns each interrupted task an executor as soon as the lost executor's entry is removed. The amount is withheld from other long-running tasks and from admission at once, and from short tasks only when those that run there would not end in time. It replaces the reserve of whole executors for tasks that have run before. New log event capacity_reserved; task_waits tells where short tasks fill the room.

--- a/src/waxwingfront/fleet/decision_log.cc
+++ b/src/waxwingfront/fleet/decision_log.cc
@@ -26,10 +26,20 @@
               {"unusable", std::int64_t{rejections.unusable}},
               {"kept", std::int64_t{rejections.reserved}},
               {"no_room", std::int64_t{rejections.no_capacity}},
+              {"filled_by_short_tasks",
+               std::int64_t{rejections.filled_by_short_tasks}},
               {"not_permitted", std::int64_t{rejections.not_permitted}},
               {"too_costly", std::int64_t{rejections.too_costly}}});
 }
 
+void decision_log::ReserveChanged(const reserve_summary& summary) {
+  log_.Write("capacity_reserved",
+             {{"interrupted", static_cast<std::int64_t>(summary.interrupted)},
+              {"reserved", static_cast<std::int64_t>(summary.reserved)},
+              {"without_executor",
+               static_cast<std::int64_t>(summary.without_executor)}});
+}
+
 void decision_log::JobBegun(const job_state& job) {
   const auto since = [&job](std::optional<core::monotonic_time> reached) {
     const auto took = reached.value_or(job.Accepted()) - job.Accepted();
--- a/src/waxwingfront/fleet/decision_log.h
+++ b/src/waxwingfront/fleet/decision_log.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 
+#include "waxwingfront/fleet/capacity_reserve.h"
 #include "waxwingfront/fleet/fleet_state.h"
 #include "waxwingfront/fleet/placement.h"
 #include "waxwingfront/fleet/run_outcome.h"
@@ -18,6 +19,7 @@
   void Placed(const task_state& task, std::int64_t manifest_version);
   void Waiting(const task_state& task, const placement_rejections& rejections,
                moment at);
+  void ReserveChanged(const reserve_summary& summary);
   // Logs the times from acceptance to each milestone of the job's first task.
   void JobBegun(const job_state& job);
   void JobFinal(const job_state& job);
--- a/src/waxwingfront/fleet/executor_state.cc
+++ b/src/waxwingfront/fleet/executor_state.cc
@@ -1,6 +1,7 @@
 #include "waxwingfront/fleet/executor_state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace waxwingfront::fleet {
 namespace {
@@ -100,6 +101,50 @@
          std::ranges::any_of(active, serves);
 }
 
+bool executor_state::HasCapacityFor(const task_state& task) const {
+  const core::resources needs = task.Needs();
+  if (!Free().Holds(needs)) return false;
+  core::resources withheld;
+  for (const capacity_reservation& reservation : reservations_) {
+    // Reserved tasks do not wait for each other: what the next one needs
+    // becomes free after this one has started.
+    if (reservation.step == task.spec) return true;
+    if (!reservation.open_to_short_tasks) withheld += reservation.amount;
+  }
+  return Free().Holds(needs + withheld) &&
+         (!task.Spec().long_running() ||
+          EventuallyFree().Holds(needs + Reserved()));
+}
+
+std::ptrdiff_t executor_state::ReservedFor(
+    const schema::fleet_step* step) const {
+  return std::ranges::count_if(
+      reservations_, [step](const capacity_reservation& reservation) {
+        return reservation.step == step && !reservation.open_to_short_tasks;
+      });
+}
+
+core::resources executor_state::Reserved() const {
+  core::resources sum;
+  for (const capacity_reservation& reservation : reservations_) {
+    sum += reservation.amount;
+  }
+  return sum;
+}
+
+void executor_state::SetReservations(
+    std::vector<capacity_reservation> reservations) {
+  if (reservations == reservations_) return;
+  reservations_ = std::move(reservations);
+  Touch();
+}
+
+void executor_state::UseReservation(const task_state& task) {
+  const auto found =
+      std::ranges::find(reservations_, task.spec, &capacity_reservation::step);
+  if (found != reservations_.end()) reservations_.erase(found);
+}
+
 void executor_state::Add(task_state& task) {
   Touch();
   active.push_back(&task);
--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -3,6 +3,7 @@
 #define WAXWINGFRONT_FLEET_EXECUTOR_STATE_H_
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -75,6 +76,20 @@
   std::vector<serving_budget> budgets;
 };
 
+// Capacity kept free for one task of a step.
+struct capacity_reservation {
+  // Identifies the step; never dereferenced, because the job may no longer
+  // exist.
+  const schema::fleet_step* step = nullptr;
+  core::resources amount;
+  // Short tasks may use the capacity, because they will have ended when the
+  // task needs it. Long-running tasks may not.
+  bool open_to_short_tasks = false;
+
+  friend bool operator==(const capacity_reservation&,
+                         const capacity_reservation&) = default;
+};
+
 class executor_state {
  public:
   // The entry's values, but the incarnation that responds to holds.
@@ -152,6 +167,14 @@
   bool BeginRound(std::uint64_t round, core::monotonic_time now);
 
   core::resources Free() const { return info.capacity - used; }
+  // True if it has free capacity for the task that is reserved for the task's
+  // step or not reserved.
+  bool HasCapacityFor(const task_state& task) const;
+  // Returns the number of reservations for the step that short tasks may not
+  // use.
+  std::ptrdiff_t ReservedFor(const schema::fleet_step* step) const;
+  // Returns the sum of all reservations.
+  core::resources Reserved() const;
   // Returns the capacity that is free once all tasks that are not long-running
   // have ended.
   core::resources EventuallyFree() const {
@@ -192,10 +215,16 @@
   // True if it runs both best-effort and serving tasks.
   bool SharesProcessors() const;
 
+  // Replaces the reservations, see `capacity_reserve`.
+  void SetReservations(std::vector<capacity_reservation> reservations);
+  // Drops a reservation that is used by the task, if there is one.
+  void UseReservation(const task_state& task);
+
   void Add(task_state& task);
   void Remove(const task_state& task);
 
  private:
+  std::vector<capacity_reservation> reservations_;
   // Values at the latest planning round.
   bool was_usable_ = false;
   bool was_suspect_ = false;
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -33,6 +33,7 @@
             {.start_lease = options.deadlines.drain_bound,
              .longest_hold = options.longest_hold}),
       journal_(state_),
+      reserve_(state_, PlacementCost(), {.expiry = options.runs.expiry}),
       planner_(state_, PlacementCost(), PlacementEpoch(), distance_),
       rebalancer_(state_, {}, PlacementCost()) {
   planner_.on_placed = [this](const task_state& task, moment at) {
@@ -44,6 +45,9 @@
                                moment at) {
     if (on_waiting) on_waiting(task, rejections, at);
   };
+  reserve_.on_change = [this](const reserve_summary& summary) {
+    if (on_reserve_changed) on_reserve_changed(summary);
+  };
   journal_.on_job_stored = [this](job_state& job, moment at) {
     runs_.OnJobStored(job, at);
   };
@@ -82,6 +86,7 @@
   if (std::exchange(racks_changed_, false)) {
     distance_.SetRacks(state_.executors);
   }
+  reserve_.Update(at.now);
   const bool all = planner_.Plan(at, should_stop);
   rebalancer_.Run(at);
   return all;
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "waxwingfront/fleet/capacity_reserve.h"
 #include "waxwingfront/fleet/fleet_journal.h"
 #include "waxwingfront/fleet/fleet_state.h"
 #include "waxwingfront/fleet/lease_ledger.h"
@@ -124,6 +125,9 @@
   std::function<void(const task_state&, const placement_rejections&, moment)>
       on_waiting;
 
+  // See `capacity_reserve::on_change`.
+  std::function<void(const reserve_summary&)> on_reserve_changed;
+
   // Ends runs whose lease has expired and drops old jobs.
   void Tick(moment at);
   // Places waiting tasks, see `planner::Plan`. Places none if the executor
@@ -156,6 +160,7 @@
   order_deadlines deadlines_;
   run_tracker runs_;
   fleet_journal journal_;
+  capacity_reserve reserve_;
   planner planner_;
   rebalancer rebalancer_;
   // Bounds on the leases that earlier leaders gave.
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -80,6 +80,9 @@
     core.on_waiting =
         [this](const task_state& task, const placement_rejections& rejections,
                moment at) { decisions.Waiting(task, rejections, at); };
+    core.on_reserve_changed = [this](const reserve_summary& summary) {
+      decisions.ReserveChanged(summary);
+    };
     core.Rebalancer().on_move = [this](const task_state& task, moment) {
       decisions.Moved(task);
     };
--- /dev/null
+++ b/src/waxwingfront/fleet/interrupted_tasks.h
@@ -0,0 +1,33 @@
+// Finds long-running tasks that need a new run on another executor.
+#ifndef WAXWINGFRONT_FLEET_INTERRUPTED_TASKS_H_
+#define WAXWINGFRONT_FLEET_INTERRUPTED_TASKS_H_
+
+#include <vector>
+
+#include "waxwingfront/core/clock.h"
+#include "waxwingfront/fleet/fleet_state.h"
+#include "waxwingfront/fleet/lease_expiry.h"
+
+namespace waxwingfront::fleet {
+
+// A long-running task that has run before.
+struct interrupted_task {
+  const task_state* task = nullptr;
+  // When its next run may be placed: already if it waits, else once the lease
+  // of its silent executor has lapsed.
+  core::monotonic_time restartable_at;
+
+  friend bool operator==(const interrupted_task&,
+                         const interrupted_task&) = default;
+};
+
+// Returns the interrupted tasks whose next run may be placed before `until`, in
+// an order that depends on the state only. A task on an executor that is in
+// contact is not interrupted.
+std::vector<interrupted_task> FindInterruptedTasks(
+    const fleet_state& state, const lease_expiry_options& options,
+    core::monotonic_time now, core::monotonic_time until);
+
+}  // namespace waxwingfront::fleet
+
+#endif  // WAXWINGFRONT_FLEET_INTERRUPTED_TASKS_H_
--- a/src/waxwingfront/fleet/lease_expiry.cc
+++ b/src/waxwingfront/fleet/lease_expiry.cc
@@ -20,17 +20,29 @@
   return 2 * reachable >= registered;
 }
 
-bool IsSilent(const executor_state& executor,
-              const lease_expiry_options& options, core::monotonic_time now) {
+core::monotonic_time EndOfMinSilence(const executor_state& executor,
+                                     const lease_expiry_options& options) {
   const core::monotonic_time last_contact = executor.reached && executor.clock
                                                 ? executor.clock->received
                                                 : executor.unreached_expiry;
-  return now - last_contact >= options.min_silence &&
+  return last_contact + options.min_silence;
+}
+
+bool IsSilent(const executor_state& executor,
+              const lease_expiry_options& options, core::monotonic_time now) {
+  return now >= EndOfMinSilence(executor, options) &&
          executor.unanswered_holds >= options.min_unanswered_holds;
 }
 
 }  // namespace
 
+core::monotonic_time RunsOverIfSilent(const executor_state& executor,
+                                      const lease_expiry_options& options) {
+  return executor.registered
+             ? std::max(executor.LeaseEnd(), EndOfMinSilence(executor, options))
+             : executor.LeaseEnd();
+}
+
 std::vector<executor_state*> ExpiredExecutors(
     fleet_state& state, const lease_expiry_options& options,
     core::monotonic_time now) {
--- a/src/waxwingfront/fleet/lease_expiry.h
+++ b/src/waxwingfront/fleet/lease_expiry.h
@@ -18,6 +18,11 @@
   int min_unanswered_holds{10};
 };
 
+// Returns when the runs on an executor that is not in contact count as over if
+// it stays silent and its entry does not change.
+core::monotonic_time RunsOverIfSilent(const executor_state& executor,
+                                      const lease_expiry_options& options);
+
 // Returns the executors whose leases have surely lapsed and that cannot be
 // queried: they are no longer registered, or they are silent while this leader
 // reaches at least half of the registered executors.
--- a/src/waxwingfront/fleet/placement.cc
+++ b/src/waxwingfront/fleet/placement.cc
@@ -13,7 +13,8 @@
 // gaps.
 constexpr std::size_t kExecutorsPerReservation = 30;
 
-bool UnderStepLimit(const executor_state& executor, const task_state& task) {
+bool UnderStepLimit(const executor_state& executor, const task_state& task,
+                    std::ptrdiff_t planned) {
   const std::uint32_t limit = task.Spec().max_per_executor();
   if (limit == 0) return true;
   const auto here =
@@ -21,20 +22,20 @@
         return other->job == task.job && other->occurrence == task.occurrence &&
                other->step == task.step;
       });
-  return here < static_cast<std::ptrdiff_t>(limit);
+  return here + planned < static_cast<std::ptrdiff_t>(limit);
 }
 
-// True if the executor has the label and is below the step's limit.
-bool Permitted(const executor_state& executor, const task_state& task) {
+}  // namespace
+
+bool Permits(const executor_state& executor, const task_state& task,
+             std::ptrdiff_t planned) {
   const std::string& label = task.Spec().required_label();
   return (label.empty() || executor.HasLabel(label)) &&
-         UnderStepLimit(executor, task);
+         UnderStepLimit(executor, task, planned);
 }
 
-}  // namespace
-
 bool Fits(const executor_state& executor, const task_state& task) {
-  return executor.Free().Holds(task.Needs()) && Permitted(executor, task);
+  return executor.HasCapacityFor(task) && Permits(executor, task);
 }
 
 placement_rejections CountRejections(const fleet_state& state,
@@ -45,12 +46,17 @@
   placement_rejections rejections;
   for (const auto& [id, executor] : state.executors) {
     if (executor.info.service != service) continue;
+    const bool has_room = executor.Free().Holds(task.Needs());
     if (!executor.Usable(now) || !executor.HealthPermits(task, now)) {
       ++rejections.unusable;
-    } else if (executor.ReservedForOtherJob(task.job, now)) {
+    } else if (executor.ReservedForOtherJob(task.job, now) ||
+               (has_room && !executor.HasCapacityFor(task))) {
       ++rejections.reserved;
-    } else if (!executor.Free().Holds(task.Needs())) {
+    } else if (!has_room) {
       ++rejections.no_capacity;
+      if (executor.EventuallyFree().Holds(task.Needs())) {
+        ++rejections.filled_by_short_tasks;
+      }
     } else if (!Fits(executor, task)) {
       ++rejections.not_permitted;
     } else if (std::isinf(cost(executor, task, now))) {
@@ -71,7 +77,7 @@
       continue;
     }
     if (!executor.EventuallyFree().Holds(needs) || !executor.Usable(now) ||
-        executor.info.service != service || !Permitted(executor, task)) {
+        executor.info.service != service || !Permits(executor, task)) {
       continue;
     }
     // Prefers the executor already reserved, else the one with the most free
@@ -113,10 +119,10 @@
 bool MayHost(const executor_state& executor, const task_state& task,
              std::string_view service, core::monotonic_time now) {
   // The most selective conditions come first.
-  return executor.Free().Holds(task.Needs()) && executor.Usable(now) &&
+  return executor.HasCapacityFor(task) && executor.Usable(now) &&
          executor.HealthPermits(task, now) &&
          !executor.ReservedForOtherJob(task.job, now) &&
-         executor.info.service == service && Permitted(executor, task);
+         executor.info.service == service && Permits(executor, task);
 }
 
 executor_state* ChooseExecutor(fleet_state& state, const task_state& task,
--- a/src/waxwingfront/fleet/placement.h
+++ b/src/waxwingfront/fleet/placement.h
@@ -2,6 +2,7 @@
 #ifndef WAXWINGFRONT_FLEET_PLACEMENT_H_
 #define WAXWINGFRONT_FLEET_PLACEMENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -25,6 +26,11 @@
 using placement_epoch = std::function<std::optional<std::uint64_t>(
     const task_state&, core::monotonic_time now)>;
 
+// True if the executor has the label for the task and is below the step's limit
+// per executor, with `planned` further tasks of the step.
+bool Permits(const executor_state& executor, const task_state& task,
+             std::ptrdiff_t planned = 0);
+
 // True if the executor has the free capacity and the label for the task and is
 // below the step's limit per executor.
 bool Fits(const executor_state& executor, const task_state& task);
@@ -34,9 +40,11 @@
 // that applies.
 struct placement_rejections {
   int unusable = 0;
-  // Its free capacity is reserved for another job.
+  // Its free capacity is reserved for another job or step.
   int reserved = 0;
   int no_capacity = 0;
+  // Those of `no_capacity` that would have room without their short tasks.
+  int filled_by_short_tasks = 0;
   // The label is missing or the step's limit per executor is reached.
   int not_permitted = 0;
   // The cost is infinite: the task should wait instead.
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -173,7 +173,9 @@
       step.last_failed_search.rejected_by_cost =
           step.last_failed_search.rejected_by_cost || too_costly_;
       ReportWait(step, task, scope, at);
-      if (task.Spec().long_running() && WaitsLong(task, at.now)) {
+      // Tasks that have run before get capacity from `capacity_reserve`.
+      if (task.Spec().long_running() && task.run == 0 &&
+          WaitsLong(task, at.now)) {
         ReserveCapacity(state_, task, scope.service, at.now);
       }
       RequestAdvice(step, task, scope, at);
@@ -316,6 +318,7 @@
   task.executor = executor.info.id;
   task.executor_born_ms = executor.info.born_ms;
   task.listed = false;
+  executor.UseReservation(task);
   executor.Add(task);
   if (on_placed) on_placed(task, at);
 }
--- a/src/waxwingfront/fleet/standing_admission.cc
+++ b/src/waxwingfront/fleet/standing_admission.cc
@@ -157,8 +157,9 @@
         executor.info.draining) {
       continue;
     }
-    figures.room +=
-        static_cast<double>(TasksIn(executor.EventuallyFree(), demand.typical));
+    const core::resources lasting_free =
+        executor.EventuallyFree() - executor.Reserved();
+    figures.room += static_cast<double>(TasksIn(lasting_free, demand.typical));
   }
   return figures;
 }
--- a/src/waxwingfront/fleet/standing_admission.h
+++ b/src/waxwingfront/fleet/standing_admission.h
@@ -27,7 +27,8 @@
 
 // Room of a service and its demand, counted in typical short tasks.
 struct standing_room {
-  // Short tasks that fit beside the long-running ones.
+  // Short tasks that fit beside the long-running ones, also beside those that
+  // are interrupted and will run again.
   double room = 0.0;
   // Highest number lately of short tasks that ran or waited.
   double demand = 0.0;
--- a/tests/waxwingfront/fleet/standing_admission_test.cc
+++ b/tests/waxwingfront/fleet/standing_admission_test.cc
@@ -190,6 +190,30 @@
   CHECK_FALSE(fixture.Core().MissingRoom(StandingJob("standing", 2)));
 }
 
+// Guards against new long-running jobs that take the room which the tasks of a
+// lost executor need again.
+TEST_CASE("the room of interrupted tasks is not offered to new jobs",
+          "[fleet][admission]") {
+  fleet_fixture fixture;
+  fixture.AddExecutor("a", kCapacity);
+  fixture.Core().Submit(StandingJob("lost", 2), At(0));
+  fixture.StepAccepted(10);
+  REQUIRE(fixture.StepAccepted(500).starts.size() == 2);
+  fixture.AddExecutor("b", kCapacity, 510);
+  fixture.Core().Submit(JobOf("short", 2, kShortCpu), At(510));
+  REQUIRE(fixture.StepAccepted(520).starts.size() == 2);
+  fixture.Core().RemoveExecutor("a");
+  fixture.Core().Runs().OnHoldFailed("a", At(530));
+  fixture.Core().Tick(At(530));
+  // Both tasks leave room for 3 short ones, 2 of which are needed.
+  CHECK_FALSE(fixture.Core().MissingRoom(StandingJob("standing", 1)));
+  // The lease of `a` lapses at 10.2 s.
+  fixture.Report("b", 6'000, {}, {});
+  fixture.Step(6'000);
+  fixture.Core().Tick(At(6'000));
+  CHECK(fixture.Core().MissingRoom(StandingJob("standing", 1)));
+}
+
 // Guards against jobs that can never be done and keep long-running ones out.
 TEST_CASE("waiting tasks that fit on no executor claim no room",
           "[fleet][admission]") {
