Let interrupted long-running tasks use suspect executors

Callers saw single long-running tasks of lost executors stand still for more than 3 s although room was reserved for the others.

Cause: an executor on which runs of two jobs failed is avoided for 1 to 4 s and then gets one task at a time for 5 s. That protects the attempts of jobs, which long-running tasks do not use up.

Change: the time for which failures make an executor avoided is a value of its own, and an interrupted long-running task that has not failed may be placed in spite of it, at a cost that prefers healthy executors.

Test: executor_health_test "an interrupted long-running task runs on a suspect executor"; it failed with the rule switched off.

--- a/src/waxwingfront/fleet/capacity_reserve.cc
+++ b/src/waxwingfront/fleet/capacity_reserve.cc
@@ -88,7 +88,9 @@
   std::vector<outlook> outlooks;
   if (interrupted_.empty()) return outlooks;
   for (auto& [id, executor] : state_.executors) {
-    if (executor.Usable(now)) outlooks.push_back(MakeOutlook(executor, now));
+    if (executor.Available(now)) {
+      outlooks.push_back(MakeOutlook(executor, now));
+    }
   }
   std::span<const interrupted_task> rest = interrupted_;
   while (!rest.empty()) {
@@ -180,7 +182,8 @@
   result.wait = *wait;
   // Capacity stands idle while a task waits for more of it.
   result.penalty = wait_ms + std::max(0.0, wait_ms - left_ms) +
-                   kMillisPerCost * cost_(executor, task, now);
+                   kMillisPerCost * (cost_(executor, task, now) +
+                                     HealthCost(executor, task, now));
   if (executor.ReservedFor(task.spec) > assigned) {
     result.penalty -= kKeepAdvantageMs;
   }
--- a/src/waxwingfront/fleet/decision_log.cc
+++ b/src/waxwingfront/fleet/decision_log.cc
@@ -18,18 +18,20 @@
                            const placement_rejections& rejections, moment at) {
   const auto waited = std::chrono::duration_cast<core::milliseconds>(
       at.now - task.waiting_since);
-  log_.Write("task_waits",
-             {{"job", task.job->Id()},
-              {"step", std::int64_t{task.step}},
-              {"task", std::int64_t{task.index}},
-              {"waited_ms", std::int64_t{waited.count()}},
-              {"unusable", std::int64_t{rejections.unusable}},
-              {"kept", std::int64_t{rejections.reserved}},
-              {"no_room", std::int64_t{rejections.no_capacity}},
-              {"filled_by_short_tasks",
-               std::int64_t{rejections.filled_by_short_tasks}},
-              {"not_permitted", std::int64_t{rejections.not_permitted}},
-              {"too_costly", std::int64_t{rejections.too_costly}}});
+  log_.Write(
+      "task_waits",
+      {{"job", task.job->Id()},
+       {"step", std::int64_t{task.step}},
+       {"task", std::int64_t{task.index}},
+       {"waited_ms", std::int64_t{waited.count()}},
+       {"unusable", std::int64_t{rejections.unusable}},
+       {"unusable_with_room", std::int64_t{rejections.unusable_with_room}},
+       {"kept", std::int64_t{rejections.reserved}},
+       {"no_room", std::int64_t{rejections.no_capacity}},
+       {"filled_by_short_tasks",
+        std::int64_t{rejections.filled_by_short_tasks}},
+       {"not_permitted", std::int64_t{rejections.not_permitted}},
+       {"too_costly", std::int64_t{rejections.too_costly}}});
 }
 
 void decision_log::ReserveChanged(const reserve_summary& summary) {
--- a/src/waxwingfront/fleet/executor_state.cc
+++ b/src/waxwingfront/fleet/executor_state.cc
@@ -15,6 +15,13 @@
   return duration_cast<core::milliseconds>(to - from).count();
 }
 
+// True for an interrupted long-running task that has not failed: its failures
+// do not count, and it stands still for longer while it waits for a healthy
+// executor than it loses by a failure.
+bool ToleratesFailures(const task_state& task) {
+  return task.Spec().long_running() && task.run > 0 && task.failed_on.empty();
+}
+
 }  // namespace
 
 std::int64_t EarliestClock(const clock_sample& sample,
@@ -45,13 +52,19 @@
   return std::ranges::find(info.labels, label) != info.labels.end();
 }
 
-bool executor_state::Usable(core::monotonic_time now) const {
+bool executor_state::Available(core::monotonic_time now) const {
   return registered && reached && in_contact && MatchesEntry() &&
          !info.draining && now >= avoid_until;
 }
 
+bool executor_state::Usable(core::monotonic_time now) const {
+  return Available(now) && now >= unhealthy_until;
+}
+
 bool executor_state::HealthPermits(const task_state& task,
                                    core::monotonic_time now) const {
+  if (ToleratesFailures(task)) return true;
+  if (now < unhealthy_until) return false;
   if (!peers_are_healthy || !health.IsSuspect(now)) return true;
   if (task.failures > 0) return false;
   return std::ranges::none_of(active, [this](const task_state* other) {
@@ -59,6 +72,11 @@
   });
 }
 
+bool executor_state::MayStart(const task_state& task,
+                              core::monotonic_time now) const {
+  return ToleratesFailures(task) ? Available(now) : Usable(now);
+}
+
 core::monotonic_time executor_state::LeaseEnd() const {
   return reached && clock ? LatestTimeOf(*clock, deadline_sent_ms)
                           : unreached_expiry;
@@ -70,15 +88,17 @@
 }
 
 bool executor_state::BeginRound(std::uint64_t round, core::monotonic_time now) {
+  const bool available = Available(now);
   const bool usable = Usable(now);
   const job_state* const reserved =
       now < reserved_until ? reserved_for : nullptr;
   const bool suspect = peers_are_healthy && health.IsSuspect(now);
-  if (!touched && usable == was_usable_ && suspect == was_suspect_ &&
-      reserved == was_reserved_for_) {
+  if (!touched && available == was_available_ && usable == was_usable_ &&
+      suspect == was_suspect_ && reserved == was_reserved_for_) {
     return false;
   }
   touched = false;
+  was_available_ = available;
   was_usable_ = usable;
   was_suspect_ = suspect;
   was_reserved_for_ = reserved;
--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -134,6 +134,9 @@
 
   // No new tasks are placed on it until then.
   core::monotonic_time avoid_until{};
+  // The same because runs of several jobs have failed on it, see
+  // `executor_health`.
+  core::monotonic_time unhealthy_until{};
   // Job for which free capacity is reserved until the time below; null if none.
   // Never dereferenced, because the job may no longer exist.
   const job_state* reserved_for = nullptr;
@@ -191,9 +194,14 @@
   bool HeldRecently(core::monotonic_time now) const {
     return in_contact && clock && now - clock->sent < kMinRestartTime;
   }
+  // True if it may get tasks as far as its health permits them.
+  bool Available(core::monotonic_time now) const;
+  // True if it may get any task.
   bool Usable(core::monotonic_time now) const;
   // True if its health permits another run of the task.
   bool HealthPermits(const task_state& task, core::monotonic_time now) const;
+  // True if it may get a run of the task that was placed on it.
+  bool MayStart(const task_state& task, core::monotonic_time now) const;
   // Returns the number of the last end that it may forget: 0 if another
   // incarnation may receive it, since that counts its ends from 1.
   std::uint64_t ForgettableEnd(core::monotonic_time now) const {
@@ -226,6 +234,7 @@
  private:
   std::vector<capacity_reservation> reservations_;
   // Values at the latest planning round.
+  bool was_available_ = false;
   bool was_usable_ = false;
   bool was_suspect_ = false;
   const job_state* was_reserved_for_ = nullptr;
--- a/src/waxwingfront/fleet/placement.cc
+++ b/src/waxwingfront/fleet/placement.cc
@@ -13,6 +13,9 @@
 // gaps.
 constexpr std::size_t kExecutorsPerReservation = 30;
 
+// Higher than any load cost.
+constexpr double kUnprovenCost = 10.0;
+
 bool UnderStepLimit(const executor_state& executor, const task_state& task,
                     std::ptrdiff_t planned) {
   const std::uint32_t limit = task.Spec().max_per_executor();
@@ -47,8 +50,11 @@
   for (const auto& [id, executor] : state.executors) {
     if (executor.info.service != service) continue;
     const bool has_room = executor.Free().Holds(task.Needs());
-    if (!executor.Usable(now) || !executor.HealthPermits(task, now)) {
+    if (!executor.Available(now) || !executor.HealthPermits(task, now)) {
       ++rejections.unusable;
+      if (executor.EventuallyFree().Holds(task.Needs())) {
+        ++rejections.unusable_with_room;
+      }
     } else if (executor.ReservedForOtherJob(task.job, now) ||
                (has_room && !executor.HasCapacityFor(task))) {
       ++rejections.reserved;
@@ -119,12 +125,21 @@
 bool MayHost(const executor_state& executor, const task_state& task,
              std::string_view service, core::monotonic_time now) {
   // The most selective conditions come first.
-  return executor.HasCapacityFor(task) && executor.Usable(now) &&
+  return executor.HasCapacityFor(task) && executor.Available(now) &&
          executor.HealthPermits(task, now) &&
          !executor.ReservedForOtherJob(task.job, now) &&
          executor.info.service == service && Permits(executor, task);
 }
 
+double HealthCost(const executor_state& executor, const task_state& task,
+                  core::monotonic_time now) {
+  // The next failure of a task that has failed may fail its job.
+  const bool needs_proof = task.failures > 0 && !executor.health.IsProven(now);
+  const bool suspect =
+      task.Spec().long_running() && executor.health.IsSuspect(now);
+  return needs_proof || suspect ? kUnprovenCost : 0.0;
+}
+
 executor_state* ChooseExecutor(fleet_state& state, const task_state& task,
                                std::string_view service,
                                core::monotonic_time now,
--- a/src/waxwingfront/fleet/placement.h
+++ b/src/waxwingfront/fleet/placement.h
@@ -40,6 +40,8 @@
 // that applies.
 struct placement_rejections {
   int unusable = 0;
+  // Those of `unusable` that would have room without their short tasks.
+  int unusable_with_room = 0;
   // Its free capacity is reserved for another job or step.
   int reserved = 0;
   int no_capacity = 0;
@@ -70,6 +72,10 @@
 bool MayHost(const executor_state& executor, const task_state& task,
              std::string_view service, core::monotonic_time now);
 
+// Returns the cost of the risk that the task fails on the executor.
+double HealthCost(const executor_state& executor, const task_state& task,
+                  core::monotonic_time now);
+
 // Added to the cost of an executor on which the task has just failed; higher
 // than any load cost.
 inline constexpr double kFailedHereCost = 100.0;
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -21,10 +21,6 @@
 // response. The platform expects 30 for each step.
 constexpr std::size_t kMaxAdvisedExecutors = 30;
 
-// Added to the cost of an executor without a recent success for a task that has
-// failed; higher than any load cost.
-constexpr double kUnprovenCost = 10.0;
-
 bool HasWaiting(const job_state& job) {
   for (const occurrence_state& occurrence : job.Occurrences()) {
     for (const step_state& step : occurrence.steps) {
@@ -239,9 +235,7 @@
   }
   const double cost = cost_(executor, task, now);
   too_costly_ = too_costly_ || std::isinf(cost);
-  // Its next failure may fail the job.
-  const bool risky = task.failures > 0 && !executor.health.IsProven(now);
-  return risky ? cost + kUnprovenCost : cost;
+  return cost + HealthCost(executor, task, now);
 }
 
 void planner::PlanGang(step_state& step, const placement_scope& scope,
@@ -340,9 +334,9 @@
   if (!scope.advised || !step.permits.MayRequest(at.now)) return;
   std::vector<std::pair<double, std::string>> ranked;
   for (const auto& [id, executor] : state_.executors) {
-    if (executor.info.service != scope.service || !executor.Usable(at.now) ||
-        step.permits.IsRefused(id) || !Fits(executor, waiting) ||
-        !step.permits.Ticket(id, at.now).empty()) {
+    if (executor.info.service != scope.service ||
+        !executor.MayStart(waiting, at.now) || step.permits.IsRefused(id) ||
+        !Fits(executor, waiting) || !step.permits.Ticket(id, at.now).empty()) {
       continue;
     }
     const double cost = cost_(executor, waiting, at.now);
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -253,7 +253,7 @@
   executor_state* const executor = state_.FindExecutor(task.executor);
   const std::string_view permit =
       job.StepOf(task).permits.Ticket(task.executor, at.now);
-  if (job.Final() || executor == nullptr || !executor->Usable(at.now) ||
+  if (job.Final() || executor == nullptr || !executor->MayStart(task, at.now) ||
       (state_.IsAdvised(job) && permit.empty())) {
     EndRun(task, run_outcome::kNotStarted, at);
     return;
@@ -353,7 +353,8 @@
   const core::milliseconds avoid =
       executor.health.OnFailure(task.job->Id(), task.failures > 0, at.now);
   if (avoid.count() > 0) {
-    executor.avoid_until = std::max(executor.avoid_until, at.now + avoid);
+    executor.unhealthy_until =
+        std::max(executor.unhealthy_until, at.now + avoid);
   }
 }
 
--- a/tests/waxwingfront/fleet/executor_health_test.cc
+++ b/tests/waxwingfront/fleet/executor_health_test.cc
@@ -227,5 +227,43 @@
   CHECK(fixture.StepAccepted(210).starts.size() == 5);
 }
 
+// Guards against long-running tasks of a lost executor that stand still while
+// the only executor with room is avoided after failures of short tasks.
+TEST_CASE("an interrupted long-running task runs on a suspect executor",
+          "[fleet][health]") {
+  // Longer than any lease on a clock that is 2 % slow.
+  constexpr std::int64_t kLapsedMs = 10'250;
+  fleet_fixture fixture;
+  fixture.AddExecutor("lost", 8000);
+  schema::fleet_job lasting = JobOf("lasting", 1, 4000);
+  lasting.mutable_steps(0)->set_long_running(true);
+  fixture.Core().Submit(lasting, At(0));
+  fixture.Step(10);
+  REQUIRE(fixture.StepAccepted(1000).starts.size() == 1);
+  fixture.Core().RemoveExecutor("lost");
+  fixture.Core().Runs().OnHoldFailed("lost", At(1000));
+  // Runs of two jobs fail on `suspect` shortly before the lease lapses.
+  fixture.AddExecutor("suspect", 8000, kLapsedMs - 200);
+  fixture.AddExecutor("full", 500, kLapsedMs - 200);
+  fixture.Core().Submit(JobOf("first", 1, 1000), At(kLapsedMs - 200));
+  fixture.Core().Submit(JobOf("other", 1, 1000), At(kLapsedMs - 200));
+  std::vector<fleet::ended_report> ended;
+  for (const fleet::start_order& start :
+       fixture.StepAccepted(kLapsedMs - 190).starts) {
+    REQUIRE(start.executor == "suspect");
+    ended.push_back({.number = ended.size() + 1,
+                     .task = start.task,
+                     .run = start.run,
+                     .how = fleet::run_end::kFailed});
+  }
+  fixture.Report("suspect", kLapsedMs - 100, {}, std::move(ended));
+  fixture.Core().Submit(JobOf("short", 1, 1000), At(kLapsedMs));
+  fixture.Core().Tick(At(kLapsedMs));
+  const fleet::orders decided = fixture.Step(kLapsedMs);
+  REQUIRE(decided.starts.size() == 1);
+  CHECK(decided.starts[0].task.job == "lasting");
+  CHECK(decided.starts[0].executor == "suspect");
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
