--- a/src/waxwingfront/fleet/capacity_reserve.h
+++ b/src/waxwingfront/fleet/capacity_reserve.h
@@ -42,7 +42,7 @@
   std::size_t interrupted = 0;
   // Those with capacity that is reserved from short tasks, too.
   std::size_t reserved = 0;
-  // Those for which no executor will have room, even without short tasks.
+  // Those that no executor would take now, even without its short tasks.
   std::size_t without_executor = 0;
 
   friend bool operator==(const reserve_summary&,
@@ -90,8 +90,7 @@
   void Apply(std::vector<outlook> outlooks);
   static outlook MakeOutlook(executor_state& executor,
                              core::monotonic_time now);
-  // Assigns executors to tasks of one step, of which the first is restartable
-  // first.
+  // Assigns executors to tasks of one step, ordered by `restartable_at`.
   void AssignStep(std::span<const interrupted_task> tasks,
                   std::vector<outlook>& outlooks, core::monotonic_time now);
   choice Evaluate(outlook& where, const interrupted_task& what,
