Show that an overloaded leader starves interrupted long-running tasks

What callers saw: long-running tasks that had failed ran again only 10.5 s and 20.3 s later, with room for them.

A task that failed is visited within the 300 ms in which it waits to be placed together with others, and then not again.

The two tests fail: 30,000 ms (the length of the play) instead of less than 9,000.

--- /dev/null
+++ b/tests/waxwingfront/fleet/planner_overload_test.cc
@@ -0,0 +1,103 @@
+#include <catch2/catch.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "support/fleet_fixture.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+constexpr std::int64_t kCapacity = 32'000;
+constexpr std::uint32_t kTasks = 3;
+// The platform counts a long-running task as lost if it has not run again 9 s
+// after its last run.
+constexpr std::int64_t kMaxStandstillMs = 9'000;
+
+// The runs of a long-running job have failed at time 0, and the leader is
+// overloaded: each round of planning has time for one job, and more new jobs
+// arrive than that.
+class overloaded_leader {
+ public:
+  overloaded_leader(const std::string& lasting_queue, std::string new_queue)
+      : fixture_({{.name = "urgent", .priority = 0},
+                  {.name = "later", .priority = 2}}),
+        new_queue_(std::move(new_queue)) {
+    fixture_.AddExecutor("a", kCapacity, kStartMs);
+    schema::fleet_job lasting = JobOf("lasting", kTasks, 1000, lasting_queue);
+    lasting.mutable_steps(0)->set_long_running(true);
+    fixture_.Core().Submit(lasting, At(kStartMs));
+    fixture_.Step(kStartMs);
+    std::vector<fleet::ended_report> ended;
+    for (const fleet::start_order& start : fixture_.StepAccepted(0).starts) {
+      ended.push_back({.number = ended.size() + 1,
+                       .task = start.task,
+                       .run = start.run,
+                       .how = fleet::run_end::kFailed});
+    }
+    REQUIRE(ended.size() == kTasks);
+    fixture_.Report("a", 0, {}, std::move(ended));
+  }
+
+  // Returns when all tasks of the job have started again.
+  std::int64_t PlayUntilRestarted() {
+    std::int64_t now = 0;
+    std::size_t restarted = 0;
+    while (restarted < kTasks && now < kLengthMs) {
+      now += kRoundMs;
+      SubmitNew(now);
+      restarted += PlanOneJob(now);
+    }
+    return now;
+  }
+
+ private:
+  static constexpr std::int64_t kStartMs = -1000;
+  static constexpr std::int64_t kRoundMs = 50;
+  static constexpr std::int64_t kLengthMs = 30'000;
+  static constexpr int kNewJobs = 2;
+
+  void SubmitNew(std::int64_t now) {
+    for (int i = 0; i < kNewJobs; ++i) {
+      const std::string id = "new" + std::to_string(now + i);
+      // No executor is large enough.
+      fixture_.Core().Submit(JobOf(id, 1, 2 * kCapacity, new_queue_), At(now));
+    }
+  }
+
+  // Returns the number of starts of the long-running job.
+  std::size_t PlanOneJob(std::int64_t now) {
+    fixture_.Report("a", now, {});
+    fixture_.Core().Plan(At(now), [] { return true; });
+    fixture_.Store(now);
+    std::size_t starts = 0;
+    for (const fleet::start_order& start :
+         fixture_.Core().TakeOrders().starts) {
+      if (start.task.job == "lasting") ++starts;
+    }
+    return starts;
+  }
+
+  fleet_fixture fixture_;
+  std::string new_queue_;
+};
+
+// Guards against a sweep over the waiting jobs that new jobs keep extending, so
+// that a task which was visited in it is not planned again.
+TEST_CASE("new jobs do not starve an interrupted long-running task",
+          "[fleet][overload]") {
+  overloaded_leader leader("urgent", "later");
+  CHECK(leader.PlayUntilRestarted() < kMaxStandstillMs);
+}
+
+// Guards against a task that is never the most urgent one to visit.
+TEST_CASE("more urgent new jobs do not starve an interrupted long-running task",
+          "[fleet][overload]") {
+  overloaded_leader leader("later", "urgent");
+  CHECK(leader.PlayUntilRestarted() < kMaxStandstillMs);
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
