--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -9,52 +9,15 @@
 #include <utility>
 #include <vector>
 
+#include "waxwingfront/fleet/planning_order.h"
+
 namespace waxwingfront::fleet {
 namespace {
 
-// A task that has waited this long for capacity is reported, and again each
-// time this interval passes. A long-running one then goes first and gets
-// capacity reserved, because the platform considers it lost 9 s after its last
-// run.
-constexpr core::milliseconds kLongWait{2000};
 // Maximum number of executors in one advice request, since each lengthens the
 // response. The platform expects 30 for each step.
 constexpr std::size_t kMaxAdvisedExecutors = 30;
 
-bool HasWaiting(const job_state& job) {
-  for (const occurrence_state& occurrence : job.Occurrences()) {
-    for (const step_state& step : occurrence.steps) {
-      for (const task_state& task : step.tasks) {
-        if (task.phase == task_phase::kWaiting) return true;
-      }
-    }
-  }
-  return false;
-}
-
-bool WaitsLong(const task_state& task, core::monotonic_time now) {
-  return task.phase == task_phase::kWaiting &&
-         now - task.waiting_since >= kLongWait;
-}
-
-// True if the job's first step is ready and a task of it has waited long.
-bool AnyWaitsLong(const job_state& job, core::monotonic_time now) {
-  const step_state& step = job.Occurrences().front().steps.front();
-  return step.ready_since &&
-         std::ranges::any_of(step.tasks, [now](const task_state& task) {
-           return WaitsLong(task, now);
-         });
-}
-
-// Returns the earliest incomplete occurrence, or the last one if none is.
-std::uint32_t FirstIncomplete(const job_state& job) {
-  const std::vector<occurrence_state>& all = job.Occurrences();
-  for (std::uint32_t k = 0; k + 1 < all.size(); ++k) {
-    if (!std::ranges::all_of(all[k].steps, &step_state::Done)) return k;
-  }
-  return static_cast<std::uint32_t>(all.size()) - 1;
-}
-
 }  // namespace
 
 void planner::BeginRound(core::monotonic_time now) {
@@ -71,12 +34,7 @@
   std::erase_if(state_.live, [](const job_state* job) {
     return job->Final() && !job->AnyActive();
   });
-  std::vector<ranked_job> queue;
-  queue.reserve(state_.live.size());
-  for (job_state* const job : state_.live) {
-    if (!job->Final() && HasWaiting(*job)) queue.push_back(Rank(*job, at.now));
-  }
-  std::stable_sort(queue.begin(), queue.end());
+  const std::vector<ranked_job> queue = RankWaitingJobs(state_, sweep_, at.now);
   for (std::size_t i = 0; i < queue.size(); ++i) {
     PlanJob(*queue[i].job, at);
     queue[i].job->planned_sweep = sweep_;
@@ -90,26 +48,6 @@
   return true;
 }
 
-planner::ranked_job planner::Rank(job_state& job,
-                                  core::monotonic_time now) const {
-  const queue_spec* const spec = state_.QueueOf(job);
-  const job_deadlines deadlines =
-      ComputeDeadlines(job, FirstIncomplete(job), spec);
-  const schema::fleet_step& first = job.Spec().steps(0);
-  const bool is_long_running = first.long_running();
-  return {.visited = job.planned_sweep == sweep_,
-          .priority = spec == nullptr ? std::numeric_limits<int>::max()
-                                      : spec->priority,
-          .within_wait_limit = !is_long_running || !AnyWaitsLong(job, now),
-          .long_running_image =
-              is_long_running ? std::string_view(first.image()) : "",
-          .colocatable = is_long_running && first.max_per_executor() == 0,
-          .long_running_cpu = is_long_running ? first.cpu_millis() : 0,
-          .feasibility = FeasibilityOf(deadlines, now),
-          .due = deadlines.due,
-          .job = &job};
-}
-
 void planner::PlanJob(job_state& job, moment at) {
   const placement_scope scope{.service = state_.ServiceOf(job),
                               .advised = state_.IsAdvised(job)};
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -5,11 +5,9 @@
 #include <cstdint>
 #include <functional>
 #include <string_view>
-#include <tuple>
 #include <vector>
 
 #include "waxwingfront/fleet/fleet_state.h"
-#include "waxwingfront/fleet/job_deadlines.h"
 #include "waxwingfront/fleet/locality.h"
 #include "waxwingfront/fleet/placement.h"
 #include "waxwingfront/fleet/step_candidates.h"
@@ -47,33 +45,6 @@
   std::uint64_t Evaluations() const { return evaluations_; }
 
  private:
-  struct ranked_job {
-    // The current sweep has visited it.
-    bool visited;
-    int priority;
-    // False for a long-running job whose tasks have waited long for capacity.
-    bool within_wait_limit;
-    // Image of a long-running job, else empty. Long-running jobs of one image
-    // are placed together, after short jobs, those with large tasks first.
-    std::string_view long_running_image;
-    // Tasks that may share an executor come after those that must be spread
-    // over several, and use the capacity that these leave.
-    bool colocatable;
-    std::int64_t long_running_cpu;
-    deadline_feasibility feasibility;
-    core::monotonic_time due;
-    job_state* job;
-
-    friend bool operator<(const ranked_job& left, const ranked_job& right) {
-      return std::tie(left.visited, left.priority, left.within_wait_limit,
-                      left.long_running_image, left.colocatable,
-                      right.long_running_cpu, left.feasibility, left.due) <
-             std::tie(right.visited, right.priority, right.within_wait_limit,
-                      right.long_running_image, right.colocatable,
-                      left.long_running_cpu, right.feasibility, right.due);
-    }
-  };
-
   // Constraints that the placements of a job's tasks have in common.
   struct placement_scope {
     std::string_view service;
@@ -82,7 +53,6 @@
 
   // Determines which executors have changed since the previous round.
   void BeginRound(core::monotonic_time now);
-  ranked_job Rank(job_state& job, core::monotonic_time now) const;
   void PlanJob(job_state& job, moment at);
   void PlanStep(job_state& job, step_state& step, const placement_scope& scope,
                 moment at);
--- /dev/null
+++ b/src/waxwingfront/fleet/planning_order.cc
@@ -0,0 +1,79 @@
+#include "waxwingfront/fleet/planning_order.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace waxwingfront::fleet {
+namespace {
+
+bool HasWaiting(const job_state& job) {
+  for (const occurrence_state& occurrence : job.Occurrences()) {
+    for (const step_state& step : occurrence.steps) {
+      for (const task_state& task : step.tasks) {
+        if (task.phase == task_phase::kWaiting) return true;
+      }
+    }
+  }
+  return false;
+}
+
+// True if the job's first step is ready and a task of it has waited long.
+bool AnyWaitsLong(const job_state& job, core::monotonic_time now) {
+  const step_state& step = job.Occurrences().front().steps.front();
+  return step.ready_since &&
+         std::ranges::any_of(step.tasks, [now](const task_state& task) {
+           return WaitsLong(task, now);
+         });
+}
+
+// Returns the earliest incomplete occurrence, or the last one if none is.
+std::uint32_t FirstIncomplete(const job_state& job) {
+  const std::vector<occurrence_state>& all = job.Occurrences();
+  for (std::uint32_t k = 0; k + 1 < all.size(); ++k) {
+    if (!std::ranges::all_of(all[k].steps, &step_state::Done)) return k;
+  }
+  return static_cast<std::uint32_t>(all.size()) - 1;
+}
+
+ranked_job Rank(const fleet_state& state, job_state& job, std::uint64_t sweep,
+                core::monotonic_time now) {
+  const queue_spec* const spec = state.QueueOf(job);
+  const job_deadlines deadlines =
+      ComputeDeadlines(job, FirstIncomplete(job), spec);
+  const schema::fleet_step& first = job.Spec().steps(0);
+  const bool is_long_running = first.long_running();
+  return {.visited = job.planned_sweep == sweep,
+          .priority = spec == nullptr ? std::numeric_limits<int>::max()
+                                      : spec->priority,
+          .within_wait_limit = !is_long_running || !AnyWaitsLong(job, now),
+          .long_running_image =
+              is_long_running ? std::string_view(first.image()) : "",
+          .colocatable = is_long_running && first.max_per_executor() == 0,
+          .long_running_cpu = is_long_running ? first.cpu_millis() : 0,
+          .feasibility = FeasibilityOf(deadlines, now),
+          .due = deadlines.due,
+          .job = &job};
+}
+
+}  // namespace
+
+bool WaitsLong(const task_state& task, core::monotonic_time now) {
+  return task.phase == task_phase::kWaiting &&
+         now - task.waiting_since >= kLongWait;
+}
+
+std::vector<ranked_job> RankWaitingJobs(const fleet_state& state,
+                                        std::uint64_t sweep,
+                                        core::monotonic_time now) {
+  std::vector<ranked_job> queue;
+  queue.reserve(state.live.size());
+  for (job_state* const job : state.live) {
+    if (!job->Final() && HasWaiting(*job)) {
+      queue.push_back(Rank(state, *job, sweep, now));
+    }
+  }
+  std::stable_sort(queue.begin(), queue.end());
+  return queue;
+}
+
+}  // namespace waxwingfront::fleet
--- /dev/null
+++ b/src/waxwingfront/fleet/planning_order.h
@@ -0,0 +1,62 @@
+// Order in which a round of planning visits the jobs with waiting tasks.
+#ifndef WAXWINGFRONT_FLEET_PLANNING_ORDER_H_
+#define WAXWINGFRONT_FLEET_PLANNING_ORDER_H_
+
+#include <cstdint>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "waxwingfront/core/clock.h"
+#include "waxwingfront/fleet/fleet_state.h"
+#include "waxwingfront/fleet/job_deadlines.h"
+#include "waxwingfront/fleet/job_state.h"
+
+namespace waxwingfront::fleet {
+
+// A task that has waited this long for capacity is reported, and again each
+// time this interval passes. A long-running one then goes first and gets
+// capacity reserved, because the platform considers it lost 9 s after its last
+// run.
+inline constexpr core::milliseconds kLongWait{2000};
+
+struct ranked_job {
+  // The current sweep has visited it.
+  bool visited;
+  int priority;
+  // False for a long-running job whose tasks have waited long for capacity.
+  bool within_wait_limit;
+  // Image of a long-running job, else empty. Long-running jobs of one image
+  // are placed together, after short jobs, those with large tasks first.
+  std::string_view long_running_image;
+  // Tasks that may share an executor come after those that must be spread
+  // over several, and use the capacity that these leave.
+  bool colocatable;
+  std::int64_t long_running_cpu;
+  deadline_feasibility feasibility;
+  core::monotonic_time due;
+  job_state* job;
+
+  friend bool operator<(const ranked_job& left, const ranked_job& right) {
+    return std::tie(left.visited, left.priority, left.within_wait_limit,
+                    left.long_running_image, left.colocatable,
+                    right.long_running_cpu, left.feasibility, left.due) <
+           std::tie(right.visited, right.priority, right.within_wait_limit,
+                    right.long_running_image, right.colocatable,
+                    left.long_running_cpu, right.feasibility, right.due);
+  }
+};
+
+// True if the task has waited for capacity so long that this is reported, and
+// that a long-running one goes first.
+bool WaitsLong(const task_state& task, core::monotonic_time now);
+
+// Returns the jobs with waiting tasks in the order in which `sweep` visits
+// them.
+std::vector<ranked_job> RankWaitingJobs(const fleet_state& state,
+                                        std::uint64_t sweep,
+                                        core::monotonic_time now);
+
+}  // namespace waxwingfront::fleet
+
+#endif  // WAXWINGFRONT_FLEET_PLANNING_ORDER_H_
