--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -9,8 +9,6 @@
 #include <utility>
 #include <vector>
 
-#include "waxwingfront/fleet/planning_order.h"
-
 namespace waxwingfront::fleet {
 namespace {
 
@@ -34,7 +32,29 @@
   std::erase_if(state_.live, [](const job_state* job) {
     return job->Final() && !job->AnyActive();
   });
-  const std::vector<ranked_job> queue = RankWaitingJobs(state_, sweep_, at.now);
+  const planning_queue queue = QueueWaitingJobs(state_, sweep_, at.now);
+  // After a round that ends among the overdue jobs, the others come first, so
+  // that neither starve the others.
+  const bool overdue_first = !std::exchange(ended_among_overdue_, false);
+  if (overdue_first && !PlanOverdue(queue.overdue, at, should_stop)) {
+    ended_among_overdue_ = true;
+    return false;
+  }
+  if (!PlanSweep(queue.others, at, should_stop)) return false;
+  return overdue_first || PlanOverdue(queue.overdue, at, should_stop);
+}
+
+bool planner::PlanOverdue(std::span<job_state* const> jobs, moment at,
+                          const std::function<bool()>& should_stop) {
+  for (job_state* const job : jobs) {
+    PlanJob(*job, at);
+    if (job != jobs.back() && should_stop && should_stop()) return false;
+  }
+  return true;
+}
+
+bool planner::PlanSweep(std::span<const ranked_job> queue, moment at,
+                        const std::function<bool()>& should_stop) {
   for (std::size_t i = 0; i < queue.size(); ++i) {
     PlanJob(*queue[i].job, at);
     queue[i].job->planned_sweep = sweep_;
@@ -49,6 +69,7 @@
 }
 
 void planner::PlanJob(job_state& job, moment at) {
+  job.planned_round = round_;
   const placement_scope scope{.service = state_.ServiceOf(job),
                               .advised = state_.IsAdvised(job)};
   std::vector<occurrence_state>& occurrences = job.Occurrences();
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -4,12 +4,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string_view>
 #include <vector>
 
 #include "waxwingfront/fleet/fleet_state.h"
 #include "waxwingfront/fleet/locality.h"
 #include "waxwingfront/fleet/placement.h"
+#include "waxwingfront/fleet/planning_order.h"
 #include "waxwingfront/fleet/step_candidates.h"
 
 namespace waxwingfront::fleet {
@@ -31,13 +33,14 @@
       on_waiting;
 
   // Places all waiting tasks that are ready and fit: ordered by queue priority,
-  // then jobs that can still be on time, then by earliest deadline. A task that
-  // fits nowhere delays only the other tasks of its step. The tasks of a gang
-  // are placed all together or not at all. Tasks of advised queues are placed
-  // only on executors that the adviser permits; missing advice is requested.
-  // Stops early once `should_stop` returns true; it may be empty. The next
-  // round then starts with the jobs that this one did not visit. Returns true
-  // if all jobs were visited.
+  // then jobs that can still be on time, then by earliest deadline. Interrupted
+  // long-running tasks that have waited long come before all of them. A task
+  // that fits nowhere delays only the other tasks of its step. The tasks of a
+  // gang are placed all together or not at all. Tasks of advised queues are
+  // placed only on executors that the adviser permits; missing advice is
+  // requested. Stops early once `should_stop` returns true; it may be empty.
+  // The next round then starts with the jobs that this one did not visit.
+  // Returns true if all jobs were visited.
   bool Plan(moment at, const std::function<bool()>& should_stop);
 
   // Returns how many times the feasibility and cost of a task on an executor
@@ -53,6 +56,11 @@
 
   // Determines which executors have changed since the previous round.
   void BeginRound(core::monotonic_time now);
+  // Both return false if they stop before they have visited all jobs.
+  bool PlanOverdue(std::span<job_state* const> jobs, moment at,
+                   const std::function<bool()>& should_stop);
+  bool PlanSweep(std::span<const ranked_job> queue, moment at,
+                 const std::function<bool()>& should_stop);
   void PlanJob(job_state& job, moment at);
   void PlanStep(job_state& job, step_state& step, const placement_scope& scope,
                 moment at);
@@ -92,6 +100,8 @@
   std::uint64_t round_ = 0;
   // A sweep visits each job with waiting tasks once, over one or more rounds.
   std::uint64_t sweep_ = 1;
+  // The previous round stopped among the overdue jobs.
+  bool ended_among_overdue_ = false;
   std::uint64_t evaluations_ = 0;
   // Executors that changed between the previous round and this one.
   std::vector<executor_state*> changed_;
--- a/src/waxwingfront/fleet/planning_order.cc
+++ b/src/waxwingfront/fleet/planning_order.cc
@@ -26,6 +26,18 @@
          });
 }
 
+bool AnyInterruptedWaitsLong(const job_state& job, core::monotonic_time now) {
+  for (const occurrence_state& occurrence : job.Occurrences()) {
+    for (const step_state& step : occurrence.steps) {
+      if (!step.tasks.front().Spec().long_running()) continue;
+      for (const task_state& task : step.tasks) {
+        if (task.run > 0 && WaitsLong(task, now)) return true;
+      }
+    }
+  }
+  return false;
+}
+
 // Returns the earliest incomplete occurrence, or the last one if none is.
 std::uint32_t FirstIncomplete(const job_state& job) {
   const std::vector<occurrence_state>& all = job.Occurrences();
@@ -62,17 +74,20 @@
          now - task.waiting_since >= kLongWait;
 }
 
-std::vector<ranked_job> RankWaitingJobs(const fleet_state& state,
-                                        std::uint64_t sweep,
-                                        core::monotonic_time now) {
-  std::vector<ranked_job> queue;
-  queue.reserve(state.live.size());
+planning_queue QueueWaitingJobs(const fleet_state& state, std::uint64_t sweep,
+                                core::monotonic_time now) {
+  planning_queue queue;
+  queue.others.reserve(state.live.size());
   for (job_state* const job : state.live) {
-    if (!job->Final() && HasWaiting(*job)) {
-      queue.push_back(Rank(state, *job, sweep, now));
+    if (job->Final() || !HasWaiting(*job)) continue;
+    if (AnyInterruptedWaitsLong(*job, now)) {
+      queue.overdue.push_back(job);
+    } else {
+      queue.others.push_back(Rank(state, *job, sweep, now));
     }
   }
-  std::stable_sort(queue.begin(), queue.end());
+  std::ranges::stable_sort(queue.overdue, {}, &job_state::planned_round);
+  std::stable_sort(queue.others.begin(), queue.others.end());
   return queue;
 }
 
--- a/src/waxwingfront/fleet/planning_order.h
+++ b/src/waxwingfront/fleet/planning_order.h
@@ -51,11 +51,17 @@
 // that a long-running one goes first.
 bool WaitsLong(const task_state& task, core::monotonic_time now);
 
-// Returns the jobs with waiting tasks in the order in which `sweep` visits
-// them.
-std::vector<ranked_job> RankWaitingJobs(const fleet_state& state,
-                                        std::uint64_t sweep,
-                                        core::monotonic_time now);
+struct planning_queue {
+  // Jobs with interrupted long-running tasks that have waited long, those first
+  // that were visited longest ago.
+  std::vector<job_state*> overdue;
+  // All others, in the order in which the sweep visits them.
+  std::vector<ranked_job> others;
+};
+
+// Returns the jobs with waiting tasks.
+planning_queue QueueWaitingJobs(const fleet_state& state, std::uint64_t sweep,
+                                core::monotonic_time now);
 
 }  // namespace waxwingfront::fleet
 
--- a/tests/waxwingfront/fleet/planner_overload_test.cc
+++ b/tests/waxwingfront/fleet/planner_overload_test.cc
@@ -99,5 +99,39 @@
   CHECK(leader.PlayUntilRestarted() < kMaxStandstillMs);
 }
 
+// Guards against tasks without room that use up every round.
+TEST_CASE("overdue tasks without room do not starve new jobs",
+          "[fleet][overload]") {
+  constexpr int kOverdue = 20;
+  constexpr int kNewJobs = 40;
+  constexpr std::int64_t kRoundMs = 50;
+  fleet_fixture fixture;
+  fixture.AddExecutor("a", kCapacity, -1);
+  for (int i = 0; i < kOverdue; ++i) {
+    schema::fleet_job job =
+        JobOf("overdue" + std::to_string(i), 1, 2 * kCapacity);
+    job.mutable_steps(0)->set_long_running(true);
+    schema::fleet_progress progress;
+    progress.set_state(schema::FLEET_RUNNING);
+    progress.add_tasks()->set_run(1);
+    fixture.Core().Restore(job, 1, progress, 1, At(0));
+  }
+  std::size_t started = 0;
+  // Each round has time for one job, and each second round brings a new one.
+  std::int64_t now = 10'000;
+  for (int round = 0; round < 2 * kNewJobs; ++round) {
+    now += kRoundMs;
+    if (round % 2 == 0) {
+      fixture.Core().Submit(JobOf("new" + std::to_string(round), 1, 100),
+                            At(now));
+    }
+    fixture.Report("a", now, {});
+    fixture.Core().Plan(At(now), [] { return true; });
+    fixture.Store(now);
+    started += fixture.Core().TakeOrders().starts.size();
+  }
+  CHECK(started == kNewJobs);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
