Count an interrupted task's wait from its last run

What callers saw: run 2 of a long-running task was ordered and seen by no executor, and run 3 came late.

Cause: a wait that each unsuccessful try begins anew. A start that is held back or not carried out released the task as if a run had ended, so that it was overdue only 2 s later again.

Change: interrupted_since is kept by runs that never began; what makes a task overdue depends on it. waiting_since still gives each try its pause.

--- a/src/waxwingfront/fleet/fleet_state.cc
+++ b/src/waxwingfront/fleet/fleet_state.cc
@@ -58,6 +58,7 @@
   if (executor != nullptr) executor->Remove(task);
   task.phase = task_phase::kWaiting;
   task.waiting_since = now;
+  if (task.HasBegun()) task.interrupted_since = now;
   task.stop_confirmed = false;
   task.percent = 0;
   task.pace_percent = kFullPace;
--- a/src/waxwingfront/fleet/job_state.cc
+++ b/src/waxwingfront/fleet/job_state.cc
@@ -50,6 +50,7 @@
         task.step = s;
         task.index = i;
         task.waiting_since = accepted;
+        task.interrupted_since = accepted;
       }
     }
   }
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -69,7 +69,10 @@
   bool stop_confirmed = false;
   core::monotonic_time stop_confirmed_at{};
   core::monotonic_time stop_sent_at{};
+  // When it began to wait for its next placement.
   core::monotonic_time waiting_since{};
+  // The same, but not changed by runs that never began.
+  core::monotonic_time interrupted_since{};
   // When its newest run was placed.
   core::monotonic_time placed_at{};
   // First version of the job that contains the current placement.
@@ -93,6 +96,8 @@
   // was sent that did not reach this executor. A start in flight gets a
   // response of its own.
   bool ConfirmedBefore(core::monotonic_time sent) const;
+  // True if the newest run is known to have begun.
+  bool HasBegun() const { return confirmed >= placed_at; }
   const schema::fleet_step& Spec() const { return *spec; }
   task_ref Ref() const;
   core::resources Needs() const;
--- a/src/waxwingfront/fleet/planning_order.cc
+++ b/src/waxwingfront/fleet/planning_order.cc
@@ -31,7 +31,10 @@
     for (const step_state& step : occurrence.steps) {
       if (!step.tasks.front().Spec().long_running()) continue;
       for (const task_state& task : step.tasks) {
-        if (task.run > 0 && WaitsLong(task, now)) return true;
+        if (task.run > 0 && task.phase == task_phase::kWaiting &&
+            now - task.interrupted_since >= kLongWait) {
+          return true;
+        }
       }
     }
   }
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -375,6 +375,7 @@
       EndRun(*task, run_outcome::kExpired, at);
       if (task->Spec().long_running()) {
         task->waiting_since = SilentSince(*executor, bounds_.longest_hold);
+        task->interrupted_since = task->waiting_since;
       }
     }
   }
--- a/tests/waxwingfront/fleet/planner_overload_test.cc
+++ b/tests/waxwingfront/fleet/planner_overload_test.cc
@@ -41,14 +41,23 @@
     fixture_.Report("a", 0, {}, std::move(ended));
   }
 
-  // Returns when all tasks of the job have started again.
-  std::int64_t PlayUntilRestarted() {
+  // Returns when all tasks of the job have started again. The first
+  // `held_back` starts are not sent, as orders that have become too old.
+  std::int64_t PlayUntilRestarted(std::size_t held_back = 0) {
     std::int64_t now = 0;
     std::size_t restarted = 0;
     while (restarted < kTasks && now < kLengthMs) {
       now += kRoundMs;
       SubmitNew(now);
-      restarted += PlanOneJob(now);
+      for (const fleet::start_order& start : PlanOneJob(now)) {
+        if (held_back > 0) {
+          --held_back;
+          fixture_.Core().OnStartResponse(start, fleet::start_outcome::kNotSent,
+                                          At(now));
+        } else {
+          ++restarted;
+        }
+      }
     }
     return now;
   }
@@ -67,16 +76,16 @@
     }
   }
 
-  // Returns the number of starts of the long-running job.
-  std::size_t PlanOneJob(std::int64_t now) {
+  // Returns the starts of the long-running job.
+  std::vector<fleet::start_order> PlanOneJob(std::int64_t now) {
     fixture_.Report("a", now, {});
     fixture_.Core().Plan(At(now), [] { return true; });
     fixture_.Store(now);
-    std::size_t starts = 0;
-    for (const fleet::start_order& start :
-         fixture_.Core().TakeOrders().starts) {
-      if (start.task.job == "lasting") ++starts;
-    }
+    std::vector<fleet::start_order> starts =
+        fixture_.Core().TakeOrders().starts;
+    std::erase_if(starts, [](const fleet::start_order& start) {
+      return start.task.job != "lasting";
+    });
     return starts;
   }
 
@@ -99,6 +108,13 @@
   CHECK(leader.PlayUntilRestarted() < kMaxStandstillMs);
 }
 
+// Guards against a wait that begins anew with each start that is not sent.
+TEST_CASE("starts that are held back do not starve an interrupted task",
+          "[fleet][overload]") {
+  overloaded_leader leader("urgent", "later");
+  CHECK(leader.PlayUntilRestarted(4 * kTasks) < kMaxStandstillMs);
+}
+
 // Guards against tasks without room that use up every round.
 TEST_CASE("overdue tasks without room do not starve new jobs",
           "[fleet][overload]") {
@@ -118,7 +134,7 @@
   }
   std::size_t started = 0;
   // Each round has time for one job, and each second round brings a new one.
-  std::int64_t now = 10'000;
+  std::int64_t now = kMaxStandstillMs;
   for (int round = 0; round < 2 * kNewJobs; ++round) {
     now += kRoundMs;
     if (round % 2 == 0) {
