Let each waiting job be planned in turn on an overloaded leader

Cause: the same turn-taking without a bound for all other jobs: one that must be visited again, or that is less urgent than the stream of new jobs, is never visited.

Change: rounds that follow an incomplete one begin with the other kind of jobs. Overdue jobs visited equally long ago keep the usual order.

Result: "new jobs do not starve the later steps of a job" fails with the turn switched off and passes.

--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -221,7 +221,8 @@
   schema::fleet_job_state stored_state = schema::FLEET_QUEUED;
   // The planner's last sweep that visited the job.
   std::uint64_t planned_sweep = 0;
-  // The planner's last round that visited the job.
+  // The planner's last round that visited the job, or the first one that saw it
+  // waiting.
   std::uint64_t planned_round = 0;
   // Called with true once a version is stored, or with false if it never will
   // be.
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -15,6 +15,9 @@
 // Maximum number of executors in one advice request, since each lengthens the
 // response. The platform expects 30 for each step.
 constexpr std::size_t kMaxAdvisedExecutors = 30;
+// A sweep that takes longer is one that new jobs keep extending. Every second
+// round then goes to the jobs that were visited longest ago.
+constexpr core::milliseconds kLongSweep{1000};
 
 }  // namespace
 
@@ -32,23 +35,29 @@
   std::erase_if(state_.live, [](const job_state* job) {
     return job->Final() && !job->AnyActive();
   });
-  const planning_queue queue = QueueWaitingJobs(state_, sweep_, at.now);
-  // After a round that ends among the overdue jobs, the others come first, so
-  // that neither starve the others.
-  const bool overdue_first = !std::exchange(ended_among_overdue_, false);
-  if (overdue_first && !PlanOverdue(queue.overdue, at, should_stop)) {
-    ended_among_overdue_ = true;
+  if (!sweep_began_) sweep_began_ = at.now;
+  planning_queue queue = QueueWaitingJobs(state_, sweep_, round_, at.now);
+  // The round after one that was not completed begins with the other kind of
+  // jobs, so that neither kind starves the other.
+  overdue_first_ = last_round_complete_ || !overdue_first_;
+  last_round_complete_ = false;
+  if (overdue_first_ && !PlanOverdue(queue.overdue, at, should_stop)) {
     return false;
   }
+  if (!overdue_first_ && at.now - *sweep_began_ >= kLongSweep) {
+    SortByLastVisit(queue.others);
+  }
   if (!PlanSweep(queue.others, at, should_stop)) return false;
-  return overdue_first || PlanOverdue(queue.overdue, at, should_stop);
+  last_round_complete_ =
+      overdue_first_ || PlanOverdue(queue.overdue, at, should_stop);
+  return last_round_complete_;
 }
 
-bool planner::PlanOverdue(std::span<job_state* const> jobs, moment at,
+bool planner::PlanOverdue(std::span<const ranked_job> jobs, moment at,
                           const std::function<bool()>& should_stop) {
-  for (job_state* const job : jobs) {
-    PlanJob(*job, at);
-    if (job != jobs.back() && should_stop && should_stop()) return false;
+  for (std::size_t i = 0; i < jobs.size(); ++i) {
+    PlanJob(*jobs[i].job, at);
+    if (i + 1 < jobs.size() && should_stop && should_stop()) return false;
   }
   return true;
 }
@@ -61,10 +70,12 @@
     // Each round visits at least one job, so that all are visited eventually
     // however slow planning is.
     if (i + 1 == queue.size() || !should_stop || !should_stop()) continue;
-    if (!queue[i + 1].visited) return false;
+    const auto rest = queue.subspan(i + 1);
+    if (!std::ranges::all_of(rest, &ranked_job::visited)) return false;
     break;
   }
   ++sweep_;
+  sweep_began_.reset();
   return true;
 }
 
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -57,7 +58,7 @@
   // Determines which executors have changed since the previous round.
   void BeginRound(core::monotonic_time now);
   // Both return false if they stop before they have visited all jobs.
-  bool PlanOverdue(std::span<job_state* const> jobs, moment at,
+  bool PlanOverdue(std::span<const ranked_job> jobs, moment at,
                    const std::function<bool()>& should_stop);
   bool PlanSweep(std::span<const ranked_job> queue, moment at,
                  const std::function<bool()>& should_stop);
@@ -100,8 +101,11 @@
   std::uint64_t round_ = 0;
   // A sweep visits each job with waiting tasks once, over one or more rounds.
   std::uint64_t sweep_ = 1;
-  // The previous round stopped among the overdue jobs.
-  bool ended_among_overdue_ = false;
+  // When its first round began; empty between two sweeps.
+  std::optional<core::monotonic_time> sweep_began_;
+  // The newest round began with the overdue jobs.
+  bool overdue_first_ = false;
+  bool last_round_complete_ = true;
   std::uint64_t evaluations_ = 0;
   // Executors that changed between the previous round and this one.
   std::vector<executor_state*> changed_;
--- a/src/waxwingfront/fleet/planning_order.cc
+++ b/src/waxwingfront/fleet/planning_order.cc
@@ -78,20 +78,25 @@
 }
 
 planning_queue QueueWaitingJobs(const fleet_state& state, std::uint64_t sweep,
-                                core::monotonic_time now) {
+                                std::uint64_t round, core::monotonic_time now) {
   planning_queue queue;
   queue.others.reserve(state.live.size());
   for (job_state* const job : state.live) {
     if (job->Final() || !HasWaiting(*job)) continue;
-    if (AnyInterruptedWaitsLong(*job, now)) {
-      queue.overdue.push_back(job);
-    } else {
-      queue.others.push_back(Rank(state, *job, sweep, now));
-    }
+    if (job->planned_round == 0) job->planned_round = round;
+    std::vector<ranked_job>& jobs =
+        AnyInterruptedWaitsLong(*job, now) ? queue.overdue : queue.others;
+    jobs.push_back(Rank(state, *job, sweep, now));
   }
-  std::ranges::stable_sort(queue.overdue, {}, &job_state::planned_round);
+  std::stable_sort(queue.overdue.begin(), queue.overdue.end());
   std::stable_sort(queue.others.begin(), queue.others.end());
+  SortByLastVisit(queue.overdue);
   return queue;
 }
 
+void SortByLastVisit(std::vector<ranked_job>& jobs) {
+  std::ranges::stable_sort(
+      jobs, {}, [](const ranked_job& one) { return one.job->planned_round; });
+}
+
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/planning_order.h
+++ b/src/waxwingfront/fleet/planning_order.h
@@ -54,14 +54,18 @@
 struct planning_queue {
   // Jobs with interrupted long-running tasks that have waited long, those first
   // that were visited longest ago.
-  std::vector<job_state*> overdue;
+  std::vector<ranked_job> overdue;
   // All others, in the order in which the sweep visits them.
   std::vector<ranked_job> others;
 };
 
-// Returns the jobs with waiting tasks.
+// Returns the jobs with waiting tasks, at the start of `round`.
 planning_queue QueueWaitingJobs(const fleet_state& state, std::uint64_t sweep,
-                                core::monotonic_time now);
+                                std::uint64_t round, core::monotonic_time now);
+
+// Sorts the jobs so that those come first that were visited longest ago; their
+// order is otherwise unchanged.
+void SortByLastVisit(std::vector<ranked_job>& jobs);
 
 }  // namespace waxwingfront::fleet
 
--- a/tests/waxwingfront/fleet/planner_overload_test.cc
+++ b/tests/waxwingfront/fleet/planner_overload_test.cc
@@ -115,6 +115,42 @@
   CHECK(leader.PlayUntilRestarted(4 * kTasks) < kMaxStandstillMs);
 }
 
+// Guards against a job that newer and more urgent ones keep from being visited.
+TEST_CASE("new jobs do not starve the later steps of a job",
+          "[fleet][overload]") {
+  constexpr int kRounds = 400;
+  constexpr std::int64_t kRoundMs = 50;
+  fleet_fixture fixture(
+      {{.name = "urgent", .priority = 0}, {.name = "later", .priority = 2}});
+  fixture.AddExecutor("a", kCapacity);
+  schema::fleet_job job = JobOf("job", 1, 1000, "later");
+  *job.add_steps() = job.steps(0);
+  job.mutable_steps(1)->add_after(0);
+  fixture.Core().Submit(job, At(0));
+  const fleet::orders first = fixture.StepAccepted(0);
+  REQUIRE(first.starts.size() == 1);
+  bool started = false;
+  for (int round = 1; round <= kRounds && !started; ++round) {
+    const std::int64_t now = round * kRoundMs;
+    for (const char* const queue : {"urgent", "later"}) {
+      const std::string id = queue + std::to_string(round);
+      fixture.Core().Submit(JobOf(id, 1, 2 * kCapacity, queue), At(now));
+    }
+    std::vector<fleet::ended_report> ended;
+    if (round == 1) {
+      ended.push_back({.number = 1,
+                       .task = first.starts[0].task,
+                       .run = 1,
+                       .how = fleet::run_end::kDone});
+    }
+    fixture.Report("a", now, {}, std::move(ended));
+    fixture.Core().Plan(At(now), [] { return true; });
+    fixture.Store(now);
+    started = !fixture.Core().TakeOrders().starts.empty();
+  }
+  CHECK(started);
+}
+
 // Guards against tasks without room that use up every round.
 TEST_CASE("overdue tasks without room do not starve new jobs",
           "[fleet][overload]") {
