Show that hand-overs to a process that kept leadership back off

A strong process that leads for twice the backoff after each hand-over, and is cut off from the store in between, is not handed leadership within a second after the fourth interruption: the weak process keeps it until the backoff has elapsed, with the default options for up to 80 s.

--- a/tests/waxwingfront/fleet/fleet_node_test.cc
+++ b/tests/waxwingfront/fleet/fleet_node_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <tuple>
+#include <utility>
 
 #include "support/fake_store.h"
 #include "support/loop_runner.h"
@@ -19,9 +21,13 @@
 struct fleet_process {
   fleet_process(net::event_loop& loop, fake_store& shared,
                 std::int64_t strength)
+      : fleet_process(loop, shared, Options(strength)) {}
+
+  fleet_process(net::event_loop& loop, fake_store& shared,
+                fleet::fleet_node_options options)
       : client(loop, {}),
         store(shared.Services()),
-        node(loop, client, store, executors, Options(strength), log) {
+        node(loop, client, store, executors, std::move(options), log) {
     started = node.Start().has_value();
   }
 
@@ -57,6 +63,33 @@
   bool started = false;
 };
 
+// Lets the calls of `services` fail while `cut` is true.
+void MakeInterruptible(fleet::store_services& services, net::event_loop& loop,
+                       const bool& cut) {
+  const auto unless_cut = [&loop, &cut]<typename Call, typename Reply>(
+                              Call call, Reply failure) {
+    return [&loop, &cut, call = std::move(call),
+            failure = std::move(failure)](auto&&... arguments) {
+      if (!cut) return call(std::forward<decltype(arguments)>(arguments)...);
+      auto done = std::get<sizeof...(arguments) - 1>(std::tie(arguments...));
+      loop.Post([done = std::move(done), failure] { done(failure); });
+    };
+  };
+  const auto unavailable =
+      core::Failure(core::error_code::kStoreUnavailable, "cut off");
+  services.get =
+      unless_cut(services.get, core::result<fleet::store_page>(unavailable));
+  services.range =
+      unless_cut(services.range, core::result<fleet::store_page>(unavailable));
+  services.watch = unless_cut(services.watch,
+                              core::result<fleet::store_changes>(unavailable));
+  services.write = unless_cut(services.write, fleet::store_write_reply{});
+  services.grant_lease = unless_cut(
+      services.grant_lease, core::result<fleet::store_lease>(unavailable));
+  services.renew_lease =
+      unless_cut(services.renew_lease, fleet::lease_status::kUnknown);
+}
+
 TEST_CASE("a weak leader hands leadership over to a stronger process",
           "[fleet]") {
   net::event_loop loop;
@@ -73,6 +106,37 @@
   CHECK(weak.Elections() == 1);
 }
 
+TEST_CASE("a process that kept leadership gets it back after each interruption",
+          "[fleet]") {
+  constexpr int kInterruptions = 4;
+  constexpr milliseconds kBackoff(800);
+  constexpr milliseconds kMaxHandoverTime(1000);
+  net::event_loop loop;
+  fake_store store(loop);
+  store.Put("manifest", "1");
+  fleet::fleet_node_options options = fleet_process::Options(kWeak);
+  options.choice.min_handover_interval = milliseconds(100);
+  options.choice.initial_backoff = kBackoff;
+  fleet_process weak(loop, store, options);
+  REQUIRE(RunUntil(loop, [&] { return weak.Leads(store); }));
+  bool cut = false;
+  fleet_process strong(loop, store, fleet_process::Options(kStrong));
+  MakeInterruptible(strong.store, loop, cut);
+  REQUIRE(RunUntil(loop, [&] { return strong.Leads(store); }));
+  for (int i = 0; i < kInterruptions; ++i) {
+    RunFor(loop, 2 * kBackoff);
+    REQUIRE(strong.Leads(store));
+    cut = true;
+    store.EndLease(store.LeaseOf(std::string(fleet::kLeaderKey)));
+    REQUIRE(RunUntil(loop, [&] { return weak.Leads(store); }));
+    RunFor(loop, milliseconds(300));
+    cut = false;
+    INFO("interruption " << i);
+    REQUIRE(RunUntil(
+        loop, [&] { return strong.Leads(store); }, kMaxHandoverTime));
+  }
+}
+
 TEST_CASE("after a power failure the strong process is elected first",
           "[fleet]") {
   net::event_loop loop;
