Reset the backoff of hand-overs once the successor has led

Cause: each hand-over doubled the backoff of the next one to the same process, also if the process led for long after it. Where one process is much stronger than the others and is interrupted a few times, a weak process kept leadership for up to 80 s beside it.

Change: a process that announces itself as the leader when the backoff since the last hand-over to it has elapsed starts with the initial backoff again. One that loses leadership earlier still backs off.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -156,6 +156,8 @@
     election->OnAnnouncement(announcement.token(), announcement.address());
     if (!announcement.successor().empty()) {
       choice->OnHandover(announcement.successor(), core::Now());
+    } else if (announcement.address() == election->Leader()) {
+      choice->OnLeading(announcement.address(), core::Now());
     }
     choice->OnStrongest(announcement.strongest());
     schema::fleet_standing status;
--- a/src/waxwingfront/fleet/leader_choice.cc
+++ b/src/waxwingfront/fleet/leader_choice.cc
@@ -50,6 +50,15 @@
   last.at = now;
 }
 
+void leader_choice::OnLeading(const std::string& address,
+                              core::monotonic_time now) {
+  const auto last = handovers_.find(address);
+  if (last != handovers_.end() &&
+      now - last->second.at >= last->second.backoff) {
+    handovers_.erase(last);
+  }
+}
+
 core::milliseconds leader_choice::ClaimDelay(core::milliseconds jitter,
                                              core::monotonic_time now) const {
   if (!successor_.empty() &&
--- a/src/waxwingfront/fleet/leader_choice.h
+++ b/src/waxwingfront/fleet/leader_choice.h
@@ -48,7 +48,8 @@
   // connection to the store has reported it.
   core::milliseconds min_handover_interval{3000};
   // Exponential backoff of hand-overs to the same process: `initial_backoff`
-  // after the first, twice that after the next, up to `max_backoff`.
+  // after the first, twice that after the next, up to `max_backoff`. It starts
+  // again once the process has led for the whole backoff.
   core::milliseconds initial_backoff{5000};
   core::milliseconds max_backoff{80'000};
 };
@@ -67,6 +68,10 @@
                       core::monotonic_time sent);
   // Handles the hand-over of any leader to the process at `successor`.
   void OnHandover(const std::string& successor, core::monotonic_time now);
+  // Handles an announcement of the process at `address`, which leads. Once it
+  // has led for the whole backoff since the last hand-over to it, that
+  // hand-over succeeded and no longer counts.
+  void OnLeading(const std::string& address, core::monotonic_time now);
 
   // Returns the delay before this process claims free leadership: zero if it is
   // the named successor, `jitter` if no stronger process is known.
--- a/tests/waxwingfront/fleet/leader_choice_test.cc
+++ b/tests/waxwingfront/fleet/leader_choice_test.cc
@@ -206,5 +206,24 @@
   CHECK(ready(205'000));
 }
 
+TEST_CASE("only leading for the whole backoff resets it", "[fleet]") {
+  leader_choice choice = Choice(100);
+  const auto ready = [&](std::int64_t now) {
+    choice.OnMemberStatus("strong", {.strength = 500, .ready = true}, At(now));
+    return choice.Successor(At(now)).has_value();
+  };
+  choice.OnHandover("strong", At(0));
+  choice.OnHandover("strong", At(5000));
+  choice.OnLeading("other", At(15'000));
+  choice.OnLeading("strong", At(14'999));
+  choice.OnHandover("strong", At(15'000));
+  CHECK_FALSE(ready(34'999));
+  CHECK(ready(35'000));
+  choice.OnLeading("strong", At(35'000));
+  choice.OnHandover("strong", At(35'001));
+  CHECK_FALSE(ready(40'000));
+  CHECK(ready(40'001));
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
