Store a new job urgently whose batch failed while it was planned for

A new job may be stored before it is planned for, if a batch has room for it. A round of planning that came while this batch was in flight did not make the job urgent, and a failed batch returned it to the urgency that gets only the remainder of later batches. With a backlog that fills each batch, its caller waited until the deadline, and the age of this call made the leader reject all later submissions as overloaded.

Requeue now makes such a job urgent.

--- a/src/waxwingfront/fleet/store_queue.cc
+++ b/src/waxwingfront/fleet/store_queue.cc
@@ -86,8 +86,11 @@
 }
 
 void store_queue::Requeue(job_state& job) {
-  const store_urgency before =
-      *std::exchange(job.in_flight_urgency, std::nullopt);
+  store_urgency before = *std::exchange(job.in_flight_urgency, std::nullopt);
+  // A round of planning raises only new jobs that are queued.
+  if (before == store_urgency::kAfterPlanning && job.planning_attempted) {
+    before = store_urgency::kImmediate;
+  }
   job.pending_urgency = std::min(before, job.pending_urgency.value_or(before));
   Insert(job);
 }
--- a/src/waxwingfront/fleet/store_queue.h
+++ b/src/waxwingfront/fleet/store_queue.h
@@ -27,7 +27,8 @@
 
   // Handles the success of the job's batch: queues changes made since.
   void OnBatchStored(job_state& job);
-  // Returns a job to its old position, since its batch may have failed.
+  // Returns a job to its old position, since its batch may have failed. A new
+  // job that has been planned for since becomes urgent.
   void Requeue(job_state& job);
 
   std::size_t Size() const { return entries_.size(); }
--- a/tests/waxwingfront/fleet/fleet_journal_test.cc
+++ b/tests/waxwingfront/fleet/fleet_journal_test.cc
@@ -1,5 +1,6 @@
 #include "waxwingfront/fleet/fleet_journal.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdint>
 #include <string>
@@ -76,6 +77,31 @@
   }
 }
 
+// True if the batch writes a record of the job.
+bool Writes(const write_batch& batch, const std::string& id) {
+  return std::ranges::find(batch.records, id, &record_write::id) !=
+         batch.records.end();
+}
+
+// Guards against new jobs that no batch has room for: calls waiting for them
+// would make the leader reject all later jobs as overloaded.
+TEST_CASE("a new job that was planned for while its batch failed is urgent",
+          "[fleet]") {
+  fleet_fixture fixture;
+  fleet::fleet_core& core = fixture.Core();
+  core.Submit(JobOf("first", 1, 1000), At(0));
+  const write_batch failed = core.Journal().NextBatch(kMaxRecords);
+  REQUIRE(Writes(failed, "first"));
+  core.Plan(At(10));
+  core.Journal().Unanswered(failed.number);
+  constexpr int kLaterJobs = 40;
+  for (int i = 0; i < kLaterJobs; ++i) {
+    core.Submit(JobOf("later" + std::to_string(i), 1, 1000), At(20));
+  }
+  core.Plan(At(30));
+  CHECK(Writes(core.Journal().NextBatch(kMaxRecords), "first"));
+}
+
 TEST_CASE("a batch never exceeds the record limit of a transaction",
           "[fleet]") {
   fleet_fixture fixture;
