Store changes urgently that a repeated call waits for

A repeated submission is answered once the job's present state is stored. If that state was an end of a run, the call waited with the urgency of ends, behind those of all other jobs, and its age made the leader reject new submissions as overloaded, although these are stored first.

OnceStored now raises the urgency of pending changes, except those of a new job that is not planned for yet. The new test failed before: with 40 such jobs, the next batch did not write the job, and the call was not answered.

--- a/src/waxwingfront/fleet/fleet_journal.cc
+++ b/src/waxwingfront/fleet/fleet_journal.cc
@@ -158,6 +158,11 @@
   }
   job.store_callbacks.push_back(
       {.version = job.version, .done = std::move(done)});
+  // The placements of a new job are stored with it, once planning is over.
+  if (job.pending_urgency &&
+      *job.pending_urgency != store_urgency::kAfterPlanning) {
+    state_.store_backlog.Add(job, store_urgency::kImmediate);
+  }
 }
 
 void fleet_journal::Remove(job_state& job) { removals_.push_back(job.Id()); }
--- a/src/waxwingfront/fleet/fleet_journal.h
+++ b/src/waxwingfront/fleet/fleet_journal.h
@@ -67,7 +67,7 @@
   void Unanswered(std::uint64_t batch);
 
   // Calls `done(true)` once the job's current state is stored, or `done(false)`
-  // on `Abandon`.
+  // on `Abandon`. Pending changes of the job become urgent.
   void OnceStored(job_state& job, std::function<void(bool)> done);
 
   // Queues the records of a finished job for removal.
--- a/tests/waxwingfront/fleet/fleet_journal_test.cc
+++ b/tests/waxwingfront/fleet/fleet_journal_test.cc
@@ -102,6 +102,46 @@
   CHECK(Writes(core.Journal().NextBatch(kMaxRecords), "first"));
 }
 
+// Guards against new jobs that the leader rejects as overloaded, because a call
+// that repeats a submission waits behind the ends of many other jobs.
+TEST_CASE("changes that a repeated submission waits for are urgent",
+          "[fleet]") {
+  constexpr int kJobs = 40;
+  constexpr std::uint32_t kTasks = 2;
+  fleet_fixture fixture;
+  fleet::fleet_core& core = fixture.Core();
+  fixture.AddExecutor("a", 1000 * kTasks * kJobs);
+  for (int i = 0; i < kJobs; ++i) {
+    core.Submit(JobOf("job" + std::to_string(i), kTasks, 1000), At(0));
+  }
+  const fleet::orders decided = fixture.StepAccepted(10);
+  REQUIRE(decided.starts.size() == kJobs * kTasks);
+  std::vector<fleet::running_report> running;
+  std::vector<fleet::ended_report> ended;
+  for (const fleet::start_order& start : decided.starts) {
+    if (start.task.index > 0) {
+      running.push_back({.task = start.task, .run = start.run});
+      continue;
+    }
+    ended.push_back({.number = ended.size() + 1,
+                     .task = start.task,
+                     .run = start.run,
+                     .how = fleet::run_end::kDone});
+  }
+  fixture.Report("a", 20, running, ended);
+  // The job whose end is stored last.
+  const std::string id = ended.back().task.job;
+  REQUIRE(core.Submit(JobOf(id, kTasks, 1000), At(30)) ==
+          fleet::submission::kDuplicate);
+  bool stored = false;
+  core.OnceStored(id, [&stored](bool outcome) { stored = outcome; });
+  CHECK(core.Journal().Pending(kMaxRecords).urgent);
+  const write_batch next = core.Journal().NextBatch(kMaxRecords);
+  CHECK(Writes(next, id));
+  core.Journal().Stored(next.number, 100, At(40));
+  CHECK(stored);
+}
+
 TEST_CASE("a batch never exceeds the record limit of a transaction",
           "[fleet]") {
   fleet_fixture fixture;
