Count the validity of permits from when their request was sent

Requests wait in the leader for earlier ones, and the validity of their permits was counted from the round of planning that made them. Once the wait was longer than the validity, all permits had expired on arrival and were requested again, which kept the wait that long.

The driver now tells the core when it sends a request. The new test failed before: a permit valid for 3 s, requested 4 s after the round, started nothing.

--- a/src/waxwingfront/fleet/advice_driver.cc
+++ b/src/waxwingfront/fleet/advice_driver.cc
@@ -21,6 +21,7 @@
       const advice_request request = std::move(waiting.front());
       waiting.pop_front();
       ++in_flight;
+      core.OnAdviceSent(request, hooks.now().now);
       executors.advise(request, [self = shared_from_this(), request](
                                     const core::result<advice_reply>& reply) {
         if (!self->closed) self->OnReply(request, reply);
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -316,17 +316,26 @@
   if (held != nullptr) sharing_.OnReport(*held, at.now);
 }
 
-void fleet_core::OnAdvice(const advice_request& request,
-                          const std::optional<advice_reply>& reply, moment at) {
-  const step_ref& step = request.step;
+step_permits* fleet_core::FindPermits(const step_ref& step) {
   task_state* const task = state_.FindTask(
       {.job = step.job, .occurrence = step.occurrence, .step = step.step});
-  if (task == nullptr) return;
-  step_permits& permits = task->job->StepOf(*task).permits;
+  return task == nullptr ? nullptr : &task->job->StepOf(*task).permits;
+}
+
+void fleet_core::OnAdviceSent(const advice_request& request,
+                              core::monotonic_time now) {
+  step_permits* const permits = FindPermits(request.step);
+  if (permits != nullptr) permits->RecordSent(now);
+}
+
+void fleet_core::OnAdvice(const advice_request& request,
+                          const std::optional<advice_reply>& reply, moment at) {
+  step_permits* const permits = FindPermits(request.step);
+  if (permits == nullptr) return;
   if (reply) {
-    permits.RecordReply(*reply);
+    permits->RecordReply(*reply);
   } else {
-    permits.RecordFailure(at.now);
+    permits->RecordFailure(at.now);
   }
 }
 
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -110,6 +110,8 @@
               core::monotonic_time sent, moment at);
   void OnStartResponse(const start_order& order, start_outcome outcome,
                        moment at);
+  // Records that the request was sent now; its permits are valid from then on.
+  void OnAdviceSent(const advice_request& request, core::monotonic_time now);
   // Handles the adviser's reply; empty if the request failed.
   void OnAdvice(const advice_request& request,
                 const std::optional<advice_reply>& reply, moment at);
@@ -148,6 +150,8 @@
   // Removes deregistered executors that cannot have active runs.
   void DropUnused();
   executor_state& EnsureExecutor(const std::string& id);
+  // Returns null if the step's job is gone.
+  step_permits* FindPermits(const step_ref& step);
 
   fleet_options options_;
   fleet_state state_;
--- a/src/waxwingfront/fleet/step_permits.h
+++ b/src/waxwingfront/fleet/step_permits.h
@@ -22,6 +22,8 @@
   bool MayRequest(core::monotonic_time now) const;
   void RecordRequest(std::vector<std::string> executors,
                      core::monotonic_time now);
+  // The request was sent now: until then it may have waited for others.
+  void RecordSent(core::monotonic_time now) { requested_at_ = now; }
   void RecordReply(const advice_reply& reply);
   // The request got no response.
   void RecordFailure(core::monotonic_time now);
--- /dev/null
+++ b/tests/waxwingfront/fleet/advice_driver_test.cc
@@ -0,0 +1,68 @@
+#include "waxwingfront/fleet/advice_driver.h"
+
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "support/fleet_fixture.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+using advice_callback = std::function<void(core::result<fleet::advice_reply>)>;
+
+// An adviser that handles one request at a time and permits all executors.
+struct slow_adviser {
+  fleet::executor_services services{
+      .advise = [this](const fleet::advice_request& request, auto done) {
+        requests.push_back(request);
+        callbacks.push_back(std::move(done));
+      }};
+  std::vector<fleet::advice_request> requests;
+  std::vector<advice_callback> callbacks;
+
+  void PermitNext(core::milliseconds valid) {
+    fleet::advice_reply reply{.valid = valid};
+    for (const std::string& id : requests[answered].executors) {
+      reply.permits.push_back({.executor = id, .ticket = "t"});
+    }
+    callbacks[answered++](reply);
+  }
+
+ private:
+  std::size_t answered = 0;
+};
+
+// Guards against requests whose permits have expired on arrival, each time
+// anew, because they wait longer than a permit is valid.
+TEST_CASE("a permit is valid from when its request was sent", "[fleet]") {
+  constexpr core::milliseconds kValid{3000};
+  constexpr std::int64_t kQueuedMs = 4000;
+  fleet_fixture fixture(std::vector<queue_options>{{.advised = true}});
+  fixture.AddExecutor("a", 8000);
+  std::int64_t now_ms = 10;
+  slow_adviser adviser;
+  logging::event_log log({.descriptor = -1});
+  fleet::advice_driver driver(
+      adviser.services, fixture.Core(), {.max_in_flight = 1},
+      {.on_progress = [] {}, .now = [&now_ms] { return At(now_ms); }}, log);
+  fixture.Core().Submit(JobOf("first", 1, 1000), At(0));
+  fixture.Core().Submit(JobOf("second", 1, 1000), At(0));
+  driver.Send(fixture.Step(now_ms).advice);
+  REQUIRE(adviser.requests.size() == 1);
+  now_ms = kQueuedMs;
+  adviser.PermitNext(kValid);
+  REQUIRE(adviser.requests.size() == 2);
+  now_ms += 30;
+  adviser.PermitNext(kValid);
+  fixture.Report("a", now_ms, {});
+  const fleet::orders decided = fixture.Step(now_ms + 10);
+  REQUIRE(decided.starts.size() == 1);
+  CHECK(decided.starts[0].task.job == adviser.requests[1].step.job);
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
