--- a/tests/waxwingfront/fleet/advice_driver_test.cc
+++ b/tests/waxwingfront/fleet/advice_driver_test.cc
@@ -64,5 +64,37 @@
   CHECK(decided.starts[0].task.job == adviser.requests[1].step.job);
 }
 
+// Guards against permits that have expired at each visit of their job.
+TEST_CASE("a job with new permits does not wait for visits of other jobs",
+          "[fleet]") {
+  constexpr core::milliseconds kValid{3000};
+  constexpr std::int64_t kRoundMs = 100;
+  constexpr int kOtherJobs = 60;
+  fleet_fixture fixture({{.name = "advised", .advised = true}, {}});
+  fixture.AddExecutor("a", 8000);
+  fixture.Core().Submit(JobOf("permitted", 1, 1000, "advised"), At(0));
+  for (int i = 0; i < kOtherJobs; ++i) {
+    fixture.Core().Submit(JobOf("large" + std::to_string(i), 1, 16'000), At(1));
+  }
+  const auto out_of_time = [] { return true; };
+  fixture.Core().Plan(At(2), out_of_time);
+  const fleet::orders first = fixture.Core().TakeOrders();
+  REQUIRE(first.advice.size() == 1);
+  fixture.Core().OnAdvice(
+      first.advice[0],
+      fleet::advice_reply{.permits = {{.executor = "a", .ticket = "t"}},
+                          .valid = kValid},
+      At(10));
+  std::size_t started = 0;
+  for (std::int64_t at_ms = kRoundMs; at_ms < kValid.count();
+       at_ms += kRoundMs) {
+    fixture.Report("a", at_ms, {});
+    fixture.Core().Plan(At(at_ms), out_of_time);
+    fixture.Store(at_ms);
+    started += fixture.Core().TakeOrders().starts.size();
+  }
+  CHECK(started == 1);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
