Give slow tasks on all executors their turn to move

The rebalancer considered slow tasks in the order of their executors' names, six moves a round, so that slow tasks of the first executors kept all others from moving.

It now continues behind the last executor that it considered.

--- a/src/waxwingfront/fleet/rebalancer.cc
+++ b/src/waxwingfront/fleet/rebalancer.cc
@@ -1,5 +1,6 @@
 #include "waxwingfront/fleet/rebalancer.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace waxwingfront::fleet {
@@ -14,9 +15,15 @@
       if (MayMove(*task, at)) slow.push_back(task);
     }
   }
+  // Continues behind the last executor, so that each has its turn.
+  const auto first = std::ranges::find_if(slow, [this](const auto* task) {
+    return task->executor > last_considered_;
+  });
+  std::ranges::rotate(slow, first);
   int moves = 0;
   for (task_state* const task : slow) {
     if (moves >= options_.max_moves) return;
+    last_considered_ = task->executor;
     const executor_state* const target = ChooseExecutor(
         state_, *task, state_.ServiceOf(*task->job), at.now, cost_);
     if (target == nullptr || target->info.id == task->executor ||
--- a/src/waxwingfront/fleet/rebalancer.h
+++ b/src/waxwingfront/fleet/rebalancer.h
@@ -4,6 +4,7 @@
 #define WAXWINGFRONT_FLEET_REBALANCER_H_
 
 #include <functional>
+#include <string>
 
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/fleet/fleet_state.h"
@@ -48,6 +49,8 @@
   rebalancer_options options_;
   placement_cost cost_;
   core::monotonic_time next_{};
+  // Executor of the slow task that was considered last.
+  std::string last_considered_;
 };
 
 }  // namespace waxwingfront::fleet
