Bound how often a queued first hold is passed over

An executor whose holds failed twice is held again only when no other waits, and executors that fail now and then come first. With as many of these as the link carries, it was never held again, so that its runs would have lapsed.

--- a/src/waxwingfront/fleet/first_hold_queue.h
+++ b/src/waxwingfront/fleet/first_hold_queue.h
@@ -51,8 +51,9 @@
 
   // Queues the executor; keeps its position if it is already queued.
   void Add(const std::string& executor, hold_urgency urgency);
-  // Removes and returns the executor to send the next hold to; nothing if none
-  // is queued or the maximum is in flight.
+  // Removes and returns the executor to send the next hold to: the most urgent
+  // one, now and then the one that was queued first. Nothing if none is queued
+  // or the maximum is in flight.
   std::optional<std::string> TakeNext();
   // Called when the hold to a returned executor has ended or was not needed.
   void Release() { --in_flight_; }
@@ -63,6 +64,8 @@
   std::size_t max_in_flight_;
   std::size_t in_flight_ = 0;
   std::uint64_t next_ = 0;
+  // Turns in a row that did not go to the executor that was queued first.
+  std::uint64_t passed_over_ = 0;
   std::map<queue_key, std::string> pending_;
   std::set<std::string> queued_;
 };
--- a/tests/waxwingfront/fleet/first_hold_queue_test.cc
+++ b/tests/waxwingfront/fleet/first_hold_queue_test.cc
@@ -1,6 +1,7 @@
 #include "waxwingfront/fleet/first_hold_queue.h"
 
 #include <catch2/catch.hpp>
+#include <string>
 
 namespace waxwingfront::tests {
 namespace {
@@ -50,5 +51,23 @@
   CHECK_FALSE(first_holds.TakeNext());
 }
 
+// Guards against the lapse of runs on an executor whose holds failed twice.
+TEST_CASE("single failures of other executors do not starve a retry",
+          "[fleet]") {
+  // Unanswered holds take this long; leases last ten times as long.
+  constexpr std::size_t kHoldsPerLease =
+      10 * fleet::first_hold_queue_options{}.min_in_flight;
+  fleet::first_hold_queue first_holds(1);
+  first_holds.Add("retried", hold_urgency::kRetry);
+  bool sent = false;
+  for (std::size_t i = 0; i < kHoldsPerLease && !sent; ++i) {
+    first_holds.Add("flaky" + std::to_string(i), hold_urgency::kSingleFailure);
+    first_holds.Add("new" + std::to_string(i), hold_urgency::kFirstIdle);
+    sent = first_holds.TakeNext() == "retried";
+    first_holds.Release();
+  }
+  CHECK(sent);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
