Plan again at once only for jobs that got permits

A reply without permits gives no reason to visit its job before others: each such visit requests advice on further executors, and other jobs would wait for it.

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -335,7 +335,9 @@
   if (reply) {
     permits->RecordReply(*reply);
     // Permits may expire before the sweep has visited all other jobs.
-    state_.FindJob(request.step.job)->planned_sweep = 0;
+    if (!reply->permits.empty()) {
+      state_.FindJob(request.step.job)->planned_sweep = 0;
+    }
   } else {
     permits->RecordFailure(at.now);
   }
