Sample the demand of short tasks at most twice a second

Each tick, ten times a second, considered all tasks of all live jobs to learn the demand of short ones, whose highest value is kept for 10 s. On an overloaded leader live jobs accumulate, and this work with them.

A sample is now taken every 500 ms.

--- a/src/waxwingfront/fleet/standing_admission.cc
+++ b/src/waxwingfront/fleet/standing_admission.cc
@@ -100,6 +100,7 @@
 }  // namespace
 
 void standing_admission::Sample(moment at) {
+  if (at.now - sampled_at_ < options_.sample_period) return;
   const double elapsed_ms = std::chrono::duration<double, std::milli>(
                                 at.now - std::exchange(sampled_at_, at.now))
                                 .count();
--- a/src/waxwingfront/fleet/standing_admission.h
+++ b/src/waxwingfront/fleet/standing_admission.h
@@ -19,6 +19,9 @@
 namespace waxwingfront::fleet {
 
 struct standing_admission_options {
+  // Minimum time between two samples of the demand, because each considers all
+  // live jobs, which are many on an overloaded leader.
+  core::milliseconds sample_period{500};
   // Time constant with which the highest demand of short tasks is forgotten.
   core::milliseconds demand_memory{10'000};
   // Room kept for short tasks, as a multiple of their highest demand.
@@ -42,7 +45,8 @@
                      standing_admission_options options)
       : state_(state), options_(options) {}
 
-  // Records the demand of short tasks.
+  // Records the demand of short tasks. Must be called more often than the
+  // sample period; acts once per period.
   void Sample(moment at);
 
   // Returns the figures that decide on the job.
--- a/tests/waxwingfront/fleet/standing_admission_test.cc
+++ b/tests/waxwingfront/fleet/standing_admission_test.cc
@@ -241,6 +241,22 @@
   CHECK_FALSE(fixture.Core().MissingRoom(StandingJob("standing", 1)));
 }
 
+// Guards against ticks that take most of an overloaded leader's time, since a
+// sample considers all live jobs.
+TEST_CASE("the demand of short jobs is sampled at most twice a second",
+          "[fleet][admission]") {
+  fleet_fixture fixture;
+  fixture.AddExecutor("a", kCapacity);
+  fixture.Core().Tick(At(0));
+  fixture.Core().Submit(JobOf("short", 5, kShortCpu), At(10));
+  for (std::int64_t now = 100; now < 500; now += 100) {
+    fixture.Core().Tick(At(now));
+    CHECK_FALSE(fixture.Core().MissingRoom(StandingJob("standing", 1)));
+  }
+  fixture.Core().Tick(At(500));
+  CHECK(fixture.Core().MissingRoom(StandingJob("standing", 1)));
+}
+
 TEST_CASE("short and best-effort jobs are never rejected for lack of room",
           "[fleet][admission]") {
   fleet_fixture fixture;
