--- a/tests/waxwingfront/fleet/planner_sweep_test.cc
+++ b/tests/waxwingfront/fleet/planner_sweep_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "support/fleet_fixture.h"
 
@@ -86,5 +87,44 @@
   CHECK(started == 1);
 }
 
+TEST_CASE("a job that can be on time does not wait for visits of useless ones",
+          "[fleet]") {
+  constexpr int kUselessJobs = 200;
+  constexpr std::int64_t kNowMs = 60'000;
+  // The job takes 1 s, and its objective is 3 s.
+  constexpr std::int64_t kLatestStartMs = kNowMs + 2000;
+  fleet_fixture fixture;
+  fixture.AddExecutor("a", kCapacity);
+  for (int i = 0; i < kUselessJobs; ++i) {
+    fixture.Core().Submit(JobOf("large" + std::to_string(i), 1, 2 * kCapacity),
+                          At(0));
+  }
+  fixture.Core().Submit(JobOf("first", 1, kCapacity), At(0));
+  const fleet::orders first = fixture.StepAccepted(10);
+  REQUIRE(first.starts.size() == 1);
+  const std::vector<fleet::running_report> running = {
+      {.task = first.starts[0].task, .run = first.starts[0].run}};
+  fixture.Report("a", kNowMs, running);
+  fixture.Core().Submit(JobOf("fresh", 1, kCapacity), At(kNowMs));
+  const auto plan = [&fixture](std::int64_t at_ms) {
+    fixture.Core().Plan(At(at_ms), [] { return true; });
+    fixture.Store(at_ms);
+    return fixture.Core().TakeOrders().starts.size();
+  };
+  // The first job ends just after the visit of the fresh one.
+  REQUIRE(plan(kNowMs) == 0);
+  std::size_t started = 0;
+  for (std::int64_t at_ms = kNowMs + kRoundMs; at_ms <= kLatestStartMs;
+       at_ms += kRoundMs) {
+    fixture.Report("a", at_ms, {},
+                   {{.number = 1,
+                     .task = first.starts[0].task,
+                     .run = first.starts[0].run,
+                     .how = fleet::run_end::kDone}});
+    started += plan(at_ms);
+  }
+  CHECK(started == 1);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
