Watch executor entries in shorter steps

Work is placed only while the entries of executors are known to be current as of 1.2 s ago at most. While no entry changed, that time was the start of a watch of 1 s, as long ago as the watch and the lateness of this process together. A leader that was late by more than 200 ms placed nothing until an entry changed.

A watch now takes at most 500 ms. The new test failed before: with responses read 500 ms late, none of the watches of 20 s allowed a placement.

--- a/src/waxwingfront/fleet/executor_registry.h
+++ b/src/waxwingfront/fleet/executor_registry.h
@@ -14,8 +14,11 @@
 namespace waxwingfront::fleet {
 
 struct executor_registry_options {
-  // Maximum duration of one watch, so that a dead connection is detected.
-  core::milliseconds watch_timeout{1000};
+  // Maximum duration of one watch, so that a dead connection is detected. While
+  // no entry changes, entries are known to be current as of the start of the
+  // last watch with a response, also if this process is late. They must then
+  // be recent enough to place work, see `order_deadlines::MayPlace`.
+  core::milliseconds watch_timeout{500};
   core::milliseconds retry{100};
 };
 
--- a/tests/waxwingfront/fleet/executor_registry_test.cc
+++ b/tests/waxwingfront/fleet/executor_registry_test.cc
@@ -21,8 +21,11 @@
       done(fleet::store_page{.items = {{.key = "executors/a", .revision = 1}},
                              .at = 1});
     };
-    store.watch = [this](std::string_view, std::int64_t, milliseconds,
-                         auto done) { watches.push_back(done); };
+    store.watch = [this](std::string_view, std::int64_t, milliseconds time,
+                         auto done) {
+      wait = time;
+      watches.push_back(done);
+    };
     store.read_executor = [](std::string_view, std::string_view) {
       return core::result<fleet::executor_info>(
           fleet::executor_info{.id = "a", .address = "a", .service = "s"});
@@ -50,6 +53,8 @@
   logging::event_log log{{.descriptor = -1}};
   fleet::store_services store;
   std::vector<std::function<void(core::result<fleet::store_changes>)>> watches;
+  // Maximum duration of the latest watch.
+  milliseconds wait{0};
   std::int64_t revision = 1;
   fleet::fleet_core core{{}};
   std::int64_t now_ms = 0;
@@ -75,5 +80,21 @@
   CHECK(scene.MayPlaceAt(20'000));
 }
 
+// Guards against a leader that never places work while no entry changes.
+TEST_CASE("a leader that reads responses late places work between two watches",
+          "[fleet]") {
+  // The leader of issue 37 was late by up to this time.
+  constexpr milliseconds kLateness{500};
+  constexpr std::int64_t kPlayMs = 20'000;
+  registry_scene scene;
+  int placed = 0;
+  while (scene.now_ms < kPlayMs) {
+    scene.now_ms += (scene.wait + kLateness).count();
+    scene.Respond(0);
+    if (scene.MayPlaceAt(scene.now_ms)) ++placed;
+  }
+  CHECK(placed > 0);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
