--- a/src/waxwingfront/fleet/rebalancer.cc
+++ b/src/waxwingfront/fleet/rebalancer.cc
@@ -19,7 +19,7 @@
   const auto first = std::ranges::find_if(slow, [this](const auto* task) {
     return task->executor > last_considered_;
   });
-  std::ranges::rotate(slow, first);
+  std::rotate(slow.begin(), first, slow.end());
   int moves = 0;
   for (task_state* const task : slow) {
     if (moves >= options_.max_moves) return;
