--- a/tests/waxwingfront/fleet/advice_driver_test.cc
+++ b/tests/waxwingfront/fleet/advice_driver_test.cc
@@ -26,14 +26,14 @@
 
   void PermitNext(core::milliseconds valid) {
     fleet::advice_reply reply{.valid = valid};
-    for (const std::string& id : requests[answered].executors) {
+    for (const std::string& id : requests[answered_].executors) {
       reply.permits.push_back({.executor = id, .ticket = "t"});
     }
-    callbacks[answered++](reply);
+    callbacks[answered_++](reply);
   }
 
  private:
-  std::size_t answered = 0;
+  std::size_t answered_ = 0;
 };
 
 // Guards against requests whose permits have expired on arrival, each time
--- a/tests/waxwingfront/fleet/fleet_journal_test.cc
+++ b/tests/waxwingfront/fleet/fleet_journal_test.cc
@@ -106,16 +106,16 @@
 // that repeats a submission waits behind the ends of many other jobs.
 TEST_CASE("changes that a repeated submission waits for are urgent",
           "[fleet]") {
-  constexpr int kJobs = 40;
+  constexpr std::int64_t kJobs = 40;
   constexpr std::uint32_t kTasks = 2;
   fleet_fixture fixture;
   fleet::fleet_core& core = fixture.Core();
-  fixture.AddExecutor("a", 1000 * kTasks * kJobs);
-  for (int i = 0; i < kJobs; ++i) {
+  fixture.AddExecutor("a", kJobs * kTasks * 1000);
+  for (std::int64_t i = 0; i < kJobs; ++i) {
     core.Submit(JobOf("job" + std::to_string(i), kTasks, 1000), At(0));
   }
   const fleet::orders decided = fixture.StepAccepted(10);
-  REQUIRE(decided.starts.size() == kJobs * kTasks);
+  REQUIRE(decided.starts.size() == std::size_t{kJobs * kTasks});
   std::vector<fleet::running_report> running;
   std::vector<fleet::ended_report> ended;
   for (const fleet::start_order& start : decided.starts) {
--- a/tests/waxwingfront/fleet/rebalancer_test.cc
+++ b/tests/waxwingfront/fleet/rebalancer_test.cc
@@ -38,7 +38,7 @@
   void Run(std::int64_t at_ms) {
     rebalancer_.Run(At(at_ms));
     for (const auto& job : jobs_) {
-      job->ForEachTask([this](fleet::task_state& task) { Start(task); });
+      job->ForEachTask([](fleet::task_state& task) { Start(task); });
     }
   }
 
