--- a/tests/waxwingfront/fleet/fleet_journal_test.cc
+++ b/tests/waxwingfront/fleet/fleet_journal_test.cc
@@ -1,5 +1,6 @@
 #include "waxwingfront/fleet/fleet_journal.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdint>
 #include <string>
@@ -76,6 +77,71 @@
   }
 }
 
+// True if the batch writes a record of the job.
+bool Writes(const write_batch& batch, const std::string& id) {
+  return std::ranges::find(batch.records, id, &record_write::id) !=
+         batch.records.end();
+}
+
+// Guards against new jobs that no batch has room for: calls waiting for them
+// would make the leader reject all later jobs as overloaded.
+TEST_CASE("a new job that was planned for while its batch failed is urgent",
+          "[fleet]") {
+  fleet_fixture fixture;
+  fleet::fleet_core& core = fixture.Core();
+  core.Submit(JobOf("first", 1, 1000), At(0));
+  const write_batch failed = core.Journal().NextBatch(kMaxRecords);
+  REQUIRE(Writes(failed, "first"));
+  core.Plan(At(10));
+  core.Journal().Unanswered(failed.number);
+  constexpr int kLaterJobs = 40;
+  for (int i = 0; i < kLaterJobs; ++i) {
+    core.Submit(JobOf("later" + std::to_string(i), 1, 1000), At(20));
+  }
+  core.Plan(At(30));
+  CHECK(Writes(core.Journal().NextBatch(kMaxRecords), "first"));
+}
+
+// Guards against new jobs that the leader rejects as overloaded, because a call
+// that repeats a submission waits behind the ends of many other jobs.
+TEST_CASE("changes that a repeated submission waits for are urgent",
+          "[fleet]") {
+  constexpr std::int64_t kJobs = 40;
+  constexpr std::uint32_t kTasks = 2;
+  fleet_fixture fixture;
+  fleet::fleet_core& core = fixture.Core();
+  fixture.AddExecutor("a", kJobs * kTasks * 1000);
+  for (std::int64_t i = 0; i < kJobs; ++i) {
+    core.Submit(JobOf("job" + std::to_string(i), kTasks, 1000), At(0));
+  }
+  const fleet::orders decided = fixture.StepAccepted(10);
+  REQUIRE(decided.starts.size() == std::size_t{kJobs * kTasks});
+  std::vector<fleet::running_report> running;
+  std::vector<fleet::ended_report> ended;
+  for (const fleet::start_order& start : decided.starts) {
+    if (start.task.index > 0) {
+      running.push_back({.task = start.task, .run = start.run});
+      continue;
+    }
+    ended.push_back({.number = ended.size() + 1,
+                     .task = start.task,
+                     .run = start.run,
+                     .how = fleet::run_end::kDone});
+  }
+  fixture.Report("a", 20, running, ended);
+  // The job whose end is stored last.
+  const std::string id = ended.back().task.job;
+  REQUIRE(core.Submit(JobOf(id, kTasks, 1000), At(30)) ==
+          fleet::submission::kDuplicate);
+  bool stored = false;
+  core.OnceStored(id, [&stored](bool outcome) { stored = outcome; });
+  CHECK(core.Journal().Pending(kMaxRecords).urgent);
+  const write_batch next = core.Journal().NextBatch(kMaxRecords);
+  CHECK(Writes(next, id));
+  core.Journal().Stored(next.number, 100, At(40));
+  CHECK(stored);
+}
+
 TEST_CASE("a batch never exceeds the record limit of a transaction",
           "[fleet]") {
   fleet_fixture fixture;
