Say what the planning order does, and follow the linter in a test

clang-tidy refused the implicit widening of a product in planner_overload_test: the number of held back starts is named instead, with the same value.

--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -40,8 +40,8 @@
   // gang are placed all together or not at all. Tasks of advised queues are
   // placed only on executors that the adviser permits; missing advice is
   // requested. Stops early once `should_stop` returns true; it may be empty.
-  // The next round then starts with the jobs that this one did not visit.
-  // Returns true if all jobs were visited.
+  // The next rounds then visit the other jobs, and no job waits for good for a
+  // visit however many new ones arrive. Returns true if all jobs were visited.
   bool Plan(moment at, const std::function<bool()>& should_stop);
 
   // Returns how many times the feasibility and cost of a task on an executor
@@ -99,7 +99,8 @@
   placement_epoch epoch_;
   locality distance_;
   std::uint64_t round_ = 0;
-  // A sweep visits each job with waiting tasks once, over one or more rounds.
+  // A sweep visits each job with waiting tasks that is not overdue at least
+  // once, over one or more rounds.
   std::uint64_t sweep_ = 1;
   // When its first round began; empty between two sweeps.
   std::optional<core::monotonic_time> sweep_began_;
--- a/src/waxwingfront/fleet/planning_order.h
+++ b/src/waxwingfront/fleet/planning_order.h
@@ -24,7 +24,7 @@
   // The current sweep has visited it.
   bool visited;
   int priority;
-  // False for a long-running job whose tasks have waited long for capacity.
+  // False for a long-running job with a task that has waited long for capacity.
   bool within_wait_limit;
   // Image of a long-running job, else empty. Long-running jobs of one image
   // are placed together, after short jobs, those with large tasks first.
@@ -47,13 +47,12 @@
   }
 };
 
-// True if the task has waited for capacity so long that this is reported, and
-// that a long-running one goes first.
+// True if the task has waited for capacity for `kLongWait`.
 bool WaitsLong(const task_state& task, core::monotonic_time now);
 
 struct planning_queue {
-  // Jobs with interrupted long-running tasks that have waited long, those first
-  // that were visited longest ago.
+  // Jobs with a long-running task that ran before and has stood still for
+  // `kLongWait`, those first that were visited longest ago.
   std::vector<ranked_job> overdue;
   // All others, in the order in which the sweep visits them.
   std::vector<ranked_job> others;
--- a/tests/waxwingfront/fleet/executor_registry_test.cc
+++ b/tests/waxwingfront/fleet/executor_registry_test.cc
@@ -83,7 +83,6 @@
 // Guards against a leader that never places work while no entry changes.
 TEST_CASE("a leader that reads responses late places work between two watches",
           "[fleet]") {
-  // The leader of issue 37 was late by up to this time.
   constexpr milliseconds kLateness{500};
   constexpr std::int64_t kPlayMs = 20'000;
   registry_scene scene;
--- a/tests/waxwingfront/fleet/planner_overload_test.cc
+++ b/tests/waxwingfront/fleet/planner_overload_test.cc
@@ -111,8 +111,10 @@
 // Guards against a wait that begins anew with each start that is not sent.
 TEST_CASE("starts that are held back do not starve an interrupted task",
           "[fleet][overload]") {
+  // Four of each task.
+  constexpr std::size_t kHeldBack = 12;
   overloaded_leader leader("urgent", "later");
-  CHECK(leader.PlayUntilRestarted(4 * kTasks) < kMaxStandstillMs);
+  CHECK(leader.PlayUntilRestarted(kHeldBack) < kMaxStandstillMs);
 }
 
 // Guards against a job that newer and more urgent ones keep from being visited.
--- a/tests/waxwingfront/fleet/planner_sweep_test.cc
+++ b/tests/waxwingfront/fleet/planner_sweep_test.cc
@@ -10,7 +10,7 @@
 namespace waxwingfront::tests {
 namespace {
 
-// Rounds per second of the leader of issue 37 while it was overloaded.
+// Rounds per second of an overloaded leader.
 constexpr int kRoundsPerSecond = 8;
 constexpr std::int64_t kRoundMs = 1000 / kRoundsPerSecond;
 constexpr std::int64_t kCapacity = 32'000;
