--- a/tests/waxwingfront/fleet/takeover_test.cc
+++ b/tests/waxwingfront/fleet/takeover_test.cc
@@ -1,5 +1,7 @@
 // What a new leader does about the runs in the records that it has read.
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "support/fleet_fixture.h"
@@ -8,6 +10,7 @@
 namespace {
 
 constexpr std::uint32_t kTasks = 40;
+constexpr std::size_t kMaxRecords = 30;
 
 // A leader that took over with the record of one cancelled job, which lists all
 // tasks as active on one executor.
@@ -64,5 +67,27 @@
   CHECK(scene.core.TakeOrders().stops.size() == 1);
 }
 
+// Guards against reading a freed job, which ended each new leader in turn.
+TEST_CASE("a new leader keeps no ended job whose records it has removed",
+          "[fleet]") {
+  fleet::fleet_core core({});
+  core.SetManifest(ManifestOf({{}}));
+  schema::fleet_progress progress;
+  progress.set_state(schema::FLEET_COMPLETED);
+  progress.set_ended_unix_ms(At(0).unix_ms);
+  core.Restore(JobOf("old", 1, 1000), 1, progress, 1, At(160'000));
+  core.Restore(JobOf("new", 1, 1000), 2, std::nullopt, 0, At(160'000));
+  core.FinishRestore(At(160'000));
+  core.Tick(At(160'000));
+  // Nothing is planned before the leader's bounds on leases are stored.
+  REQUIRE(core.Plan(At(160'000)));
+  const fleet::write_batch removal = core.Journal().NextBatch(kMaxRecords);
+  REQUIRE(removal.records.size() == 2);
+  REQUIRE(removal.records[0].remove);
+  core.Journal().Stored(removal.number, 3, At(160'010));
+  REQUIRE_FALSE(core.HasJob("old"));
+  CHECK(core.Levels().live_jobs == 1);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
