Remove a job from all indexes of the leader when it is freed

What callers saw: a process that took over ended with signal 11, with all requests that it held, and so did its successors in turn.

Cause: the leader's list of live jobs holds plain pointers. Only a round of planning took ended jobs off it, and none runs before the leader's bounds on leases are stored. A takeover put all stored jobs on the list, ended ones as well, and requested the removal of old records in its first round. Once the store had confirmed the removal, the list, which ticks, plans and queries of waiting jobs read, pointed to freed jobs.

Change: `fleet_state` adds and removes jobs in one place each. Removal takes the job off the list of live jobs, the queue of changes to store and the reservations of executors before it is freed; ended jobs that are restored are not listed as live at all.

Evidence: "a new leader keeps no ended job whose records it has removed" failed before (2 live jobs, expected 1) and passes.

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -100,7 +100,6 @@
 void fleet_core::Restore(schema::fleet_job job, std::int64_t job_revision,
                          const std::optional<schema::fleet_progress>& progress,
                          std::int64_t progress_revision, moment at) {
-  const std::string id = job.id();
   const auto age = core::milliseconds(
       std::max<std::int64_t>(0, at.unix_ms - job.accepted_unix_ms()));
   auto restored = std::make_unique<job_state>(std::move(job), at.now - age);
@@ -112,8 +111,7 @@
     if (task.phase != task_phase::kOrphaned) return;
     EnsureExecutor(task.executor).Add(task);
   });
-  state_.live.push_back(restored.get());
-  state_.jobs[id] = std::move(restored);
+  state_.AddJob(std::move(restored));
 }
 
 void fleet_core::FinishRestore(moment claimed,
@@ -176,11 +174,9 @@
   // Processes of earlier versions do not record the settings.
   const queue_spec* const queue = state_.FindQueue(job.queue());
   if (!job.has_queue_settings() && queue != nullptr) SetQueue(*queue, job);
-  auto fresh = std::make_unique<job_state>(std::move(job), at.now);
-  state_.live.push_back(fresh.get());
-  state_.MarkChanged(*fresh);
+  state_.MarkChanged(
+      state_.AddJob(std::make_unique<job_state>(std::move(job), at.now)));
   unplanned_.push_back(id);
-  state_.jobs[id] = std::move(fresh);
   return submission::kNew;
 }
 
--- a/src/waxwingfront/fleet/fleet_journal.cc
+++ b/src/waxwingfront/fleet/fleet_journal.cc
@@ -104,7 +104,7 @@
   job_state* const job = state_.FindJob(entry.id);
   if (job == nullptr) return;
   if (entry.removed) {
-    state_.jobs.erase(entry.id);
+    state_.RemoveJob(entry.id);
     return;
   }
   if (entry.wrote_job) {
--- a/src/waxwingfront/fleet/fleet_state.cc
+++ b/src/waxwingfront/fleet/fleet_state.cc
@@ -31,6 +31,24 @@
   return job == nullptr ? nullptr : job->Find(ref);
 }
 
+job_state& fleet_state::AddJob(std::unique_ptr<job_state> job) {
+  job_state& added = *job;
+  if (!added.Final() || added.AnyActive()) live.push_back(&added);
+  jobs[added.Id()] = std::move(job);
+  return added;
+}
+
+void fleet_state::RemoveJob(const std::string& id) {
+  job_state* const job = FindJob(id);
+  if (job == nullptr) return;
+  std::erase(live, job);
+  store_backlog.Remove(*job);
+  for (auto& [name, executor] : executors) {
+    if (executor.reserved_for == job) executor.reserved_for = nullptr;
+  }
+  jobs.erase(id);
+}
+
 std::string_view fleet_state::ServiceOf(const job_state& job) const {
   const queue_spec* const queue = QueueOf(job);
   return queue == nullptr ? std::string_view(job.Spec().service())
--- a/src/waxwingfront/fleet/fleet_state.h
+++ b/src/waxwingfront/fleet/fleet_state.h
@@ -30,7 +30,7 @@
   std::unordered_map<std::string, std::unique_ptr<job_state>> jobs;
   // Ordered, so that decisions are deterministic.
   std::map<std::string, executor_state, std::less<>> executors;
-  // Jobs that may have tasks to place, unordered.
+  // Jobs that may have tasks to place or to stop, unordered.
   std::vector<job_state*> live;
   store_queue store_backlog;
   orders outgoing;
@@ -46,6 +46,11 @@
   executor_state* FindExecutor(std::string_view id);
   task_state* FindTask(const task_ref& ref);
 
+  // Adds a job without changes to store.
+  job_state& AddJob(std::unique_ptr<job_state> job);
+  // Frees a job without active tasks. Does nothing if there is no such job.
+  void RemoveJob(const std::string& id);
+
   // Returns the service that runs the job's tasks.
   std::string_view ServiceOf(const job_state& job) const;
 
--- a/src/waxwingfront/fleet/store_queue.cc
+++ b/src/waxwingfront/fleet/store_queue.cc
@@ -71,6 +71,13 @@
   return taken;
 }
 
+void store_queue::Remove(job_state& job) {
+  if (!job.pending_urgency || job.in_flight_urgency) return;
+  entries_.erase(position{.urgency = *job.pending_urgency,
+                          .sequence = job.store_sequence});
+  job.pending_urgency.reset();
+}
+
 std::size_t store_queue::ReadySize() const {
   const auto unplanned = entries_.lower_bound(
       position{.urgency = store_urgency::kAfterPlanning, .sequence = 0});
--- a/src/waxwingfront/fleet/store_queue.h
+++ b/src/waxwingfront/fleet/store_queue.h
@@ -31,6 +31,9 @@
   // job that has been planned for since becomes urgent.
   void Requeue(job_state& job);
 
+  // Drops the changes of a job that is about to be freed.
+  void Remove(job_state& job);
+
   std::size_t Size() const { return entries_.size(); }
   // Number of jobs, except new ones that have not been planned for.
   std::size_t ReadySize() const;
