Close connections to addresses that get no more calls

Executors that leave and come back elsewhere leave up to 8 connections each behind, half closed by their end, until the process reaches its limit of descriptors.

The client now closes connections that were idle for longer than their time with a timer, and counts the idle ones.

"connections to addresses that get no more calls are closed" fails without the timer (still 1 idle connection after 10 s) and passes with it.

--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -81,7 +81,8 @@
   internal(event_loop& event_loop, async_http_client_options client_options)
       : loop(event_loop),
         options(client_options),
-        timer(event_loop.Context()) {}
+        timer(event_loop.Context()),
+        idle_timer(event_loop.Context()) {}
 
   connection_ptr TakeIdle(const std::string& address) {
     std::vector<connection_ptr>& list = idle[address];
@@ -98,6 +99,29 @@
     if (list.size() >= options.max_idle_per_address) return;
     link->idle_since = core::Now();
     list.push_back(std::move(link));
+    if (!idle_sweep_armed) ArmIdleSweep();
+  }
+
+  void ArmIdleSweep() {
+    idle_sweep_armed = true;
+    idle_timer.expires_after(options.max_idle_time);
+    idle_timer.async_wait([self = weak_from_this()](const failure_code& error) {
+      const auto alive = self.lock();
+      if (!error && alive) alive->CloseOutdatedIdle();
+    });
+  }
+
+  // Servers that no call goes to any more may be gone for good.
+  void CloseOutdatedIdle() {
+    const core::monotonic_time now = core::Now();
+    for (auto& [address, list] : idle) {
+      std::erase_if(list, [&](const connection_ptr& link) {
+        return now - link->idle_since >= options.max_idle_time;
+      });
+    }
+    std::erase_if(idle, [](const auto& entry) { return entry.second.empty(); });
+    idle_sweep_armed = false;
+    if (!idle.empty()) ArmIdleSweep();
   }
 
   void Open(const connection_ptr& link,
@@ -300,6 +324,8 @@
   asio::steady_timer timer;
   // Time at which the timer fires.
   std::optional<core::monotonic_time> armed_for;
+  asio::steady_timer idle_timer;
+  bool idle_sweep_armed = false;
   client_totals totals;
 };
 
@@ -309,7 +335,13 @@
 
 async_http_client::~async_http_client() = default;
 
-client_totals async_http_client::Totals() const { return internal_->totals; }
+client_totals async_http_client::Totals() const {
+  client_totals totals = internal_->totals;
+  for (const auto& [address, list] : internal_->idle) {
+    totals.idle += list.size();
+  }
+  return totals;
+}
 
 void async_http_client::Send(http_call call, callback done) {
   internal::connection_ptr link = internal_->TakeIdle(call.address);
--- a/src/waxwingfront/net/async_http_client.h
+++ b/src/waxwingfront/net/async_http_client.h
@@ -39,7 +39,7 @@
   // Idle connections kept for each address.
   std::size_t max_idle_per_address = 8;
   // A connection that was idle for longer is not reused, because the server may
-  // be about to close it.
+  // be about to close it, and closed after at most twice this time.
   core::milliseconds max_idle_time{10'000};
 };
 
@@ -47,6 +47,8 @@
 struct client_totals {
   // Calls that have neither succeeded nor failed yet.
   std::size_t in_flight = 0;
+  // Connections that are kept for further calls.
+  std::size_t idle = 0;
   std::uint64_t failed = 0;
   std::uint64_t connections = 0;
   std::uint64_t sent_bytes = 0;
--- a/tests/waxwingfront/net/async_http_test.cc
+++ b/tests/waxwingfront/net/async_http_test.cc
@@ -144,6 +144,21 @@
   CHECK(core::Now() - before < milliseconds(2000));
 }
 
+TEST_CASE("connections to addresses that get no more calls are closed",
+          "[net]") {
+  http_fixture site;
+  net::async_http_client client{site.loop, {.max_idle_time = milliseconds(50)}};
+  std::optional<std::size_t> idle_after_call;
+  client.Send(
+      {.address = site.server->Address(), .method = "GET", .target = "/"},
+      [&](const core::result<net::http_reply>&) {
+        idle_after_call = client.Totals().idle;
+      });
+  REQUIRE(RunUntil(site.loop, [&] { return idle_after_call.has_value(); }));
+  CHECK(idle_after_call == 1);
+  CHECK(RunUntil(site.loop, [&client] { return client.Totals().idle == 0; }));
+}
+
 TEST_CASE("a refused connection is reported as unreachable", "[net]") {
   http_fixture site;
   std::optional<core::result<net::http_reply>> reply;
