Keep ended jobs by the steady clock of the present leader

What callers could see: a query of a job that was accepted and has ended is answered 410 (LOST), and the same submission sent again runs a second time.

Cause: the time for which records of an ended job are kept was measured from the Unix time of the leader at its end to that of the present leader. A machine whose clock is 30 s ahead, or whose clock is set, removed them early, and all at once after a takeover.

The time is now measured on the steady clock, and begins again at a takeover: records that are kept longer cost only storage.

"a leader whose clock is ahead keeps ended jobs for their whole time" fails with the former comparison (records removed after 100 s of 150 s). The test of the removal of ended jobs now restores one that is still listed as live; it fails if its removal leaves it there (2 live jobs, expected 1).

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -107,6 +107,7 @@
   restored->progress_revision = progress_revision;
   if (progress) restored->Restore(*progress);
   restored->stored_version = restored->version;
+  if (restored->Final()) restored->retained_since = at.now;
   restored->ForEachTask([this](task_state& task) {
     if (task.phase != task_phase::kOrphaned) return;
     EnsureExecutor(task.executor).Add(task);
@@ -185,6 +186,7 @@
   if (job == nullptr) return false;
   if (job->Final()) return true;
   job->SetState(schema::FLEET_CANCELLED, at.unix_ms);
+  job->retained_since = at.now;
   if (runs_.on_job_final) runs_.on_job_final(*job);
   state_.StopAll(*job, at.now);
   state_.MarkChanged(*job);
@@ -351,9 +353,9 @@
 
 void fleet_core::DropOldJobs(moment at) {
   for (auto& [id, job] : state_.jobs) {
-    if (!job->Final() || job->removing) continue;
+    if (!job->retained_since || job->removing) continue;
     if (job->stored_version < job->version) continue;
-    if (at.unix_ms - job->EndedUnixMs() < options_.retention.count()) continue;
+    if (at.now - *job->retained_since < options_.retention) continue;
     if (job->AnyActive()) continue;
     job->removing = true;
     journal_.Remove(*job);
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -160,7 +160,6 @@
 
   schema::fleet_job_state State() const { return state_; }
   bool Final() const { return state_ >= schema::FLEET_COMPLETED; }
-  std::int64_t EndedUnixMs() const { return ended_unix_ms_; }
   void SetState(schema::fleet_job_state state, std::int64_t now_unix_ms);
 
   std::vector<occurrence_state>& Occurrences() { return occurrences_; }
@@ -213,6 +212,9 @@
   bool planning_attempted = false;
   // Executors whose ends are acknowledged once this job's changes are stored.
   std::vector<std::string> executors_awaiting_ack;
+  // From when its records are kept for callers: its end, or the takeover of a
+  // later leader, whose Unix time may differ from that of the former one.
+  std::optional<core::monotonic_time> retained_since;
   // Its records are being removed.
   bool removing = false;
   std::int64_t job_revision = 0;
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -361,6 +361,7 @@
 void run_tracker::FinishJob(job_state& job, schema::fleet_job_state state,
                             moment at) {
   job.SetState(state, at.unix_ms);
+  job.retained_since = at.now;
   if (on_job_final) on_job_final(job);
   state_.StopAll(job, at.now);
   state_.MarkChanged(job);
--- a/tests/waxwingfront/fleet/takeover_test.cc
+++ b/tests/waxwingfront/fleet/takeover_test.cc
@@ -70,14 +70,12 @@
 // Guards against reading a freed job, which ended each new leader in turn.
 TEST_CASE("a new leader keeps no ended job whose records it has removed",
           "[fleet]") {
-  fleet::fleet_core core({});
-  core.SetManifest(ManifestOf({{}}));
-  schema::fleet_progress progress;
-  progress.set_state(schema::FLEET_COMPLETED);
-  progress.set_ended_unix_ms(At(0).unix_ms);
-  core.Restore(JobOf("old", 1, 1000), 1, progress, 1, At(160'000));
-  core.Restore(JobOf("new", 1, 1000), 2, std::nullopt, 0, At(160'000));
-  core.FinishRestore(At(160'000));
+  cancelled_job_scene scene;
+  fleet::fleet_core& core = scene.core;
+  core.Restore(JobOf("new", 1, 1000), 2, std::nullopt, 0, At(0));
+  // The cancelled job is live until the executor has reported its runs.
+  core.OnHold("a", {.born_ms = 1, .clock_ms = 20}, At(10).now, At(20));
+  CHECK(core.Levels().live_jobs == 2);
   core.Tick(At(160'000));
   // Nothing is planned before the leader's bounds on leases are stored.
   REQUIRE(core.Plan(At(160'000)));
@@ -85,9 +83,23 @@
   REQUIRE(removal.records.size() == 2);
   REQUIRE(removal.records[0].remove);
   core.Journal().Stored(removal.number, 3, At(160'010));
-  REQUIRE_FALSE(core.HasJob("old"));
+  REQUIRE_FALSE(core.HasJob("job"));
   CHECK(core.Levels().live_jobs == 1);
 }
 
+TEST_CASE("a leader whose clock is ahead keeps ended jobs for their whole time",
+          "[fleet]") {
+  cancelled_job_scene scene;
+  fleet::fleet_core& core = scene.core;
+  core.OnHold("a", {.born_ms = 1, .clock_ms = 20}, At(10).now, At(20));
+  fleet::moment ahead = At(100'000);
+  ahead.unix_ms += 3'600'000;
+  core.Tick(ahead);
+  CHECK(core.Journal().NextBatch(kMaxRecords).records.empty());
+  ahead.now = At(160'000).now;
+  core.Tick(ahead);
+  CHECK(core.Journal().NextBatch(kMaxRecords).records.size() == 2);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
