Free a job whose records an unanswered removal has removed

A removal whose response was lost was sent again, refused because the records were gone, and then sent a third time to remove keys that do not exist. If the store rejects that, the removal shares and blocks batches with the changes that callers wait for.

A refused removal now frees the job if its record is gone.

"a removal whose response was lost is not repeated without records" fails without the change: the job is kept and its removal is pending again.

--- a/src/waxwingfront/fleet/fleet_journal.cc
+++ b/src/waxwingfront/fleet/fleet_journal.cc
@@ -143,7 +143,10 @@
   for (const batch_entry& entry : TakeBatch(batch)) {
     job_state* const job = state_.FindJob(entry.id);
     if (job == nullptr) continue;
-    if (entry.removed) {
+    if (entry.removed && job->job_revision == 0) {
+      // An earlier attempt, whose response was lost, removed the records.
+      state_.RemoveJob(entry.id);
+    } else if (entry.removed) {
       removals_.push_back(entry.id);
     } else {
       state_.store_backlog.Requeue(*job);
--- a/tests/waxwingfront/fleet/fleet_journal_test.cc
+++ b/tests/waxwingfront/fleet/fleet_journal_test.cc
@@ -286,5 +286,25 @@
   CHECK_FALSE(core.StoredState("job").has_value());
 }
 
+TEST_CASE("a removal whose response was lost is not repeated without records",
+          "[fleet]") {
+  fleet_fixture fixture;
+  fleet::fleet_core& core = fixture.Core();
+  core.Submit(JobOf("job", 1, 1000), At(0));
+  core.Cancel("job", At(10));
+  fixture.Store(20);
+  core.Tick(At(160'000));
+  const write_batch lost = core.Journal().NextBatch(kMaxRecords);
+  core.Journal().Unanswered(lost.number);
+  const write_batch again = core.Journal().NextBatch(kMaxRecords);
+  REQUIRE(again.records.size() == 2);
+  const std::vector<fleet::record_revision> none = {
+      {.kind = fleet::record_kind::kJob, .id = "job", .revision = 0},
+      {.kind = fleet::record_kind::kProgress, .id = "job", .revision = 0}};
+  core.Journal().Conflicted(again.number, none);
+  CHECK_FALSE(core.HasJob("job"));
+  CHECK(core.Journal().NextBatch(kMaxRecords).records.empty());
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
