Pass over job records that do not hold the job of their key

An empty record also has no step, which the planner relies on. Found by review.

Such a record is logged as damaged and passed over.

"records that do not hold the job of their key are passed over" fails without the check (3 live jobs, expected 1).

--- a/src/waxwingfront/fleet/fleet_loader.cc
+++ b/src/waxwingfront/fleet/fleet_loader.cc
@@ -65,7 +65,8 @@
 
   void RestoreJob(const std::string& key, const store_item& item, moment at) {
     schema::fleet_job job;
-    if (!job.ParseFromString(item.value)) {
+    if (!job.ParseFromString(item.value) ||
+        key != RecordKey(record_kind::kJob, job.id()) || job.steps().empty()) {
       log.Write("record_damaged", {{"key", key}});
       return;
     }
