--- a/src/waxwingfront/cli/signals.cc
+++ b/src/waxwingfront/cli/signals.cc
@@ -16,4 +16,16 @@
   sigwait(&set_, &signal);
 }
 
+held_signals::held_signals(std::span<const int> signals) {
+  sigemptyset(&set_);
+  for (const int number : signals) sigaddset(&set_, number);
+  Hold();
+}
+
+void held_signals::Release() const {
+  pthread_sigmask(SIG_UNBLOCK, &set_, nullptr);
+}
+
+void held_signals::Hold() const { pthread_sigmask(SIG_BLOCK, &set_, nullptr); }
+
 }  // namespace waxwingfront::cli
--- a/src/waxwingfront/cli/signals.h
+++ b/src/waxwingfront/cli/signals.h
@@ -1,8 +1,9 @@
-// Waits for termination signals.
+// Termination signals, and signals that have to wait for their handlers.
 #ifndef WAXWINGFRONT_CLI_SIGNALS_H_
 #define WAXWINGFRONT_CLI_SIGNALS_H_
 
 #include <csignal>
+#include <span>
 
 namespace waxwingfront::cli {
 
@@ -19,6 +20,20 @@
   sigset_t set_{};
 };
 
+// Blocks signals in this thread from its construction to the end of the
+// process, except between `Release` and `Hold`. A blocked signal stays pending.
+class held_signals {
+ public:
+  explicit held_signals(std::span<const int> signals);
+
+  // Unblocks the signals, even if the parent process had blocked them.
+  void Release() const;
+  void Hold() const;
+
+ private:
+  sigset_t set_{};
+};
+
 }  // namespace waxwingfront::cli
 
 #endif  // WAXWINGFRONT_CLI_SIGNALS_H_
