--- a/src/waxwingfront/net/async_http_server.cc
+++ b/src/waxwingfront/net/async_http_server.cc
@@ -7,7 +7,7 @@
 #include <optional>
 #include <utility>
 
-#include "waxwingfront/net/detail/ipv4_endpoint.h"
+#include "waxwingfront/net/detail/tcp_listener.h"
 #include "waxwingfront/net/http_status.h"
 
 namespace waxwingfront::net {
@@ -18,10 +18,6 @@
 namespace http = boost::beast::http;
 using failure_code = boost::system::error_code;
 
-constexpr int kListenBacklog = 512;
-// Connections that are accepted before the event loop continues with other
-// work.
-constexpr int kMaxAcceptsPerIteration = 64;
 // Bytes per read. Most requests arrive whole in one read of this size.
 constexpr std::size_t kReadBytes = 4096;
 // Bytes per read of a larger body, since each read takes an iteration of the
@@ -61,34 +57,12 @@
 
   internal(event_loop& loop, async_http_server_options server_options,
            handler request_handler)
-      : context(loop.Context()),
-        acceptor(loop.Context()),
-        options(std::move(server_options)),
-        handle(std::move(request_handler)) {}
-
-  void Accept() {
-    acceptor.async_accept(
-        [self = shared_from_this()](const failure_code& failure,
-                                    asio::ip::tcp::socket socket) {
-          if (!self->acceptor.is_open()) return;
-          if (!failure) self->Open(std::move(socket));
-          self->AcceptPending();
-          self->Accept();
-        });
-  }
-
-  // Accepts connections that are already pending. A single accept per iteration
-  // of the event loop would be too slow, because iterations are long while it
-  // is busy.
-  void AcceptPending() {
-    for (int i = 0; i < kMaxAcceptsPerIteration; ++i) {
-      failure_code failure;
-      asio::ip::tcp::socket socket(context);
-      acceptor.accept(socket, failure);
-      if (failure) return;
-      Open(std::move(socket));
-    }
-  }
+      : options(std::move(server_options)),
+        handle(std::move(request_handler)),
+        listener(std::make_shared<detail::tcp_listener>(
+            loop, [this](asio::ip::tcp::socket socket) {
+              Open(std::move(socket));
+            })) {}
 
   void Open(asio::ip::tcp::socket socket) {
     failure_code ignored;
@@ -235,11 +209,9 @@
                       });
   }
 
-  asio::io_context& context;
-  asio::ip::tcp::acceptor acceptor;
   async_http_server_options options;
   handler handle;
-  std::string address;
+  std::shared_ptr<detail::tcp_listener> listener;
   std::list<connection_ptr> connections;
   std::size_t open_requests = 0;
   bool draining = false;
@@ -251,41 +223,14 @@
     : internal_(std::make_shared<internal>(loop, std::move(options),
                                            std::move(handle))) {}
 
-async_http_server::~async_http_server() {
-  failure_code ignored;
-  internal_->acceptor.close(ignored);
-}
+async_http_server::~async_http_server() { internal_->listener->Close(); }
 
 core::result<void> async_http_server::Start() {
-  const std::string& requested = internal_->options.address;
-  const auto endpoint = detail::ParseEndpoint(requested);
-  if (!endpoint) {
-    return core::Failure(core::error_code::kInvalidSettings,
-                         "'" + requested + "' is not an address");
-  }
-  failure_code failure;
-  asio::ip::tcp::acceptor& acceptor = internal_->acceptor;
-  acceptor.open(asio::ip::tcp::v4(), failure);
-  if (!failure) {
-    acceptor.set_option(asio::socket_base::reuse_address(true), failure);
-  }
-  if (!failure) acceptor.bind(*endpoint, failure);
-  if (!failure) acceptor.listen(kListenBacklog, failure);
-  if (!failure) acceptor.non_blocking(true, failure);
-  if (failure) {
-    return core::Failure(
-        core::error_code::kInvalidSettings,
-        "cannot listen on " + requested + ": " + failure.message());
-  }
-  const auto bound = acceptor.local_endpoint();
-  internal_->address =
-      bound.address().to_string() + ":" + std::to_string(bound.port());
-  internal_->Accept();
-  return {};
+  return internal_->listener->Start(internal_->options.address);
 }
 
 const std::string& async_http_server::Address() const {
-  return internal_->address;
+  return internal_->listener->Address();
 }
 
 void async_http_server::SetLimits(const request_limits& limits) {
