Answer the requests that have arrived before a process ends

Callers that kept using their connections after SIGTERM saw connections end without an answer, or with a part of it. Several causes, all in how the server ends connections:

* The loop was stopped at a fixed time, even if it was late for it, and with it requests whose bytes were in the socket or half read, and responses that were not yet written.
* A connection was closed after the first response while draining, and requests that were on their way were lost with it.
* Closing a connection with unread bytes resets it, and discards the part of the response that is still in the socket's buffer.
* Idle connections were not closed at all, so that the end of the process met whatever came at that moment.

The server now announces the end with each response, and serves what still arrives on the connection for 300 ms. At its end it stops accepting, closes idle connections without input, and half-closes the others after their last response. An idle connection is ended by cancelling its read operation, since that may have taken a request from the socket already. The process stops when no connection is left, or when nothing is unanswered and the grace time is nearly over; requests that a late loop has not read are read first.

--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "waxwingfront/net/detail/ipv4_endpoint.h"
+#include "waxwingfront/net/detail/socket_readiness.h"
 
 namespace waxwingfront::net {
 namespace {
@@ -64,12 +65,8 @@
 
 // True if the socket is ready for the step that the call waits for.
 bool IsSocketReady(connection& link) {
-  if (!link.socket.is_open()) return false;
   const bool reads = link.stage == call_stage::kReading;
-  pollfd query{.fd = link.socket.native_handle(),
-               .events = static_cast<std::int16_t>(reads ? POLLIN : POLLOUT),
-               .revents = 0};
-  return poll(&query, 1, 0) > 0;
+  return detail::IsReady(link.socket, reads ? POLLIN : POLLOUT);
 }
 
 }  // namespace
--- a/src/waxwingfront/net/async_http_server.h
+++ b/src/waxwingfront/net/async_http_server.h
@@ -67,11 +67,18 @@
   // Applies to requests that begin later.
   void SetLimits(const request_limits& limits);
 
-  // Closes idle connections, and the others after their response.
+  // Announces the end of each connection with its next response, and closes the
+  // connection shortly after it. Requests that still arrive are served.
   void Drain();
 
-  // Returns the number of requests that have no response yet.
-  std::size_t OpenRequests() const;
+  // Stops accepting, closes idle connections without unread requests, and the
+  // others after their last request. Called from the event loop until it
+  // returns 0; before that, connections are open or being accepted.
+  std::size_t Finish();
+
+  // Returns true if a request has no complete response yet or received bytes
+  // are unread.
+  bool HasUnansweredRequests() const;
 
  private:
   struct internal;
--- a/src/waxwingfront/net/detail/tcp_listener.cc
+++ b/src/waxwingfront/net/detail/tcp_listener.cc
@@ -51,8 +51,10 @@
 void tcp_listener::Accept() {
   acceptor_.async_accept([self = shared_from_this()](
                              const failure_code& failure, socket accepted) {
+    if (!failure && self->on_connection_) {
+      self->on_connection_(std::move(accepted));
+    }
     if (!self->IsOpen()) return;
-    if (!failure) self->on_connection_(std::move(accepted));
     self->AcceptPending();
     self->Accept();
   });
@@ -68,9 +70,14 @@
   }
 }
 
-void tcp_listener::Close() {
+void tcp_listener::StopAccepting() {
   failure_code ignored;
   acceptor_.close(ignored);
 }
 
+void tcp_listener::Close() {
+  StopAccepting();
+  on_connection_ = nullptr;
+}
+
 }  // namespace waxwingfront::net::detail
--- a/src/waxwingfront/net/detail/tcp_listener.h
+++ b/src/waxwingfront/net/detail/tcp_listener.h
@@ -28,6 +28,8 @@
   // is busy.
   void AcceptPending();
 
+  // A connection that is being accepted is still passed to `on_connection`.
+  void StopAccepting();
   void Close();
   bool IsOpen() const { return acceptor_.is_open(); }
 
