Close only connections without input as idle

Callers on a process with more than 1,000 connections could see theirs end in the middle of a request: each connection whose request was not read completely counted as idle.

Only a connection that waits for the first byte of a request is idle now, and the completion of its read operation decides whether it is closed.

The test failed before: 0 of 4 half-sent requests were answered after four more connections had been opened.

--- a/src/waxwingfront/net/async_http_server.cc
+++ b/src/waxwingfront/net/async_http_server.cc
@@ -98,15 +98,16 @@
     auto link = std::make_shared<connection>(std::move(socket));
     // `connections` is ordered by last use, the most recent at the back.
     link->position = connections.insert(connections.end(), link);
-    while (connections.size() > options.max_connections && CloseOldestIdle()) {
+    while (connections.size() - ending > options.max_connections &&
+           EndOldestIdle()) {
     }
     Read(link);
   }
 
-  bool CloseOldestIdle() {
+  bool EndOldestIdle() {
     for (const connection_ptr& link : connections) {
-      if (link->state == phase::kHandling) continue;
-      Close(connection_ptr(link));
+      if (link->state != phase::kIdle || link->ending) continue;
+      EndIdle(*link);
       return true;
     }
     return false;
--- /dev/null
+++ b/tests/waxwingfront/net/http_server_faults_test.cc
@@ -0,0 +1,60 @@
+// The HTTP server in adverse conditions.
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "support/loop_runner.h"
+#include "support/raw_caller.h"
+#include "waxwingfront/net/async_http_server.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+using core::milliseconds;
+
+constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+struct server_fixture {
+  explicit server_fixture(net::async_http_server_options options = {}) {
+    options.address = "127.0.0.1:0";
+    server = std::make_unique<net::async_http_server>(
+        loop, options,
+        [this](const net::server_request&,
+               const net::async_http_server::responder& respond) {
+          ++requests;
+          respond({});
+        });
+    REQUIRE(server->Start());
+  }
+
+  net::event_loop loop;
+  std::unique_ptr<net::async_http_server> server;
+  int requests = 0;
+};
+
+TEST_CASE("a connection in the middle of a request is not closed as idle",
+          "[net]") {
+  constexpr int kCallers = 4;
+  const std::size_t sent = kRequest.size() / 2;
+  server_fixture site({.max_connections = kCallers});
+  std::vector<std::unique_ptr<raw_caller>> slow;
+  std::vector<std::unique_ptr<raw_caller>> idle;
+  slow.reserve(kCallers);
+  idle.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    slow.push_back(std::make_unique<raw_caller>(site.server->Address()));
+    REQUIRE(slow.back()->Send(kRequest.substr(0, sent)));
+  }
+  RunFor(site.loop, milliseconds(50));
+  for (int i = 0; i < kCallers; ++i) {
+    idle.push_back(std::make_unique<raw_caller>(site.server->Address()));
+  }
+  RunFor(site.loop, milliseconds(50));
+  for (const auto& caller : slow) caller->Send(kRequest.substr(sent));
+  RunFor(site.loop, milliseconds(50));
+  CHECK(site.requests == kCallers);
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
