Check the ranges of the platform's settings

A process started with values that cannot work, such as no writes to the store per second, no lease or no grace time, and then served nothing or ended at once, without a word. Malformed numbers were reported without their name, and exceptions other than those of Poco ended the process.

Each number has a range, and each address is parsed. The error names the field, its value and what is allowed.

--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -35,7 +35,8 @@
   const settings_file file(kCompleteSettings);
   const auto settings = platform::LoadNodeSettings(file.path);
   REQUIRE(settings);
-  CHECK(settings->internal_address == "10.0.0.1:7720");
+  CHECK(settings->internal_addresses.front() == "10.0.0.1:7720");
+  CHECK(settings->internal_addresses.back() == "10.0.0.1:7735");
   CHECK(settings->store_address == "10.0.0.7:8169");
   CHECK(settings->grace == core::milliseconds(6000));
   CHECK(settings->drain_bound == core::milliseconds(3000));
@@ -50,5 +51,36 @@
   CHECK_FALSE(platform::LoadNodeSettings("/nowhere/node.conf"));
 }
 
+TEST_CASE("a setting that cannot work is rejected with its name and range",
+          "[platform]") {
+  const std::string name =
+      GENERATE(as<std::string>(), "platform.writes_per_s",
+               "platform.min_ttl_ms", "limits.cpu_share", "limits.cores",
+               "bounds.grace_s", "bounds.max_hold_ms", "bounds.drain_ms",
+               "bounds.status_s", "bounds.remote_factor");
+  const std::string value =
+      GENERATE(as<std::string>(), "0", "-1", "1e99", "nan", "abc", "");
+  const settings_file file(kCompleteSettings + name + "=" + value + "\n");
+  const auto settings = platform::LoadNodeSettings(file.path);
+  INFO(name << "=" << value);
+  REQUIRE_FALSE(settings);
+  CHECK(settings.error().detail.find(name + "=" + value) != std::string::npos);
+  CHECK(settings.error().detail.find("a number from") != std::string::npos);
+}
+
+TEST_CASE("an address that cannot work is rejected with its name",
+          "[platform]") {
+  const std::string name =
+      GENERATE(as<std::string>(), "listen.front", "listen.readiness",
+               "platform.address", "ip_address", "internal_port_range");
+  const std::string value =
+      GENERATE(as<std::string>(), "10.0.0", "x", "1,0", "70000", "");
+  const settings_file file(kCompleteSettings + name + "=" + value + "\n");
+  const auto settings = platform::LoadNodeSettings(file.path);
+  INFO(name << "=" << value);
+  REQUIRE_FALSE(settings);
+  CHECK(settings.error().detail.find(name) != std::string::npos);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
