Read settings again that are still being written

A process that was started while its settings file was being written ended at once with status 2 (`Not found: platform.address`), or took a cut-off address.

SIGTERM ends the wait.

--- a/src/waxwingfront/cli/signals.cc
+++ b/src/waxwingfront/cli/signals.cc
@@ -26,6 +26,14 @@
   pthread_sigmask(SIG_UNBLOCK, &set_, nullptr);
 }
 
+bool held_signals::StopPending() {
+  sigset_t pending;
+  sigemptyset(&pending);
+  sigpending(&pending);
+  return sigismember(&pending, SIGTERM) == 1 ||
+         sigismember(&pending, SIGINT) == 1;
+}
+
 void held_signals::Hold() const { pthread_sigmask(SIG_BLOCK, &set_, nullptr); }
 
 }  // namespace waxwingfront::cli
--- a/src/waxwingfront/cli/signals.h
+++ b/src/waxwingfront/cli/signals.h
@@ -30,6 +30,9 @@
   void Release() const;
   void Hold() const;
 
+  // Returns true if SIGTERM or SIGINT is pending.
+  static bool StopPending();
+
  private:
   sigset_t set_{};
 };
--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <string>
+#include <thread>
 
 namespace waxwingfront::tests {
 namespace {
@@ -82,5 +83,33 @@
   CHECK(settings.error().detail.find(name) != std::string::npos);
 }
 
+TEST_CASE("settings that are still being written are read again",
+          "[platform]") {
+  const std::string text = kCompleteSettings;
+  const std::size_t cut = GENERATE_COPY(
+      std::size_t{0}, text.find("listen.readiness"), text.find(":8169") + 3);
+  const settings_file file(text.substr(0, cut));
+  std::thread writer([&] {
+    std::this_thread::sleep_for(core::milliseconds(120));
+    std::ofstream(file.path) << text;
+  });
+  const auto settings =
+      platform::AwaitNodeSettings(file.path, [] { return false; });
+  writer.join();
+  REQUIRE(settings);
+  CHECK(settings->store_address == "10.0.0.7:8169");
+}
+
+TEST_CASE("settings that stay invalid are reported within a bounded time",
+          "[platform]") {
+  const settings_file file("node_name=front-1\n");
+  const core::monotonic_time start = core::Now();
+  const auto settings =
+      platform::AwaitNodeSettings(file.path, [] { return false; });
+  REQUIRE_FALSE(settings);
+  CHECK(settings.error().detail.find("zone is missing") != std::string::npos);
+  CHECK(core::Now() - start < core::milliseconds(10'000));
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
