Wait for addresses that a predecessor still uses

A process that was started while its predecessor was still ending ended at once with status 2 (`cannot listen on ...: Address already in use`), for each of its three addresses.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -65,6 +65,7 @@
                  }}),
         server(loop,
                {.address = options.internal_address,
+                .more_addresses = options.more_internal_addresses,
                 .limits = {.max_body_bytes = kMaxCallBytes}},
                [this](net::server_request request,
                       net::async_http_server::responder respond) {
@@ -305,7 +306,9 @@
   internal_->gateway.Call(std::move(request), deadline, std::move(done));
 }
 
-void fleet_node::Resign() { internal_->election->Resign(); }
+void fleet_node::Resign() {
+  if (internal_->election) internal_->election->Resign();
+}
 
 metrics::registry& fleet_node::Metrics() { return internal_->metrics; }
 
--- a/src/waxwingfront/fleet/fleet_node.h
+++ b/src/waxwingfront/fleet/fleet_node.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/core/error.h"
@@ -31,6 +32,8 @@
 struct fleet_node_options {
   // Listening address for calls of other processes and for metrics.
   std::string internal_address;
+  // Used in this order if it cannot listen on `internal_address`.
+  std::vector<std::string> more_internal_addresses;
   // Resources of the machine, see `StrengthOf`; 0 if unknown.
   std::int64_t strength = 0;
   // `fleet_node` sets `address` and `strength`.
@@ -57,6 +60,7 @@
   // Called with each newer manifest.
   std::function<void(const manifest&)> on_manifest;
 
+  // Fails without effect if it cannot listen.
   core::result<void> Start();
 
   // Address at which other processes reach this one, once it has started.
--- a/src/waxwingfront/net/async_http_server.cc
+++ b/src/waxwingfront/net/async_http_server.cc
@@ -346,7 +346,12 @@
 async_http_server::~async_http_server() { internal_->listener->Close(); }
 
 core::result<void> async_http_server::Start() {
-  return internal_->listener->Start(internal_->options.address);
+  auto started = internal_->listener->Start(internal_->options.address);
+  for (const std::string& address : internal_->options.more_addresses) {
+    if (started) break;
+    started = internal_->listener->Start(address);
+  }
+  return started;
 }
 
 const std::string& async_http_server::Address() const {
--- a/src/waxwingfront/net/async_http_server.h
+++ b/src/waxwingfront/net/async_http_server.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/core/error.h"
@@ -40,6 +41,8 @@
 struct async_http_server_options {
   // IPv4 address and port. Port 0 selects a free port, see `Address`.
   std::string address;
+  // Used in this order if the server cannot listen on `address`.
+  std::vector<std::string> more_addresses;
   request_limits limits;
   // Above this number the connections that were idle for the longest time are
   // closed.
@@ -57,8 +60,8 @@
   async_http_server& operator=(const async_http_server&) = delete;
   ~async_http_server();
 
-  // Starts to listen. Fails with `kInvalidSettings` if it cannot listen on the
-  // address.
+  // Starts to listen. Fails with `kInvalidSettings` if it cannot listen on any
+  // of the addresses; it may be called again then.
   core::result<void> Start();
 
   // Returns the address that the server listens on, with the actual port.
--- a/src/waxwingfront/net/detail/tcp_listener.cc
+++ b/src/waxwingfront/net/detail/tcp_listener.cc
@@ -38,6 +38,7 @@
   if (!failure) acceptor_.listen(kListenBacklog, failure);
   if (!failure) acceptor_.non_blocking(true, failure);
   if (failure) {
+    StopAccepting();
     return core::Failure(
         core::error_code::kInvalidSettings,
         "cannot listen on " + address + ": " + failure.message());
--- a/src/waxwingfront/net/detail/tcp_listener.h
+++ b/src/waxwingfront/net/detail/tcp_listener.h
@@ -20,7 +20,7 @@
   tcp_listener(event_loop& loop, std::function<void(socket)> on_connection);
 
   // Starts to accept connections. Fails with `kInvalidSettings` if it cannot
-  // listen on the address.
+  // listen on the address; it may be called again then.
   core::result<void> Start(const std::string& address);
 
   // Accepts connections that are already pending. A single accept per iteration
