Answer a request with 500 if its handling throws

Nothing around the event loop caught an exception, so one that was thrown while a request was handled would have ended the process with all that it held. No such exception is known.

The server answers that request with 500 and the process writes a log line.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -66,7 +66,11 @@
         server(loop,
                {.address = options.internal_address,
                 .more_addresses = options.more_internal_addresses,
-                .limits = {.max_body_bytes = kMaxCallBytes}},
+                .limits = {.max_body_bytes = kMaxCallBytes},
+                .on_exception =
+                    [this](std::string_view cause) {
+                      log.Write("call_failed", {{"cause", cause}});
+                    }},
                [this](net::server_request request,
                       net::async_http_server::responder respond) {
                  OnCall(std::move(request), std::move(respond));
--- a/src/waxwingfront/net/async_http_server.cc
+++ b/src/waxwingfront/net/async_http_server.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <exception>
 #include <list>
 #include <optional>
 #include <utility>
@@ -286,10 +287,18 @@
       request.headers.emplace_back(std::string(field.name_string()),
                                    std::string(field.value()));
     }
-    handle(std::move(request), [self = shared_from_this(), link,
-                                keep_alive](server_response reply) {
-      self->Write(link, std::move(reply), keep_alive);
-    });
+    const responder respond =
+        [self = shared_from_this(), link, keep_alive,
+         open = std::make_shared<bool>(true)](server_response reply) {
+          if (!std::exchange(*open, false)) return;
+          self->Write(link, std::move(reply), keep_alive);
+        };
+    try {
+      handle(std::move(request), respond);
+    } catch (const std::exception& failure) {
+      if (options.on_exception) options.on_exception(failure.what());
+      respond({.status = kHttpInternalServerError});
+    }
   }
 
   bool ExpectsMore(connection& link) const {
--- a/src/waxwingfront/net/async_http_server.h
+++ b/src/waxwingfront/net/async_http_server.h
@@ -47,6 +47,8 @@
   // Above this number the connections that were idle for the longest time are
   // closed.
   std::size_t max_connections = 1000;
+  // Called when the handler throws; the request is answered with 500.
+  std::function<void(std::string_view cause)> on_exception;
 };
 
 class async_http_server {
--- a/src/waxwingfront/net/event_loop.cc
+++ b/src/waxwingfront/net/event_loop.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <exception>
 #include <memory>
 #include <utility>
 
@@ -31,7 +32,14 @@
 void event_loop::Run() {
   internal_->context.restart();
   const auto work = boost::asio::make_work_guard(internal_->context);
-  internal_->context.run();
+  while (!internal_->context.stopped()) {
+    try {
+      internal_->context.run();
+    } catch (const std::exception& failure) {
+      if (!on_exception) throw;
+      on_exception(failure.what());
+    }
+  }
 }
 
 void event_loop::Stop() { internal_->context.stop(); }
--- a/src/waxwingfront/net/event_loop.h
+++ b/src/waxwingfront/net/event_loop.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <span>
+#include <string_view>
 
 #include "waxwingfront/core/clock.h"
 
@@ -21,6 +22,10 @@
   event_loop& operator=(const event_loop&) = delete;
   ~event_loop();
 
+  // Called with the exception of a handler, after which the loop continues. If
+  // it is not set, `Run` throws the exception.
+  std::function<void(std::string_view cause)> on_exception;
+
   // Runs until `Stop`.
   void Run();
   void Stop();
--- a/src/waxwingfront/net/http_status.h
+++ b/src/waxwingfront/net/http_status.h
@@ -15,6 +15,7 @@
 inline constexpr int kHttpMisdirectedRequest = 421;
 inline constexpr int kHttpTooManyRequests = 429;
 inline constexpr int kHttpHeaderTooLarge = 431;
+inline constexpr int kHttpInternalServerError = 500;
 inline constexpr int kHttpServiceUnavailable = 503;
 inline constexpr int kHttpGatewayTimeout = 504;
 
--- a/tests/waxwingfront/net/http_server_faults_test.cc
+++ b/tests/waxwingfront/net/http_server_faults_test.cc
@@ -1,6 +1,7 @@
 // The HTTP server in adverse conditions.
 #include <catch2/catch.hpp>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -20,9 +21,10 @@
     options.address = "127.0.0.1:0";
     server = std::make_unique<net::async_http_server>(
         loop, options,
-        [this](const net::server_request&,
+        [this](const net::server_request& request,
                const net::async_http_server::responder& respond) {
           ++requests;
+          if (request.target == "/fails") throw std::runtime_error("bad luck");
           respond({});
         });
     REQUIRE(server->Start());
@@ -56,5 +58,34 @@
   CHECK(site.requests == kCallers);
 }
 
+TEST_CASE("a request whose handling throws is answered with 500", "[net]") {
+  std::string cause;
+  server_fixture site(
+      {.on_exception = [&cause](std::string_view what) { cause = what; }});
+  raw_caller caller(site.server->Address());
+  REQUIRE(
+      caller.Send("GET /fails HTTP/1.1\r\nHost: a\r\n\r\n"
+                  "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"));
+  CHECK(RunUntil(site.loop, [&site] { return site.requests == 2; }));
+  RunFor(site.loop, milliseconds(50));
+  const std::string text = caller.ReadAll();
+  CHECK(text.starts_with("HTTP/1.1 500"));
+  CHECK(text.find("HTTP/1.1 200") != std::string::npos);
+  CHECK(cause == "bad luck");
+}
+
+TEST_CASE("a handler that throws does not end the event loop", "[net]") {
+  net::event_loop loop;
+  std::vector<std::string> causes;
+  loop.on_exception = [&causes](std::string_view cause) {
+    causes.emplace_back(cause);
+  };
+  bool later = false;
+  loop.Post([] { throw std::runtime_error("bad luck"); });
+  loop.Post([&later] { later = true; });
+  CHECK(RunUntil(loop, [&later] { return later; }));
+  CHECK(causes == std::vector<std::string>{"bad luck"});
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
