Pause accepting while there are no free descriptors

At the limit of descriptors an accept failed and was tried again at once, so that a process used all of its processor time until a descriptor was free.

Accepting is tried again after 100 ms.

--- a/src/waxwingfront/net/detail/tcp_listener.cc
+++ b/src/waxwingfront/net/detail/tcp_listener.cc
@@ -14,12 +14,23 @@
 // Connections that are accepted before the event loop continues with other
 // work.
 constexpr int kMaxAcceptsPerIteration = 64;
+// Pause after an accept that failed for want of descriptors or memory, and
+// would fail again at once.
+constexpr core::milliseconds kAcceptRetryDelay{100};
+
+bool LacksResources(const failure_code& failure) {
+  namespace errc = boost::system::errc;
+  return failure == errc::too_many_files_open ||
+         failure == errc::too_many_files_open_in_system ||
+         failure == errc::no_buffer_space || failure == errc::not_enough_memory;
+}
 
 }  // namespace
 
 tcp_listener::tcp_listener(event_loop& loop,
                            std::function<void(socket)> on_connection)
-    : context_(loop.Context()),
+    : loop_(loop),
+      context_(loop.Context()),
       acceptor_(loop.Context()),
       on_connection_(std::move(on_connection)) {}
 
@@ -56,6 +67,12 @@
       self->on_connection_(std::move(accepted));
     }
     if (!self->IsOpen()) return;
+    if (LacksResources(failure)) {
+      self->loop_.After(kAcceptRetryDelay, [self] {
+        if (self->IsOpen()) self->Accept();
+      });
+      return;
+    }
     self->AcceptPending();
     self->Accept();
   });
--- a/src/waxwingfront/net/detail/tcp_listener.h
+++ b/src/waxwingfront/net/detail/tcp_listener.h
@@ -39,6 +39,7 @@
  private:
   void Accept();
 
+  event_loop& loop_;
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::function<void(socket)> on_connection_;
--- a/tests/waxwingfront/net/http_server_faults_test.cc
+++ b/tests/waxwingfront/net/http_server_faults_test.cc
@@ -1,5 +1,10 @@
 // The HTTP server in adverse conditions.
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <ctime>
 #include <memory>
 #include <stdexcept>
 #include <string>
@@ -87,5 +92,52 @@
   CHECK(causes == std::vector<std::string>{"bad luck"});
 }
 
+double ThreadCpuSeconds() {
+  constexpr double kNsPerSecond = 1e9;
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_nsec) / kNsPerSecond;
+}
+
+// Uses up the descriptors of this process.
+class no_descriptors {
+ public:
+  no_descriptors() {
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &before_) == 0);
+    const rlimit low{.rlim_cur = std::min<rlim_t>(256, before_.rlim_cur),
+                     .rlim_max = before_.rlim_max};
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &low) == 0);
+    for (int copy = 0; (copy = dup(STDOUT_FILENO)) >= 0;)
+      copies_.push_back(copy);
+  }
+  no_descriptors(const no_descriptors&) = delete;
+  no_descriptors& operator=(const no_descriptors&) = delete;
+  ~no_descriptors() {
+    for (const int copy : copies_) close(copy);
+    setrlimit(RLIMIT_NOFILE, &before_);
+  }
+
+ private:
+  rlimit before_{};
+  std::vector<int> copies_;
+};
+
+TEST_CASE("a server without free descriptors waits for one without spinning",
+          "[net]") {
+  constexpr double kMaxCpuSeconds = 0.2;
+  server_fixture site;
+  RunFor(site.loop, milliseconds(50));
+  raw_caller caller(site.server->Address());
+  const double start = ThreadCpuSeconds();
+  {
+    const no_descriptors full;
+    RunFor(site.loop, milliseconds(1000));
+  }
+  CHECK(ThreadCpuSeconds() - start < kMaxCpuSeconds);
+  REQUIRE(caller.Send(kRequest));
+  CHECK(RunUntil(site.loop, [&caller] { return caller.HasInput(); }));
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
