--- a/tests/platform/start_test.cc
+++ b/tests/platform/start_test.cc
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <filesystem>
 #include <string>
 #include <thread>
 
@@ -87,6 +88,23 @@
   CHECK(RawCall(node.Front(), kRequest).starts_with(kStatusLine));
 }
 
+TEST_CASE("closed standard streams are not reused for sockets", "[process]") {
+  platform_process node;
+  node.Start("exec <&- >&- 2>&-;");
+  REQUIRE(AwaitCondition([&node] {
+    try {
+      return RawCall(node.Front(), kRequest).starts_with(kStatusLine);
+    } catch (const Poco::Exception& /*refused*/) {
+      return false;
+    }
+  }));
+  const std::filesystem::path streams =
+      "/proc/" + std::to_string(node.Process().Id()) + "/fd";
+  for (const char* const stream : {"0", "1", "2"}) {
+    CHECK(std::filesystem::read_symlink(streams / stream) == "/dev/null");
+  }
+}
+
 TEST_CASE("a process waits for settings that are still being written",
           "[process]") {
   platform_process node;
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -24,6 +24,8 @@
   // end of the output.
   std::string ReadLine() const;
 
+  pid_t Id() const { return id_; }
+
   // Sends a signal, such as SIGKILL, SIGSTOP, SIGCONT or SIGTERM.
   void Signal(int number) const;
 
