--- a/src/waxwingfront/net/async_http_server.h
+++ b/src/waxwingfront/net/async_http_server.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/core/error.h"
@@ -40,10 +41,14 @@
 struct async_http_server_options {
   // IPv4 address and port. Port 0 selects a free port, see `Address`.
   std::string address;
+  // Used in this order if the server cannot listen on `address`.
+  std::vector<std::string> more_addresses;
   request_limits limits;
   // Above this number the connections that were idle for the longest time are
   // closed.
   std::size_t max_connections = 1000;
+  // Called when the handler throws; the request is answered with 500.
+  std::function<void(std::string_view cause)> on_exception;
 };
 
 class async_http_server {
@@ -57,8 +62,8 @@
   async_http_server& operator=(const async_http_server&) = delete;
   ~async_http_server();
 
-  // Starts to listen. Fails with `kInvalidSettings` if it cannot listen on the
-  // address.
+  // Starts to listen. Fails with `kInvalidSettings` if it cannot listen on any
+  // of the addresses; it may be called again then.
   core::result<void> Start();
 
   // Returns the address that the server listens on, with the actual port.
@@ -67,11 +72,18 @@
   // Applies to requests that begin later.
   void SetLimits(const request_limits& limits);
 
-  // Closes idle connections, and the others after their response.
+  // Announces the end of each connection with its next response, and closes the
+  // connection shortly after it. Requests that still arrive are served.
   void Drain();
 
-  // Returns the number of requests that have no response yet.
-  std::size_t OpenRequests() const;
+  // Stops accepting, closes idle connections without unread requests, and the
+  // others after their last request. Called from the event loop until it
+  // returns 0; before that, connections are open or being accepted.
+  std::size_t Finish();
+
+  // Returns true if a request has no complete response yet or received bytes
+  // are unread.
+  bool HasUnansweredRequests() const;
 
  private:
   struct internal;
