Add a soak of real processes beside faults

Processes of the site run beside signals in series, changes of the manifest, lost executors and crowds of connections, drawn from a seed. Callers and stand-ins check that no process ends by itself, no whole request is cut and no accepted job is lost or run twice.

--- /dev/null
+++ b/tests/soak/job_book.cc
@@ -0,0 +1,208 @@
+#include "soak/job_book.h"
+
+#include <algorithm>
+
+namespace waxwingfront::soak {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kTooMany = 429;
+constexpr int kUnavailable = 503;
+
+bool IsSuccess(int status) { return status >= kOk && status < 300; }
+
+std::string JobOf(const std::string& task) {
+  return task.substr(0, task.find('.'));
+}
+
+}  // namespace
+
+void job_book::Sent(const std::string& id, int queue, int tasks) {
+  const std::scoped_lock lock(mutex_);
+  job_state& job = jobs_[id];
+  job.queue = queue;
+  job.tasks = tasks;
+  job.last_sent = log_.Now();
+  ++job.attempts;
+}
+
+void job_book::Answered(const std::string& id, int status) {
+  const std::scoped_lock lock(mutex_);
+  job_state& job = jobs_[id];
+  if (IsSuccess(status)) {
+    if (!job.accepted) job.accepted = log_.Now();
+  } else if (status == kTooMany || status == kUnavailable ||
+             status == kNotFound) {
+    ++job.refusals;
+  }
+}
+
+void job_book::Cancelled(const std::string& id, int status) {
+  const std::scoped_lock lock(mutex_);
+  job_state& job = jobs_[id];
+  if (!job.cancel_sent) job.cancel_sent = log_.Now();
+  if (IsSuccess(status) && !job.cancelled) job.cancelled = log_.Now();
+}
+
+bool job_book::AllDone(const job_state& job) const {
+  return std::ranges::count_if(job.task_states, [](const auto& row) {
+           return row.second.done.has_value();
+         }) >= job.tasks;
+}
+
+std::optional<milliseconds> job_book::EndOf(const job_state& job) const {
+  if (!AllDone(job)) return std::nullopt;
+  milliseconds end{0};
+  for (const auto& [name, task] : job.task_states) {
+    end = std::max(end, task.done.value_or(end));
+  }
+  return job.shown_ended ? std::min(end, *job.shown_ended) : end;
+}
+
+void job_book::Shown(const std::string& id, int status, std::string_view body,
+                     milliseconds sent_at, std::string_view where) {
+  const std::scoped_lock lock(mutex_);
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  job_state& job = found->second;
+  const std::string about = "job " + id + " at " + std::string(where) + ", ";
+  const bool cancelled = job.cancel_sent.has_value();
+  if (status == kGone) {
+    if (cancelled || !job.accepted) return;
+    if (sent_at <= *job.accepted + bounds_.visible) return;
+    const std::optional<milliseconds> end = EndOf(job);
+    if (end && log_.Now() > *end + bounds_.status) return;
+    log_.Breach("LOST", about + "is unknown; accepted at " +
+                            std::to_string(job.accepted->count()) +
+                            (end ? ", ended at " + std::to_string(end->count())
+                                 : ", not ended"));
+    return;
+  }
+  if (status != kOk) return;
+  const bool completed = body.find("completed") != std::string_view::npos;
+  if (completed && !AllDone(job)) {
+    log_.Breach("MIXED", about + "shown as completed with tasks not done");
+  }
+  if (completed && !job.shown_ended) job.shown_ended = log_.Now();
+  if (body.find("\"failed\"") != std::string_view::npos && !cancelled) {
+    if (!job.shown_ended) job.shown_ended = log_.Now();
+    const bool has_cause =
+        std::ranges::any_of(job.task_states, [this](const auto& row) {
+          return row.second.failed >= bounds_.max_attempts;
+        });
+    if (!has_cause) log_.Breach("LOST", about + "failed without cause");
+  }
+  if (body.find("cancelled") != std::string_view::npos && !cancelled) {
+    log_.Breach("LOST", about + "shown as cancelled, nobody cancelled it");
+  }
+}
+
+void job_book::Begun(job_state& job, const review::run_event& event) {
+  task_state& task = job.task_states[event.task];
+  const std::string about = event.task + " run " + std::to_string(event.run) +
+                            " at " + event.executor + ", ";
+  job.begun = true;
+  ++starts_;
+  for (const run_place& other : task.running) {
+    log_.Breach("TWICE", about + "runs also at " + other.executor + " as run " +
+                             std::to_string(other.run));
+  }
+  task.running.insert({event.executor, event.run});
+  // A request that arrives again after the record's end is a new job.
+  const bool sent_again =
+      task.done && job.last_sent > *task.done + bounds_.status;
+  if (task.done && !sent_again) {
+    if (task.done_seen) {
+      log_.Breach("TWICE", about + "starts after an acknowledged end");
+    }
+    task.begun_after_done = true;
+  }
+  if (job.cancelled && log_.Now() > *job.cancelled + bounds_.cancel &&
+      !is_disturbed()) {
+    log_.Breach("UNASKED",
+                about + "starts " +
+                    std::to_string((log_.Now() - *job.cancelled).count()) +
+                    " ms after its cancel");
+  }
+}
+
+void job_book::Ran(const review::run_event& event) {
+  log_.Write(event.executor + " " + event.task + " run " +
+             std::to_string(event.run) + " " + event.what + " " + event.detail);
+  const std::scoped_lock lock(mutex_);
+  const auto found = jobs_.find(JobOf(event.task));
+  if (found == jobs_.end()) {
+    log_.Breach("UNASKED", event.task + " was sent by nobody");
+    return;
+  }
+  job_state& job = found->second;
+  if (event.what == "begun") {
+    Begun(job, event);
+    return;
+  }
+  if (event.what == "refused") return;
+  task_state& task = job.task_states[event.task];
+  if (event.what == "seen") {
+    if (event.detail != "done") return;
+    task.done_seen = true;
+    if (task.begun_after_done) {
+      log_.Breach(
+          "TWICE",
+          event.task + " started after an end that is acknowledged now");
+      task.begun_after_done = false;
+    }
+    return;
+  }
+  task.running.erase({event.executor, event.run});
+  if (event.what == "done" && !task.done) task.done = log_.Now();
+  if (event.what == "failed") ++task.failed;
+}
+
+std::vector<std::string> job_book::Unfinished() const {
+  const std::scoped_lock lock(mutex_);
+  std::vector<std::string> ids;
+  for (const auto& [id, job] : jobs_) {
+    if (job.accepted && !job.cancel_sent && !AllDone(job)) ids.push_back(id);
+  }
+  return ids;
+}
+
+std::vector<std::string> job_book::Owed() const {
+  const std::scoped_lock lock(mutex_);
+  std::vector<std::string> ids;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.accepted || job.cancel_sent) continue;
+    const std::optional<milliseconds> end = EndOf(job);
+    if (!end || log_.Now() <= *end + bounds_.status) ids.push_back(id);
+  }
+  return ids;
+}
+
+void job_book::CheckRefused() {
+  const std::scoped_lock lock(mutex_);
+  for (const auto& [id, job] : jobs_) {
+    if (job.begun && job.refusals == job.attempts) {
+      log_.Breach("REFUSED", "job " + id + " was refused and started");
+    }
+  }
+}
+
+std::string job_book::Summary() const {
+  const std::scoped_lock lock(mutex_);
+  const auto accepted = std::ranges::count_if(
+      jobs_, [](const auto& row) { return row.second.accepted.has_value(); });
+  const auto cancelled = std::ranges::count_if(
+      jobs_, [](const auto& row) { return row.second.cancelled.has_value(); });
+  return std::to_string(jobs_.size()) + " jobs sent, " +
+         std::to_string(accepted) + " accepted, " + std::to_string(cancelled) +
+         " cancelled, " + std::to_string(starts_) + " starts";
+}
+
+int job_book::QueueOf(const std::string& id) const {
+  const std::scoped_lock lock(mutex_);
+  return jobs_.at(id).queue;
+}
+
+}  // namespace waxwingfront::soak
--- /dev/null
+++ b/tests/soak/job_book.h
@@ -0,0 +1,98 @@
+// The jobs that callers sent, what they were told, and what executors ran.
+#ifndef WAXWINGFRONT_TESTS_SOAK_JOB_BOOK_H_
+#define WAXWINGFRONT_TESTS_SOAK_JOB_BOOK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "review/standin/executor.h"
+#include "soak/timeline.h"
+
+namespace waxwingfront::soak {
+
+struct job_bounds {
+  milliseconds cancel{3000};
+  milliseconds visible{3000};
+  milliseconds status{120'000};
+  int max_attempts = 3;
+};
+
+class job_book {
+ public:
+  job_book(timeline& log, const job_bounds& bounds)
+      : log_(log), bounds_(bounds) {}
+
+  // Whether a fault acted on any process or link in the last `contact_ms`;
+  // orders may be carried out late then.
+  std::function<bool()> is_disturbed = [] { return false; };
+
+  void Sent(const std::string& id, int queue, int tasks);
+  // Status 0: no answer.
+  void Answered(const std::string& id, int status);
+  void Cancelled(const std::string& id, int status);
+  // `sent_at`: when the request was sent.
+  void Shown(const std::string& id, int status, std::string_view body,
+             milliseconds sent_at, std::string_view where);
+  void Ran(const review::run_event& event);
+
+  // Accepted jobs that nobody cancelled and whose tasks aren't all done.
+  std::vector<std::string> Unfinished() const;
+  // Accepted jobs that nobody cancelled and which have to be known still.
+  std::vector<std::string> Owed() const;
+  // Checks that only hold once all answers are known.
+  void CheckRefused();
+  std::string Summary() const;
+  int QueueOf(const std::string& id) const;
+
+ private:
+  struct run_place {
+    std::string executor;
+    std::int64_t run = 0;
+    bool operator<(const run_place& other) const {
+      return std::tie(executor, run) < std::tie(other.executor, other.run);
+    }
+  };
+  struct task_state {
+    std::set<run_place> running;
+    std::optional<milliseconds> done;
+    bool done_seen = false;
+    bool begun_after_done = false;
+    // The lease of the executor lapsed since the end.
+    std::string done_at_executor;
+    int failed = 0;
+  };
+  struct job_state {
+    int queue = 0;
+    int tasks = 0;
+    int attempts = 0;
+    int refusals = 0;
+    bool begun = false;
+    milliseconds last_sent{0};
+    std::optional<milliseconds> accepted;
+    std::optional<milliseconds> cancel_sent;
+    std::optional<milliseconds> cancelled;
+    std::optional<milliseconds> shown_ended;
+    std::map<std::string, task_state> task_states;
+  };
+
+  bool AllDone(const job_state& job) const;
+  std::optional<milliseconds> EndOf(const job_state& job) const;
+  void Begun(job_state& job, const review::run_event& event);
+
+  timeline& log_;
+  job_bounds bounds_;
+  mutable std::mutex mutex_;
+  std::map<std::string, job_state> jobs_;
+  int starts_ = 0;
+};
+
+}  // namespace waxwingfront::soak
+
+#endif  // WAXWINGFRONT_TESTS_SOAK_JOB_BOOK_H_
--- /dev/null
+++ b/tests/soak/main.cc
@@ -0,0 +1,141 @@
+// Plays a site of real processes beside faults and checks what callers and
+// executors see. Exits with 0 if all promises held, 1 if one was broken, 2 if
+// the soak could not run.
+#include <CLI/CLI.hpp>
+#include <filesystem>
+#include <iostream>
+
+#include "review/standin/http.h"
+#include "soak/callers.h"
+#include "soak/schedule.h"
+
+namespace waxwingfront::soak {
+namespace {
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kNotRun = 2;
+
+constexpr int kCallers = 20;
+constexpr milliseconds kReadyTime{30'000};
+// `finish_s`, and the longest job.
+constexpr milliseconds kFinishTime{14'000 + 3000};
+constexpr milliseconds kEndTime{8000};
+constexpr milliseconds kContact{3000};
+
+struct soak_options {
+  std::string program = WAXWINGFRONT_PROGRAM;
+  std::string report = "soak-report";
+  std::uint64_t seed = 1;
+  int seconds = 20;
+  int processes = 3;
+  int executors = 6;
+  bool check_memory = true;
+};
+
+site_options SiteOptions(const soak_options& options,
+                         const std::string& store_address) {
+  constexpr int kShortStatus = 2;
+  constexpr int kLongStatus = 120;
+  constexpr int kFewDescriptors = 256;
+  constexpr int kDescriptors = 4100;
+  const std::uint64_t seed = options.seed;
+  return {.program = options.program,
+          .folder = options.report,
+          .store_addresses = std::vector<std::string>(
+              static_cast<std::size_t>(options.processes), store_address),
+          .adviser_address = "127.0.0.1:" + std::to_string(review::FreePort()),
+          .status_s = seed % 4 == 1 ? kShortStatus + static_cast<int>(seed % 3)
+                                    : kLongStatus,
+          .one_core = seed % 5 == 3,
+          .descriptors = seed % 7 == 2 ? kFewDescriptors : kDescriptors,
+          .check_memory = options.check_memory};
+}
+
+void CheckEnd(timeline& log, schedule& faults, site& processes, callers& all,
+              job_book& book) {
+  faults.Heal();
+  if (!faults.Await([&] { return processes.Ready(); }, kReadyTime)) {
+    log.Breach("FAULT", "not all processes are ready after the faults");
+  }
+  faults.Await([&] { return book.Unfinished().empty(); }, kFinishTime);
+  for (const std::string& id : book.Unfinished()) {
+    log.Breach("LOST", "job " + id + " is not completed after the faults");
+  }
+  for (const std::string& id : book.Owed()) all.AskAtEnd(id);
+  book.CheckRefused();
+  processes.Finish();
+  faults.Await([&] { return !processes.AnyRunning(); }, kEndTime);
+}
+
+int Play(const soak_options& options) {
+  std::filesystem::create_directories(options.report);
+  // Threads of the stand-ins use these until the program ends.
+  auto& log = *new timeline(options.report + "/timeline.log");
+  auto& platform = *new review::store;
+  static const review::http_server store_server(
+      review::FreePort(), [&platform](const review::http_request& request) {
+        return platform.Handle(request);
+      });
+  const site_options site_values = SiteOptions(options, store_server.Address());
+  auto& book =
+      *new job_book(log, {.status = milliseconds(1000 * site_values.status_s)});
+  auto& executors = *new std::vector<std::unique_ptr<review::executor>>;
+  for (int i = 0; i < options.executors; ++i) {
+    executors.push_back(std::make_unique<review::executor>(
+        platform,
+        review::executor_options{.id = "i-" + std::to_string(i + 1),
+                                 .service = i % 2 == 0 ? "serve1" : "serve2"},
+        [&book](const review::run_event& event) { book.Ran(event); }));
+  }
+  site processes(log, site_values);
+  book.is_disturbed = [&] {
+    return processes.AnyDisturbedSince(log.Now() - kContact);
+  };
+  schedule faults(log, processes, platform, executors, options.seed,
+                  options.seed % 6 == 4);
+  faults.Configure();
+  for (std::size_t i = 0; i < processes.Size(); ++i) processes.Start(i);
+  if (!faults.Await([&] { return processes.Ready(); }, kReadyTime)) {
+    std::cerr << "the processes did not get ready\n";
+    return kNotRun;
+  }
+  callers all(log, processes, book, options.seed);
+  all.Start(kCallers);
+  faults.Run(milliseconds(1000 * options.seconds));
+  all.Stop();
+  CheckEnd(log, faults, processes, all, book);
+  std::cout << "seed " << options.seed << ": " << book.Summary() << "; "
+            << all.Summary() << "; " << processes.Summary() << "\n";
+  return log.Print(std::cout) == 0 ? kHeld : kBroken;
+}
+
+}  // namespace
+
+int Main(int argc, char** argv) {
+  soak_options options;
+  CLI::App app("Soak of real processes");
+  app.add_option("--program", options.program, "Program under test");
+  app.add_option("--seed", options.seed, "Seed of the faults");
+  app.add_option("--seconds", options.seconds, "Time with faults");
+  app.add_option("--processes", options.processes, "Processes of the site");
+  app.add_option("--executors", options.executors, "Stand-ins for executors");
+  app.add_option("--report", options.report, "Folder for logs");
+  app.add_flag("!--no-memory", options.check_memory,
+               "Leaves out the bound on memory, for builds with sanitizers");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& failure) {
+    app.exit(failure);
+    return kNotRun;
+  }
+  return Play(options);
+}
+
+}  // namespace waxwingfront::soak
+
+int main(int argc, char** argv) {
+  const int outcome = waxwingfront::soak::Main(argc, argv);
+  std::cout.flush();
+  std::_Exit(outcome);
+}
