Pass over requests that a freeze beside SIGTERM cut in the soak

A process that is stopped after its SIGTERM and continues after its grace time ends at once, with the requests that arrived meanwhile.

--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -43,6 +43,7 @@
   constexpr int kDescriptors = 4100;
   const std::uint64_t seed = options.seed;
   std::vector<std::string> addresses;
+  addresses.reserve(static_cast<std::size_t>(options.processes));
   for (int i = 0; i < options.processes; ++i) {
     addresses.push_back(gate.Address(static_cast<std::size_t>(i)));
   }
@@ -82,6 +83,7 @@
   auto& book =
       *new job_book(log, {.status = milliseconds(1000 * site_values.status_s)});
   std::vector<soak_executor*> executors;
+  executors.reserve(static_cast<std::size_t>(options.executors));
   for (int i = 0; i < options.executors; ++i) {
     executors.push_back(new soak_executor(
         platform,
@@ -101,6 +103,7 @@
   faults.Configure();
   for (std::size_t i = 0; i < processes.Size(); ++i) processes.Start(i);
   if (!faults.Await([&] { return processes.Ready(); }, kReadyTime)) {
+    log.Print(std::cout);
     std::cerr << "the processes did not get ready\n";
     return kNotRun;
   }
--- a/tests/soak/site.cc
+++ b/tests/soak/site.cc
@@ -249,6 +249,9 @@
   const std::string about =
       Name(node) + " (" + std::to_string(one.pid) + ") ended " + how;
   nodes_[node].last_change = log_.Now();
+  if (one.was_frozen_while_ending) {
+    nodes_[node].last_frozen_end = log_.Now();
+  }
   if (one.killed) {
     log_.Write(about);
     return;
@@ -344,6 +347,11 @@
   return stopped || (state.last_stop && *state.last_stop >= since);
 }
 
+bool site::EndedFrozenSince(std::size_t node, milliseconds since) const {
+  const std::scoped_lock lock(mutex_);
+  return nodes_[node].last_frozen_end && *nodes_[node].last_frozen_end >= since;
+}
+
 bool site::AnyDisturbedSince(milliseconds since) const {
   const std::scoped_lock lock(mutex_);
   return std::ranges::any_of(nodes_, [since](const node_state& state) {
--- a/tests/soak/site.h
+++ b/tests/soak/site.h
@@ -61,6 +61,8 @@
   // Queries of other threads. A kill by the soak or an end that was reported.
   bool KilledSince(std::size_t node, milliseconds since) const;
   bool StoppedSince(std::size_t node, milliseconds since) const;
+  // A process that was stopped between SIGTERM and its end has ended.
+  bool EndedFrozenSince(std::size_t node, milliseconds since) const;
   bool AnyDisturbedSince(milliseconds since) const;
   std::string Summary() const;
 
@@ -88,6 +90,7 @@
     std::optional<milliseconds> start_at;
     std::optional<milliseconds> last_kill;
     std::optional<milliseconds> last_stop;
+    std::optional<milliseconds> last_frozen_end;
     std::optional<milliseconds> last_change;
   };
 
