--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -18,11 +18,14 @@
 // A sweep that takes longer is one that new jobs keep extending. Every second
 // round then goes to the jobs that were visited longest ago.
 constexpr core::milliseconds kLongSweep{1000};
+// Of this many incomplete rounds one begins with a useless job.
+constexpr std::uint64_t kRoundsPerUselessTurn = 4;
 
 }  // namespace
 
 void planner::BeginRound(core::monotonic_time now) {
   ++round_;
+  visited_any_ = false;
   changed_.clear();
   ComparePeers(state_, now);
   for (auto& [id, executor] : state_.executors) {
@@ -36,21 +39,35 @@
     return job->Final() && !job->AnyActive();
   });
   if (!sweep_began_) sweep_began_ = at.now;
-  planning_queue queue = QueueWaitingJobs(state_, sweep_, round_, at.now);
-  // The round after one that was not completed begins with the other kind of
-  // jobs, so that neither kind starves the other.
-  overdue_first_ = last_round_complete_ || !overdue_first_;
-  last_round_complete_ = false;
-  if (overdue_first_ && !PlanOverdue(queue.overdue, at, should_stop)) {
-    return false;
+  const bool resumes = incomplete_rounds_ > 0;
+  if (!resumes) useless_pass_ = round_;
+  QueueWaitingJobs(state_, sweep_, round_, resumes, at.now, queue_);
+  const bool all = PlanQueue(at, should_stop);
+  incomplete_rounds_ = all ? 0 : incomplete_rounds_ + 1;
+  return all;
+}
+
+bool planner::PlanQueue(moment at, const std::function<bool()>& should_stop) {
+  // Rounds after one that was not completed begin with other kinds of jobs, so
+  // that no kind starves another.
+  const bool overdue_first = incomplete_rounds_ % 2 == 0;
+  const bool useless_first =
+      (incomplete_rounds_ + 1) % kRoundsPerUselessTurn == 0;
+  const bool long_sweep = at.now - *sweep_began_ >= kLongSweep;
+  if (overdue_first) {
+    if (!PlanOverdue(queue_.overdue, at, should_stop)) return false;
+  } else if (useless_first && !queue_.useless.empty()) {
+    // Only one, since the others come first where capacity is short.
+    PlanJob(*queue_.useless.front().job, at);
+    if (should_stop && should_stop()) return false;
+  } else if (long_sweep) {
+    SortByLastVisit(queue_.others);
   }
-  if (!overdue_first_ && at.now - *sweep_began_ >= kLongSweep) {
-    SortByLastVisit(queue.others);
+  if (!PlanSweep(queue_.others, at, should_stop)) return false;
+  if (!overdue_first && !PlanOverdue(queue_.overdue, at, should_stop)) {
+    return false;
   }
-  if (!PlanSweep(queue.others, at, should_stop)) return false;
-  last_round_complete_ =
-      overdue_first_ || PlanOverdue(queue.overdue, at, should_stop);
-  return last_round_complete_;
+  return PlanUseless(queue_.useless, at, should_stop);
 }
 
 bool planner::PlanOverdue(std::span<const ranked_job> jobs, moment at,
@@ -79,8 +96,19 @@
   return true;
 }
 
+bool planner::PlanUseless(std::span<const ranked_job> jobs, moment at,
+                          const std::function<bool()>& should_stop) {
+  for (const ranked_job& one : jobs) {
+    if (one.job->planned_round >= useless_pass_) continue;
+    if (visited_any_ && should_stop && should_stop()) return false;
+    PlanJob(*one.job, at);
+  }
+  return true;
+}
+
 void planner::PlanJob(job_state& job, moment at) {
   job.planned_round = round_;
+  visited_any_ = true;
   const placement_scope scope{.service = state_.ServiceOf(job),
                               .advised = state_.IsAdvised(job)};
   std::vector<occurrence_state>& occurrences = job.Occurrences();
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -40,7 +40,8 @@
   // gang are placed all together or not at all. Tasks of advised queues are
   // placed only on executors that the adviser permits; missing advice is
   // requested. Stops early once `should_stop` returns true; it may be empty.
-  // The next rounds then visit the other jobs, and no job waits for good for a
+  // The next rounds then visit the other jobs, most of them without those that
+  // can no longer end while they are useful, and no job waits for good for a
   // visit however many new ones arrive. Returns true if all jobs were visited.
   bool Plan(moment at, const std::function<bool()>& should_stop);
 
@@ -57,11 +58,14 @@
 
   // Determines which executors have changed since the previous round.
   void BeginRound(core::monotonic_time now);
-  // Both return false if they stop before they have visited all jobs.
+  bool PlanQueue(moment at, const std::function<bool()>& should_stop);
+  // These return false if they stop before they have visited all jobs.
   bool PlanOverdue(std::span<const ranked_job> jobs, moment at,
                    const std::function<bool()>& should_stop);
   bool PlanSweep(std::span<const ranked_job> queue, moment at,
                  const std::function<bool()>& should_stop);
+  bool PlanUseless(std::span<const ranked_job> jobs, moment at,
+                   const std::function<bool()>& should_stop);
   void PlanJob(job_state& job, moment at);
   void PlanStep(job_state& job, step_state& step, const placement_scope& scope,
                 moment at);
@@ -100,13 +104,18 @@
   locality distance_;
   std::uint64_t round_ = 0;
   // A sweep visits each job with waiting tasks that is not overdue at least
-  // once, over one or more rounds.
+  // once, over one or more rounds; useless jobs only if it takes one round.
   std::uint64_t sweep_ = 1;
   // When its first round began; empty between two sweeps.
   std::optional<core::monotonic_time> sweep_began_;
-  // The newest round began with the overdue jobs.
-  bool overdue_first_ = false;
-  bool last_round_complete_ = true;
+  // The current round's; kept, so that its memory is reused.
+  planning_queue queue_;
+  // The current round has visited a job.
+  bool visited_any_ = false;
+  // Since the last one that visited all jobs.
+  std::uint64_t incomplete_rounds_ = 0;
+  // Round in which the current pass over the useless jobs began.
+  std::uint64_t useless_pass_ = 0;
   std::uint64_t evaluations_ = 0;
   // Executors that changed between the previous round and this one.
   std::vector<executor_state*> changed_;
--- a/src/waxwingfront/fleet/planning_order.cc
+++ b/src/waxwingfront/fleet/planning_order.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace waxwingfront::fleet {
 namespace {
@@ -53,8 +54,10 @@
 ranked_job Rank(const fleet_state& state, job_state& job, std::uint64_t sweep,
                 core::monotonic_time now) {
   const queue_spec* const spec = state.QueueOf(job);
-  const job_deadlines deadlines =
-      ComputeDeadlines(job, FirstIncomplete(job), spec);
+  const std::uint32_t occurrence = FirstIncomplete(job);
+  const job_deadlines deadlines = ComputeDeadlines(job, occurrence, spec);
+  const deadline_feasibility feasibility = FeasibilityOf(deadlines, now);
+  const bool is_last = occurrence + 1 == job.Occurrences().size();
   const schema::fleet_step& first = job.Spec().steps(0);
   const bool is_long_running = first.long_running();
   return {.visited = job.planned_sweep == sweep,
@@ -65,8 +68,11 @@
               is_long_running ? std::string_view(first.image()) : "",
           .colocatable = is_long_running && first.max_per_executor() == 0,
           .long_running_cpu = is_long_running ? first.cpu_millis() : 0,
-          .feasibility = FeasibilityOf(deadlines, now),
+          .feasibility = feasibility,
           .due = deadlines.due,
+          .useless = job.planned_sweep != 0 && !is_long_running && is_last &&
+                     feasibility == deadline_feasibility::kInfeasible,
+          .last_visit = job.planned_round,
           .job = &job};
 }
 
@@ -77,26 +83,36 @@
          now - task.waiting_since >= kLongWait;
 }
 
-planning_queue QueueWaitingJobs(const fleet_state& state, std::uint64_t sweep,
-                                std::uint64_t round, core::monotonic_time now) {
-  planning_queue queue;
-  queue.others.reserve(state.live.size());
+void QueueWaitingJobs(const fleet_state& state, std::uint64_t sweep,
+                      std::uint64_t round, bool separate_useless,
+                      core::monotonic_time now, planning_queue& queue) {
+  queue.overdue.clear();
+  queue.others.clear();
+  queue.useless.clear();
   for (job_state* const job : state.live) {
     if (job->Final() || !HasWaiting(*job)) continue;
     if (job->planned_round == 0) job->planned_round = round;
-    std::vector<ranked_job>& jobs =
-        AnyInterruptedWaitsLong(*job, now) ? queue.overdue : queue.others;
-    jobs.push_back(Rank(state, *job, sweep, now));
+    const ranked_job ranked = Rank(state, *job, sweep, now);
+    if (AnyInterruptedWaitsLong(*job, now)) {
+      queue.overdue.push_back(ranked);
+    } else if (separate_useless && ranked.useless) {
+      queue.useless.push_back(ranked);
+    } else {
+      queue.others.push_back(ranked);
+    }
   }
   std::stable_sort(queue.overdue.begin(), queue.overdue.end());
   std::stable_sort(queue.others.begin(), queue.others.end());
   SortByLastVisit(queue.overdue);
-  return queue;
+  std::stable_sort(queue.useless.begin(), queue.useless.end(),
+                   [](const ranked_job& left, const ranked_job& right) {
+                     return std::tie(left.last_visit, left.due) <
+                            std::tie(right.last_visit, right.due);
+                   });
 }
 
 void SortByLastVisit(std::vector<ranked_job>& jobs) {
-  std::ranges::stable_sort(
-      jobs, {}, [](const ranked_job& one) { return one.job->planned_round; });
+  std::ranges::stable_sort(jobs, {}, &ranked_job::last_visit);
 }
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/planning_order.h
+++ b/src/waxwingfront/fleet/planning_order.h
@@ -35,6 +35,10 @@
   std::int64_t long_running_cpu;
   deadline_feasibility feasibility;
   core::monotonic_time due;
+  // It has been visited before and can no longer end while it is useful.
+  bool useless;
+  // Round that visited it last, or the first one that saw it waiting.
+  std::uint64_t last_visit;
   job_state* job;
 
   friend bool operator<(const ranked_job& left, const ranked_job& right) {
@@ -56,11 +60,16 @@
   std::vector<ranked_job> overdue;
   // All others, in the order in which the sweep visits them.
   std::vector<ranked_job> others;
+  // Useless jobs that are kept out of the sweep, those first that were visited
+  // longest ago.
+  std::vector<ranked_job> useless;
 };
 
-// Returns the jobs with waiting tasks, at the start of `round`.
-planning_queue QueueWaitingJobs(const fleet_state& state, std::uint64_t sweep,
-                                std::uint64_t round, core::monotonic_time now);
+// Replaces `queue` by the jobs with waiting tasks, at the start of `round`. The
+// useless ones are among `others` unless `separate_useless` is set.
+void QueueWaitingJobs(const fleet_state& state, std::uint64_t sweep,
+                      std::uint64_t round, bool separate_useless,
+                      core::monotonic_time now, planning_queue& queue);
 
 // Sorts the jobs so that those come first that were visited longest ago; their
 // order is otherwise unchanged.
--- a/tests/waxwingfront/fleet/planner_sweep_test.cc
+++ b/tests/waxwingfront/fleet/planner_sweep_test.cc
@@ -126,5 +126,37 @@
   CHECK(started == 1);
 }
 
+TEST_CASE("a useless job does not wait for good while other jobs arrive",
+          "[fleet]") {
+  constexpr std::int64_t kNowMs = 60'000;
+  // The platform allows that a job stands still for 3 s beside idle executors.
+  constexpr std::int64_t kLatestStartMs = kNowMs + 3000;
+  fleet_fixture fixture;
+  fixture.AddExecutor("a", kCapacity);
+  fixture.Core().Submit(JobOf("first", 1, kCapacity), At(0));
+  const fleet::orders first = fixture.StepAccepted(0);
+  REQUIRE(first.starts.size() == 1);
+  fixture.Core().Submit(JobOf("useless", 1, kCapacity), At(1));
+  REQUIRE(fixture.Step(10).starts.empty());
+  std::size_t started = 0;
+  for (std::int64_t at_ms = kNowMs; at_ms <= kLatestStartMs;
+       at_ms += kRoundMs) {
+    for (const char* const name : {"early", "late"}) {
+      schema::fleet_job job = JobOf(name + std::to_string(at_ms), 1, 1000);
+      job.mutable_steps(0)->set_required_label("gpu");
+      fixture.Core().Submit(job, At(at_ms));
+    }
+    fixture.Report("a", at_ms, {},
+                   {{.number = 1,
+                     .task = first.starts[0].task,
+                     .run = first.starts[0].run,
+                     .how = fleet::run_end::kDone}});
+    fixture.Core().Plan(At(at_ms), [] { return true; });
+    fixture.Store(at_ms);
+    started += fixture.Core().TakeOrders().starts.size();
+  }
+  CHECK(started == 1);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
