Let a round that is out of time pass jobs that no executor has room for

On an overloaded leader each round is out of time when its first visit begins, and stopped after it. Jobs for which no executor had room took a round each: at 8 rounds a second, a job for which capacity became free waited a minute for the visits of 500 of them.

The round now determines what is free at most on an available executor of each service. A task that needs more is not compared with the executors. A visit that compares no executors costs about as much as ranking the job and no longer ends the round; up to 20 of them may follow each other. To offset this, services of executors are looked up less often.

--- a/src/waxwingfront/fleet/placement.cc
+++ b/src/waxwingfront/fleet/placement.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 
 namespace waxwingfront::fleet {
 namespace {
@@ -16,6 +15,25 @@
 // Higher than any load cost.
 constexpr double kUnprovenCost = 10.0;
 
+// A value for each service. Executors of one service often follow each other.
+template <typename Value>
+class by_service {
+ public:
+  Value& Of(const executor_state& executor) {
+    if (latest_ == nullptr || service_ != executor.info.service) {
+      service_ = executor.info.service;
+      latest_ = &values_[service_];
+    }
+    return *latest_;
+  }
+  const std::map<std::string_view, Value>& All() const { return values_; }
+
+ private:
+  std::map<std::string_view, Value> values_;
+  std::string_view service_;
+  Value* latest_ = nullptr;
+};
+
 bool UnderStepLimit(const executor_state& executor, const task_state& task,
                     std::ptrdiff_t planned) {
   const std::uint32_t limit = task.Spec().max_per_executor();
@@ -109,19 +127,33 @@
     std::size_t usable = 0;
     std::size_t suspect = 0;
   };
-  std::map<std::string_view, service_health> services;
+  by_service<service_health> services;
   for (const auto& [id, executor] : state.executors) {
     if (!executor.Usable(now)) continue;
-    service_health& service = services[executor.info.service];
+    service_health& service = services.Of(executor);
     ++service.usable;
     if (executor.health.IsSuspect(now)) ++service.suspect;
   }
   for (auto& [id, executor] : state.executors) {
-    const service_health& service = services[executor.info.service];
+    const service_health& service = services.Of(executor);
     executor.peers_are_healthy = 2 * service.suspect <= service.usable;
   }
 }
 
+std::map<std::string_view, core::resources> MostFreeOfServices(
+    const fleet_state& state, core::monotonic_time now) {
+  by_service<core::resources> services;
+  for (const auto& [id, executor] : state.executors) {
+    if (!executor.Available(now)) continue;
+    core::resources& most = services.Of(executor);
+    const core::resources free = executor.Free();
+    most.processor_milli = std::max(most.processor_milli, free.processor_milli);
+    most.memory_mib = std::max(most.memory_mib, free.memory_mib);
+    most.accelerators = std::max(most.accelerators, free.accelerators);
+  }
+  return services.All();
+}
+
 bool MayHost(const executor_state& executor, const task_state& task,
              std::string_view service, core::monotonic_time now) {
   // The most selective conditions come first.
--- a/src/waxwingfront/fleet/placement.h
+++ b/src/waxwingfront/fleet/placement.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string_view>
 
@@ -68,6 +69,11 @@
 // Sets `peers_are_healthy` of all executors.
 void ComparePeers(fleet_state& state, core::monotonic_time now);
 
+// Returns for each service and each kind of resource the most that is free on
+// one available executor. A task that needs more has no feasible placement.
+std::map<std::string_view, core::resources> MostFreeOfServices(
+    const fleet_state& state, core::monotonic_time now);
+
 // True if the executor belongs to `service`, is usable and fits the task.
 bool MayHost(const executor_state& executor, const task_state& task,
              std::string_view service, core::monotonic_time now);
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -18,16 +18,33 @@
 // A sweep that takes longer is one that new jobs keep extending. Every second
 // round then goes to the jobs that were visited longest ago.
 constexpr core::milliseconds kLongSweep{1000};
+// Visits that compare no executors take about as long as ranking a job, so that
+// a round that is out of time may make this many.
+constexpr std::uint64_t kMaxIdleVisits = 20;
 // Of this many incomplete rounds one begins with a useless job.
 constexpr std::uint64_t kRoundsPerUselessTurn = 4;
 
+// True if all waiting tasks of the step have the same cost on an executor.
+bool HaveSameCost(const step_state& step) {
+  // Costs of long-running tasks depend on all executors, costs of tasks with a
+  // data rack on how long each task has waited, and tasks that have failed are
+  // more selective.
+  const schema::fleet_step& spec = step.tasks.front().Spec();
+  return !spec.long_running() && spec.data_rack().empty() &&
+         std::ranges::all_of(step.tasks, [](const task_state& task) {
+           return task.phase != task_phase::kWaiting || task.failures == 0;
+         });
+}
+
 }  // namespace
 
 void planner::BeginRound(core::monotonic_time now) {
   ++round_;
-  visited_any_ = false;
+  visits_ = 0;
+  idle_visits_ = 0;
   changed_.clear();
   ComparePeers(state_, now);
+  most_free_ = MostFreeOfServices(state_, now);
   for (auto& [id, executor] : state_.executors) {
     if (executor.BeginRound(round_, now)) changed_.push_back(&executor);
   }
@@ -59,7 +76,7 @@
   } else if (useless_first && !queue_.useless.empty()) {
     // Only one, since the others come first where capacity is short.
     PlanJob(*queue_.useless.front().job, at);
-    if (should_stop && should_stop()) return false;
+    if (MustStop(should_stop)) return false;
   } else if (long_sweep) {
     SortByLastVisit(queue_.others);
   }
@@ -74,7 +91,7 @@
                           const std::function<bool()>& should_stop) {
   for (std::size_t i = 0; i < jobs.size(); ++i) {
     PlanJob(*jobs[i].job, at);
-    if (i + 1 < jobs.size() && should_stop && should_stop()) return false;
+    if (i + 1 < jobs.size() && MustStop(should_stop)) return false;
   }
   return true;
 }
@@ -84,9 +101,7 @@
   for (std::size_t i = 0; i < queue.size(); ++i) {
     PlanJob(*queue[i].job, at);
     queue[i].job->planned_sweep = sweep_;
-    // Each round visits at least one job, so that all are visited eventually
-    // however slow planning is.
-    if (i + 1 == queue.size() || !should_stop || !should_stop()) continue;
+    if (i + 1 == queue.size() || !MustStop(should_stop)) continue;
     const auto rest = queue.subspan(i + 1);
     if (!std::ranges::all_of(rest, &ranked_job::visited)) return false;
     break;
@@ -100,17 +115,27 @@
                           const std::function<bool()>& should_stop) {
   for (const ranked_job& one : jobs) {
     if (one.job->planned_round >= useless_pass_) continue;
-    if (visited_any_ && should_stop && should_stop()) return false;
+    if (MustStop(should_stop)) return false;
     PlanJob(*one.job, at);
   }
   return true;
 }
 
+bool planner::MustStop(const std::function<bool()>& should_stop) const {
+  // Each round visits at least one job for which it has to compare executors,
+  // so that all are visited eventually however slow planning is.
+  const bool compared_any = visits_ > idle_visits_;
+  return (compared_any || idle_visits_ >= kMaxIdleVisits) && should_stop &&
+         should_stop();
+}
+
 void planner::PlanJob(job_state& job, moment at) {
   job.planned_round = round_;
-  visited_any_ = true;
-  const placement_scope scope{.service = state_.ServiceOf(job),
-                              .advised = state_.IsAdvised(job)};
+  compared_ = false;
+  const std::string_view service = state_.ServiceOf(job);
+  const placement_scope scope{.service = service,
+                              .advised = state_.IsAdvised(job),
+                              .most_free = most_free_[service]};
   std::vector<occurrence_state>& occurrences = job.Occurrences();
   for (std::uint32_t k = 0; k < occurrences.size(); ++k) {
     std::vector<step_state>& steps = occurrences[k].steps;
@@ -119,6 +144,8 @@
       PlanStep(job, steps[s], scope, at);
     }
   }
+  ++visits_;
+  if (!compared_) ++idle_visits_;
 }
 
 void planner::PlanStep(job_state& job, step_state& step,
@@ -145,19 +172,11 @@
 
 void planner::PlanTasks(step_state& step, const placement_scope& scope,
                         moment at) {
-  // Costs of long-running tasks depend on all executors, costs of tasks with a
-  // data rack on how long each task has waited, and tasks that have failed are
-  // more selective.
-  const schema::fleet_step& spec = step.tasks.front().Spec();
-  const bool same_cost =
-      !spec.long_running() && spec.data_rack().empty() &&
-      std::ranges::all_of(step.tasks, [](const task_state& task) {
-        return task.phase != task_phase::kWaiting || task.failures == 0;
-      });
+  bool same_cost = false;
   const executor_state* selected = nullptr;
   for (task_state& task : step.tasks) {
     if (task.phase != task_phase::kWaiting) continue;
-    if (selected == nullptr || !same_cost) {
+    if (!same_cost) {
       FindCandidates(step, task, scope, at);
     } else {
       candidates_.UpdateSelected(CostAt(*selected, task, scope, at.now));
@@ -170,11 +189,13 @@
       // Tasks that have run before get capacity from `capacity_reserve`.
       if (task.Spec().long_running() && task.run == 0 &&
           WaitsLong(task, at.now)) {
+        compared_ = true;
         ReserveCapacity(state_, task, scope.service, at.now);
       }
       RequestAdvice(step, task, scope, at);
       return;
     }
+    if (selected == nullptr) same_cost = HaveSameCost(step);
     Place(task, *executor, task.run + 1, at);
     selected = executor;
     if (!same_cost) step.last_failed_search = {};
@@ -187,7 +208,13 @@
                              const placement_scope& scope, moment at) {
   candidates_.Clear();
   too_costly_ = false;
+  failed_search& search = step.last_failed_search;
+  if (!scope.most_free.Holds(first.Needs())) {
+    search = {.round = round_, .manifest = state_.current_manifest.version};
+    return;
+  }
   if (scope.advised) {
+    compared_ = true;
     for (auto& [id, executor] : state_.executors) {
       if (!step.permits.Ticket(id, at.now).empty()) {
         AddIfFeasible(executor, first, scope, at);
@@ -195,7 +222,6 @@
     }
     return;
   }
-  failed_search& search = step.last_failed_search;
   const std::optional<std::uint64_t> epoch = epoch_(first, at.now);
   const bool costs_unchanged =
       !search.rejected_by_cost || (epoch && search.epoch == epoch);
@@ -205,6 +231,7 @@
     for (executor_state* const one : changed_)
       AddIfFeasible(*one, first, scope, at);
   } else {
+    compared_ = true;
     for (auto& [id, executor] : state_.executors) {
       if (!search_valid || executor.changed_round > search.round) {
         AddIfFeasible(executor, first, scope, at);
@@ -228,6 +255,7 @@
 double planner::CostAt(const executor_state& executor, const task_state& task,
                        const placement_scope& scope, core::monotonic_time now) {
   ++evaluations_;
+  compared_ = true;
   if (!MayHost(executor, task, scope.service, now)) {
     return std::numeric_limits<double>::infinity();
   }
@@ -243,6 +271,8 @@
   };
   if (!std::ranges::all_of(step.tasks, waits)) return;
   const task_state& first = step.tasks.front();
+  if (!scope.most_free.Holds(first.Needs())) return;
+  compared_ = true;
   const bool one_rack = first.Spec().same_rack();
   if (one_rack) {
     std::set<std::string_view> racks;
@@ -322,6 +352,7 @@
     return;
   }
   step.wait_logged = at.now;
+  compared_ = true;
   on_waiting(waiting,
              CountRejections(state_, waiting, scope.service, at.now, cost_),
              at);
@@ -330,6 +361,8 @@
 void planner::RequestAdvice(step_state& step, const task_state& waiting,
                             const placement_scope& scope, moment at) {
   if (!scope.advised || !step.permits.MayRequest(at.now)) return;
+  if (!scope.most_free.Holds(waiting.Needs())) return;
+  compared_ = true;
   std::vector<std::pair<double, std::string>> ranked;
   for (const auto& [id, executor] : state_.executors) {
     if (executor.info.service != scope.service ||
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -54,9 +55,12 @@
   struct placement_scope {
     std::string_view service;
     bool advised;
+    // See `MostFreeOfServices`.
+    core::resources most_free;
   };
 
-  // Determines which executors have changed since the previous round.
+  // Determines which executors have changed since the previous round, and how
+  // much capacity is free.
   void BeginRound(core::monotonic_time now);
   bool PlanQueue(moment at, const std::function<bool()>& should_stop);
   // These return false if they stop before they have visited all jobs.
@@ -66,6 +70,8 @@
                  const std::function<bool()>& should_stop);
   bool PlanUseless(std::span<const ranked_job> jobs, moment at,
                    const std::function<bool()>& should_stop);
+  // True if the round has to stop before its next visit.
+  bool MustStop(const std::function<bool()>& should_stop) const;
   void PlanJob(job_state& job, moment at);
   void PlanStep(job_state& job, step_state& step, const placement_scope& scope,
                 moment at);
@@ -110,8 +116,11 @@
   std::optional<core::monotonic_time> sweep_began_;
   // The current round's; kept, so that its memory is reused.
   planning_queue queue_;
-  // The current round has visited a job.
-  bool visited_any_ = false;
+  // Visits of the current round, and those of them that compared no executors.
+  std::uint64_t visits_ = 0;
+  std::uint64_t idle_visits_ = 0;
+  // The current visit has compared executors.
+  bool compared_ = false;
   // Since the last one that visited all jobs.
   std::uint64_t incomplete_rounds_ = 0;
   // Round in which the current pass over the useless jobs began.
@@ -119,6 +128,7 @@
   std::uint64_t evaluations_ = 0;
   // Executors that changed between the previous round and this one.
   std::vector<executor_state*> changed_;
+  std::map<std::string_view, core::resources> most_free_;
   step_candidates candidates_;
   // The current search found free capacity, but at too high a cost.
   bool too_costly_ = false;
--- a/tests/waxwingfront/fleet/planner_sweep_test.cc
+++ b/tests/waxwingfront/fleet/planner_sweep_test.cc
@@ -49,6 +49,42 @@
   CHECK(started == 1);
 }
 
+TEST_CASE("jobs that fit nowhere do not make one that fits useless",
+          "[fleet]") {
+  constexpr int kJobs = 500;
+  // The job takes 1 s, and its objective is 3 s. A job that ends later than
+  // three times its objective is useless.
+  constexpr std::int64_t kLatestStartMs = 8000;
+  fleet_fixture fixture;
+  fixture.AddExecutor("a", kCapacity);
+  fixture.Core().Submit(JobOf("first", 1, kCapacity), At(0));
+  const fleet::orders first = fixture.StepAccepted(0);
+  REQUIRE(first.starts.size() == 1);
+  const auto plan = [&fixture](std::int64_t at_ms) {
+    fixture.Core().Plan(At(at_ms), [] { return true; });
+    fixture.Store(at_ms);
+    return fixture.Core().TakeOrders().starts.size();
+  };
+  fixture.Core().Submit(JobOf("next", 1, kCapacity), At(1));
+  for (int i = 0; i < kJobs; ++i) {
+    fixture.Core().Submit(JobOf("large" + std::to_string(i), 1, 2 * kCapacity),
+                          At(2));
+  }
+  // The first job ends just after the visit of the next one.
+  REQUIRE(plan(10) == 0);
+  std::size_t started = 0;
+  for (std::int64_t at_ms = kRoundMs; at_ms <= kLatestStartMs;
+       at_ms += kRoundMs) {
+    fixture.Report("a", at_ms, {},
+                   {{.number = 1,
+                     .task = first.starts[0].task,
+                     .run = first.starts[0].run,
+                     .how = fleet::run_end::kDone}});
+    started += plan(at_ms);
+  }
+  CHECK(started == 1);
+}
+
 TEST_CASE("a step that becomes ready is planned for while other jobs arrive",
           "[fleet]") {
   constexpr std::int64_t kFirstStepEndMs = 1000;
