--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -30,7 +30,7 @@
   return static_cast<std::size_t>(Draw(static_cast<int>(site_.Size())));
 }
 
-void schedule::After(int delay_ms, std::function<void()> action) {
+void schedule::After(std::int64_t delay_ms, std::function<void()> action) {
   due_.emplace(log_.Now() + milliseconds(delay_ms), std::move(action));
 }
 
@@ -169,6 +169,8 @@
 void schedule::Run(milliseconds time) {
   const milliseconds end = log_.Now() + time;
   milliseconds next = log_.Now() + kFirstFault;
+  if (replaces_)
+    After(2 * kFirstFault.count(), [this] { Replace(DrawNode()); });
   while (log_.Now() < end) {
     Step();
     if (log_.Now() < next) continue;
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -52,7 +52,7 @@
  private:
   int Draw(int below);
   std::size_t DrawNode();
-  void After(int delay_ms, std::function<void()> action);
+  void After(std::int64_t delay_ms, std::function<void()> action);
   void Step();
   void Disturb();
   void StopAndContinue(std::size_t node, int time_ms);
