Keep no pointers to jobs in the planner between rounds

The queue is emptied after each round; its memory stays. No change of behaviour; the tests of the planner pass.

--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -60,6 +60,8 @@
   if (!resumes) useless_pass_ = round_;
   QueueWaitingJobs(state_, sweep_, round_, resumes, at.now, queue_);
   const bool all = PlanQueue(at, should_stop);
+  // Jobs may be freed before the next round.
+  queue_.Clear();
   incomplete_rounds_ = all ? 0 : incomplete_rounds_ + 1;
   return all;
 }
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -114,7 +114,7 @@
   std::uint64_t sweep_ = 1;
   // When its first round began; empty between two sweeps.
   std::optional<core::monotonic_time> sweep_began_;
-  // The current round's; kept, so that its memory is reused.
+  // Empty between rounds; kept, so that its memory is reused.
   planning_queue queue_;
   // Visits of the current round, and those of them that compared no executors.
   std::uint64_t visits_ = 0;
--- a/src/waxwingfront/fleet/planning_order.cc
+++ b/src/waxwingfront/fleet/planning_order.cc
@@ -83,12 +83,16 @@
          now - task.waiting_since >= kLongWait;
 }
 
+void planning_queue::Clear() {
+  overdue.clear();
+  others.clear();
+  useless.clear();
+}
+
 void QueueWaitingJobs(const fleet_state& state, std::uint64_t sweep,
                       std::uint64_t round, bool separate_useless,
                       core::monotonic_time now, planning_queue& queue) {
-  queue.overdue.clear();
-  queue.others.clear();
-  queue.useless.clear();
+  queue.Clear();
   for (job_state* const job : state.live) {
     if (job->Final() || !HasWaiting(*job)) continue;
     if (job->planned_round == 0) job->planned_round = round;
--- a/src/waxwingfront/fleet/planning_order.h
+++ b/src/waxwingfront/fleet/planning_order.h
@@ -63,6 +63,9 @@
   // Useless jobs that are kept out of the sweep, those first that were visited
   // longest ago.
   std::vector<ranked_job> useless;
+
+  // Keeps the memory.
+  void Clear();
 };
 
 // Replaces `queue` by the jobs with waiting tasks, at the start of `round`. The
