--- a/tests/platform/front_test.cc
+++ b/tests/platform/front_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <optional>
+#include <string>
 #include <utility>
 
 #include "support/fake_store.h"
@@ -61,5 +62,27 @@
   CHECK(*status == 504);
 }
 
+TEST_CASE("unknown methods of callers add no metrics of their own",
+          "[platform]") {
+  net::event_loop loop;
+  fake_store shared(loop);
+  const fleet::store_services store = shared.Services();
+  net::async_http_client client(loop, {});
+  const fleet::executor_services executors;
+  logging::event_log log({});
+  fleet::fleet_node_options options;
+  options.internal_address = "127.0.0.1:0";
+  fleet::fleet_node node(loop, client, store, executors, options, log);
+  platform::front front(loop, node);
+  for (const char* const method : {"BREW", "WHEN"}) {
+    front.Handle({.method = method, .target = "/", .received = core::Now()},
+                 [](const net::server_response&) {});
+  }
+  const std::string text = node.Metrics().Text();
+  CHECK(text.find("method=\"other\"") != std::string::npos);
+  CHECK(text.find("BREW") == std::string::npos);
+  CHECK(text.find("WHEN") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
