Take ends by SIGTERM in the soak only before it can be handled

The soak passed over such ends for 1 s after each start. It now looks at the process's signal masks when it sends SIGTERM for the first time: once the signal is blocked or caught, the process has to end with status 0.

--- a/tests/soak/site.cc
+++ b/tests/soak/site.cc
@@ -10,8 +10,10 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <cstdint>
 #include <filesystem>
 #include <fstream>
+#include <string>
 #include <thread>
 
 #include "review/standin/http.h"
@@ -23,9 +25,6 @@
 // Between the signal and the end as seen from here.
 constexpr milliseconds kGraceSlack{500};
 constexpr milliseconds kRestartDelay{300};
-// SIGTERM sooner than this after the start may end a process that handles no
-// signals yet.
-constexpr milliseconds kStartTime{1000};
 constexpr milliseconds kHalfWritten{40};
 constexpr milliseconds kWatchInterval{200};
 constexpr milliseconds kProbeTime{500};
@@ -33,6 +32,20 @@
 constexpr int kMachineDescriptors = 4100;
 constexpr int kMaxMemoryKb = 260 * 1024;
 
+// True if the process blocks or catches SIGTERM, so that it does not end by it.
+bool HandlesSigterm(pid_t pid) {
+  constexpr int kHexadecimal = 16;
+  constexpr std::uint64_t kSigterm = std::uint64_t{1} << (SIGTERM - 1);
+  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+  std::uint64_t masks = 0;
+  for (std::string word; file >> word;) {
+    if (word != "SigBlk:" && word != "SigCgt:") continue;
+    file >> word;
+    masks |= std::stoull(word, nullptr, kHexadecimal);
+  }
+  return (masks & kSigterm) != 0;
+}
+
 int MemoryKb(pid_t pid) {
   std::ifstream file("/proc/" + std::to_string(pid) + "/status");
   std::string word;
@@ -194,7 +207,10 @@
   const std::scoped_lock lock(mutex_);
   if (nodes_[node].processes.empty()) return;
   process& one = nodes_[node].processes.back();
-  if (!one.terminated) one.terminated = log_.Now();
+  if (!one.terminated) {
+    one.terminated = log_.Now();
+    one.handled_sigterm = HandlesSigterm(one.pid);
+  }
   one.was_frozen_while_ending |= one.stopped;
   Signal(node, SIGTERM, "SIGTERM");
 }
@@ -266,7 +282,7 @@
   const bool clean = WIFEXITED(status) && WEXITSTATUS(status) == 0;
   const bool was_starting = WIFSIGNALED(status) &&
                             WTERMSIG(status) == SIGTERM && one.terminated &&
-                            *one.terminated < one.started + kStartTime;
+                            !one.handled_sigterm;
   if ((one.terminated && clean) || was_starting) return;
   nodes_[node].last_kill = log_.Now();
   log_.Breach("FAULT", about + (one.terminated ? " after SIGTERM" : ""));
--- a/tests/soak/site.h
+++ b/tests/soak/site.h
@@ -72,6 +72,8 @@
     int starts = 0;
     bool stopped = false;
     std::optional<milliseconds> terminated;
+    // Handled SIGTERM when it was sent for the first time.
+    bool handled_sigterm = false;
     bool killed = false;
     bool was_frozen_while_ending = false;
     milliseconds started{0};
