--- /dev/null
+++ b/tests/waxwingfront/fleet/slow_link_test.cc
@@ -0,0 +1,172 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "support/fleet_fixture.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+constexpr std::int64_t kLinkMbps = 10;
+constexpr std::int64_t kBytesPerMs = kLinkMbps * 125;
+// Size of a start beside the payload.
+constexpr std::int64_t kStartBytes = 500;
+constexpr std::int64_t kStepMs = 20;
+// How long the executors take a start after it was sent.
+constexpr std::int64_t kStartLeaseMs = 1900;
+// The platform counts a long-running task as lost if it has not run again 9 s
+// after its last run.
+constexpr std::int64_t kMaxStandstillMs = 9'000;
+
+// A leader whose link carries a third of the starts of the short jobs that
+// arrive, and nothing else.
+class slow_link_leader {
+ public:
+  slow_link_leader() {
+    for (int i = 0; i < kExecutors; ++i) {
+      executors_.push_back("e" + std::to_string(i));
+      fixture_.AddExecutor(executors_.back(), kCapacity);
+    }
+    schema::fleet_job lasting = JobOf("lasting", 1, 1000);
+    lasting.mutable_steps(0)->set_long_running(true);
+    fixture_.Core().Submit(lasting, At(0));
+  }
+
+  void Play(std::int64_t ms) {
+    for (const std::int64_t until = now_ + ms; now_ < until;) Step();
+  }
+
+  bool LastingRuns() const { return lasting_.contains("lasting"); }
+
+  // Returns how long the long-running task stands still after a failure.
+  std::int64_t StandstillAfterFailure() {
+    constexpr std::int64_t kLongestMs = 20'000;
+    const fleet::start_order run = lasting_.at("lasting");
+    lasting_.clear();
+    ended_[run.executor].push_back(
+        {.task = run.task, .run = run.run, .how = fleet::run_end::kFailed});
+    const std::int64_t failed = now_;
+    while (!LastingRuns() && now_ - failed < kLongestMs) Step();
+    return now_ - failed;
+  }
+
+  std::size_t ShortStarts() const { return short_starts_; }
+  std::size_t LateStarts() const { return late_starts_; }
+
+ private:
+  static constexpr int kExecutors = 20;
+  static constexpr std::int64_t kCapacity = 100'000'000;
+  static constexpr std::uint32_t kTasksPerJob = 20;
+  static constexpr std::size_t kPayload = 3000;
+  static constexpr std::int64_t kHoldMs = 500;
+
+  struct sent_start {
+    fleet::start_order order;
+    std::int64_t sent;
+    std::int64_t bytes_left;
+  };
+
+  void Step() {
+    now_ += kStepMs;
+    schema::fleet_job job = JobOf("j" + std::to_string(now_), kTasksPerJob, 1);
+    job.set_payload(std::string(kPayload, 'x'));
+    fixture_.Core().Submit(job, At(now_));
+    if (now_ % kHoldMs == 0) Hold();
+    Carry();
+    const fleet::orders orders = fixture_.Step(now_);
+    for (const fleet::start_order& order : orders.starts) {
+      const auto payload = static_cast<std::int64_t>(order.payload.size());
+      link_.push_back(
+          {.order = order, .sent = now_, .bytes_left = payload + kStartBytes});
+    }
+  }
+
+  // Short runs are done when their executor is held next.
+  void Hold() {
+    for (const std::string& executor : executors_) {
+      std::vector<fleet::running_report> running;
+      for (const auto& [job, run] : lasting_) {
+        if (run.executor != executor) continue;
+        running.push_back({.task = run.task, .run = run.run, .percent = 100});
+      }
+      std::vector<fleet::ended_report> ended =
+          std::exchange(ended_[executor], {});
+      for (fleet::ended_report& end : ended) end.number = ++ends_[executor];
+      fixture_.Report(executor, now_, std::move(running), std::move(ended));
+    }
+  }
+
+  void Carry() {
+    std::int64_t bytes = kStepMs * kBytesPerMs;
+    while (!link_.empty() && bytes > 0) {
+      sent_start& first = link_.front();
+      const std::int64_t part = std::min(bytes, first.bytes_left);
+      bytes -= part;
+      first.bytes_left -= part;
+      if (first.bytes_left > 0) return;
+      const sent_start arrived = std::move(first);
+      link_.pop_front();
+      Arrive(arrived);
+    }
+  }
+
+  void Arrive(const sent_start& start) {
+    const bool late = now_ - start.sent > kStartLeaseMs;
+    fixture_.Core().OnStartResponse(start.order,
+                                    late ? fleet::start_outcome::kDeadlinePassed
+                                         : fleet::start_outcome::kAccepted,
+                                    At(now_));
+    if (late) {
+      ++late_starts_;
+    } else if (start.order.task.job == "lasting") {
+      lasting_["lasting"] = start.order;
+    } else {
+      ++short_starts_;
+      ended_[start.order.executor].push_back({.task = start.order.task,
+                                              .run = start.order.run,
+                                              .how = fleet::run_end::kDone});
+    }
+  }
+
+  fleet_fixture fixture_;
+  std::int64_t now_ = 0;
+  std::vector<std::string> executors_;
+  std::deque<sent_start> link_;
+  // Long-running tasks at work, by job.
+  std::map<std::string, fleet::start_order> lasting_;
+  // Ends that the executors report at their next hold, and numbers of the last.
+  std::map<std::string, std::vector<fleet::ended_report>> ended_;
+  std::map<std::string, std::uint64_t> ends_;
+  std::size_t short_starts_ = 0;
+  std::size_t late_starts_ = 0;
+};
+
+// Guards against urgent starts that wait for all others on a full link.
+TEST_CASE("a full link does not delay the start of an interrupted task",
+          "[fleet][overload]") {
+  constexpr std::int64_t kOverloadMs = 8'000;
+  slow_link_leader leader;
+  leader.Play(kOverloadMs);
+  REQUIRE(leader.LastingRuns());
+  CHECK(leader.StandstillAfterFailure() < kMaxStandstillMs);
+}
+
+// Guards against starts that are sent although they arrive too late.
+TEST_CASE("a full link carries no starts that arrive after their deadline",
+          "[fleet][overload]") {
+  constexpr std::int64_t kOverloadMs = 8'000;
+  slow_link_leader leader;
+  leader.Play(kOverloadMs);
+  CHECK(leader.LateStarts() == 0);
+  // Half of what the link carries in that time.
+  CHECK(leader.ShortStarts() > 1400);
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
