Limit starts to what the leader's link carries, urgent ones first

Callers saw long-running tasks stand still for 9 s to 34 s after their runs had ended, with room for them, while a machine with a link of 10 Mbit/s led.

Cause: an unbounded queue that urgent and other work share. All placed tasks were ordered at once, in the order of planning. Short tasks need more than the link carries, so that starts queued up in the sockets, where those of interrupted tasks, holds and lease renewals wait behind them until deadlines pass. Starts that were given up were planned and sent again, which is more of the same. Tasks that were placed and not started took up room on executors that were idle.

Change: starts go through `start_queue`. It has a lane for long-running tasks, which comes first, and one for short ones; each may have as much in flight as the link carries in 100 ms. No further short tasks are placed while those that are placed and not sent need more than 500 ms of the link; the planner then passes over jobs that have only short tasks waiting, and begins with the first ones in its order again. Links of unknown speed have no limits.

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -248,7 +248,7 @@
     const auto deadline_ms = core.Deadlines().ForStart(order, at.now);
     if (!deadline_ms || !hooks.may_order()) {
       LogStart("start_held_back", order, start_outcome::kNotSent);
-      core.Runs().OnStartResponse(order, start_outcome::kNotSent, at);
+      core.OnStartResponse(order, start_outcome::kNotSent, at);
       return;
     }
     executors.start(executor->info.address, order, token, *deadline_ms,
--- a/src/waxwingfront/fleet/first_hold_queue.cc
+++ b/src/waxwingfront/fleet/first_hold_queue.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "waxwingfront/fleet/link_speed.h"
+
 namespace waxwingfront::fleet {
 namespace {
 
@@ -13,13 +15,10 @@
 
 std::size_t MaxFirstHoldsInFlight(double link_mbps,
                                   const first_hold_queue_options& options) {
-  constexpr double kBytesPerMsAtOneMbps = 125.0;
-  if (link_mbps <= 0.0) return options.max_in_flight;
-  const double bytes = link_mbps * kBytesPerMsAtOneMbps *
-                       static_cast<double>(options.max_link_time.count());
-  const double holds = std::min(bytes / static_cast<double>(options.bytes),
-                                static_cast<double>(options.max_in_flight));
-  return std::max(static_cast<std::size_t>(holds), options.min_in_flight);
+  const auto bytes = BytesOnLink(link_mbps, options.max_link_time);
+  if (!bytes) return options.max_in_flight;
+  return std::clamp(*bytes / options.bytes, options.min_in_flight,
+                    options.max_in_flight);
 }
 
 void first_hold_queue::Add(const std::string& executor, hold_urgency urgency) {
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -25,6 +25,7 @@
 
 fleet_core::fleet_core(fleet_options options)
     : options_(options),
+      state_{.starts = start_queue(options.starts)},
       sharing_(state_),
       admission_(state_, options.admission),
       distance_(options.remote_factor),
@@ -305,7 +306,16 @@
   DropUnused();
 }
 
-orders fleet_core::TakeOrders() { return std::exchange(state_.outgoing, {}); }
+orders fleet_core::TakeOrders() {
+  orders taken = std::exchange(state_.outgoing, {});
+  taken.starts = state_.starts.Take();
+  for (const start_order& order : taken.starts) {
+    task_state* const task = state_.FindTask(order.task);
+    if (task != nullptr && task->run == order.run)
+      state_.starts.Withdraw(*task);
+  }
+  return taken;
+}
 
 void fleet_core::OnHold(std::string_view executor, const hold_report& report,
                         core::monotonic_time sent, moment at) {
@@ -343,6 +353,7 @@
 
 void fleet_core::OnStartResponse(const start_order& order,
                                  start_outcome outcome, moment at) {
+  state_.starts.OnResponse(order);
   runs_.OnStartResponse(order, outcome, at);
   executor_state* const executor = state_.FindExecutor(order.executor);
   const bool accepted = outcome == start_outcome::kAccepted;
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -22,6 +22,7 @@
 #include "waxwingfront/fleet/run_tracker.h"
 #include "waxwingfront/fleet/sharing_policy.h"
 #include "waxwingfront/fleet/standing_admission.h"
+#include "waxwingfront/fleet/start_queue.h"
 
 namespace waxwingfront::fleet {
 
@@ -37,6 +38,7 @@
   double remote_factor = 1.0;
   run_tracker_options runs;
   standing_admission_options admission;
+  start_queue_options starts;
 };
 
 enum class submission { kNew, kDuplicate };
@@ -136,6 +138,8 @@
   // entries are too old.
   bool Plan(moment at, const std::function<bool()>& should_stop = {});
   std::uint64_t Evaluations() const { return planner_.Evaluations(); }
+  // Returns the orders to be sent now. Further starts become available when
+  // those sent before get their responses.
   orders TakeOrders();
 
  private:
--- a/src/waxwingfront/fleet/fleet_state.cc
+++ b/src/waxwingfront/fleet/fleet_state.cc
@@ -74,6 +74,7 @@
 void fleet_state::Release(task_state& task, core::monotonic_time now) {
   executor_state* const executor = FindExecutor(task.executor);
   if (executor != nullptr) executor->Remove(task);
+  starts.Withdraw(task);
   task.phase = task_phase::kWaiting;
   task.waiting_since = now;
   if (task.HasBegun()) task.interrupted_since = now;
--- a/src/waxwingfront/fleet/fleet_state.h
+++ b/src/waxwingfront/fleet/fleet_state.h
@@ -14,6 +14,7 @@
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/fleet/executor_state.h"
 #include "waxwingfront/fleet/job_state.h"
+#include "waxwingfront/fleet/start_queue.h"
 #include "waxwingfront/fleet/store_queue.h"
 #include "waxwingfront/fleet/types.h"
 
@@ -33,6 +34,8 @@
   // Jobs that may have tasks to place or to stop, unordered.
   std::vector<job_state*> live;
   store_queue store_backlog;
+  start_queue starts;
+  // All other orders.
   orders outgoing;
   // All changes of executor entries until this time are known; empty if
   // entries are not watched.
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -2,6 +2,7 @@
 #ifndef WAXWINGFRONT_FLEET_JOB_STATE_H_
 #define WAXWINGFRONT_FLEET_JOB_STATE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -77,6 +78,8 @@
   core::monotonic_time placed_at{};
   // First version of the job that contains the current placement.
   std::uint64_t placed_version = 0;
+  // Its share of the backlog of `start_queue`.
+  std::size_t start_backlog_bytes = 0;
   // The executor's last report contains the run.
   bool listed = false;
   // Latest reported values of the running task.
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -101,6 +101,7 @@
 bool planner::PlanSweep(std::span<const ranked_job> queue, moment at,
                         const std::function<bool()>& should_stop) {
   for (std::size_t i = 0; i < queue.size(); ++i) {
+    if (queue[i].only_short_tasks && state_.starts.IsFull()) continue;
     PlanJob(*queue[i].job, at);
     queue[i].job->planned_sweep = sweep_;
     if (i + 1 == queue.size() || !MustStop(should_stop)) continue;
@@ -116,6 +117,7 @@
 bool planner::PlanUseless(std::span<const ranked_job> jobs, moment at,
                           const std::function<bool()>& should_stop) {
   for (const ranked_job& one : jobs) {
+    if (state_.starts.IsFull()) return true;
     if (one.job->planned_round >= useless_pass_) continue;
     if (MustStop(should_stop)) return false;
     PlanJob(*one.job, at);
@@ -123,6 +125,11 @@
   return true;
 }
 
+bool planner::MayPlace(const task_state& task) const {
+  return !state_.starts.IsFull() ||
+         StartUrgencyOf(task) != start_urgency::kShort;
+}
+
 bool planner::MustStop(const std::function<bool()>& should_stop) const {
   // Each round visits at least one job for which it has to compare executors,
   // so that all are visited eventually however slow planning is.
@@ -178,6 +185,7 @@
   const executor_state* selected = nullptr;
   for (task_state& task : step.tasks) {
     if (task.phase != task_phase::kWaiting) continue;
+    if (!MayPlace(task)) return;
     if (!same_cost) {
       FindCandidates(step, task, scope, at);
     } else {
@@ -271,8 +279,8 @@
   const auto waits = [](const task_state& task) {
     return task.phase == task_phase::kWaiting;
   };
-  if (!std::ranges::all_of(step.tasks, waits)) return;
   const task_state& first = step.tasks.front();
+  if (!std::ranges::all_of(step.tasks, waits) || !MayPlace(first)) return;
   if (!scope.most_free.Holds(first.Needs())) return;
   compared_ = true;
   const bool one_rack = first.Spec().same_rack();
@@ -344,6 +352,7 @@
   task.listed = false;
   executor.UseReservation(task);
   executor.Add(task);
+  state_.starts.OnPlaced(task);
   if (on_placed) on_placed(task, at);
 }
 
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -43,7 +43,10 @@
   // requested. Stops early once `should_stop` returns true; it may be empty.
   // The next rounds then visit the other jobs, most of them without those that
   // can no longer end while they are useful, and no job waits for good for a
-  // visit however many new ones arrive. Returns true if all jobs were visited.
+  // visit however many new ones arrive. Returns true if all jobs were visited,
+  // except those with short tasks only whose starts the link does not carry at
+  // present: these are not visited, so that the first ones in the order go
+  // first.
   bool Plan(moment at, const std::function<bool()>& should_stop);
 
   // Returns how many times the feasibility and cost of a task on an executor
@@ -70,6 +73,8 @@
                  const std::function<bool()>& should_stop);
   bool PlanUseless(std::span<const ranked_job> jobs, moment at,
                    const std::function<bool()>& should_stop);
+  // True if the link carries the start of the task in time.
+  bool MayPlace(const task_state& task) const;
   // True if the round has to stop before its next visit.
   bool MustStop(const std::function<bool()>& should_stop) const;
   void PlanJob(job_state& job, moment at);
--- a/src/waxwingfront/fleet/planning_order.cc
+++ b/src/waxwingfront/fleet/planning_order.cc
@@ -7,17 +7,33 @@
 namespace waxwingfront::fleet {
 namespace {
 
-bool HasWaiting(const job_state& job) {
+bool AnyWaiting(const step_state& step) {
+  return std::ranges::any_of(step.tasks, [](const task_state& task) {
+    return task.phase == task_phase::kWaiting;
+  });
+}
+
+// True if a step that satisfies `which` has a waiting task.
+template <typename Predicate>
+bool HasWaiting(const job_state& job, const Predicate& which) {
   for (const occurrence_state& occurrence : job.Occurrences()) {
     for (const step_state& step : occurrence.steps) {
-      for (const task_state& task : step.tasks) {
-        if (task.phase == task_phase::kWaiting) return true;
-      }
+      if (which(step) && AnyWaiting(step)) return true;
     }
   }
   return false;
 }
 
+bool HasWaiting(const job_state& job) {
+  return HasWaiting(job, [](const step_state&) { return true; });
+}
+
+bool HasWaitingLongRunning(const job_state& job) {
+  return HasWaiting(job, [](const step_state& step) {
+    return step.tasks.front().Spec().long_running();
+  });
+}
+
 // True if the job's first step is ready and a task of it has waited long.
 bool AnyWaitsLong(const job_state& job, core::monotonic_time now) {
   const step_state& step = job.Occurrences().front().steps.front();
@@ -72,6 +88,7 @@
           .due = deadlines.due,
           .useless = job.planned_sweep != 0 && !is_long_running && is_last &&
                      feasibility == deadline_feasibility::kInfeasible,
+          .only_short_tasks = !HasWaitingLongRunning(job),
           .last_visit = job.planned_round,
           .job = &job};
 }
--- a/src/waxwingfront/fleet/planning_order.h
+++ b/src/waxwingfront/fleet/planning_order.h
@@ -37,6 +37,8 @@
   core::monotonic_time due;
   // It has been visited before and can no longer end while it is useful.
   bool useless;
+  // None of its waiting tasks is long-running.
+  bool only_short_tasks;
   // Round that visited it last, or the first one that saw it waiting.
   std::uint64_t last_visit;
   job_state* job;
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -266,12 +266,13 @@
   executor->deadline_sent_ms = std::max(
       executor->deadline_sent_ms,
       LatestClock(*executor->clock, at.now) + bounds_.start_lease.count());
-  state_.outgoing.starts.push_back({.executor = task.executor,
-                                    .task = task.Ref(),
-                                    .run = task.run,
-                                    .payload = job.Spec().payload(),
-                                    .checkpoint = task.checkpoint,
-                                    .permit = std::string(permit)});
+  state_.starts.Add({.executor = task.executor,
+                     .task = task.Ref(),
+                     .run = task.run,
+                     .payload = job.Spec().payload(),
+                     .checkpoint = task.checkpoint,
+                     .permit = std::string(permit)},
+                    StartUrgencyOf(task));
 }
 
 void run_tracker::MarkBegun(job_state& job, moment at) const {
--- /dev/null
+++ b/src/waxwingfront/fleet/start_queue.h
@@ -0,0 +1,98 @@
+// Starts on their way to the executors, limited to what the link of this
+// process carries.
+//
+// What is sent beyond that waits in the sockets, where urgent starts, holds and
+// lease renewals cannot overtake it, until the deadlines of the starts pass.
+#ifndef WAXWINGFRONT_FLEET_START_QUEUE_H_
+#define WAXWINGFRONT_FLEET_START_QUEUE_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "waxwingfront/core/clock.h"
+#include "waxwingfront/fleet/job_state.h"
+#include "waxwingfront/fleet/types.h"
+
+namespace waxwingfront::fleet {
+
+struct start_queue_options {
+  // Speed of the link in Mbit/s; 0 if it is unknown, which sets no limits.
+  double link_mbps = 0.0;
+  // Maximum time for which the starts in flight of one urgency alone may
+  // saturate the link.
+  core::milliseconds max_link_time{100};
+  // The same for short tasks that are placed and whose start was not sent yet.
+  core::milliseconds max_backlog_time{500};
+};
+
+// Priority of a start, the most urgent first.
+enum class start_urgency {
+  // The platform expects long-running tasks to run all the time.
+  kLongRunning,
+  kShort,
+};
+inline constexpr std::size_t kStartUrgencies = 2;
+
+struct start_queue_levels {
+  // Starts that may be sent as soon as the link has room for them.
+  std::size_t waiting = 0;
+  // Size of the starts of short tasks that are placed and were not sent yet.
+  std::size_t backlog_bytes = 0;
+  // Size of the starts that were sent and have no response.
+  std::size_t bytes_in_flight = 0;
+};
+
+class start_queue {
+ public:
+  explicit start_queue(start_queue_options options = {});
+
+  // The task was placed. It counts as backlog until it is withdrawn.
+  void OnPlaced(task_state& task);
+  // The task's start was sent or given up. Does nothing if the task does not
+  // count as backlog.
+  void Withdraw(task_state& task);
+  // True if no further short tasks should be placed, because their starts would
+  // only wait for those of others.
+  bool IsFull() const;
+
+  void Add(start_order order, start_urgency urgency);
+  // Removes and returns the starts to be sent now, the most urgent first. Each
+  // is in flight until its first response.
+  std::vector<start_order> Take();
+  // Handles a response to a start, or its failure. Further ones are ignored.
+  void OnResponse(const start_order& order);
+
+  start_queue_levels Levels() const;
+
+ private:
+  struct lane {
+    std::deque<start_order> waiting;
+    std::size_t bytes_in_flight = 0;
+  };
+  struct sent_start {
+    std::size_t lane;
+    std::size_t bytes;
+  };
+
+  // Limits in bytes; empty if the speed of the link is unknown.
+  std::optional<std::size_t> max_in_flight_;
+  std::optional<std::size_t> max_backlog_;
+  // By urgency.
+  std::array<lane, kStartUrgencies> lanes_;
+  // By the number of the order.
+  std::unordered_map<std::uint64_t, sent_start> in_flight_;
+  std::uint64_t last_number_ = 0;
+  std::size_t backlog_bytes_ = 0;
+};
+
+// Returns the urgency of the task's next start.
+start_urgency StartUrgencyOf(const task_state& task);
+
+}  // namespace waxwingfront::fleet
+
+#endif  // WAXWINGFRONT_FLEET_START_QUEUE_H_
--- a/src/waxwingfront/fleet/types.h
+++ b/src/waxwingfront/fleet/types.h
@@ -126,6 +126,8 @@
   std::string checkpoint;
   // The adviser's permit, if the queue requires one.
   std::string permit;
+  // Identifies the order in `start_queue`; 0 until it is taken from there.
+  std::uint64_t number = 0;
 };
 
 struct stop_order {
--- a/tests/waxwingfront/fleet/slow_link_test.cc
+++ b/tests/waxwingfront/fleet/slow_link_test.cc
@@ -28,7 +28,7 @@
 // arrive, and nothing else.
 class slow_link_leader {
  public:
-  slow_link_leader() {
+  slow_link_leader() : fixture_({{}}, {.starts = {.link_mbps = kLinkMbps}}) {
     for (int i = 0; i < kExecutors; ++i) {
       executors_.push_back("e" + std::to_string(i));
       fixture_.AddExecutor(executors_.back(), kCapacity);
