--- /dev/null
+++ b/tests/waxwingfront/fleet/start_queue_test.cc
@@ -0,0 +1,150 @@
+#include "waxwingfront/fleet/start_queue.h"
+
+#include <catch2/catch.hpp>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "support/fleet_fixture.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+using fleet::start_urgency;
+
+// 10 Mbit/s carry 125,000 bytes in the 100 ms that starts may take at once.
+constexpr double kLinkMbps = 10.0;
+constexpr std::size_t kPayload = 9'500;
+// With 500 bytes of overhead each.
+constexpr std::size_t kMaxStarts = 12;
+
+fleet::start_order OrderOf(const std::string& job) {
+  return {.executor = "e",
+          .task = {.job = job, .occurrence = 0, .step = 0, .index = 0},
+          .run = 1,
+          .payload = std::string(kPayload, 'x')};
+}
+
+TEST_CASE("starts are sent as the link carries them", "[fleet]") {
+  fleet::start_queue queue({.link_mbps = kLinkMbps});
+  for (std::size_t i = 0; i < 2 * kMaxStarts; ++i) {
+    queue.Add(OrderOf("short" + std::to_string(i)), start_urgency::kShort);
+  }
+  const std::vector<fleet::start_order> first = queue.Take();
+  REQUIRE(first.size() == kMaxStarts);
+  CHECK(first.front().task.job == "short0");
+  CHECK(queue.Take().empty());
+  queue.OnResponse(first[0]);
+  // A late response after a timeout.
+  queue.OnResponse(first[0]);
+  const std::vector<fleet::start_order> next = queue.Take();
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].task.job == "short" + std::to_string(kMaxStarts));
+}
+
+TEST_CASE("starts of long-running tasks do not wait for short ones",
+          "[fleet]") {
+  fleet::start_queue queue({.link_mbps = kLinkMbps});
+  for (std::size_t i = 0; i < 2 * kMaxStarts; ++i) {
+    queue.Add(OrderOf("short" + std::to_string(i)), start_urgency::kShort);
+  }
+  REQUIRE(queue.Take().size() == kMaxStarts);
+  queue.Add(OrderOf("lasting"), start_urgency::kLongRunning);
+  const std::vector<fleet::start_order> taken = queue.Take();
+  REQUIRE(taken.size() == 1);
+  CHECK(taken[0].task.job == "lasting");
+}
+
+TEST_CASE("starts of long-running tasks leave the link free for holds",
+          "[fleet]") {
+  fleet::start_queue queue({.link_mbps = kLinkMbps});
+  for (std::size_t i = 0; i < 2 * kMaxStarts; ++i) {
+    queue.Add(OrderOf("lasting"), start_urgency::kLongRunning);
+  }
+  CHECK(queue.Take().size() == kMaxStarts);
+}
+
+TEST_CASE("a start that is larger than the limit is sent alone", "[fleet]") {
+  fleet::start_queue queue({.link_mbps = 0.1});
+  queue.Add(OrderOf("first"), start_urgency::kShort);
+  queue.Add(OrderOf("second"), start_urgency::kShort);
+  const std::vector<fleet::start_order> first = queue.Take();
+  REQUIRE(first.size() == 1);
+  queue.OnResponse(first[0]);
+  CHECK(queue.Take().size() == 1);
+}
+
+TEST_CASE("starts on a link of unknown speed are not limited", "[fleet]") {
+  constexpr std::size_t kMany = 1000;
+  fleet::start_queue queue;
+  for (std::size_t i = 0; i < kMany; ++i) {
+    queue.Add(OrderOf("short"), start_urgency::kShort);
+  }
+  CHECK(queue.Take().size() == kMany);
+  CHECK_FALSE(queue.IsFull());
+}
+
+TEST_CASE("short tasks are placed as far as the link carries their starts",
+          "[fleet]") {
+  // 62 starts in the 500 ms for which starts may wait.
+  constexpr std::size_t kMaxPlaced = 63;
+  constexpr std::uint32_t kTasks = 100;
+  constexpr std::int64_t kCapacity = 1'000'000;
+  fleet_fixture fixture({{}}, {.starts = {.link_mbps = kLinkMbps}});
+  fixture.AddExecutor("a", kCapacity);
+  schema::fleet_job job = JobOf("short", kTasks, 1);
+  job.set_payload(std::string(kPayload, 'x'));
+  fixture.Core().Submit(job, At(0));
+  std::vector<fleet::start_order> sent = fixture.Step(0).starts;
+  CHECK(sent.size() == kMaxStarts);
+  CHECK(fixture.Core().FindExecutor("a")->active.size() == kMaxPlaced);
+
+  SECTION("long-running tasks are placed and sent all the same") {
+    schema::fleet_job lasting = JobOf("lasting", 1, 1);
+    lasting.mutable_steps(0)->set_long_running(true);
+    fixture.Core().Submit(lasting, At(0));
+    constexpr std::int64_t kBatchingMs = 400;
+    fixture.Step(0);
+    fixture.Report("a", kBatchingMs, {});
+    const fleet::orders next = fixture.Step(kBatchingMs);
+    REQUIRE(next.starts.size() == 1);
+    CHECK(next.starts[0].task.job == "lasting");
+  }
+  SECTION("others follow once starts have been sent") {
+    std::size_t started = 0;
+    while (!sent.empty()) {
+      for (const fleet::start_order& order : sent) {
+        fixture.Core().OnStartResponse(order, fleet::start_outcome::kAccepted,
+                                       At(0));
+        ++started;
+      }
+      sent = fixture.Step(0).starts;
+    }
+    CHECK(started == kTasks);
+  }
+  SECTION("a cancelled job does not count") {
+    fixture.Core().Cancel("short", At(0));
+    for (const fleet::start_order& order : sent) {
+      fixture.Core().OnStartResponse(order, fleet::start_outcome::kNotSent,
+                                     At(0));
+    }
+    schema::fleet_job other = JobOf("other", kTasks, 1);
+    other.set_payload(std::string(kPayload, 'x'));
+    fixture.Core().Submit(other, At(0));
+    std::size_t started = 0;
+    for (int round = 0; round < 100 && started < kTasks; ++round) {
+      for (const fleet::start_order& order : fixture.Step(0).starts) {
+        const bool current = order.task.job == "other";
+        started += current ? 1 : 0;
+        fixture.Core().OnStartResponse(order,
+                                       current ? fleet::start_outcome::kAccepted
+                                               : fleet::start_outcome::kNotSent,
+                                       At(0));
+      }
+    }
+    CHECK(started == kTasks);
+  }
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
