--- a/src/waxwingfront/logging/event_log.cc
+++ b/src/waxwingfront/logging/event_log.cc
@@ -12,26 +12,44 @@
 
 namespace waxwingfront::logging {
 void event_log::Write(std::string_view event,
-                      std::initializer_list<event_field> fields) {
+                      std::initializer_list<event_field> fields,
+                      line_priority priority) {
   constexpr std::int64_t kMsPerSecond = 1000;
   if (on_event) on_event(event);
-  if (!Admit(event, core::UnixMs() / kMsPerSecond)) {
-    ++dropped_;
-    ++dropped_total_;
+  event_usage& used = UsageOf(event);
+  const std::int64_t second = core::UnixMs() / kMsPerSecond;
+  if (used.second != second) {
+    used.second = second;
+    used.lines = 0;
+    used.urgent_lines = 0;
+  }
+  const bool urgent = priority == line_priority::kUrgent;
+  if (Admit(used, urgent)) {
+    Append(event, fields);
     return;
   }
-  Append(event, fields);
+  ++used.dropped;
+  if (urgent) ++used.dropped_urgent;
+  ++dropped_total_;
+  drops_pending_ = true;
+}
+
+event_log::event_usage& event_log::UsageOf(std::string_view event) {
+  auto found = usage_.find(event);
+  if (found == usage_.end()) {
+    found = usage_.emplace(std::string(event), event_usage{}).first;
+  }
+  return found->second;
 }
 
-bool event_log::Admit(std::string_view event, std::int64_t second) {
-  if (buffer_.size() >= options_.max_buffer_bytes) return false;
-  auto found = rates_.find(event);
-  if (found == rates_.end()) {
-    found = rates_.emplace(std::string(event), line_rate{}).first;
+bool event_log::Admit(event_usage& used, bool urgent) const {
+  if (urgent) {
+    return buffer_.size() <
+               options_.max_buffer_bytes + options_.urgent_buffer_bytes &&
+           ++used.urgent_lines <= options_.max_urgent_lines_per_second;
   }
-  line_rate& used = found->second;
-  if (used.second != second) used = {.second = second, .lines = 0};
-  return ++used.lines <= options_.max_lines_per_second;
+  return buffer_.size() < options_.max_buffer_bytes &&
+         ++used.lines <= options_.max_lines_per_second;
 }
 
 void event_log::Append(std::string_view event,
@@ -63,11 +81,21 @@
   buffer_.push_back('\n');
 }
 
-void event_log::Flush() {
-  if (dropped_ > 0 && buffer_.size() < options_.max_buffer_bytes) {
-    Append("log_dropped", {{"lines", static_cast<std::int64_t>(dropped_)}});
-    dropped_ = 0;
+void event_log::ReportDrops() {
+  for (auto& [event, used] : usage_) {
+    if (used.dropped == 0) continue;
+    if (buffer_.size() >= options_.max_buffer_bytes) return;
+    Append("log_dropped", {{"of", event},
+                           {"lines", used.dropped},
+                           {"urgent", used.dropped_urgent}});
+    used.dropped = 0;
+    used.dropped_urgent = 0;
   }
+  drops_pending_ = false;
+}
+
+void event_log::Flush() {
+  if (drops_pending_) ReportDrops();
   std::size_t written = 0;
   while (written < buffer_.size()) {
     pollfd ready{.fd = options_.descriptor, .events = POLLOUT, .revents = 0};
