Log decisions on long-running tasks as urgent, with readable outcomes

Cause: task_placed, run_over, task_waits, start_held_back and start_not_confirmed of interrupted tasks were dropped among those on short tasks, outcomes of starts were bare numbers, and no line told how long a start that is held back had waited.

Change: these lines are urgent if the task is long-running, whichever run it is: the end of the first run begins the interruption. Lines on leases and contact are urgent as well. OutcomeName also names outcomes of starts; start_held_back has waited_ms, counted from the placement. The driver's scene moves to tests/support, unchanged but for options of its log and the outcome of starts.

--- a/src/waxwingfront/fleet/decision_log.cc
+++ b/src/waxwingfront/fleet/decision_log.cc
@@ -3,15 +3,25 @@
 #include <optional>
 
 namespace waxwingfront::fleet {
+namespace {
+
+logging::line_priority PriorityOf(const task_state& task) {
+  return task.Spec().long_running() ? logging::line_priority::kUrgent
+                                    : logging::line_priority::kOrdinary;
+}
+
+}  // namespace
 
 void decision_log::Placed(const task_state& task,
                           std::int64_t manifest_version) {
-  log_.Write("task_placed", {{"job", task.job->Id()},
-                             {"step", std::int64_t{task.step}},
-                             {"task", std::int64_t{task.index}},
-                             {"run", std::int64_t{task.run}},
-                             {"executor", task.executor},
-                             {"manifest", manifest_version}});
+  log_.Write("task_placed",
+             {{"job", task.job->Id()},
+              {"step", std::int64_t{task.step}},
+              {"task", std::int64_t{task.index}},
+              {"run", std::int64_t{task.run}},
+              {"executor", task.executor},
+              {"manifest", manifest_version}},
+             PriorityOf(task));
 }
 
 void decision_log::Waiting(const task_state& task,
@@ -31,7 +41,8 @@
        {"filled_by_short_tasks",
         std::int64_t{rejections.filled_by_short_tasks}},
        {"not_permitted", std::int64_t{rejections.not_permitted}},
-       {"too_costly", std::int64_t{rejections.too_costly}}});
+       {"too_costly", std::int64_t{rejections.too_costly}}},
+      PriorityOf(task));
 }
 
 void decision_log::ReserveChanged(const reserve_summary& summary) {
@@ -75,13 +86,15 @@
 }
 
 void decision_log::RunEnded(const task_state& task, run_outcome outcome) {
-  log_.Write("run_over", {{"job", task.job->Id()},
-                          {"step", std::int64_t{task.step}},
-                          {"task", std::int64_t{task.index}},
-                          {"run", std::int64_t{task.run}},
-                          {"executor", task.executor},
-                          {"percent", std::int64_t{task.percent}},
-                          {"fate", OutcomeName(outcome)}});
+  log_.Write("run_over",
+             {{"job", task.job->Id()},
+              {"step", std::int64_t{task.step}},
+              {"task", std::int64_t{task.index}},
+              {"run", std::int64_t{task.run}},
+              {"executor", task.executor},
+              {"percent", std::int64_t{task.percent}},
+              {"fate", OutcomeName(outcome)}},
+             PriorityOf(task));
 }
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -174,7 +174,8 @@
       }
       if (executor->in_contact) {
         log.Write("executor_lost",
-                  {{"executor", id}, {"cause", report.error().detail}});
+                  {{"executor", id}, {"cause", report.error().detail}},
+                  logging::line_priority::kUrgent);
       }
       if (report.error().code == core::error_code::kOtherIncarnation) {
         core.Runs().OnOtherIncarnation(id, hold, at);
@@ -206,7 +207,8 @@
     log.Write("executor_reached",
               {{"executor", executor.info.id},
                {"born_ms", report.born_ms},
-               {"running", static_cast<std::int64_t>(report.running.size())}});
+               {"running", static_cast<std::int64_t>(report.running.size())}},
+              logging::line_priority::kUrgent);
   }
 
   // Handles the response to a hold that has already counted as failed. It is
@@ -247,7 +249,7 @@
     const moment at = hooks.now();
     const auto deadline_ms = core.Deadlines().ForStart(order, at.now);
     if (!deadline_ms || !hooks.may_order()) {
-      LogStart("start_held_back", order, start_outcome::kNotSent);
+      LogHeldBack(order, start_outcome::kNotSent, at);
       core.Runs().OnStartResponse(order, start_outcome::kNotSent, at);
       return;
     }
@@ -261,19 +263,39 @@
     Pump(order.executor);
   }
 
-  void LogStart(std::string_view event, const start_order& order,
-                start_outcome outcome) {
-    log.Write(event, {{"job", order.task.job},
-                      {"step", std::int64_t{order.task.step}},
-                      {"task", std::int64_t{order.task.index}},
-                      {"run", std::int64_t{order.run}},
-                      {"executor", order.executor},
-                      {"outcome", static_cast<std::int64_t>(outcome)}});
+  static logging::line_priority PriorityOf(const start_order& order) {
+    return order.long_running ? logging::line_priority::kUrgent
+                              : logging::line_priority::kOrdinary;
+  }
+
+  void LogHeldBack(const start_order& order, start_outcome outcome, moment at) {
+    const auto waited = std::chrono::duration_cast<core::milliseconds>(
+        at.now - order.placed_at);
+    log.Write("start_held_back",
+              {{"job", order.task.job},
+               {"step", std::int64_t{order.task.step}},
+               {"task", std::int64_t{order.task.index}},
+               {"run", std::int64_t{order.run}},
+               {"executor", order.executor},
+               {"outcome", OutcomeName(outcome)},
+               {"waited_ms", std::int64_t{waited.count()}}},
+              PriorityOf(order));
+  }
+
+  void LogNotConfirmed(const start_order& order, start_outcome outcome) {
+    log.Write("start_not_confirmed",
+              {{"job", order.task.job},
+               {"step", std::int64_t{order.task.step}},
+               {"task", std::int64_t{order.task.index}},
+               {"run", std::int64_t{order.run}},
+               {"executor", order.executor},
+               {"outcome", OutcomeName(outcome)}},
+              PriorityOf(order));
   }
 
   void OnStart(const start_order& order, start_outcome outcome) {
     if (outcome != start_outcome::kAccepted) {
-      LogStart("start_not_confirmed", order, outcome);
+      LogNotConfirmed(order, outcome);
     }
     core.OnStartResponse(order, outcome, hooks.now());
     if (outcome == start_outcome::kFenced) {
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -173,7 +173,8 @@
 
   void OnElected(std::int64_t token, core::monotonic_time claimed) {
     log.Write("leader_elected",
-              {{"token", token}, {"strength", options.strength}});
+              {{"token", token}, {"strength", options.strength}},
+              logging::line_priority::kUrgent);
     announcer->Start(token);
     leader = std::make_unique<fleet_leader>(
         loop, store, executors, token, claimed, options.leader,
@@ -193,7 +194,8 @@
   }
 
   void OnDeposed(std::string_view why) {
-    log.Write("leader_deposed", {{"token", election->Token()}, {"cause", why}});
+    log.Write("leader_deposed", {{"token", election->Token()}, {"cause", why}},
+              logging::line_priority::kUrgent);
     leader.reset();
     announcer->Stop();
   }
--- a/src/waxwingfront/fleet/lease_recorder.cc
+++ b/src/waxwingfront/fleet/lease_recorder.cc
@@ -53,9 +53,11 @@
     const core::monotonic_time now = hooks.now().now;
     const core::monotonic_time seen = hooks.first_seen(revision).value_or(now);
     const auto age = std::chrono::duration_cast<core::milliseconds>(now - seen);
-    log.Write("leases_loaded", {{"silent", std::int64_t{record.silent_size()}},
-                                {"lapse_ms", record.lapse_ms()},
-                                {"age_ms", std::int64_t{age.count()}}});
+    log.Write("leases_loaded",
+              {{"silent", std::int64_t{record.silent_size()}},
+               {"lapse_ms", record.lapse_ms()},
+               {"age_ms", std::int64_t{age.count()}}},
+              logging::line_priority::kUrgent);
     return ToLapses(record, seen);
   }
 
--- a/src/waxwingfront/fleet/run_outcome.cc
+++ b/src/waxwingfront/fleet/run_outcome.cc
@@ -48,4 +48,34 @@
   return "unknown";
 }
 
+std::string_view OutcomeName(start_outcome outcome) {
+  switch (outcome) {
+    case start_outcome::kAccepted:
+      return "accepted";
+    case start_outcome::kNoCapacity:
+      return "no_capacity";
+    case start_outcome::kFenced:
+      return "fenced";
+    case start_outcome::kStaleRun:
+      return "stale_run";
+    case start_outcome::kDeadlinePassed:
+      return "deadline_passed";
+    case start_outcome::kUnhealthy:
+      return "unhealthy";
+    case start_outcome::kIncarnationChanged:
+      return "incarnation_changed";
+    case start_outcome::kNotPermitted:
+      return "not_permitted";
+    case start_outcome::kMalformed:
+      return "malformed";
+    case start_outcome::kUnreachable:
+      return "unreachable";
+    case start_outcome::kUnknown:
+      return "no_response";
+    case start_outcome::kNotSent:
+      return "not_sent";
+  }
+  return "unknown";
+}
+
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/run_outcome.h
+++ b/src/waxwingfront/fleet/run_outcome.h
@@ -27,6 +27,9 @@
 // Returns the outcome's name in logs.
 std::string_view OutcomeName(run_outcome outcome);
 
+// The same for the outcome of a start.
+std::string_view OutcomeName(start_outcome outcome);
+
 run_outcome OutcomeOf(run_end how);
 
 // True if an executor reported the outcome, which implies that the run had
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -271,7 +271,9 @@
                                     .run = task.run,
                                     .payload = job.Spec().payload(),
                                     .checkpoint = task.checkpoint,
-                                    .permit = std::string(permit)});
+                                    .permit = std::string(permit),
+                                    .long_running = task.Spec().long_running(),
+                                    .placed_at = task.placed_at});
 }
 
 void run_tracker::MarkBegun(job_state& job, moment at) const {
--- a/src/waxwingfront/fleet/types.h
+++ b/src/waxwingfront/fleet/types.h
@@ -126,6 +126,8 @@
   std::string checkpoint;
   // The adviser's permit, if the queue requires one.
   std::string permit;
+  bool long_running = false;
+  core::monotonic_time placed_at{};
 };
 
 struct stop_order {
--- a/tests/waxwingfront/fleet/executor_driver_test.cc
+++ b/tests/waxwingfront/fleet/executor_driver_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "support/driver_scene.h"
 #include "support/fleet_fixture.h"
 #include "support/loop_runner.h"
 
@@ -13,98 +14,6 @@
 
 using core::milliseconds;
 
-constexpr std::size_t kFirstHolds = 4;
-
-struct driver_scene {
-  driver_scene()
-      : log({.descriptor = -1}),
-        executors({.hold =
-                       [this](const fleet::hold_request& request, auto done) {
-                         holds.push_back(request);
-                         if (delay_responses) {
-                           callbacks.push_back(done);
-                           return;
-                         }
-                         if (unresponsive) {
-                           callbacks.push_back(done);
-                           done(core::Failure(core::error_code::kOutcomeUnknown,
-                                              "no response"));
-                           return;
-                         }
-                         done(report);
-                       },
-                   .start =
-                       [this](std::string_view, const fleet::start_order& order,
-                              std::int64_t, std::int64_t, auto done) {
-                         starts.push_back(order);
-                         done(fleet::start_outcome::kAccepted);
-                       },
-                   .stop = [](auto...) {},
-                   .pace = [](auto...) {}}),
-        core({}),
-        driver(loop, executors, core, 7,
-               {.max_first_holds = kFirstHolds,
-                .pace = {.pause = milliseconds(5)},
-                .retry = milliseconds(5)},
-               {.may_order = [this] { return may_order; },
-                .on_fenced = [] {},
-                .on_progress = [] {},
-                .now = [] { return fleet::moment{.now = core::Now()}; }},
-               log) {
-    core.SetManifest(ManifestOf({{}}));
-    core.FinishRestore({.now = core::Now()});
-    RecordLeases(core, core::Now());
-    AddExecutor("a");
-  }
-
-  void AddExecutor(const std::string& id, std::int64_t processor_milli = 8000) {
-    core.SetExecutor({.id = id,
-                      .address = id,
-                      .service = "s",
-                      .capacity = {.processor_milli = processor_milli}});
-  }
-
-  // Submits a job and sends the starts of its tasks.
-  void SubmitAndStart(const schema::fleet_job& job) {
-    core.Submit(job, {.now = core::Now()});
-    core.Plan({.now = core::Now()});
-    Store();
-    driver.Send(core.TakeOrders());
-  }
-
-  // Answers the hold in flight, or else the next one, with `report`. Expects
-  // `delay_responses`, so that no hold is answered before `report` is complete.
-  void AnswerHold() {
-    REQUIRE(RunUntil(loop, [this] { return !callbacks.empty(); }));
-    const auto respond = callbacks.front();
-    callbacks.clear();
-    delay_responses = false;
-    respond(report);
-  }
-
-  void Store() {
-    const fleet::write_batch batch = core.Journal().NextBatch(15);
-    core.Journal().Stored(batch.number, ++revision, {.now = core::Now()});
-  }
-
-  std::int64_t revision = 1;
-
-  net::event_loop loop;
-  logging::event_log log;
-  bool unresponsive = false;
-  // Holds get their responses later, through `callbacks`.
-  bool delay_responses = false;
-  fleet::hold_report report{.born_ms = 1, .clock_ms = 1};
-  bool may_order = true;
-  std::vector<fleet::hold_request> holds;
-  // Callbacks of holds that have no response yet.
-  std::vector<std::function<void(core::result<fleet::hold_report>)>> callbacks;
-  std::vector<fleet::start_order> starts;
-  fleet::executor_services executors;
-  fleet::fleet_core core;
-  fleet::executor_driver driver;
-};
-
 TEST_CASE("unanswered holds do not extend the lease", "[fleet]") {
   driver_scene scene;
   scene.driver.HoldAll();
