--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -125,11 +125,6 @@
   return true;
 }
 
-bool planner::MayPlace(const task_state& task) const {
-  return !state_.starts.IsFull() ||
-         StartUrgencyOf(task) != start_urgency::kShort;
-}
-
 bool planner::MustStop(const std::function<bool()>& should_stop) const {
   // Each round visits at least one job for which it has to compare executors,
   // so that all are visited eventually however slow planning is.
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -74,7 +74,9 @@
   bool PlanUseless(std::span<const ranked_job> jobs, moment at,
                    const std::function<bool()>& should_stop);
   // True if the link carries the start of the task in time.
-  bool MayPlace(const task_state& task) const;
+  bool MayPlace(const task_state& task) const {
+    return task.Spec().long_running() || !state_.starts.IsFull();
+  }
   // True if the round has to stop before its next visit.
   bool MustStop(const std::function<bool()>& should_stop) const;
   void PlanJob(job_state& job, moment at);
--- a/src/waxwingfront/fleet/start_queue.cc
+++ b/src/waxwingfront/fleet/start_queue.cc
@@ -17,17 +17,12 @@
 
 }  // namespace
 
-start_urgency StartUrgencyOf(const task_state& task) {
-  return task.Spec().long_running() ? start_urgency::kLongRunning
-                                    : start_urgency::kShort;
-}
-
 start_queue::start_queue(start_queue_options options)
     : max_in_flight_(BytesOnLink(options.link_mbps, options.max_link_time)),
       max_backlog_(BytesOnLink(options.link_mbps, options.max_backlog_time)) {}
 
 void start_queue::OnPlaced(task_state& task) {
-  if (StartUrgencyOf(task) != start_urgency::kShort) return;
+  if (task.Spec().long_running()) return;
   task.start_backlog_bytes = task.job->Spec().payload().size() +
                              task.checkpoint.size() + kStartOverheadBytes;
   backlog_bytes_ += task.start_backlog_bytes;
@@ -41,46 +36,48 @@
   return max_backlog_ && backlog_bytes_ >= *max_backlog_;
 }
 
-void start_queue::Add(start_order order, start_urgency urgency) {
-  lanes_[static_cast<std::size_t>(urgency)].waiting.push_back(std::move(order));
+void start_queue::Add(start_order order) {
+  lane& where = LaneOf(order);
+  where.waiting.push_back(std::move(order));
 }
 
 std::vector<start_order> start_queue::Take() {
   std::vector<start_order> taken;
-  for (std::size_t i = 0; i < kStartUrgencies; ++i) {
-    lane& from = lanes_[i];
-    while (!from.waiting.empty()) {
-      const std::size_t bytes = BytesOf(from.waiting.front());
-      // A start that is larger than the limit is sent alone.
-      if (max_in_flight_ && from.bytes_in_flight > 0 &&
-          from.bytes_in_flight + bytes > *max_in_flight_) {
-        break;
-      }
-      start_order order = std::move(from.waiting.front());
-      from.waiting.pop_front();
-      order.number = ++last_number_;
-      from.bytes_in_flight += bytes;
-      in_flight_[order.number] = {.lane = i, .bytes = bytes};
-      taken.push_back(std::move(order));
+  TakeFrom(long_running_, taken);
+  TakeFrom(short_, taken);
+  return taken;
+}
+
+void start_queue::TakeFrom(lane& from, std::vector<start_order>& taken) {
+  while (!from.waiting.empty()) {
+    const std::size_t bytes = BytesOf(from.waiting.front());
+    // A start that is larger than the limit is sent alone.
+    if (max_in_flight_ && from.bytes_in_flight > 0 &&
+        from.bytes_in_flight + bytes > *max_in_flight_) {
+      return;
     }
+    start_order order = std::move(from.waiting.front());
+    from.waiting.pop_front();
+    order.number = ++last_number_;
+    from.bytes_in_flight += bytes;
+    in_flight_[order.number] = bytes;
+    taken.push_back(std::move(order));
   }
-  return taken;
 }
 
 void start_queue::OnResponse(const start_order& order) {
   const auto found = in_flight_.find(order.number);
   if (found == in_flight_.end()) return;
-  lanes_[found->second.lane].bytes_in_flight -= found->second.bytes;
+  LaneOf(order).bytes_in_flight -= found->second;
   in_flight_.erase(found);
 }
 
 start_queue_levels start_queue::Levels() const {
-  start_queue_levels levels{.backlog_bytes = backlog_bytes_};
-  for (const lane& one : lanes_) {
-    levels.waiting += one.waiting.size();
-    levels.bytes_in_flight += one.bytes_in_flight;
-  }
-  return levels;
+  return {
+      .waiting = long_running_.waiting.size() + short_.waiting.size(),
+      .backlog_bytes = backlog_bytes_,
+      .bytes_in_flight = long_running_.bytes_in_flight + short_.bytes_in_flight,
+  };
 }
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/start_queue.h
+++ b/src/waxwingfront/fleet/start_queue.h
@@ -6,7 +6,6 @@
 #ifndef WAXWINGFRONT_FLEET_START_QUEUE_H_
 #define WAXWINGFRONT_FLEET_START_QUEUE_H_
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -23,21 +22,13 @@
 struct start_queue_options {
   // Speed of the link in Mbit/s; 0 if it is unknown, which sets no limits.
   double link_mbps = 0.0;
-  // Maximum time for which the starts in flight of one urgency alone may
-  // saturate the link.
+  // Maximum time for which the starts in flight of long-running tasks alone, or
+  // those of short tasks, may saturate the link.
   core::milliseconds max_link_time{100};
   // The same for short tasks that are placed and whose start was not sent yet.
   core::milliseconds max_backlog_time{200};
 };
 
-// Priority of a start, the most urgent first.
-enum class start_urgency {
-  // The platform expects long-running tasks to run all the time.
-  kLongRunning,
-  kShort,
-};
-inline constexpr std::size_t kStartUrgencies = 2;
-
 struct start_queue_levels {
   // Starts that may be sent as soon as the link has room for them.
   std::size_t waiting = 0;
@@ -60,9 +51,9 @@
   // only wait for those of others.
   bool IsFull() const;
 
-  void Add(start_order order, start_urgency urgency);
-  // Removes and returns the starts to be sent now, the most urgent first. Each
-  // is in flight until its first response.
+  void Add(start_order order);
+  // Removes and returns the starts to be sent now, those of long-running tasks
+  // first. Each is in flight until its first response.
   std::vector<start_order> Take();
   // Handles a response to a start, or its failure. Further ones are ignored.
   void OnResponse(const start_order& order);
@@ -74,25 +65,24 @@
     std::deque<start_order> waiting;
     std::size_t bytes_in_flight = 0;
   };
-  struct sent_start {
-    std::size_t lane;
-    std::size_t bytes;
-  };
+
+  lane& LaneOf(const start_order& order) {
+    return order.long_running ? long_running_ : short_;
+  }
+  void TakeFrom(lane& from, std::vector<start_order>& taken);
 
   // Limits in bytes; empty if the speed of the link is unknown.
   std::optional<std::size_t> max_in_flight_;
   std::optional<std::size_t> max_backlog_;
-  // By urgency.
-  std::array<lane, kStartUrgencies> lanes_;
-  // By the number of the order.
-  std::unordered_map<std::uint64_t, sent_start> in_flight_;
+  // The platform expects long-running tasks to run all the time.
+  lane long_running_;
+  lane short_;
+  // Sizes of starts in flight, by the number of the order.
+  std::unordered_map<std::uint64_t, std::size_t> in_flight_;
   std::uint64_t last_number_ = 0;
   std::size_t backlog_bytes_ = 0;
 };
 
-// Returns the urgency of the task's next start.
-start_urgency StartUrgencyOf(const task_state& task);
-
 }  // namespace waxwingfront::fleet
 
 #endif  // WAXWINGFRONT_FLEET_START_QUEUE_H_
--- a/src/waxwingfront/fleet/types.h
+++ b/src/waxwingfront/fleet/types.h
@@ -126,6 +126,8 @@
   std::string checkpoint;
   // The adviser's permit, if the queue requires one.
   std::string permit;
+  bool long_running = false;
+  core::monotonic_time placed_at{};
   // Identifies the order in `start_queue`; 0 until it is taken from there.
   std::uint64_t number = 0;
 };
--- a/tests/waxwingfront/fleet/start_queue_test.cc
+++ b/tests/waxwingfront/fleet/start_queue_test.cc
@@ -10,25 +10,24 @@
 namespace waxwingfront::tests {
 namespace {
 
-using fleet::start_urgency;
-
 // 10 Mbit/s carry 125,000 bytes in the 100 ms that starts may take at once.
 constexpr double kLinkMbps = 10.0;
 constexpr std::size_t kPayload = 9'500;
 // With 500 bytes of overhead each.
 constexpr std::size_t kMaxStarts = 12;
 
-fleet::start_order OrderOf(const std::string& job) {
+fleet::start_order OrderOf(const std::string& job, bool long_running = false) {
   return {.executor = "e",
           .task = {.job = job, .occurrence = 0, .step = 0, .index = 0},
           .run = 1,
-          .payload = std::string(kPayload, 'x')};
+          .payload = std::string(kPayload, 'x'),
+          .long_running = long_running};
 }
 
 TEST_CASE("starts are sent as the link carries them", "[fleet]") {
   fleet::start_queue queue({.link_mbps = kLinkMbps});
   for (std::size_t i = 0; i < 2 * kMaxStarts; ++i) {
-    queue.Add(OrderOf("short" + std::to_string(i)), start_urgency::kShort);
+    queue.Add(OrderOf("short" + std::to_string(i)));
   }
   const std::vector<fleet::start_order> first = queue.Take();
   REQUIRE(first.size() == kMaxStarts);
@@ -46,10 +45,10 @@
           "[fleet]") {
   fleet::start_queue queue({.link_mbps = kLinkMbps});
   for (std::size_t i = 0; i < 2 * kMaxStarts; ++i) {
-    queue.Add(OrderOf("short" + std::to_string(i)), start_urgency::kShort);
+    queue.Add(OrderOf("short" + std::to_string(i)));
   }
   REQUIRE(queue.Take().size() == kMaxStarts);
-  queue.Add(OrderOf("lasting"), start_urgency::kLongRunning);
+  queue.Add(OrderOf("lasting", true));
   const std::vector<fleet::start_order> taken = queue.Take();
   REQUIRE(taken.size() == 1);
   CHECK(taken[0].task.job == "lasting");
@@ -59,15 +58,15 @@
           "[fleet]") {
   fleet::start_queue queue({.link_mbps = kLinkMbps});
   for (std::size_t i = 0; i < 2 * kMaxStarts; ++i) {
-    queue.Add(OrderOf("lasting"), start_urgency::kLongRunning);
+    queue.Add(OrderOf("lasting", true));
   }
   CHECK(queue.Take().size() == kMaxStarts);
 }
 
 TEST_CASE("a start that is larger than the limit is sent alone", "[fleet]") {
   fleet::start_queue queue({.link_mbps = 0.1});
-  queue.Add(OrderOf("first"), start_urgency::kShort);
-  queue.Add(OrderOf("second"), start_urgency::kShort);
+  queue.Add(OrderOf("first"));
+  queue.Add(OrderOf("second"));
   const std::vector<fleet::start_order> first = queue.Take();
   REQUIRE(first.size() == 1);
   queue.OnResponse(first[0]);
@@ -78,7 +77,7 @@
   constexpr std::size_t kMany = 1000;
   fleet::start_queue queue;
   for (std::size_t i = 0; i < kMany; ++i) {
-    queue.Add(OrderOf("short"), start_urgency::kShort);
+    queue.Add(OrderOf("short"));
   }
   CHECK(queue.Take().size() == kMany);
   CHECK_FALSE(queue.IsFull());
