--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -277,7 +277,8 @@
   return {.unpersisted_jobs = state_.store_backlog.Size(),
           .live_jobs = state_.live.size(),
           .executors = state_.executors.size(),
-          .executors_out_of_contact = static_cast<std::size_t>(out_of_contact)};
+          .executors_out_of_contact = static_cast<std::size_t>(out_of_contact),
+          .starts = state_.starts.Levels()};
 }
 
 bool fleet_core::NeedsHold(std::string_view id) const {
--- a/src/waxwingfront/fleet/load_monitor.h
+++ b/src/waxwingfront/fleet/load_monitor.h
@@ -11,6 +11,7 @@
 
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/fleet/load_stage.h"
+#include "waxwingfront/fleet/start_queue.h"
 #include "waxwingfront/logging/event_log.h"
 #include "waxwingfront/metrics/registry.h"
 #include "waxwingfront/net/async_http_client.h"
@@ -25,6 +26,7 @@
   std::size_t live_jobs = 0;
   std::size_t executors = 0;
   std::size_t executors_out_of_contact = 0;
+  start_queue_levels starts;
 };
 
 struct load_monitor_options {
