Store restarts of interrupted tasks before the starts of short ones

The queue of the store is first-in-first-out among all starts, which get 2 of 15 records of a batch while new jobs arrive.

Change: placements of long-running tasks that have run before have an urgency of their own, after what callers wait for.

--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -37,6 +37,8 @@
 enum class store_urgency {
   // A caller waits for the response: accepted and cancelled jobs, final states.
   kImmediate,
+  // Interrupted long-running tasks are waiting to be started again.
+  kRestart,
   // Tasks are waiting to be started.
   kStart,
   // Ends that executors retain until they are stored.
@@ -105,6 +107,8 @@
   // was sent that did not reach this executor. A start in flight gets a
   // response of its own.
   bool ConfirmedBefore(core::monotonic_time sent) const;
+  // True if it stands still until its next run, which users notice at once.
+  bool IsInterrupted() const { return Spec().long_running() && run > 0; }
   // True if the newest run is known to have begun.
   bool HasBegun() const { return confirmed >= placed_at; }
   const schema::fleet_step& Spec() const { return *spec; }
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -336,7 +336,8 @@
 void planner::Place(task_state& task, executor_state& executor,
                     std::uint32_t run, moment at) {
   job_state& job = *task.job;
-  state_.MarkChanged(job, store_urgency::kStart);
+  state_.MarkChanged(job, task.IsInterrupted() ? store_urgency::kRestart
+                                               : store_urgency::kStart);
   task.phase = task_phase::kPlaced;
   if (!job.milestones.placed) job.milestones.placed = at.now;
   task.placed_version = job.version;
--- a/src/waxwingfront/fleet/store_queue.cc
+++ b/src/waxwingfront/fleet/store_queue.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::array kUrgencies = {store_urgency::kImmediate,
+                                   store_urgency::kRestart,
                                    store_urgency::kStart, store_urgency::kEnd};
 // Records of each batch that are reserved for each urgency: those of one new
 // job.
--- a/src/waxwingfront/fleet/store_queue.h
+++ b/src/waxwingfront/fleet/store_queue.h
@@ -39,7 +39,7 @@
   std::size_t ReadySize() const;
   bool AnyUrgent() const {
     return !entries_.empty() &&
-           entries_.begin()->first.urgency == store_urgency::kImmediate;
+           entries_.begin()->first.urgency <= store_urgency::kRestart;
   }
 
  private:
--- a/tests/waxwingfront/fleet/store_queue_test.cc
+++ b/tests/waxwingfront/fleet/store_queue_test.cc
@@ -1,6 +1,8 @@
 #include "waxwingfront/fleet/store_queue.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -55,6 +57,45 @@
   CHECK(jobs.queue.Size() == 0);
 }
 
+// Guards against placements of interrupted tasks that are stored last.
+TEST_CASE("an interrupted task is stored before the starts of short ones",
+          "[fleet]") {
+  constexpr int kShortJobs = 700;
+  constexpr std::int64_t kCpu = 1000;
+  fleet_fixture fixture;
+  fixture.AddExecutor("small", kCpu);
+  schema::fleet_job lasting = JobOf("lasting", 1, kCpu);
+  lasting.mutable_steps(0)->set_long_running(true);
+  fixture.Core().Submit(lasting, At(0));
+  fixture.Step(0);
+  constexpr std::int64_t kPlacedMs = 2000;
+  fixture.Report("small", kPlacedMs, {});
+  const fleet::orders first = fixture.StepAccepted(kPlacedMs);
+  REQUIRE(first.starts.size() == 1);
+  for (int i = 0; i < kShortJobs; ++i) {
+    fixture.Core().Submit(JobOf("short" + std::to_string(i), 1, kCpu),
+                          At(kPlacedMs));
+  }
+  REQUIRE(fixture.Step(kPlacedMs).starts.empty());
+  constexpr std::int64_t kRoomMs = 2500;
+  fixture.AddExecutor("large", 2 * kShortJobs * kCpu, kRoomMs);
+  fixture.Core().Plan(At(kRoomMs));
+  fixture.Report("small", kRoomMs, {},
+                 {{.number = 1,
+                   .task = first.starts[0].task,
+                   .run = 1,
+                   .how = fleet::run_end::kFailed}});
+  constexpr std::int64_t kRestartMs = 4500;
+  fixture.Report("large", kRestartMs, {});
+  fixture.Core().Plan(At(kRestartMs));
+  REQUIRE(fixture.Core().FindExecutor("large")->long_running_count == 1);
+  const fleet::write_batch batch =
+      fixture.Core().Journal().NextBatch(kMaxRecords);
+  CHECK(std::ranges::any_of(batch.records, [](const auto& record) {
+    return record.id == "lasting";
+  }));
+}
+
 TEST_CASE("less urgent changes do not starve", "[fleet]") {
   queued_jobs jobs;
   jobs.Add("start", store_urgency::kStart);
