Send no start while a more urgent one waits for the link

Change: three lanes, for interrupted long-running tasks, new ones and short tasks; one gives way while a more urgent one waits.

Measured: two new cases of start_queue_test failed before and pass.

--- a/src/waxwingfront/fleet/start_queue.cc
+++ b/src/waxwingfront/fleet/start_queue.cc
@@ -43,11 +43,18 @@
 
 std::vector<start_order> start_queue::Take() {
   std::vector<start_order> taken;
-  TakeFrom(long_running_, taken);
-  TakeFrom(short_, taken);
+  for (lane& from : lanes_) {
+    TakeFrom(from, taken);
+    if (!from.waiting.empty()) break;
+  }
   return taken;
 }
 
+start_queue::lane& start_queue::LaneOf(const start_order& order) {
+  if (!order.long_running) return lanes_[kShort];
+  return lanes_[order.run > 1 ? kInterrupted : kLongRunning];
+}
+
 void start_queue::TakeFrom(lane& from, std::vector<start_order>& taken) {
   while (!from.waiting.empty()) {
     const std::size_t bytes = BytesOf(from.waiting.front());
@@ -73,11 +80,12 @@
 }
 
 start_queue_levels start_queue::Levels() const {
-  return {
-      .waiting = long_running_.waiting.size() + short_.waiting.size(),
-      .backlog_bytes = backlog_bytes_,
-      .bytes_in_flight = long_running_.bytes_in_flight + short_.bytes_in_flight,
-  };
+  start_queue_levels levels{.backlog_bytes = backlog_bytes_};
+  for (const lane& one : lanes_) {
+    levels.waiting += one.waiting.size();
+    levels.bytes_in_flight += one.bytes_in_flight;
+  }
+  return levels;
 }
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/start_queue.h
+++ b/src/waxwingfront/fleet/start_queue.h
@@ -6,6 +6,7 @@
 #ifndef WAXWINGFRONT_FLEET_START_QUEUE_H_
 #define WAXWINGFRONT_FLEET_START_QUEUE_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -22,8 +23,8 @@
 struct start_queue_options {
   // Speed of the link in Mbit/s; 0 if it is unknown, which sets no limits.
   double link_mbps = 0.0;
-  // Maximum time for which the starts in flight of long-running tasks alone, or
-  // those of short tasks, may saturate the link.
+  // Maximum time for which the starts in flight of one urgency alone may
+  // saturate the link.
   core::milliseconds max_link_time{100};
   // The same for short tasks that are placed and whose start was not sent yet.
   core::milliseconds max_backlog_time{200};
@@ -52,8 +53,10 @@
   bool IsFull() const;
 
   void Add(start_order order);
-  // Removes and returns the starts to be sent now, those of long-running tasks
-  // first. Each is in flight until its first response.
+  // Removes and returns the starts to be sent now: those of interrupted
+  // long-running tasks first, then those of new ones, then those of short
+  // tasks. None is sent while a more urgent one waits for the link. Each is in
+  // flight until its first response.
   std::vector<start_order> Take();
   // Handles a response to a start, or its failure. Further ones are ignored.
   void OnResponse(const start_order& order);
@@ -65,18 +68,18 @@
     std::deque<start_order> waiting;
     std::size_t bytes_in_flight = 0;
   };
+  enum urgency : std::size_t { kInterrupted, kLongRunning, kShort };
+  static constexpr std::size_t kUrgencies = 3;
 
-  lane& LaneOf(const start_order& order) {
-    return order.long_running ? long_running_ : short_;
-  }
+  lane& LaneOf(const start_order& order);
+  // Takes as many starts as the link has room for.
   void TakeFrom(lane& from, std::vector<start_order>& taken);
 
   // Limits in bytes; empty if the speed of the link is unknown.
   std::optional<std::size_t> max_in_flight_;
   std::optional<std::size_t> max_backlog_;
-  // The platform expects long-running tasks to run all the time.
-  lane long_running_;
-  lane short_;
+  // By urgency.
+  std::array<lane, kUrgencies> lanes_;
   // Sizes of starts in flight, by the number of the order.
   std::unordered_map<std::uint64_t, std::size_t> in_flight_;
   std::uint64_t last_number_ = 0;
--- a/tests/waxwingfront/fleet/start_queue_test.cc
+++ b/tests/waxwingfront/fleet/start_queue_test.cc
@@ -54,6 +54,38 @@
   CHECK(taken[0].task.job == "lasting");
 }
 
+TEST_CASE("starts of interrupted tasks come before those of new ones",
+          "[fleet]") {
+  constexpr std::uint32_t kSecondRun = 2;
+  fleet::start_queue queue({.link_mbps = kLinkMbps});
+  for (std::size_t i = 0; i < 2 * kMaxStarts; ++i) {
+    queue.Add(OrderOf("new", true));
+  }
+  REQUIRE(queue.Take().size() == kMaxStarts);
+  fleet::start_order interrupted = OrderOf("interrupted", true);
+  interrupted.run = kSecondRun;
+  queue.Add(interrupted);
+  const std::vector<fleet::start_order> taken = queue.Take();
+  REQUIRE(taken.size() == 1);
+  CHECK(taken[0].task.job == "interrupted");
+}
+
+TEST_CASE("short tasks do not start while long-running ones wait for the link",
+          "[fleet]") {
+  fleet::start_queue queue({.link_mbps = kLinkMbps});
+  queue.Add(OrderOf("short"));
+  for (std::size_t i = 0; i <= kMaxStarts; ++i) {
+    queue.Add(OrderOf("lasting", true));
+  }
+  const std::vector<fleet::start_order> first = queue.Take();
+  CHECK(first.size() == kMaxStarts);
+  queue.OnResponse(first[0]);
+  const std::vector<fleet::start_order> next = queue.Take();
+  REQUIRE(next.size() == 2);
+  CHECK(next[0].task.job == "lasting");
+  CHECK(next[1].task.job == "short");
+}
+
 TEST_CASE("starts of long-running tasks leave the link free for holds",
           "[fleet]") {
   fleet::start_queue queue({.link_mbps = kLinkMbps});
