Let other starts go out when some are held back

A cancelled job of 1,000 queued starts kept the next one waiting for 37 calls: held-back starts free the link without a response that asks for more.

Change: the leader takes orders until none is held back. Tests guard that starts that are held back, and placements that are given up, make room for others; each failed when the room was not given back.

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -244,7 +244,8 @@
     if (hooks.on_stage) hooks.on_stage(stage, core::Now() - since);
   }
 
-  void SendStart(const start_order& order) {
+  // Returns false if the start is held back.
+  bool SendStart(const start_order& order) {
     executor_state* const executor = core.FindExecutor(order.executor);
     const moment at = hooks.now();
     const auto deadline_ms = core.Deadlines().ForStart(order, at.now);
@@ -252,7 +253,7 @@
     if (!deadline_ms || !hooks.may_order()) {
       LogHeldBack(order, start_outcome::kNotSent, at);
       core.OnStartResponse(order, start_outcome::kNotSent, at);
-      return;
+      return false;
     }
     executors.start(executor->info.address, order, token, *deadline_ms,
                     [self = shared_from_this(), order,
@@ -262,6 +263,7 @@
                       self->OnStart(order, outcome);
                     });
     Pump(order.executor);
+    return true;
   }
 
   static logging::line_priority PriorityOf(const start_order& order) {
@@ -381,10 +383,14 @@
   }
 }
 
-void executor_driver::Send(const orders& decided) {
+bool executor_driver::Send(const orders& decided) {
+  bool all_sent = true;
   for (const stop_order& order : decided.stops) internal_->SendStop(order);
-  for (const start_order& order : decided.starts) internal_->SendStart(order);
+  for (const start_order& order : decided.starts) {
+    all_sent = internal_->SendStart(order) && all_sent;
+  }
   for (const pace_order& order : decided.paces) internal_->SendPace(order);
+  return all_sent;
 }
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/executor_driver.h
+++ b/src/waxwingfront/fleet/executor_driver.h
@@ -61,8 +61,9 @@
   // Called when a transaction was stored: sends holds to the executors that
   // waited for it.
   void OnStored();
-  // Sends the orders that the core decided on.
-  void Send(const orders& decided);
+  // Sends the orders that the core decided on. Returns false if starts were
+  // held back, so that others may take their place on the link.
+  bool Send(const orders& decided);
 
  private:
   struct internal;
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -172,9 +172,12 @@
   }
 
   void SendOrders() {
-    const orders decided = core.TakeOrders();
-    driver.Send(decided);
-    advice.Send(decided.advice);
+    bool all_sent = false;
+    while (!all_sent) {
+      const orders decided = core.TakeOrders();
+      all_sent = driver.Send(decided);
+      advice.Send(decided.advice);
+    }
   }
 
   void Measure(load_stage stage, core::monotonic_time since) const {
--- a/tests/support/driver_scene.h
+++ b/tests/support/driver_scene.h
@@ -18,7 +18,8 @@
 inline constexpr std::size_t kFirstHolds = 4;
 
 struct driver_scene {
-  explicit driver_scene(logging::event_log_options lines = {.descriptor = -1})
+  explicit driver_scene(logging::event_log_options lines = {.descriptor = -1},
+                        const fleet::fleet_options& options = {})
       : log(lines),
         executors({.hold =
                        [this](const fleet::hold_request& request, auto done) {
@@ -43,7 +44,7 @@
                        },
                    .stop = [](auto...) {},
                    .pace = [](auto...) {}}),
-        core({}),
+        core(options),
         driver(loop, executors, core, 7,
                {.max_first_holds = kFirstHolds,
                 .pace = {.pause = core::milliseconds(5)},
--- a/tests/waxwingfront/fleet/executor_driver_test.cc
+++ b/tests/waxwingfront/fleet/executor_driver_test.cc
@@ -261,5 +261,30 @@
   CHECK_FALSE(scene.core.FindExecutor("a")->in_contact);
 }
 
+// Guards against a link that starts which were never sent keep occupied.
+TEST_CASE("starts that are held back make room for others", "[fleet]") {
+  constexpr std::uint32_t kTasks = 100;
+  constexpr std::size_t kPayload = 3500;
+  driver_scene scene({.descriptor = -1}, {.starts = {.link_mbps = 10.0}});
+  scene.AddExecutor("a", kTasks);
+  scene.driver.HoldAll();
+  REQUIRE(RunUntil(scene.loop, [&] { return !scene.holds.empty(); }));
+  schema::fleet_job job = JobOf("job", kTasks, 1);
+  job.set_payload(std::string(kPayload, 'x'));
+  scene.core.Submit(job, {.now = core::Now()});
+  scene.core.Plan({.now = core::Now()});
+  scene.Store();
+  scene.may_order = false;
+  const fleet::orders first = scene.core.TakeOrders();
+  REQUIRE(!first.starts.empty());
+  CHECK(scene.core.TakeOrders().starts.empty());
+  CHECK_FALSE(scene.driver.Send(first));
+  scene.may_order = true;
+  const fleet::orders next = scene.core.TakeOrders();
+  CHECK(!next.starts.empty());
+  CHECK(scene.driver.Send(next));
+  CHECK(scene.starts.size() == next.starts.size());
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
--- a/tests/waxwingfront/fleet/start_queue_test.cc
+++ b/tests/waxwingfront/fleet/start_queue_test.cc
@@ -177,5 +177,27 @@
   }
 }
 
+// Guards against a backlog that placements which came to nothing keep full.
+TEST_CASE("placements that are given up make room for others", "[fleet]") {
+  constexpr std::uint32_t kTasks = 100;
+  constexpr std::int64_t kCapacity = 1'000'000;
+  fleet_fixture fixture({{}}, {.starts = {.link_mbps = kLinkMbps}});
+  fixture.AddExecutor("a", kCapacity);
+  const auto place = [&fixture](const std::string& id) {
+    schema::fleet_job job = JobOf(id, kTasks, 1);
+    job.set_payload(std::string(kPayload, 'x'));
+    fixture.Core().Submit(job, At(0));
+    fixture.Core().Plan(At(0));
+    return fixture.Core().FindExecutor("a")->active.size();
+  };
+  const std::size_t placed = place("first");
+  REQUIRE(placed > 0);
+  REQUIRE(place("second") == placed);
+  fixture.Core().Cancel("first", At(0));
+  REQUIRE(fixture.Core().FindExecutor("a")->active.empty());
+  fixture.Core().Plan(At(0));
+  CHECK(fixture.Core().FindExecutor("a")->active.size() == placed);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
