Accept what is pending before a server stops listening

Idle callers used up the descriptors, so 193 to 197 connections waited in the backlog, some with whole requests. At its end the server tried to accept them, failed for want of a descriptor and closed the listening socket, which reset them. It also accepted 64 at most.

The server now listens until no connection is pending. Its end closes idle connections, and what that frees serves those that wait. A process counts connections that wait as unanswered for as long as its grace time permits.

--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -66,7 +66,7 @@
 // True if the socket is ready for the step that the call waits for.
 bool IsSocketReady(connection& link) {
   const bool reads = link.stage == call_stage::kReading;
-  return detail::IsReady(link.socket, reads ? POLLIN : POLLOUT);
+  return detail::IsReady(link.socket.native_handle(), reads ? POLLIN : POLLOUT);
 }
 
 }  // namespace
--- a/src/waxwingfront/net/async_http_server.cc
+++ b/src/waxwingfront/net/async_http_server.cc
@@ -171,7 +171,7 @@
   }
 
   static bool HasUnreadBytes(connection& link) {
-    return detail::IsReady(link.stream.socket(), POLLIN);
+    return detail::IsReady(link.stream.socket().native_handle(), POLLIN);
   }
 
   // While draining, a connection remains open until its peer knows of the end,
@@ -194,13 +194,10 @@
   }
 
   std::size_t Finish() {
+    finishing = true;
     // The event loop may be about to pass on an accepted connection.
-    const std::size_t accepting = finishing ? 0 : 1;
-    if (!finishing) {
-      finishing = true;
-      listener->AcceptPending();
-      listener->StopAccepting();
-    }
+    const std::size_t accepting = listener->IsOpen() ? 1 : 0;
+    if (accepting > 0 && listener->AcceptPending()) listener->StopAccepting();
     CloseDrained();
     return connections.size() + accepting;
   }
@@ -379,12 +376,14 @@
 std::size_t async_http_server::Finish() { return internal_->Finish(); }
 
 bool async_http_server::HasUnansweredRequests() const {
-  return std::ranges::any_of(
-      internal_->connections, [](const internal::connection_ptr& link) {
-        return link->ending || link->state == internal::phase::kHandling ||
-               (link->state != internal::phase::kLingering &&
-                internal::HasUnreadBytes(*link));
-      });
+  return internal_->listener->HasPending() ||
+         std::ranges::any_of(
+             internal_->connections, [](const internal::connection_ptr& link) {
+               return link->ending ||
+                      link->state == internal::phase::kHandling ||
+                      (link->state != internal::phase::kLingering &&
+                       internal::HasUnreadBytes(*link));
+             });
 }
 
 }  // namespace waxwingfront::net
--- a/src/waxwingfront/net/async_http_server.h
+++ b/src/waxwingfront/net/async_http_server.h
@@ -76,13 +76,14 @@
   // connection shortly after it. Requests that still arrive are served.
   void Drain();
 
-  // Stops accepting, closes idle connections without unread requests, and the
-  // others after their last request. Called from the event loop until it
-  // returns 0; before that, connections are open or being accepted.
+  // Closes idle connections without unread requests, and the others after their
+  // last request; stops accepting once no connection is pending. Called from
+  // the event loop until it returns 0; before that, connections are open,
+  // pending or being accepted.
   std::size_t Finish();
 
-  // Returns true if a request has no complete response yet or received bytes
-  // are unread.
+  // Returns true if a request has no complete response yet, received bytes are
+  // unread or a connection waits to be accepted.
   bool HasUnansweredRequests() const;
 
  private:
--- a/src/waxwingfront/net/detail/socket_readiness.cc
+++ b/src/waxwingfront/net/detail/socket_readiness.cc
@@ -6,11 +6,9 @@
 
 namespace waxwingfront::net::detail {
 
-bool IsReady(boost::asio::ip::tcp::socket& socket, int events) {
-  if (!socket.is_open()) return false;
-  pollfd query{.fd = socket.native_handle(),
-               .events = static_cast<std::int16_t>(events),
-               .revents = 0};
+bool IsReady(int handle, int events) {
+  pollfd query{
+      .fd = handle, .events = static_cast<std::int16_t>(events), .revents = 0};
   return poll(&query, 1, 0) > 0;
 }
 
--- a/src/waxwingfront/net/detail/tcp_listener.cc
+++ b/src/waxwingfront/net/detail/tcp_listener.cc
@@ -1,8 +1,11 @@
 #include "waxwingfront/net/detail/tcp_listener.h"
 
+#include <poll.h>
+
 #include <utility>
 
 #include "waxwingfront/net/detail/ipv4_endpoint.h"
+#include "waxwingfront/net/detail/socket_readiness.h"
 
 namespace waxwingfront::net::detail {
 namespace {
@@ -78,14 +81,19 @@
   });
 }
 
-void tcp_listener::AcceptPending() {
+bool tcp_listener::AcceptPending() {
   for (int i = 0; i < kMaxAcceptsPerIteration; ++i) {
     failure_code failure;
     socket accepted(context_);
     acceptor_.accept(accepted, failure);
-    if (failure) return;
+    if (failure) return !LacksResources(failure);
     on_connection_(std::move(accepted));
   }
+  return !HasPending();
+}
+
+bool tcp_listener::HasPending() {
+  return IsReady(acceptor_.native_handle(), POLLIN);
 }
 
 void tcp_listener::StopAccepting() {
--- a/src/waxwingfront/net/detail/tcp_listener.h
+++ b/src/waxwingfront/net/detail/tcp_listener.h
@@ -25,13 +25,15 @@
 
   // Accepts connections that are already pending. A single accept per iteration
   // of the event loop would be too slow, because iterations are long while it
-  // is busy.
-  void AcceptPending();
+  // is busy. Returns true if none is pending any more.
+  bool AcceptPending();
 
   // A connection that is being accepted is still passed to `on_connection`.
+  // Those that are pending are reset.
   void StopAccepting();
   void Close();
   bool IsOpen() const { return acceptor_.is_open(); }
+  bool HasPending();
 
   // Returns the address with the actual port.
   const std::string& Address() const { return address_; }
--- a/tests/waxwingfront/net/http_drain_test.cc
+++ b/tests/waxwingfront/net/http_drain_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "support/loop_runner.h"
+#include "support/no_descriptors.h"
 #include "support/raw_caller.h"
 #include "waxwingfront/net/async_http_server.h"
 
@@ -132,15 +133,21 @@
   CHECK(caller.ReadAll().empty());
 }
 
+using caller_list = std::vector<std::unique_ptr<raw_caller>>;
+
+caller_list Callers(const server_fixture& site, int count) {
+  caller_list callers;
+  callers.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    callers.push_back(std::make_unique<raw_caller>(site.server->Address()));
+  }
+  return callers;
+}
+
 TEST_CASE("requests that are unread at the end of draining are answered",
           "[net]") {
   server_fixture site;
-  constexpr int kCallers = 20;
-  std::vector<std::unique_ptr<raw_caller>> callers;
-  callers.reserve(kCallers);
-  for (int i = 0; i < kCallers; ++i) {
-    callers.push_back(std::make_unique<raw_caller>(site.server->Address()));
-  }
+  const caller_list callers = Callers(site, 20);
   RunFor(site.loop, milliseconds(50));
   site.server->Drain();
   // The event loop does not run here.
@@ -155,6 +162,44 @@
   CHECK(CountResponses(late.ReadAll()) == 1);
 }
 
+// Guards against requests that are lost because a closed listener resets the
+// connections that it has not accepted.
+TEST_CASE("requests that wait for a descriptor are answered before the end",
+          "[net]") {
+  constexpr int kCallers = 20;
+  server_fixture site;
+  const caller_list idle = Callers(site, kCallers);
+  RunFor(site.loop, milliseconds(50));
+  // The event loop does not run here.
+  const caller_list callers = Callers(site, kCallers);
+  for (const auto& caller : callers) REQUIRE(caller->Send(kRequest));
+  {
+    const no_descriptors full;
+    RunFor(site.loop, milliseconds(50));
+    site.server->Drain();
+    CHECK(site.server->HasUnansweredRequests());
+    site.Finish();
+    CHECK_FALSE(site.server->HasUnansweredRequests());
+  }
+  for (const auto& caller : callers) {
+    CHECK(CountResponses(caller->ReadAll()) == 1);
+  }
+  for (const auto& caller : idle) CHECK(caller->ReadAll().empty());
+}
+
+TEST_CASE("many connections that are pending at the end are answered",
+          "[net]") {
+  server_fixture site;
+  // The event loop does not run here.
+  const caller_list callers = Callers(site, 300);
+  for (const auto& caller : callers) REQUIRE(caller->Send(kRequest));
+  site.server->Drain();
+  site.Finish();
+  for (const auto& caller : callers) {
+    CHECK(CountResponses(caller->ReadAll()) == 1);
+  }
+}
+
 TEST_CASE("a large response is written whole before the end", "[net]") {
   server_fixture site;
   site.hold = true;
--- a/tests/waxwingfront/net/http_server_faults_test.cc
+++ b/tests/waxwingfront/net/http_server_faults_test.cc
@@ -1,8 +1,4 @@
 // The HTTP server in adverse conditions.
-#include <sys/resource.h>
-#include <unistd.h>
-
-#include <algorithm>
 #include <catch2/catch.hpp>
 #include <ctime>
 #include <memory>
@@ -11,6 +7,7 @@
 #include <vector>
 
 #include "support/loop_runner.h"
+#include "support/no_descriptors.h"
 #include "support/raw_caller.h"
 #include "waxwingfront/net/async_http_server.h"
 
@@ -100,29 +97,6 @@
          static_cast<double>(time.tv_nsec) / kNsPerSecond;
 }
 
-// Uses up the descriptors of this process.
-class no_descriptors {
- public:
-  no_descriptors() {
-    REQUIRE(getrlimit(RLIMIT_NOFILE, &before_) == 0);
-    const rlimit low{.rlim_cur = std::min<rlim_t>(256, before_.rlim_cur),
-                     .rlim_max = before_.rlim_max};
-    REQUIRE(setrlimit(RLIMIT_NOFILE, &low) == 0);
-    for (int copy = 0; (copy = dup(STDOUT_FILENO)) >= 0;)
-      copies_.push_back(copy);
-  }
-  no_descriptors(const no_descriptors&) = delete;
-  no_descriptors& operator=(const no_descriptors&) = delete;
-  ~no_descriptors() {
-    for (const int copy : copies_) close(copy);
-    setrlimit(RLIMIT_NOFILE, &before_);
-  }
-
- private:
-  rlimit before_{};
-  std::vector<int> copies_;
-};
-
 TEST_CASE("a server without free descriptors waits for one without spinning",
           "[net]") {
   constexpr double kMaxCpuSeconds = 0.2;
