Place second attempts away from executors that have just failed

1 of 200 jobs failed in "jobs survive executors that fail all they start" (executor_health_test). All first runs of job-30 failed on e0 at 2000 ms, and a run of another job on e1 in the same report. e0 was suspect, e1 was not after one failure, and those that had proven themselves had no room. Executors that had never run anything cost a task that had failed as much as e1 did, so best fit took e1, where all second attempts failed at 2060 ms.

For a task that has failed, an executor with a recent failure now costs more than one without a history. One failure still makes no executor suspect, and tasks that have not failed are placed as before.

Before: 1 of 200 jobs failed, and the new test failed. Now: 0 of 200 and the new test passes; of 476 tests without the soak only the known one fails.

--- a/src/waxwingfront/fleet/executor_health.h
+++ b/src/waxwingfront/fleet/executor_health.h
@@ -49,6 +49,10 @@
     return failures_ >= options_.failures_before_suspicion &&
            now - last_failure_ < options_.suspicion_time;
   }
+  // True if a run failed recently and none has succeeded since.
+  bool HasRecentFailure(core::monotonic_time now) const {
+    return failures_ > 0 && now - last_failure_ < options_.suspicion_time;
+  }
   core::monotonic_time LastFailure() const { return last_failure_; }
   // True if a run that was placed recently has succeeded, and no later one has
   // failed.
--- a/src/waxwingfront/fleet/placement.cc
+++ b/src/waxwingfront/fleet/placement.cc
@@ -12,8 +12,9 @@
 // gaps.
 constexpr std::size_t kExecutorsPerReservation = 30;
 
-// Higher than any load cost.
+// Higher than any load cost, and so is the difference.
 constexpr double kUnprovenCost = 10.0;
+constexpr double kRecentFailureCost = 20.0;
 
 // A value for each service. Executors of one service often follow each other.
 template <typename Value>
@@ -166,10 +167,13 @@
 double HealthCost(const executor_state& executor, const task_state& task,
                   core::monotonic_time now) {
   // The next failure of a task that has failed may fail its job.
-  const bool needs_proof = task.failures > 0 && !executor.health.IsProven(now);
+  if (task.failures > 0) {
+    if (executor.health.HasRecentFailure(now)) return kRecentFailureCost;
+    if (!executor.health.IsProven(now)) return kUnprovenCost;
+  }
   const bool suspect =
       task.Spec().long_running() && executor.health.IsSuspect(now);
-  return needs_proof || suspect ? kUnprovenCost : 0.0;
+  return suspect ? kUnprovenCost : 0.0;
 }
 
 executor_state* ChooseExecutor(fleet_state& state, const task_state& task,
--- a/tests/waxwingfront/fleet/executor_health_test.cc
+++ b/tests/waxwingfront/fleet/executor_health_test.cc
@@ -63,6 +63,34 @@
   CHECK(second.starts[0].executor == "proven");
 }
 
+// Guards against second attempts that fail because executors begin to fail at
+// once, before any of them is suspect.
+TEST_CASE("a task that has failed avoids an executor with a recent failure",
+          "[fleet][health]") {
+  fleet_fixture fixture;
+  fixture.AddExecutor("a", 1000);
+  fixture.Core().Submit(JobOf("job", 1, 1000), At(0));
+  const fleet::orders first = fixture.StepAccepted(10);
+  REQUIRE(first.starts.size() == 1);
+  // Best fit would prefer the smaller one.
+  fixture.AddExecutor("fails", 2000, 20);
+  fixture.AddExecutor("unused", 8000, 20);
+  fixture.Core().FindExecutor("fails")->health.OnFailure("other", false,
+                                                         At(20).now);
+  fixture.Report("a", 100, {},
+                 {{.number = 1,
+                   .task = first.starts[0].task,
+                   .run = 1,
+                   .how = fleet::run_end::kFailed}});
+  // Others still use executors with a failure.
+  fixture.Core().Submit(JobOf("fresh", 1, 1000), At(100));
+  const fleet::orders second = fixture.Step(110);
+  REQUIRE(second.starts.size() == 2);
+  for (const fleet::start_order& start : second.starts) {
+    CHECK((start.executor == "unused") == (start.task.job == "job"));
+  }
+}
+
 TEST_CASE("a job that fails everywhere makes no executor suspect",
           "[fleet][health]") {
   fleet::executor_health health;
