Play long-running jobs in the soak

Callers submit jobs whose tasks last until they are cancelled and fail now and then. Checked: such a task runs again within 9 s of its last run while no fault acted for 7 s (LOST); nothing runs stop_timeout_ms after the bound of a confirmed cancel with a calm stretch of contact_ms before (UNASKED); such a job is never shown as failed or completed. Two runs at once were checked already. Every third seed ends with 12 s without faults.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <iomanip>
 #include <iterator>
 #include <sstream>
 
@@ -20,7 +19,6 @@
 constexpr int kAttempts = 5;
 constexpr int kMaxPauseMs = 120;
 constexpr std::size_t kRecentJobs = 30;
-constexpr int kIdDigits = 16;
 
 int Draw(std::mt19937_64& draw, int below) {
   return std::uniform_int_distribution<int>(0, below - 1)(draw);
@@ -32,6 +30,18 @@
   return status == 0 || status == 502 || status == 504;
 }
 
+// Has to be cancelled by the caller.
+bool IsOpenEnded(const soak_job& job) {
+  return job.kind == job_kind::kLasting && !job.cancelled;
+}
+
+// A caller has one job that lasts at a time.
+job_kind DrawKind(std::mt19937_64& draw, const std::vector<soak_job>& jobs) {
+  return Draw(draw, 8) == 0 && std::ranges::none_of(jobs, IsOpenEnded)
+             ? job_kind::kLasting
+             : job_kind::kPlain;
+}
+
 }  // namespace
 
 callers::callers(timeline& log, const site& processes, job_book& book,
@@ -66,7 +76,7 @@
   const auto position = static_cast<std::size_t>(number);
   random draw(seed_ * 1000 + position);
   connection open;
-  std::vector<job> jobs;
+  std::vector<soak_job> jobs;
   while (!stopping_) {
     Visit(draw, open, jobs, kStyles[position % kStyles.size()]);
     Pause(draw, kMaxPauseMs);
@@ -74,7 +84,7 @@
   ++ended_;
 }
 
-void callers::Visit(random& draw, connection& open, std::vector<job>& jobs,
+void callers::Visit(random& draw, connection& open, std::vector<soak_job>& jobs,
                     caller_style style) {
   const bool keeps =
       style == caller_style::kKeeps || style == caller_style::kPipelines;
@@ -86,19 +96,23 @@
   const int action = Draw(draw, 10);
   if (jobs.empty() || action < 4) {
     Submit(draw, open, jobs, style);
-    if (jobs.size() > kRecentJobs) jobs.erase(jobs.begin());
+    if (jobs.size() > kRecentJobs) {
+      jobs.erase(std::ranges::find_if_not(jobs, IsOpenEnded));
+    }
     return;
   }
   if (style == caller_style::kPipelines && action < 8) {
     Pipeline(draw, open, jobs);
     return;
   }
-  const job& about =
+  soak_job& about =
       jobs[static_cast<std::size_t>(Draw(draw, static_cast<int>(jobs.size())))];
   if (action < 8) {
     Ask(draw, open, about, style);
   } else if (action == 8) {
-    Cancel(draw, open, about, style);
+    const auto lasting = std::ranges::find_if(jobs, IsOpenEnded);
+    const bool ends = lasting != jobs.end() && Draw(draw, 4) == 0;
+    Cancel(draw, open, ends ? *lasting : about, style);
   } else {
     Exchange(draw, open, Request("GET", about.queue, "", ""), style);
   }
@@ -127,34 +141,15 @@
   return text.str();
 }
 
-callers::job callers::NewJob(random& draw) {
-  std::ostringstream id;
-  id << std::hex << std::setfill('0') << std::setw(kIdDigits) << draw();
-  const int count = 1 + Draw(draw, 3);
-  const int time_ms = 100 + Draw(draw, 1200);
-  const bool two_steps = Draw(draw, 3) == 0;
-  const std::string step = "{\"count\":" + std::to_string(count) +
-                           ",\"cpu\":500,\"memory_request_mb\":128,"
-                           "\"estimated_ms\":" +
-                           std::to_string(time_ms);
-  return {.id = id.str(),
-          .body = "{\"spec\":\"ms=" + std::to_string(time_ms) +
-                  " end=done\",\"steps\":[" + step + "}" +
-                  (two_steps ? "," + step + ",\"after\":[0]}" : "") + "]}",
-          .queue = static_cast<std::size_t>(
-              Draw(draw, static_cast<int>(queues_.size()))),
-          .tasks = two_steps ? 2 * count : count};
-}
-
-void callers::Submit(random& draw, connection& open, std::vector<job>& jobs,
-                     caller_style style) {
-  const job fresh = NewJob(draw);
+void callers::Submit(random& draw, connection& open,
+                     std::vector<soak_job>& jobs, caller_style style) {
+  const soak_job fresh = MakeJob(draw, queues_.size(), DrawKind(draw, jobs));
   for (int i = 0; i < kAttempts && !stopping_; ++i) {
     if (!Open(draw, open)) {
       Pause(draw, kMaxPauseMs);
       continue;
     }
-    book_.Sent(fresh.id, static_cast<int>(fresh.queue), fresh.tasks);
+    book_.Sent(fresh);
     const caller_reply reply = Exchange(
         draw, open, Request("POST", fresh.queue, fresh.id, fresh.body), style);
     book_.Answered(fresh.id, reply.status);
@@ -167,7 +162,7 @@
   }
 }
 
-void callers::Ask(random& draw, connection& open, const job& about,
+void callers::Ask(random& draw, connection& open, const soak_job& about,
                   caller_style style) {
   if (!Open(draw, open)) return;
   const milliseconds sent_at = log_.Now();
@@ -178,17 +173,18 @@
               "process " + std::to_string(node + 1));
 }
 
-void callers::Cancel(random& draw, connection& open, const job& about,
+void callers::Cancel(random& draw, connection& open, soak_job& about,
                      caller_style style) {
   if (!Open(draw, open)) return;
   book_.Cancelled(about.id, 0);
   const caller_reply reply =
       Exchange(draw, open, Request("DELETE", about.queue, about.id, ""), style);
   book_.Cancelled(about.id, reply.status);
+  about.cancelled = about.cancelled || IsSuccess(reply.status);
 }
 
 void callers::Pipeline(random& draw, connection& open,
-                       const std::vector<job>& jobs) {
+                       const std::vector<soak_job>& jobs) {
   if (!Open(draw, open)) return;
   const std::size_t count =
       std::min(jobs.size(), static_cast<std::size_t>(2 + Draw(draw, 3)));
@@ -286,7 +282,7 @@
 
 void callers::AskAtEnd(const std::string& id, milliseconds latest) {
   random draw(seed_);
-  const auto queue = static_cast<std::size_t>(book_.QueueOf(id));
+  const std::size_t queue = book_.QueueOf(id);
   std::string last;
   do {
     connection open;
@@ -295,8 +291,9 @@
     const caller_reply reply = Exchange(
         draw, open, Request("GET", queue, id, ""), caller_style::kReopens);
     book_.Shown(id, reply.status, reply.body, sent_at, "the end");
-    const bool ended = reply.body.find("queued") == std::string::npos &&
-                       reply.body.find("running") == std::string::npos;
+    const bool ended =
+        book_.Lasts(id) || (reply.body.find("queued") == std::string::npos &&
+                            reply.body.find("running") == std::string::npos);
     if ((IsSuccess(reply.status) && ended) || reply.status == 410) return;
     last = std::to_string(reply.status) + " " + reply.body;
     Pause(draw, 2 * kMaxPauseMs);
@@ -304,6 +301,21 @@
   log_.Breach("LOST", "job " + id + " at the end: " + last);
 }
 
+void callers::CancelAtEnd(const std::string& id, milliseconds latest) {
+  random draw(seed_);
+  soak_job about;
+  about.id = id;
+  about.queue = book_.QueueOf(id);
+  do {
+    connection open;
+    Cancel(draw, open, about, caller_style::kReopens);
+    if (!about.cancelled) Pause(draw, 2 * kMaxPauseMs);
+  } while (!about.cancelled && log_.Now() < latest);
+  if (!about.cancelled) {
+    log_.Breach("LOST", "job " + id + " can't be cancelled at the end");
+  }
+}
+
 std::string callers::Summary() const {
   const std::scoped_lock lock(mutex_);
   std::string text = "answers:";
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -14,6 +14,7 @@
 
 #include "soak/caller_link.h"
 #include "soak/job_book.h"
+#include "soak/job_maker.h"
 #include "soak/manifest.h"
 #include "soak/site.h"
 
@@ -42,6 +43,8 @@
   bool Stop();
   // Asks for the job at any process, until it has ended or it is `latest`.
   void AskAtEnd(const std::string& id, milliseconds latest);
+  // Cancels the job at any process, until that is confirmed or it is `latest`.
+  void CancelAtEnd(const std::string& id, milliseconds latest);
   std::string Summary() const;
 
  private:
@@ -52,23 +55,18 @@
     std::size_t node = 0;
     milliseconds opened{0};
   };
-  struct job {
-    std::string id;
-    std::string body;
-    std::size_t queue = 0;
-    int tasks = 0;
-  };
 
   void Run(int number);
-  void Visit(random& draw, connection& open, std::vector<job>& jobs,
+  void Visit(random& draw, connection& open, std::vector<soak_job>& jobs,
              caller_style style);
-  void Submit(random& draw, connection& open, std::vector<job>& jobs,
+  void Submit(random& draw, connection& open, std::vector<soak_job>& jobs,
               caller_style style);
-  void Ask(random& draw, connection& open, const job& about,
+  void Ask(random& draw, connection& open, const soak_job& about,
            caller_style style);
-  void Cancel(random& draw, connection& open, const job& about,
+  void Cancel(random& draw, connection& open, soak_job& about,
               caller_style style);
-  void Pipeline(random& draw, connection& open, const std::vector<job>& jobs);
+  void Pipeline(random& draw, connection& open,
+                const std::vector<soak_job>& jobs);
   void Break(random& draw, connection& open);
   bool Open(random& draw, connection& open);
   std::string Request(std::string_view method, std::size_t queue,
@@ -77,7 +75,6 @@
                         caller_style style);
   // Reads one answer to a whole request and checks that it isn't lost.
   caller_reply Await(connection& open, milliseconds last_byte);
-  job NewJob(random& draw);
   void Pause(random& draw, int max_ms) const;
 
   timeline& log_;
--- a/tests/soak/job_book.cc
+++ b/tests/soak/job_book.cc
@@ -19,11 +19,12 @@
 
 }  // namespace
 
-void job_book::Sent(const std::string& id, int queue, int tasks) {
+void job_book::Sent(const soak_job& sent) {
   const std::scoped_lock lock(mutex_);
-  job_state& job = jobs_[id];
-  job.queue = queue;
-  job.tasks = tasks;
+  job_state& job = jobs_[sent.id];
+  job.queue = sent.queue;
+  job.kind = sent.kind;
+  job.tasks = sent.tasks;
   job.last_sent = log_.Now();
   ++job.attempts;
 }
@@ -33,6 +34,7 @@
   job_state& job = jobs_[id];
   if (IsSuccess(status)) {
     if (!job.accepted) job.accepted = log_.Now();
+    if (job.kind == job_kind::kLasting) lasting_.insert(id);
   } else if (status == kTooMany || status == kUnavailable ||
              status == kNotFound) {
     ++job.refusals;
@@ -43,7 +45,10 @@
   const std::scoped_lock lock(mutex_);
   job_state& job = jobs_[id];
   if (!job.cancel_sent) job.cancel_sent = log_.Now();
-  if (IsSuccess(status) && !job.cancelled) job.cancelled = log_.Now();
+  lasting_.erase(id);
+  if (!IsSuccess(status) || job.cancelled) return;
+  job.cancelled = log_.Now();
+  stopping_.insert(id);
 }
 
 bool job_book::AllDone(const job_state& job) const {
@@ -52,6 +57,12 @@
          }) >= job.tasks;
 }
 
+bool job_book::AllBegun(const job_state& job) {
+  return std::ranges::count_if(job.task_states, [](const auto& row) {
+           return row.second.last_begun.has_value();
+         }) >= job.tasks;
+}
+
 std::optional<milliseconds> job_book::EndOf(const job_state& job) const {
   if (!AllDone(job)) return std::nullopt;
   milliseconds end{0};
@@ -89,6 +100,7 @@
   if (body.find("\"failed\"") != std::string_view::npos && !cancelled) {
     if (!job.shown_ended) job.shown_ended = log_.Now();
     const bool has_cause =
+        job.kind != job_kind::kLasting &&
         std::ranges::any_of(job.task_states, [this](const auto& row) {
           return row.second.failed >= bounds_.max_attempts;
         });
@@ -117,8 +129,10 @@
     log_.Breach("TWICE", about + "starts after an acknowledged end");
   }
   task.last_begun = log_.Now();
+  task.missed = false;
+  if (job.cancelled) stopping_.insert(JobOf(event.task));
   if (job.cancelled && log_.Now() > *job.cancelled + bounds_.cancel &&
-      !is_disturbed()) {
+      !is_disturbed(bounds_.contact)) {
     log_.Breach("UNASKED",
                 about + "starts " +
                     std::to_string((log_.Now() - *job.cancelled).count()) +
@@ -155,6 +169,7 @@
     return;
   }
   task.running.erase({event.executor, event.run});
+  task.last_end = log_.Now();
   if (event.what == "done") {
     task.done.try_emplace({event.executor, event.run}, log_.Now());
   }
@@ -165,7 +180,10 @@
   const std::scoped_lock lock(mutex_);
   std::vector<std::string> ids;
   for (const auto& [id, job] : jobs_) {
-    if (job.accepted && !job.cancel_sent && !AllDone(job)) ids.push_back(id);
+    if (!job.accepted || job.cancel_sent) continue;
+    const bool reached =
+        job.kind == job_kind::kLasting ? AllBegun(job) : AllDone(job);
+    if (!reached) ids.push_back(id);
   }
   return ids;
 }
@@ -201,9 +219,14 @@
          " cancelled, " + std::to_string(starts_) + " starts";
 }
 
-int job_book::QueueOf(const std::string& id) const {
+std::size_t job_book::QueueOf(const std::string& id) const {
   const std::scoped_lock lock(mutex_);
   return jobs_.at(id).queue;
 }
 
+bool job_book::Lasts(const std::string& id) const {
+  const std::scoped_lock lock(mutex_);
+  return jobs_.at(id).kind == job_kind::kLasting;
+}
+
 }  // namespace waxwingfront::soak
--- a/tests/soak/job_book.h
+++ b/tests/soak/job_book.h
@@ -13,12 +13,15 @@
 #include <vector>
 
 #include "review/standin/executor.h"
+#include "soak/job_maker.h"
 #include "soak/timeline.h"
 
 namespace waxwingfront::soak {
 
 struct job_bounds {
   milliseconds cancel{3000};
+  milliseconds stop_timeout{900};
+  milliseconds contact{3000};
   milliseconds visible{3000};
   milliseconds status{120'000};
   int max_attempts = 3;
@@ -29,11 +32,13 @@
   job_book(timeline& log, const job_bounds& bounds)
       : log_(log), bounds_(bounds) {}
 
-  // Whether a fault acted on any process or link in the last `contact_ms`;
+  // Whether a fault acted on any process or link in this time before now;
   // orders may be carried out late then.
-  std::function<bool()> is_disturbed = [] { return false; };
+  std::function<bool(milliseconds)> is_disturbed = [](milliseconds) {
+    return false;
+  };
 
-  void Sent(const std::string& id, int queue, int tasks);
+  void Sent(const soak_job& job);
   // Status 0: no answer.
   void Answered(const std::string& id, int status);
   void Cancelled(const std::string& id, int status);
@@ -42,14 +47,21 @@
              milliseconds sent_at, std::string_view where);
   void Ran(const review::run_event& event);
 
-  // Accepted jobs that nobody cancelled and whose tasks aren't all done.
+  // Checks of what has to happen in time; to be called often.
+  void CheckNow();
+
+  // Accepted jobs that nobody cancelled and whose tasks aren't all done; a task
+  // that lasts counts once it has begun.
   std::vector<std::string> Unfinished() const;
   // Accepted jobs that nobody cancelled and which have to be known still.
   std::vector<std::string> Owed() const;
   // Checks that only hold once all answers are known.
   void CheckRefused();
   std::string Summary() const;
-  int QueueOf(const std::string& id) const;
+  std::size_t QueueOf(const std::string& id) const;
+  bool Lasts(const std::string& id) const;
+  // Whether a task of a job whose cancel was confirmed runs.
+  bool AnyStopping() const;
 
  private:
   struct run_place {
@@ -64,11 +76,16 @@
     // Ends `done` and when they were.
     std::map<run_place, milliseconds> done;
     bool done_seen = false;
-    milliseconds last_begun{0};
+    std::optional<milliseconds> last_begun;
+    std::optional<milliseconds> last_end;
     int failed = 0;
+    // A breach is reported once.
+    bool missed = false;
+    bool overran = false;
   };
   struct job_state {
-    int queue = 0;
+    std::size_t queue = 0;
+    job_kind kind = job_kind::kPlain;
     int tasks = 0;
     int attempts = 0;
     int refusals = 0;
@@ -82,13 +99,22 @@
   };
 
   bool AllDone(const job_state& job) const;
+  static bool AllBegun(const job_state& job);
   std::optional<milliseconds> EndOf(const job_state& job) const;
   void Begun(job_state& job, const review::run_event& event);
+  void CheckLasting(const std::string& id, job_state& job);
+  void CheckStopped(job_state& job);
+  static bool IsRunning(const job_state& job);
 
   timeline& log_;
   job_bounds bounds_;
   mutable std::mutex mutex_;
   std::map<std::string, job_state> jobs_;
+  // Accepted jobs whose tasks last and that nobody cancelled.
+  std::set<std::string> lasting_;
+  // Jobs whose cancel was confirmed and whose tasks may run.
+  std::set<std::string> stopping_;
+  milliseconds next_check_{0};
   int starts_ = 0;
 };
 
--- /dev/null
+++ b/tests/soak/job_maker.h
@@ -0,0 +1,33 @@
+// Jobs that callers submit, drawn from a seed.
+#ifndef WAXWINGFRONT_TESTS_SOAK_JOB_MAKER_H_
+#define WAXWINGFRONT_TESTS_SOAK_JOB_MAKER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <string>
+
+namespace waxwingfront::soak {
+
+enum class job_kind : std::uint8_t {
+  // One or two steps whose tasks end.
+  kPlain,
+  // Tasks that last until the job is cancelled, and fail now and then.
+  kLasting,
+};
+
+struct soak_job {
+  std::string id;
+  std::string body;
+  std::size_t queue = 0;
+  job_kind kind = job_kind::kPlain;
+  int tasks = 0;
+  // A cancel was confirmed.
+  bool cancelled = false;
+};
+
+soak_job MakeJob(std::mt19937_64& draw, std::size_t queues, job_kind kind);
+
+}  // namespace waxwingfront::soak
+
+#endif  // WAXWINGFRONT_TESTS_SOAK_JOB_MAKER_H_
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -23,7 +23,11 @@
 // `finish_s`, and the longest job.
 constexpr milliseconds kFinishTime{14'000 + 3000};
 constexpr milliseconds kEndTime{8000};
-constexpr milliseconds kContact{3000};
+// Longer than any bound on the end of cancelled tasks.
+constexpr milliseconds kStopTime{9000};
+// Faults of the long-running tasks show without others beside them.
+constexpr milliseconds kCalmTime{12'000};
+constexpr int kCalmSeeds = 3;
 constexpr double kSlowClock = 0.98;
 
 struct soak_options {
@@ -59,14 +63,20 @@
 }
 
 void CheckEnd(timeline& log, schedule& faults, site& processes, callers& all,
-              job_book& book) {
+              job_book& book, milliseconds calm) {
   faults.Heal();
   if (!faults.Await([&] { return processes.Ready(); }, kReadyTime)) {
     log.Breach("FAULT", "not all processes are ready after the faults");
   }
   const milliseconds latest = log.Now() + kFinishTime;
   faults.Await([&] { return book.Unfinished().empty(); }, kFinishTime);
-  for (const std::string& id : book.Owed()) all.AskAtEnd(id, latest);
+  const std::vector<std::string> owed = book.Owed();
+  for (const std::string& id : owed) all.AskAtEnd(id, latest);
+  faults.Await([] { return false; }, calm);
+  for (const std::string& id : owed) {
+    if (book.Lasts(id)) all.CancelAtEnd(id, log.Now() + kEndTime);
+  }
+  faults.Await([&] { return !book.AnyStopping(); }, kStopTime);
   book.CheckRefused();
   processes.Finish();
   faults.Await([&] { return !processes.AnyRunning(); }, kEndTime);
@@ -96,10 +106,11 @@
   schedule faults(log, processes,
                   {.platform = platform, .gate = gate, .executors = executors},
                   {.seed = options.seed, .replaces = options.seed % 6 == 4});
-  book.is_disturbed = [&] {
-    const milliseconds since = log.Now() - kContact;
+  book.is_disturbed = [&](milliseconds time) {
+    const milliseconds since = log.Now() - time;
     return processes.AnyDisturbedSince(since) || faults.LinksDisturbed(since);
   };
+  faults.on_step = [&book] { book.CheckNow(); };
   faults.Configure();
   for (std::size_t i = 0; i < processes.Size(); ++i) processes.Start(i);
   if (!faults.Await([&] { return processes.Ready(); }, kReadyTime)) {
@@ -111,7 +122,8 @@
   all.Start(kCallers);
   faults.Run(milliseconds(1000 * options.seconds));
   faults.Await([&] { return all.Stop(); }, kEndTime);
-  CheckEnd(log, faults, processes, all, book);
+  CheckEnd(log, faults, processes, all, book,
+           options.seed % kCalmSeeds == 0 ? kCalmTime : milliseconds{0});
   std::cout << "seed " << options.seed << ": " << book.Summary() << "; "
             << all.Summary() << "; " << processes.Summary() << "\n";
   return log.Print(std::cout) == 0 ? kHeld : kBroken;
--- a/tests/soak/run_table.cc
+++ b/tests/soak/run_table.cc
@@ -16,10 +16,11 @@
 constexpr std::size_t kMaxEnds = 500;
 // The clock of a boot starts anew.
 constexpr std::int64_t kFirstClockMs = 1000;
-constexpr std::chrono::hours kForever{1000};
 // Until a task that lasts is at work.
 constexpr milliseconds kStartup{100};
 constexpr int kAtWork = 100;
+// Of the tasks that last, some runs fail sooner than others.
+constexpr int kLives = 3;
 
 std::string Word(const std::string& spec, const std::string& name) {
   const std::size_t at = spec.find(name + "=");
@@ -138,16 +139,18 @@
   }
   const std::string spec = Text(body, "spec");
   const std::string how = Word(spec, "end");
+  const bool lasts = how == "lasts";
+  const auto life = lasts ? 1 + 2 * (run % kLives) : 1;
   const std::chrono::duration<double, std::milli> duration(
-      std::atof(Word(spec, "ms").c_str()) * options_.slowness);
+      std::atof(Word(spec, "ms").c_str()) * options_.slowness *
+      static_cast<double>(life));
   const auto now = clock::now();
   running_[task] = {
       .run = run,
       .begun = now,
-      .end = how == "never"
-                 ? now + kForever
-                 : now + std::chrono::duration_cast<clock::duration>(duration),
-      .how = how};
+      .end = now + std::chrono::duration_cast<clock::duration>(duration),
+      .how = lasts ? "failed" : how,
+      .lasts = lasts};
   report_("begun", task, run, "");
   return Accept();
 }
@@ -183,7 +186,7 @@
 
 int run_table::Percent(const live_run& run) {
   const auto age = clock::now() - run.begun;
-  if (run.how == "never") return age >= kStartup ? kAtWork : 0;
+  if (run.lasts) return age >= kStartup ? kAtWork : 0;
   const auto whole = run.end - run.begun;
   return whole <= clock::duration::zero()
              ? kAtWork
--- a/tests/soak/run_table.h
+++ b/tests/soak/run_table.h
@@ -1,6 +1,6 @@
 // What runs and what has ended on a stand-in for an executor, in one boot. A
-// task's `spec` says how it behaves: "ms=DURATION end=HOW"; "end=never" lasts
-// until it is stopped.
+// task's `spec` says how it behaves: "ms=DURATION end=HOW"; "end=lasts" lasts
+// until it is stopped, and fails after one, three or five times DURATION.
 #ifndef WAXWINGFRONT_TESTS_SOAK_RUN_TABLE_H_
 #define WAXWINGFRONT_TESTS_SOAK_RUN_TABLE_H_
 
@@ -62,6 +62,7 @@
     clock::time_point begun;
     clock::time_point end;
     std::string how;
+    bool lasts = false;
   };
   struct ended_run {
     std::int64_t number = 0;
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -163,6 +163,7 @@
     action();
   }
   site_.Poll();
+  on_step();
   std::this_thread::sleep_for(kStep);
 }
 
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -37,6 +37,9 @@
   schedule(timeline& log, site& processes, surroundings outside,
            const schedule_options& options);
 
+  // Called at each step of all that waits.
+  std::function<void()> on_step = [] {};
+
   // Writes a manifest with all queues.
   void Configure();
   void Run(milliseconds time);
