Play gangs and scheduled jobs in the soak

The stand-ins' gangs work from the moment when all members of a run are present, end together, and end alone after gang_timeout_ms. Checked: no run ends alone before its cancel while no fault acted for 6 s, members begin with one run (GANG), one end represents all members (TWICE, MIXED), no occurrence starts more than early_ms before its time (ORDER), and each completes.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -37,9 +37,17 @@
 
 // A caller has one job that lasts at a time.
 job_kind DrawKind(std::mt19937_64& draw, const std::vector<soak_job>& jobs) {
-  return Draw(draw, 8) == 0 && std::ranges::none_of(jobs, IsOpenEnded)
-             ? job_kind::kLasting
-             : job_kind::kPlain;
+  switch (Draw(draw, 8)) {
+    case 0:
+      return std::ranges::none_of(jobs, IsOpenEnded) ? job_kind::kLasting
+                                                     : job_kind::kPlain;
+    case 1:
+      return job_kind::kGang;
+    case 2:
+      return job_kind::kScheduled;
+    default:
+      return job_kind::kPlain;
+  }
 }
 
 }  // namespace
--- a/tests/soak/job_book.cc
+++ b/tests/soak/job_book.cc
@@ -25,6 +25,9 @@
   job.queue = sent.queue;
   job.kind = sent.kind;
   job.tasks = sent.tasks;
+  job.width = sent.width;
+  job.first_run_ms = sent.first_run_ms;
+  job.interval_ms = sent.interval_ms;
   job.last_sent = log_.Now();
   ++job.attempts;
 }
@@ -117,6 +120,8 @@
                             " at " + event.executor + ", ";
   job.begun = true;
   ++starts_;
+  CheckDue(job, event);
+  CheckGang(job, event);
   for (const run_place& other : task.running) {
     log_.Breach("TWICE", about + "runs also at " + other.executor + " as run " +
                              std::to_string(other.run));
@@ -156,23 +161,15 @@
     return;
   }
   if (event.what == "refused") return;
-  task_state& task = job.task_states[event.task];
   if (event.what == "seen") {
-    const auto done = task.done.find({event.executor, event.run});
-    if (event.detail != "done" || done == task.done.end()) return;
-    task.done_seen = true;
-    if (task.last_begun > done->second) {
-      log_.Breach(
-          "TWICE",
-          event.task + " started after an end that is acknowledged now");
-    }
+    if (event.detail == "done") Seen(job, event);
     return;
   }
+  task_state& task = job.task_states[event.task];
   task.running.erase({event.executor, event.run});
   task.last_end = log_.Now();
-  if (event.what == "done") {
-    task.done.try_emplace({event.executor, event.run}, log_.Now());
-  }
+  if (event.what == "done") Done(job, event);
+  if (event.what == "alone") CheckGang(job, event);
   if (event.what == "failed") ++task.failed;
 }
 
--- a/tests/soak/job_book.h
+++ b/tests/soak/job_book.h
@@ -22,6 +22,8 @@
   milliseconds cancel{3000};
   milliseconds stop_timeout{900};
   milliseconds contact{3000};
+  milliseconds gang_timeout{3000};
+  std::int64_t early_ms = 250;
   milliseconds visible{3000};
   milliseconds status{120'000};
   int max_attempts = 3;
@@ -87,6 +89,9 @@
     std::size_t queue = 0;
     job_kind kind = job_kind::kPlain;
     int tasks = 0;
+    int width = 0;
+    std::int64_t first_run_ms = 0;
+    std::int64_t interval_ms = 0;
     int attempts = 0;
     int refusals = 0;
     bool begun = false;
@@ -102,6 +107,13 @@
   static bool AllBegun(const job_state& job);
   std::optional<milliseconds> EndOf(const job_state& job) const;
   void Begun(job_state& job, const review::run_event& event);
+  void Done(job_state& job, const review::run_event& event);
+  void Seen(job_state& job, const review::run_event& event);
+  // The task, or all members of its gang.
+  static std::vector<std::string> Members(const job_state& job,
+                                          const std::string& task);
+  void CheckGang(const job_state& job, const review::run_event& event);
+  void CheckDue(const job_state& job, const review::run_event& event);
   void CheckLasting(const std::string& id, job_state& job);
   void CheckStopped(job_state& job);
   static bool IsRunning(const job_state& job);
--- a/tests/soak/job_checks.cc
+++ b/tests/soak/job_checks.cc
@@ -15,6 +15,67 @@
 
 }  // namespace
 
+std::vector<std::string> job_book::Members(const job_state& job,
+                                           const std::string& task) {
+  if (job.kind != job_kind::kGang) return {task};
+  const std::string step = task.substr(0, task.rfind('.') + 1);
+  std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(job.width));
+  for (int i = 0; i < job.width; ++i) names.push_back(step + std::to_string(i));
+  return names;
+}
+
+void job_book::Done(job_state& job, const review::run_event& event) {
+  for (const std::string& name : Members(job, event.task)) {
+    job.task_states[name].done.try_emplace({event.executor, event.run},
+                                           log_.Now());
+  }
+}
+
+void job_book::Seen(job_state& job, const review::run_event& event) {
+  for (const std::string& name : Members(job, event.task)) {
+    task_state& task = job.task_states[name];
+    const auto done = task.done.find({event.executor, event.run});
+    if (done == task.done.end()) continue;
+    task.done_seen = true;
+    if (task.last_begun.value_or(milliseconds{0}) > done->second) {
+      log_.Breach("TWICE",
+                  name + " started after an end that is acknowledged now");
+    }
+  }
+}
+
+void job_book::CheckGang(const job_state& job, const review::run_event& event) {
+  if (job.kind != job_kind::kGang || job.cancel_sent) return;
+  if (is_disturbed(bounds_.gang_timeout + bounds_.contact)) return;
+  const std::string about = event.task + " run " + std::to_string(event.run);
+  if (event.what == "alone") {
+    log_.Breach("GANG", about + " waited alone for its gang");
+    return;
+  }
+  for (const std::string& name : Members(job, event.task)) {
+    const auto found = job.task_states.find(name);
+    if (found == job.task_states.end()) continue;
+    for (const run_place& other : found->second.running) {
+      if (other.run == event.run) continue;
+      std::string text = about + " begins beside run ";
+      text += std::to_string(other.run) + " of " + name;
+      log_.Breach("GANG", text);
+    }
+  }
+}
+
+void job_book::CheckDue(const job_state& job, const review::run_event& event) {
+  if (job.kind != job_kind::kScheduled) return;
+  const std::int64_t occurrence =
+      std::stoll(event.task.substr(event.task.find('.') + 1));
+  const std::int64_t early_ms =
+      job.first_run_ms + occurrence * job.interval_ms - UnixMs();
+  if (early_ms <= bounds_.early_ms) return;
+  log_.Breach("ORDER", event.task + " starts " + std::to_string(early_ms) +
+                           " ms before its time");
+}
+
 bool job_book::IsRunning(const job_state& job) {
   return std::ranges::any_of(job.task_states, [](const auto& row) {
     return !row.second.running.empty();
--- a/tests/soak/job_maker.h
+++ b/tests/soak/job_maker.h
@@ -14,6 +14,10 @@
   kPlain,
   // Tasks that last until the job is cancelled, and fail now and then.
   kLasting,
+  // Steps whose tasks work only together.
+  kGang,
+  // One step that runs several times, each at its own time.
+  kScheduled,
 };
 
 struct soak_job {
@@ -22,10 +26,17 @@
   std::size_t queue = 0;
   job_kind kind = job_kind::kPlain;
   int tasks = 0;
+  // Tasks of a step.
+  int width = 0;
+  // Of a scheduled job, in milliseconds since 1970.
+  std::int64_t first_run_ms = 0;
+  std::int64_t interval_ms = 0;
   // A cancel was confirmed.
   bool cancelled = false;
 };
 
+std::int64_t UnixMs();
+
 soak_job MakeJob(std::mt19937_64& draw, std::size_t queues, job_kind kind);
 
 }  // namespace waxwingfront::soak
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -92,6 +92,7 @@
   const site_options site_values = SiteOptions(options, gate);
   auto& book =
       *new job_book(log, {.status = milliseconds(1000 * site_values.status_s)});
+  auto& gangs = *new gang_hall;
   std::vector<soak_executor*> executors;
   executors.reserve(static_cast<std::size_t>(options.executors));
   for (int i = 0; i < options.executors; ++i) {
@@ -99,7 +100,8 @@
         platform,
         {.common = {.id = "i-" + std::to_string(i + 1),
                     .service = i % 2 == 0 ? "serve1" : "serve2"},
-         .clock_rate = i % 3 == 0 ? kSlowClock : 1},
+         .clock_rate = i % 3 == 0 ? kSlowClock : 1,
+         .gangs = &gangs},
         [&book](const review::run_event& event) { book.Ran(event); }));
   }
   site processes(log, site_values);
--- a/tests/soak/run_table.cc
+++ b/tests/soak/run_table.cc
@@ -69,23 +69,40 @@
   std::vector<std::pair<std::string, std::string>> over;
   const bool lapsed = ClockMs() >= lease_end_ms_;
   for (const auto& [task, run] : running_) {
-    if (run.end <= clock::now()) {
-      over.emplace_back(task, run.how);
-    } else if (lapsed) {
-      over.emplace_back(task, "lapsed");
-    }
+    std::string how = EndNow(task, run);
+    if (how.empty() && lapsed) how = "lapsed";
+    if (!how.empty()) over.emplace_back(task, std::move(how));
   }
   for (const auto& [task, how] : over) End(task, how);
 }
 
+std::string run_table::EndNow(const std::string& task,
+                              const live_run& run) const {
+  const clock::time_point now = clock::now();
+  if (!run.is_member) return run.end <= now ? run.how : "";
+  const gang_hall::gang_state gang = options_.gangs->Look(task, run.run);
+  if (gang.done) return "done";
+  if (gang.broken) return "broken";
+  if (!gang.complete) {
+    return now - run.begun > options_.gang_timeout ? "alone" : "";
+  }
+  return *gang.complete + (run.end - run.begun) <= now ? run.how : "";
+}
+
 void run_table::Abandon() {
-  for (const auto& [task, run] : running_) report_("gone", task, run.run, "");
+  for (const auto& [task, run] : running_) {
+    if (run.is_member) options_.gangs->Leave(task, run.run, false);
+    report_("gone", task, run.run, "");
+  }
   running_.clear();
 }
 
 void run_table::End(const std::string& task, const std::string& how) {
   const auto found = running_.find(task);
   const std::int64_t run = found->second.run;
+  if (found->second.is_member) {
+    options_.gangs->Leave(task, run, how == "done");
+  }
   running_.erase(found);
   highest_ended_[task] = std::max(highest_ended_[task], run);
   ended_.push_back({++last_number_, task, run, how});
@@ -144,13 +161,16 @@
   const std::chrono::duration<double, std::milli> duration(
       std::atof(Word(spec, "ms").c_str()) * options_.slowness *
       static_cast<double>(life));
+  const std::int64_t members = std::atoll(Word(spec, "gang").c_str());
   const auto now = clock::now();
   running_[task] = {
       .run = run,
       .begun = now,
       .end = now + std::chrono::duration_cast<clock::duration>(duration),
       .how = lasts ? "failed" : how,
-      .lasts = lasts};
+      .lasts = lasts,
+      .is_member = members > 0};
+  if (members > 0) options_.gangs->Join(task, run, members);
   report_("begun", task, run, "");
   return Accept();
 }
--- a/tests/soak/run_table.h
+++ b/tests/soak/run_table.h
@@ -1,6 +1,8 @@
 // What runs and what has ended on a stand-in for an executor, in one boot. A
 // task's `spec` says how it behaves: "ms=DURATION end=HOW"; "end=lasts" lasts
 // until it is stopped, and fails after one, three or five times DURATION.
+// "gang=SIZE" makes it a member of a gang that works from the moment when all
+// are present.
 #ifndef WAXWINGFRONT_TESTS_SOAK_RUN_TABLE_H_
 #define WAXWINGFRONT_TESTS_SOAK_RUN_TABLE_H_
 
@@ -12,6 +14,7 @@
 #include <string>
 
 #include "review/standin/http.h"
+#include "soak/gang_hall.h"
 
 namespace waxwingfront::soak {
 
@@ -24,6 +27,9 @@
   double clock_rate = 1;
   // A task's duration is multiplied by this.
   double slowness = 1;
+  milliseconds gang_timeout{3000};
+  // Outlives the table.
+  gang_hall* gangs = nullptr;
 };
 
 // Not thread-safe.
@@ -63,6 +69,7 @@
     clock::time_point end;
     std::string how;
     bool lasts = false;
+    bool is_member = false;
   };
   struct ended_run {
     std::int64_t number = 0;
@@ -76,6 +83,8 @@
                                const std::string& reason) const;
   void Extend(std::int64_t deadline_ms);
   void End(const std::string& task, const std::string& how);
+  // How the run ends now; empty while it goes on.
+  std::string EndNow(const std::string& task, const live_run& run) const;
   static int Percent(const live_run& run);
 
   run_table_options options_;
--- a/tests/soak/soak_executor.cc
+++ b/tests/soak/soak_executor.cc
@@ -6,6 +6,8 @@
 #include <thread>
 #include <utility>
 
+#include "soak/job_maker.h"
+
 namespace waxwingfront::soak {
 namespace {
 
@@ -19,12 +21,6 @@
 constexpr std::int64_t kBirthStepMs = 1;
 const http_response kNoAnswer{.status = 0, .body = {}};
 
-std::int64_t UnixMs() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 bool IsOrder(const http_request& request) {
   return request.path == "/run-start" || request.path == "/run-stop";
 }
@@ -69,7 +65,8 @@
       run_table_options{.needs_ticket = options_.common.needs_ticket,
                         .max_hold_ms = options_.max_hold_ms,
                         .clock_rate = options_.clock_rate,
-                        .slowness = fault_.slowness},
+                        .slowness = fault_.slowness,
+                        .gangs = options_.gangs},
       std::max(UnixMs(), last_born),
       [this](const std::string& what, const std::string& task, std::int64_t run,
              const std::string& detail) {
--- a/tests/soak/soak_executor.h
+++ b/tests/soak/soak_executor.h
@@ -55,6 +55,8 @@
   std::int64_t max_hold_ms = 10'000;
   // The clock may be 2 % slow.
   double clock_rate = 1;
+  // Outlives the executor.
+  gang_hall* gangs = nullptr;
 };
 
 // Thread-safe. Threads use it until the process ends, so it is never destroyed.
