Disturb the links between processes in the soak

A proxy stands before each process's internal port. The store and the other processes know the process by the proxy's address: the store's gate and the proxies translate addresses on the way, also inside stored values.

--- a/tests/soak/fault_link.cc
+++ b/tests/soak/fault_link.cc
@@ -15,7 +15,7 @@
 }  // namespace
 
 fault_link::fault_link(tcp::socket client, const tcp::endpoint& target,
-                       const link_fault& fault)
+                       const link_fault& fault, const link_rewriting& rewriting)
     : client_(std::move(client)),
       server_(client_.get_executor()),
       target_(target),
@@ -23,10 +23,12 @@
       to_target_{.from = client_,
                  .to = server_,
                  .silent = fault.silent_to_target,
+                 .rewrite = rewriting.to_target,
                  .timer = asio::steady_timer(client_.get_executor())},
       to_client_{.from = server_,
                  .to = client_,
                  .silent = fault.silent_to_client,
+                 .rewrite = rewriting.to_client,
                  .timer = asio::steady_timer(client_.get_executor())} {
   failure_code ignored;
   client_.set_option(tcp::no_delay(true), ignored);
@@ -90,8 +92,10 @@
   if (failure) {
     one.end = flow_end::kEof;
   } else {
-    one.held.push_back({.due = clock::now() + fault_.delay,
-                        .bytes = std::string(one.input.data(), count)});
+    std::string bytes(one.input.data(), count);
+    one.rewrite(bytes);
+    one.held.push_back(
+        {.due = clock::now() + fault_.delay, .bytes = std::move(bytes)});
     one.held_bytes += count;
   }
   Pass(one);
--- a/tests/soak/fault_link.h
+++ b/tests/soak/fault_link.h
@@ -18,9 +18,9 @@
  public:
   using tcp = boost::asio::ip::tcp;
 
-  // `fault` outlives the link.
+  // `fault` and `rewriting` outlive the link.
   fault_link(tcp::socket client, const tcp::endpoint& target,
-             const link_fault& fault);
+             const link_fault& fault, const link_rewriting& rewriting);
 
   // Goes on with what the fault allows now.
   void Resume();
@@ -46,6 +46,7 @@
     tcp::socket& from;
     tcp::socket& to;
     const bool& silent;
+    const std::function<void(std::string&)>& rewrite;
     boost::asio::steady_timer timer;
     std::array<char, kReadBytes> input{};
     std::deque<chunk> held;
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -49,8 +49,9 @@
 }  // namespace
 
 struct fault_proxy::internal {
-  explicit internal(const std::string& target_address)
+  internal(const std::string& target_address, link_rewriting changes)
       : target(Parse(target_address)),
+        rewriting(std::move(changes)),
         acceptor(context),
         pause(context),
         work(asio::make_work_guard(context)) {}
@@ -63,6 +64,7 @@
   void Sweep();
 
   tcp::endpoint target;
+  link_rewriting rewriting;
   asio::io_context context{1};
   tcp::acceptor acceptor;
   asio::steady_timer pause;
@@ -74,7 +76,11 @@
 };
 
 fault_proxy::fault_proxy(std::string target_address)
-    : internal_(std::make_unique<internal>(target_address)) {
+    : fault_proxy(std::move(target_address), link_rewriting{}) {}
+
+fault_proxy::fault_proxy(std::string target_address, link_rewriting rewriting)
+    : internal_(
+          std::make_unique<internal>(target_address, std::move(rewriting))) {
   failure_code failure;
   for (int i = 0; i < kBindAttempts; ++i) {
     internal_->port = review::FreePort();
@@ -151,8 +157,8 @@
     return;
   }
   Sweep();
-  links.push_back(
-      std::make_shared<fault_link>(std::move(client), target, fault));
+  links.push_back(std::make_shared<fault_link>(std::move(client), target, fault,
+                                               rewriting));
   links.back()->Resume();
   Accept();
 }
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -20,12 +20,19 @@
   bool refuse = false;
 };
 
+// Changes the bytes that pass; what is replaced must not be split across reads.
+struct link_rewriting {
+  std::function<void(std::string&)> to_target = [](std::string&) {};
+  std::function<void(std::string&)> to_client = [](std::string&) {};
+};
+
 // One thread serves all connections. Calls take effect before they return.
 class fault_proxy {
  public:
   // `target_address` is "127.0.0.1:PORT". Throws boost::system::system_error if
   // the proxy cannot listen.
   explicit fault_proxy(std::string target_address);
+  fault_proxy(std::string target_address, link_rewriting rewriting);
   fault_proxy(const fault_proxy&) = delete;
   fault_proxy& operator=(const fault_proxy&) = delete;
   // Resets all connections.
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -6,7 +6,9 @@
 #include <iostream>
 
 #include "review/standin/http.h"
+#include "soak/address_map.h"
 #include "soak/callers.h"
+#include "soak/fault_proxy.h"
 #include "soak/schedule.h"
 #include "soak/soak_executor.h"
 #include "soak/store_gate.h"
@@ -62,6 +64,41 @@
           .check_memory = options.check_memory};
 }
 
+// Puts a proxy before each process. The others and the store know the process
+// by the proxy's address, and it knows itself by its own.
+std::vector<fault_proxy*> MakeLinks(const site& processes, store_gate& gate) {
+  // Addresses of the process and of its proxy; complete before the first
+  // process starts. Threads of the proxies use them until the program ends.
+  auto& names = *new std::vector<std::pair<std::string, std::string>>;
+  std::vector<fault_proxy*> links;
+  for (std::size_t i = 0; i < processes.Size(); ++i) {
+    const std::string inner = processes.InternalAddress(i);
+    names.emplace_back(inner, inner);
+    const auto to_process = [&names, i](std::string& bytes) {
+      address_map others;
+      for (std::size_t k = 0; k < names.size(); ++k) {
+        const auto& [own, proxied] = names[k];
+        others.Add(k == i ? proxied : own, k == i ? own : proxied);
+      }
+      others.Translate(bytes);
+    };
+    const auto from_process = [&names, i](std::string& bytes) {
+      address_map own;
+      own.Add(names[i].first, names[i].second);
+      own.Translate(bytes);
+    };
+    links.push_back(new fault_proxy(
+        inner, {.to_target = to_process, .to_client = from_process}));
+    names[i].second = links.back()->Address();
+    address_map written;
+    written.Add(inner, names[i].second);
+    address_map read;
+    read.Add(names[i].second, inner);
+    gate.Translate(i, written, read);
+  }
+  return links;
+}
+
 void CheckEnd(timeline& log, schedule& faults, site& processes, callers& all,
               job_book& book, milliseconds calm) {
   faults.Heal();
@@ -106,7 +143,10 @@
   }
   site processes(log, site_values);
   schedule faults(log, processes,
-                  {.platform = platform, .gate = gate, .executors = executors},
+                  {.platform = platform,
+                   .gate = gate,
+                   .executors = executors,
+                   .links = MakeLinks(processes, gate)},
                   {.seed = options.seed, .replaces = options.seed % 6 == 4});
   book.is_disturbed = [&](milliseconds time) {
     const milliseconds since = log.Now() - time;
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -20,10 +20,11 @@
       site_(processes),
       outside_(std::move(outside)),
       random_(options.seed),
+      link_random_(options.seed + 1),
       replaces_(options.replaces) {}
 
-int schedule::Draw(int below) {
-  return std::uniform_int_distribution<int>(0, below - 1)(random_);
+int schedule::Draw(random& draw, int below) {
+  return std::uniform_int_distribution<int>(0, below - 1)(draw);
 }
 
 std::size_t schedule::DrawNode() {
@@ -170,10 +171,15 @@
 void schedule::Run(milliseconds time) {
   const milliseconds end = log_.Now() + time;
   milliseconds next = log_.Now() + kFirstFault;
+  milliseconds next_link = next;
   if (replaces_)
     After(2 * kFirstFault.count(), [this] { Replace(DrawNode()); });
   while (log_.Now() < end) {
     Step();
+    if (log_.Now() >= next_link) {
+      DisturbProcessLink();
+      next_link = log_.Now() + milliseconds(500 + Draw(link_random_, 5000));
+    }
     if (log_.Now() < next) continue;
     Disturb();
     // Bursts, and now and then a calm time.
@@ -196,6 +202,7 @@
   for (auto& [time, action] : std::exchange(due_, {})) action();
   for (std::size_t i = 0; i < site_.Size(); ++i) site_.Continue(i);
   outside_.gate.SetAll({});
+  for (fault_proxy* const one : outside_.links) one->Set({});
   for (soak_executor* const one : outside_.executors) {
     one->Set({});
     one->Link().Set({});
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -24,6 +24,8 @@
   review::store& platform;
   store_gate& gate;
   std::vector<soak_executor*> executors;
+  // To each process from the others.
+  std::vector<fault_proxy*> links;
 };
 
 struct schedule_options {
@@ -53,7 +55,10 @@
   bool Await(const std::function<bool()>& until, milliseconds time);
 
  private:
-  int Draw(int below);
+  using random = std::mt19937_64;
+
+  static int Draw(random& draw, int below);
+  int Draw(int below) { return Draw(random_, below); }
   std::size_t DrawNode();
   void After(std::int64_t delay_ms, std::function<void()> action);
   void Step();
@@ -64,7 +69,8 @@
   void Outside(const std::string& text, int time_ms, std::function<void()> end);
   void DisturbStore();
   void DisturbExecutor();
-  void DisturbLink(soak_executor& target);
+  void DisturbLink(random& draw, fault_proxy& link, const std::string& about);
+  void DisturbProcessLink();
   void LoseExecutor(soak_executor& target);
   // Many idle connections at once.
   void Crowd(std::size_t node);
@@ -75,7 +81,9 @@
   timeline& log_;
   site& site_;
   surroundings outside_;
-  std::mt19937_64 random_;
+  random random_;
+  // Apart from the other faults, which stay as they are for a seed.
+  random link_random_;
   std::int64_t version_ = 0;
   std::multimap<milliseconds, std::function<void()>> due_;
   std::atomic<std::int64_t> disturbed_until_ms_{0};
--- a/tests/soak/schedule_outside.cc
+++ b/tests/soak/schedule_outside.cc
@@ -88,14 +88,13 @@
           [&target, kind] { target.Restart(kind); });
 }
 
-void schedule::DisturbLink(soak_executor& target) {
-  const int time_ms = kShortestFaultMs + Draw(kLongestFaultMs);
-  fault_proxy& link = target.Link();
+void schedule::DisturbLink(random& draw, fault_proxy& link,
+                           const std::string& about) {
+  const int time_ms = kShortestFaultMs + Draw(draw, kLongestFaultMs);
   const auto end = [&link] { link.Set({}); };
-  const std::string about = "link to " + target.Id();
-  switch (Draw(6)) {
+  switch (Draw(draw, 6)) {
     case 0:
-      link.Set({.delay = milliseconds(20 + Draw(800))});
+      link.Set({.delay = milliseconds(20 + Draw(draw, 800))});
       Outside(about + " is slow", time_ms, end);
       break;
     case 1:
@@ -122,6 +121,13 @@
   }
 }
 
+void schedule::DisturbProcessLink() {
+  const auto node = static_cast<std::size_t>(
+      Draw(link_random_, static_cast<int>(outside_.links.size())));
+  DisturbLink(link_random_, *outside_.links[node],
+              "link to process " + std::to_string(node + 1));
+}
+
 void schedule::DisturbExecutor() {
   constexpr std::array kAnswers = {
       odd_answer::kUnavailable,   odd_answer::kTooMany,
@@ -153,7 +159,7 @@
       Outside(target.Id() + " answers late", time_ms, end);
       break;
     default:
-      DisturbLink(target);
+      DisturbLink(random_, target.Link(), "link to " + target.Id());
       break;
   }
 }
--- a/tests/soak/site.cc
+++ b/tests/soak/site.cc
@@ -97,6 +97,10 @@
   return nodes_[node].readiness;
 }
 
+std::string site::InternalAddress(std::size_t node) const {
+  return "127.0.0.1:" + std::to_string(nodes_[node].internal);
+}
+
 std::string site::Name(std::size_t node) const {
   return "front-z1-" + std::to_string(node + 1);
 }
--- a/tests/soak/site.h
+++ b/tests/soak/site.h
@@ -41,6 +41,8 @@
   std::size_t Size() const { return nodes_.size(); }
   std::uint16_t FrontPort(std::size_t node) const;
   std::uint16_t ReadinessPort(std::size_t node) const;
+  // Where the other processes reach it.
+  std::string InternalAddress(std::size_t node) const;
 
   // Starts the process unless it runs. `beside`: also beside a predecessor that
   // is still ending.
--- a/tests/soak/store_gate.cc
+++ b/tests/soak/store_gate.cc
@@ -53,6 +53,13 @@
   return processes_.at(process).server->Address();
 }
 
+void store_gate::Translate(std::size_t process, const address_map& written,
+                           const address_map& read) {
+  const std::scoped_lock lock(mutex_);
+  processes_.at(process).written = written;
+  processes_.at(process).read = read;
+}
+
 void store_gate::Set(std::size_t process, const store_fault& fault) {
   const std::scoped_lock lock(mutex_);
   processes_.at(process).fault = fault;
@@ -101,7 +108,11 @@
   }
   lock.unlock();
   if (!IsRead(request)) Sleep(fault.write_delay);
-  http_response response = platform_.Handle(request);
+  http_request translated = request;
+  caller.written.TranslateItems(translated.body);
+  for (auto& [name, value] : translated.query) caller.written.Translate(value);
+  http_response response = platform_.Handle(translated);
+  caller.read.TranslateItems(response.body);
   Sleep(fault.response_delay);
   lock.lock();
   // A refusal that began during a watch cuts it.
--- a/tests/soak/store_gate.h
+++ b/tests/soak/store_gate.h
@@ -14,6 +14,7 @@
 
 #include "review/standin/http.h"
 #include "review/standin/store.h"
+#include "soak/address_map.h"
 
 namespace waxwingfront::soak {
 
@@ -49,6 +50,9 @@
 
   // Returns "127.0.0.1:PORT", where this process finds the store.
   std::string Address(std::size_t process) const;
+  // In what the process writes and in what it reads; before it starts.
+  void Translate(std::size_t process, const address_map& written,
+                 const address_map& read);
   // Applies to calls that arrive from now on; refusals also to waiting watches.
   void Set(std::size_t process, const store_fault& fault);
   void SetAll(const store_fault& fault);
@@ -61,6 +65,8 @@
   struct process_state {
     store_fault fault;
     int answered = 0;
+    address_map written;
+    address_map read;
     std::unique_ptr<review::http_server> server;
   };
 
