Step executors' clocks in the soak, and give long runs calm times

Steps of the processes' own clocks cannot be made from outside without root. After each 28 s of faults, 12 s have none, so that the bounds of long-running tasks and cancels apply there.

--- a/tests/soak/run_table.h
+++ b/tests/soak/run_table.h
@@ -57,6 +57,8 @@
   // Everything terminates, and nothing is listed afterwards.
   void Abandon();
   void SetSlowness(double slowness) { options_.slowness = slowness; }
+  // Forward: leases end sooner. A clock that went back would not be steady.
+  void StepClock(milliseconds step) { stepped_ += step; }
   std::int64_t ClockMs() const;
   std::int64_t BornMs() const { return born_ms_; }
 
@@ -91,6 +93,7 @@
   std::int64_t born_ms_;
   report_hook report_;
   clock::time_point started_ = clock::now();
+  milliseconds stepped_{0};
   std::int64_t token_ = 0;
   std::int64_t lease_end_ms_ = 0;
   std::int64_t last_number_ = 0;
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -8,6 +8,9 @@
 
 constexpr milliseconds kStep{20};
 constexpr milliseconds kFirstFault{1500};
+// Long runs have calm times between the faults.
+constexpr milliseconds kFaultTime{28'000};
+constexpr milliseconds kCalmTime{12'000};
 constexpr int kLongestStopMs = 4000;
 constexpr int kCrowd = 400;
 constexpr int kGraceMs = 6000;
@@ -21,6 +24,7 @@
       outside_(std::move(outside)),
       random_(options.seed),
       link_random_(options.seed + 1),
+      clock_random_(options.seed + 2),
       replaces_(options.replaces) {}
 
 int schedule::Draw(random& draw, int below) {
@@ -172,10 +176,21 @@
   const milliseconds end = log_.Now() + time;
   milliseconds next = log_.Now() + kFirstFault;
   milliseconds next_link = next;
+  milliseconds next_clock = next;
+  milliseconds calm = next + kFaultTime;
   if (replaces_)
     After(2 * kFirstFault.count(), [this] { Replace(DrawNode()); });
   while (log_.Now() < end) {
     Step();
+    if (log_.Now() >= calm) {
+      log_.Fault("a calm time");
+      Await([] { return false; }, kCalmTime);
+      calm = log_.Now() + kFaultTime;
+    }
+    if (log_.Now() >= next_clock) {
+      StepClock();
+      next_clock = log_.Now() + milliseconds(500 + Draw(clock_random_, 9000));
+    }
     if (log_.Now() >= next_link) {
       DisturbProcessLink();
       next_link = log_.Now() + milliseconds(500 + Draw(link_random_, 5000));
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -71,6 +71,7 @@
   void DisturbExecutor();
   void DisturbLink(random& draw, fault_proxy& link, const std::string& about);
   void DisturbProcessLink();
+  void StepClock();
   void LoseExecutor(soak_executor& target);
   // Many idle connections at once.
   void Crowd(std::size_t node);
@@ -84,6 +85,7 @@
   random random_;
   // Apart from the other faults, which stay as they are for a seed.
   random link_random_;
+  random clock_random_;
   std::int64_t version_ = 0;
   std::multimap<milliseconds, std::function<void()>> due_;
   std::atomic<std::int64_t> disturbed_until_ms_{0};
--- a/tests/soak/schedule_outside.cc
+++ b/tests/soak/schedule_outside.cc
@@ -9,6 +9,7 @@
 
 constexpr int kLongestFaultMs = 5000;
 constexpr int kShortestFaultMs = 200;
+constexpr int kLongestStepMs = 4000;
 // Orders are carried out this much later at most.
 constexpr int kLongestDelayMs = 2500;
 
@@ -128,6 +129,16 @@
               "link to process " + std::to_string(node + 1));
 }
 
+void schedule::StepClock() {
+  const auto number = static_cast<std::size_t>(
+      Draw(clock_random_, static_cast<int>(outside_.executors.size())));
+  const milliseconds step(100 + Draw(clock_random_, kLongestStepMs));
+  outside_.executors[number]->StepClock(step);
+  Outside("the clock of " + outside_.executors[number]->Id() + " steps by " +
+              std::to_string(step.count()) + " ms",
+          0, [] {});
+}
+
 void schedule::DisturbExecutor() {
   constexpr std::array kAnswers = {
       odd_answer::kUnavailable,   odd_answer::kTooMany,
--- a/tests/soak/soak_executor.cc
+++ b/tests/soak/soak_executor.cc
@@ -87,6 +87,11 @@
   runs_->SetSlowness(fault.slowness);
 }
 
+void soak_executor::StepClock(milliseconds step) {
+  const std::scoped_lock lock(mutex_);
+  runs_->StepClock(step);
+}
+
 void soak_executor::Crash() {
   {
     const std::scoped_lock lock(mutex_);
--- a/tests/soak/soak_executor.h
+++ b/tests/soak/soak_executor.h
@@ -80,6 +80,8 @@
   // Starts again under the same id as an executor of this kind, also if it has
   // not crashed.
   void Restart(const std::string& kind);
+  // Its clock steps forward.
+  void StepClock(milliseconds step);
   // Reports `draining`, serves for `drain`, then terminates and removes its
   // entry.
   void Drain();
