--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -6,7 +6,9 @@
 #include <iostream>
 
 #include "review/standin/http.h"
+#include "soak/address_map.h"
 #include "soak/callers.h"
+#include "soak/fault_proxy.h"
 #include "soak/schedule.h"
 #include "soak/soak_executor.h"
 #include "soak/store_gate.h"
@@ -23,7 +25,11 @@
 // `finish_s`, and the longest job.
 constexpr milliseconds kFinishTime{14'000 + 3000};
 constexpr milliseconds kEndTime{8000};
-constexpr milliseconds kContact{3000};
+// Longer than any bound on the end of cancelled tasks.
+constexpr milliseconds kStopTime{9000};
+// Faults of the long-running tasks show without others beside them.
+constexpr milliseconds kCalmTime{12'000};
+constexpr int kCalmSeeds = 6;
 constexpr double kSlowClock = 0.98;
 
 struct soak_options {
@@ -58,15 +64,56 @@
           .check_memory = options.check_memory};
 }
 
+// Puts a proxy before each process. The others and the store know the process
+// by the proxy's address, and it knows itself by its own.
+std::vector<fault_proxy*> MakeLinks(const site& processes, store_gate& gate) {
+  // Addresses of the process and of its proxy; complete before the first
+  // process starts. Threads of the proxies use them until the program ends.
+  auto& names = *new std::vector<std::pair<std::string, std::string>>;
+  std::vector<fault_proxy*> links;
+  for (std::size_t i = 0; i < processes.Size(); ++i) {
+    const std::string inner = processes.InternalAddress(i);
+    names.emplace_back(inner, inner);
+    const auto to_process = [&names, i](std::string& bytes) {
+      address_map others;
+      for (std::size_t k = 0; k < names.size(); ++k) {
+        const auto& [own, proxied] = names[k];
+        others.Add(k == i ? proxied : own, k == i ? own : proxied);
+      }
+      others.Translate(bytes);
+    };
+    const auto from_process = [&names, i](std::string& bytes) {
+      address_map own;
+      own.Add(names[i].first, names[i].second);
+      own.Translate(bytes);
+    };
+    links.push_back(new fault_proxy(
+        inner, {.to_target = to_process, .to_client = from_process}));
+    names[i].second = links.back()->Address();
+    address_map written;
+    written.Add(inner, names[i].second);
+    address_map read;
+    read.Add(names[i].second, inner);
+    gate.Translate(i, written, read);
+  }
+  return links;
+}
+
 void CheckEnd(timeline& log, schedule& faults, site& processes, callers& all,
-              job_book& book) {
+              job_book& book, milliseconds calm) {
   faults.Heal();
   if (!faults.Await([&] { return processes.Ready(); }, kReadyTime)) {
     log.Breach("FAULT", "not all processes are ready after the faults");
   }
   const milliseconds latest = log.Now() + kFinishTime;
   faults.Await([&] { return book.Unfinished().empty(); }, kFinishTime);
-  for (const std::string& id : book.Owed()) all.AskAtEnd(id, latest);
+  const std::vector<std::string> owed = book.Owed();
+  for (const std::string& id : owed) all.AskAtEnd(id, latest);
+  faults.Await([] { return false; }, calm);
+  for (const std::string& id : owed) {
+    if (book.Lasts(id)) all.CancelAtEnd(id, log.Now() + kEndTime);
+  }
+  faults.Await([&] { return !book.AnyStopping(); }, kStopTime);
   book.CheckRefused();
   processes.Finish();
   faults.Await([&] { return !processes.AnyRunning(); }, kEndTime);
@@ -82,6 +129,7 @@
   const site_options site_values = SiteOptions(options, gate);
   auto& book =
       *new job_book(log, {.status = milliseconds(1000 * site_values.status_s)});
+  auto& gangs = *new gang_hall;
   std::vector<soak_executor*> executors;
   executors.reserve(static_cast<std::size_t>(options.executors));
   for (int i = 0; i < options.executors; ++i) {
@@ -89,17 +137,22 @@
         platform,
         {.common = {.id = "i-" + std::to_string(i + 1),
                     .service = i % 2 == 0 ? "serve1" : "serve2"},
-         .clock_rate = i % 3 == 0 ? kSlowClock : 1},
+         .clock_rate = i % 3 == 0 ? kSlowClock : 1,
+         .gangs = &gangs},
         [&book](const review::run_event& event) { book.Ran(event); }));
   }
   site processes(log, site_values);
   schedule faults(log, processes,
-                  {.platform = platform, .gate = gate, .executors = executors},
+                  {.platform = platform,
+                   .gate = gate,
+                   .executors = executors,
+                   .links = MakeLinks(processes, gate)},
                   {.seed = options.seed, .replaces = options.seed % 6 == 4});
-  book.is_disturbed = [&] {
-    const milliseconds since = log.Now() - kContact;
+  book.is_disturbed = [&](milliseconds time) {
+    const milliseconds since = log.Now() - time;
     return processes.AnyDisturbedSince(since) || faults.LinksDisturbed(since);
   };
+  faults.on_step = [&book] { book.CheckNow(); };
   faults.Configure();
   for (std::size_t i = 0; i < processes.Size(); ++i) processes.Start(i);
   if (!faults.Await([&] { return processes.Ready(); }, kReadyTime)) {
@@ -111,7 +164,8 @@
   all.Start(kCallers);
   faults.Run(milliseconds(1000 * options.seconds));
   faults.Await([&] { return all.Stop(); }, kEndTime);
-  CheckEnd(log, faults, processes, all, book);
+  CheckEnd(log, faults, processes, all, book,
+           options.seed % kCalmSeeds == 0 ? kCalmTime : milliseconds{0});
   std::cout << "seed " << options.seed << ": " << book.Summary() << "; "
             << all.Summary() << "; " << processes.Summary() << "\n";
   return log.Print(std::cout) == 0 ? kHeld : kBroken;
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -8,6 +8,9 @@
 
 constexpr milliseconds kStep{20};
 constexpr milliseconds kFirstFault{1500};
+// Long runs have calm times between the faults.
+constexpr milliseconds kFaultTime{28'000};
+constexpr milliseconds kCalmTime{12'000};
 constexpr int kLongestStopMs = 4000;
 constexpr int kCrowd = 400;
 constexpr int kGraceMs = 6000;
@@ -20,10 +23,12 @@
       site_(processes),
       outside_(std::move(outside)),
       random_(options.seed),
+      link_random_(options.seed + 1),
+      clock_random_(options.seed + 2),
       replaces_(options.replaces) {}
 
-int schedule::Draw(int below) {
-  return std::uniform_int_distribution<int>(0, below - 1)(random_);
+int schedule::Draw(random& draw, int below) {
+  return std::uniform_int_distribution<int>(0, below - 1)(draw);
 }
 
 std::size_t schedule::DrawNode() {
@@ -163,16 +168,33 @@
     action();
   }
   site_.Poll();
+  on_step();
   std::this_thread::sleep_for(kStep);
 }
 
 void schedule::Run(milliseconds time) {
   const milliseconds end = log_.Now() + time;
   milliseconds next = log_.Now() + kFirstFault;
+  milliseconds next_link = next;
+  milliseconds next_clock = next;
+  milliseconds calm = next + kFaultTime;
   if (replaces_)
     After(2 * kFirstFault.count(), [this] { Replace(DrawNode()); });
   while (log_.Now() < end) {
     Step();
+    if (log_.Now() >= calm) {
+      log_.Fault("a calm time");
+      Await([] { return false; }, kCalmTime);
+      calm = log_.Now() + kFaultTime;
+    }
+    if (log_.Now() >= next_clock) {
+      StepClock();
+      next_clock = log_.Now() + milliseconds(500 + Draw(clock_random_, 9000));
+    }
+    if (log_.Now() >= next_link) {
+      DisturbProcessLink();
+      next_link = log_.Now() + milliseconds(500 + Draw(link_random_, 5000));
+    }
     if (log_.Now() < next) continue;
     Disturb();
     // Bursts, and now and then a calm time.
@@ -195,6 +217,7 @@
   for (auto& [time, action] : std::exchange(due_, {})) action();
   for (std::size_t i = 0; i < site_.Size(); ++i) site_.Continue(i);
   outside_.gate.SetAll({});
+  for (fault_proxy* const one : outside_.links) one->Set({});
   for (soak_executor* const one : outside_.executors) {
     one->Set({});
     one->Link().Set({});
--- a/tests/soak/soak_executor.h
+++ b/tests/soak/soak_executor.h
@@ -55,6 +55,8 @@
   std::int64_t max_hold_ms = 10'000;
   // The clock may be 2 % slow.
   double clock_rate = 1;
+  // Outlives the executor.
+  gang_hall* gangs = nullptr;
 };
 
 // Thread-safe. Threads use it until the process ends, so it is never destroyed.
@@ -78,6 +80,8 @@
   // Starts again under the same id as an executor of this kind, also if it has
   // not crashed.
   void Restart(const std::string& kind);
+  // Its clock steps forward.
+  void StepClock(milliseconds step);
   // Reports `draining`, serves for `drain`, then terminates and removes its
   // entry.
   void Drain();
