--- a/src/waxwingfront/fleet/start_queue.h
+++ b/src/waxwingfront/fleet/start_queue.h
@@ -43,7 +43,7 @@
  public:
   explicit start_queue(start_queue_options options = {});
 
-  // The task was placed. It counts as backlog until it is withdrawn.
+  // The task was placed. A short one counts as backlog until it is withdrawn.
   void OnPlaced(task_state& task);
   // The task's start was sent or given up. Does nothing if the task does not
   // count as backlog.
