--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -313,8 +313,8 @@
   taken.starts = state_.starts.Take();
   for (const start_order& order : taken.starts) {
     task_state* const task = state_.FindTask(order.task);
-    if (task != nullptr && task->run == order.run)
-      state_.starts.Withdraw(*task);
+    if (task == nullptr || task->run != order.run) continue;
+    state_.starts.Withdraw(*task);
   }
   return taken;
 }
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -107,7 +107,8 @@
   // was sent that did not reach this executor. A start in flight gets a
   // response of its own.
   bool ConfirmedBefore(core::monotonic_time sent) const;
-  // True if it stands still until its next run, which users notice at once.
+  // For a task that is not active: true if it is long-running and has been
+  // ordered before, so that its users wait for the next run.
   bool IsInterrupted() const { return Spec().long_running() && run > 0; }
   // True if the newest run is known to have begun.
   bool HasBegun() const { return confirmed >= placed_at; }
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -43,10 +43,10 @@
   // requested. Stops early once `should_stop` returns true; it may be empty.
   // The next rounds then visit the other jobs, most of them without those that
   // can no longer end while they are useful, and no job waits for good for a
-  // visit however many new ones arrive. Returns true if all jobs were visited,
-  // except those with short tasks only whose starts the link does not carry at
-  // present: these are not visited, so that the first ones in the order go
-  // first.
+  // visit however many new ones arrive. While the link carries no more starts,
+  // jobs that wait with short tasks only are passed over, and the next round
+  // begins with the most urgent ones again. Returns true if all other jobs were
+  // visited.
   bool Plan(moment at, const std::function<bool()>& should_stop);
 
   // Returns how many times the feasibility and cost of a task on an executor
