Log why a process claims leadership and why a weak leader stays

`leader_claims` has the claim delay and the strength that it went by; `successor_missing`, each second of a weak leader, how many members it announces itself to, how many have answered in time and how many of those are ready. The histogram `waxwingfront_leaderless_seconds` measures the time without a ready leader as the next one sees it. No logic changes.

--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -112,6 +112,7 @@
           "leader_ready",
           {{"token", token},
            {"executors", static_cast<std::int64_t>(core.Executors().size())}});
+      if (hooks.on_ready) hooks.on_ready();
       Tick();
       StoreSharing();
     }
--- a/src/waxwingfront/fleet/fleet_leader.h
+++ b/src/waxwingfront/fleet/fleet_leader.h
@@ -55,6 +55,8 @@
   std::function<std::optional<core::monotonic_time>(std::int64_t revision)>
       leases_first_seen;
   std::function<core::milliseconds()> suspended;
+  // All jobs and executors are known. Optional.
+  std::function<void()> on_ready;
   // Optional.
   stage_hook on_stage;
 };
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -106,7 +106,8 @@
                        const schema::fleet_standing& status,
                        core::monotonic_time sent) {
                   OnMemberStatus(address, status, sent);
-                }});
+                },
+            .on_round = [this](std::size_t members) { LogSearch(members); }});
     announcer->Register(options.strength);
     leadership_options election_options = options.leadership;
     election_options.address = server.Address();
@@ -134,6 +135,7 @@
                 [this](core::milliseconds jitter) {
                   return choice->ClaimDelay(jitter, core::Now());
                 },
+            .on_claim = [this](core::milliseconds delay) { LogClaim(delay); },
         });
     announcer->ReadStrongest([this](std::int64_t strength) {
       choice->OnStrongest(strength);
@@ -188,11 +190,17 @@
                   return leases.FirstSeen(revision);
                 },
             .suspended = SuspendedTime,
+            .on_ready = [this] { OnReady(); },
             .on_stage = StageHook()},
         log);
     if (manifests.Current()) leader->SetManifest(*manifests.Current());
   }
 
+  void OnReady() {
+    const auto leaderless = election->OnReady();
+    if (leaderless) load.Observe(load_stage::kLeaderless, *leaderless);
+  }
+
   void OnDeposed(std::string_view why) {
     log.Write("leader_deposed", {{"token", election->Token()}, {"cause", why}},
               logging::line_priority::kUrgent);
@@ -233,6 +241,27 @@
     };
   }
 
+  void LogClaim(core::milliseconds delay) {
+    log.Write("leader_claims",
+              {{"delay_ms", delay.count()},
+               {"strength", options.strength},
+               {"strongest", choice->StrongestKnown(core::Now())}},
+              logging::line_priority::kUrgent);
+  }
+
+  // Shows why a weak leader has not handed over.
+  void LogSearch(std::size_t members) {
+    if (!choice->IsWeak()) return;
+    const core::monotonic_time now = core::Now();
+    const status_counts counts = choice->CountStatuses(now);
+    log.Write("successor_missing",
+              {{"members", static_cast<std::int64_t>(members)},
+               {"answered", counts.recent},
+               {"ready", counts.ready},
+               {"strongest_ready", choice->StrongestReady(now)}},
+              logging::line_priority::kUrgent);
+  }
+
   void LogNoRoom(const std::string& job, const standing_room& figures) {
     log.Write("job_without_room",
               {{"job", job},
--- a/src/waxwingfront/fleet/leader_announcer.h
+++ b/src/waxwingfront/fleet/leader_announcer.h
@@ -3,6 +3,7 @@
 #ifndef WAXWINGFRONT_FLEET_LEADER_ANNOUNCER_H_
 #define WAXWINGFRONT_FLEET_LEADER_ANNOUNCER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -43,6 +44,8 @@
                      const schema::fleet_standing& status,
                      core::monotonic_time sent)>
       on_member_status;
+  // Optional; this process announces itself to `members` processes now.
+  std::function<void(std::size_t members)> on_round;
 };
 
 class leader_announcer {
--- a/src/waxwingfront/fleet/leader_choice.cc
+++ b/src/waxwingfront/fleet/leader_choice.cc
@@ -22,6 +22,7 @@
 
 void leader_choice::OnStrongest(std::int64_t strength) {
   if (strength > 0) strongest_ = strength;
+  strongest_ever_ = std::max(strongest_ever_, strength);
 }
 
 void leader_choice::OnMemberStatus(const std::string& address,
@@ -32,6 +33,7 @@
   if (!first && entry->second.at <= sent) {
     entry->second = {.status = status, .at = sent};
   }
+  strongest_ever_ = std::max(strongest_ever_, status.strength);
 }
 
 void leader_choice::OnHandover(const std::string& successor,
@@ -66,8 +68,7 @@
     return successor_ == options_.address ? core::milliseconds(0)
                                           : jitter + options_.max_claim_delay;
   }
-  const std::int64_t ready = StrongestReady(now);
-  const std::int64_t strongest = ready > 0 ? ready : strongest_;
+  const std::int64_t strongest = StrongestKnown(now);
   if (options_.strength <= 0 || options_.strength >= strongest) {
     return jitter;
   }
@@ -78,6 +79,29 @@
              static_cast<double>(options_.max_claim_delay.count()) * missing));
 }
 
+std::int64_t leader_choice::StrongestKnown(core::monotonic_time now) const {
+  const std::int64_t ready = StrongestReady(now);
+  return ready > 0 ? ready : strongest_;
+}
+
+status_counts leader_choice::CountStatuses(core::monotonic_time now) const {
+  status_counts counts;
+  for (const auto& [address, last] : reports_) {
+    if (now - last.at <= options_.max_status_age) ++counts.recent;
+    if (Ready(last, now)) ++counts.ready;
+  }
+  return counts;
+}
+
+bool leader_choice::IsWeak() const {
+  return options_.strength > 0 && strongest_ever_ >= MinSuccessorStrength();
+}
+
+std::int64_t leader_choice::MinSuccessorStrength() const {
+  return static_cast<std::int64_t>(std::ceil(
+      static_cast<double>(options_.strength) * options_.min_strength_ratio));
+}
+
 std::int64_t leader_choice::StrongestReady(core::monotonic_time now) const {
   std::int64_t strongest = 0;
   for (const auto& [address, last] : reports_) {
@@ -96,10 +120,7 @@
     return std::nullopt;
   }
   std::optional<std::string> successor;
-  auto strongest = static_cast<std::int64_t>(
-                       std::ceil(static_cast<double>(options_.strength) *
-                                 options_.min_strength_ratio)) -
-                   1;
+  std::int64_t strongest = MinSuccessorStrength() - 1;
   for (const auto& [address, last] : reports_) {
     if (!Ready(last, now) || last.status.strength <= strongest) continue;
     const auto before = handovers_.find(address);
--- a/src/waxwingfront/fleet/leader_choice.h
+++ b/src/waxwingfront/fleet/leader_choice.h
@@ -54,6 +54,11 @@
   core::milliseconds max_backoff{80'000};
 };
 
+struct status_counts {
+  std::int64_t recent = 0;
+  std::int64_t ready = 0;
+};
+
 class leader_choice {
  public:
   explicit leader_choice(leader_choice_options options)
@@ -80,6 +85,14 @@
   // Returns the strength of the strongest ready process with a recent status,
   // or 0 if there is none.
   std::int64_t StrongestReady(core::monotonic_time now) const;
+  // Returns the strength by which `ClaimDelay` goes; 0 if unknown.
+  std::int64_t StrongestKnown(core::monotonic_time now) const;
+  // Returns how many processes have a recent status, and how many of these are
+  // ready.
+  status_counts CountStatuses(core::monotonic_time now) const;
+  // True if a process that is strong enough to be handed over to is known,
+  // whether or not it is ready.
+  bool IsWeak() const;
   // Returns the address of the process to which this one hands over if it
   // leads.
   std::optional<std::string> Successor(core::monotonic_time now) const;
@@ -96,9 +109,13 @@
   };
 
   bool Ready(const status_report& last, core::monotonic_time now) const;
+  // Smallest strength of a process that this one hands over to.
+  std::int64_t MinSuccessorStrength() const;
 
   leader_choice_options options_;
   std::int64_t strongest_ = 0;
+  // Largest strength that was ever reported.
+  std::int64_t strongest_ever_ = 0;
   // By address.
   std::map<std::string, status_report> reports_;
   std::map<std::string, handover> handovers_;
--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <optional>
 #include <system_error>
 #include <utility>
 
@@ -31,7 +30,10 @@
     if (revision != 0 && revision < latest_token) return;
     if (revision != 0) latest_token = revision;
     const std::string address = value.substr(0, value.find(' '));
-    if (!address.empty()) OnVacancyEnded();
+    if (!address.empty()) {
+      OnVacancyEnded();
+      leaderless_since.reset();
+    }
     if (address == leader) return;
     leader = address;
     hooks.on_leader_change(leader);
@@ -137,6 +139,7 @@
 
   void OnVacant() {
     SetLeader("", 0);
+    if (!leaderless_since) leaderless_since = core::Now();
     if (!resigned && !claim_pending) ScheduleClaim();
     Watch();
   }
@@ -149,10 +152,11 @@
     core::milliseconds delay(hooks.random(options.claim_jitter.count() + 1));
     if (!claim_delay_over && hooks.claim_delay)
       delay = hooks.claim_delay(delay);
-    loop.After(delay, [self = shared_from_this(), planned = vacancy] {
+    loop.After(delay, [self = shared_from_this(), planned = vacancy, delay] {
       if (self->vacancy != planned || !self->claim_pending) return;
       self->claim_pending = false;
       self->claim_delay_over = true;
+      if (self->hooks.on_claim) self->hooks.on_claim(delay);
       self->Claim();
     });
   }
@@ -311,6 +315,8 @@
   bool claim_pending = false;
   // The claim delay of this vacancy has elapsed.
   bool claim_delay_over = false;
+  // When this process saw that there was no leader that is ready.
+  std::optional<core::monotonic_time> leaderless_since;
   // Time of the last successful store response about the key or its lease.
   std::optional<core::monotonic_time> last_response;
   // Time of the last read on request, which limits the rate of store calls.
@@ -338,6 +344,12 @@
 
 std::int64_t leadership::Token() const { return internal_->token; }
 
+std::optional<std::chrono::steady_clock::duration> leadership::OnReady() {
+  const auto since = std::exchange(internal_->leaderless_since, std::nullopt);
+  if (!since) return std::nullopt;
+  return core::Now() - *since;
+}
+
 const std::string& leadership::Leader() const { return internal_->leader; }
 
 void leadership::OnSuperseded(std::string_view reason) {
--- a/src/waxwingfront/fleet/leadership.h
+++ b/src/waxwingfront/fleet/leadership.h
@@ -3,10 +3,13 @@
 #ifndef WAXWINGFRONT_FLEET_LEADERSHIP_H_
 #define WAXWINGFRONT_FLEET_LEADERSHIP_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/fleet/load_monitor.h"
@@ -61,6 +64,8 @@
   // Returns the delay before a claim, given the random jitter. The delay is the
   // jitter alone if this hook is not set.
   std::function<core::milliseconds(core::milliseconds jitter)> claim_delay;
+  // Optional; this process claims leadership after `delay`.
+  std::function<void(core::milliseconds delay)> on_claim;
 };
 
 class leadership {
@@ -83,6 +88,9 @@
   // Internal address of the leader; empty if unknown.
   const std::string& Leader() const;
 
+  // This process is ready to serve as the leader. Returns for how long it has
+  // seen no leader that was; empty if it was ready before.
+  std::optional<std::chrono::steady_clock::duration> OnReady();
   // Handles a write conflict or an executor's refusal which shows that another
   // process leads.
   void OnSuperseded(std::string_view reason);
--- a/src/waxwingfront/fleet/load_monitor.cc
+++ b/src/waxwingfront/fleet/load_monitor.cc
@@ -11,16 +11,12 @@
 using std::chrono::duration_cast;
 
 constexpr std::array<std::string_view, kLoadStages> kStageMetrics = {
-    "waxwingfront_loop_lag_seconds",
-    "waxwingfront_planning_seconds",
-    "waxwingfront_store_write_seconds",
-    "waxwingfront_renewal_seconds",
-    "waxwingfront_hold_seconds",
-    "waxwingfront_start_seconds",
-    "waxwingfront_restart_wait_seconds",
-    "waxwingfront_restart_store_seconds",
-    "waxwingfront_restart_send_seconds",
-    "waxwingfront_restart_confirm_seconds"};
+    "waxwingfront_loop_lag_seconds",     "waxwingfront_planning_seconds",
+    "waxwingfront_store_write_seconds",  "waxwingfront_renewal_seconds",
+    "waxwingfront_hold_seconds",         "waxwingfront_start_seconds",
+    "waxwingfront_restart_wait_seconds", "waxwingfront_restart_store_seconds",
+    "waxwingfront_restart_send_seconds", "waxwingfront_restart_confirm_seconds",
+    "waxwingfront_leaderless_seconds"};
 
 std::int64_t Ms(std::chrono::steady_clock::duration time) {
   return duration_cast<core::milliseconds>(time).count();
--- a/src/waxwingfront/fleet/load_stage.h
+++ b/src/waxwingfront/fleet/load_stage.h
@@ -22,8 +22,11 @@
   kRestartStore,
   kRestartSend,
   kRestartConfirm,
+  // From when the process that now leads saw that there was no leader until it
+  // was ready to lead.
+  kLeaderless,
 };
-inline constexpr std::size_t kLoadStages = 10;
+inline constexpr std::size_t kLoadStages = 11;
 
 // Called with the duration of a stage.
 using stage_hook =
