Move renewals of the leader's lease to a class of their own

`leadership` held election, renewal and hand-over in one class of almost 400 lines. `lease_renewal` takes the renewals, with their timers and the time until which the lease is valid. No behaviour changes.

--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -1,6 +1,5 @@
 #include "waxwingfront/fleet/leadership.h"
 
-#include <algorithm>
 #include <charconv>
 #include <system_error>
 #include <utility>
@@ -13,7 +12,12 @@
       : loop(event_loop),
         store(services),
         options(std::move(chosen)),
-        hooks(std::move(callbacks)) {}
+        hooks(std::move(callbacks)),
+        renewal(event_loop, services, options.renewal,
+                {.on_renewed = [this] { last_response = core::Now(); },
+                 .on_ended = [this] { StepDown("lease ended"); },
+                 .boot_time_ms = hooks.boot_time_ms,
+                 .on_stage = hooks.on_stage}) {}
 
   // Prefix of the leader key's value in each claim of this process.
   std::string OwnPrefix() const {
@@ -174,7 +178,7 @@
             return;
           }
           self->lease = *granted;
-          self->valid_until_ms = sent_ms + granted->ttl.count();
+          self->lease_requested_ms = sent_ms;
           self->WriteClaim();
         });
   }
@@ -203,68 +207,18 @@
     ++generation;
     OnVacancyEnded();
     leading = true;
-    ++term;
     token = revision;
     latest_token = revision;
     leader = options.address;
-    renewals_in_flight = 0;
+    renewal.Start(lease, lease_requested_ms);
     hooks.on_leader_change(leader);
     hooks.on_elected(token, core::Now());
-    Renew();
-  }
-
-  // Sends a renewal, and the next one once this one is complete or late, since
-  // a lost or delayed response must not use up the time of the next renewal.
-  void Renew() {
-    if (!leading) return;
-    const std::int64_t sent_ms = hooks.boot_time_ms();
-    ++renewals_in_flight;
-    store.renew_lease(lease.id, [self = shared_from_this(), of = term, sent_ms,
-                                 sent = core::Now()](lease_status status) {
-      if (!self->leading || self->term != of) return;
-      if (self->hooks.on_stage) {
-        self->hooks.on_stage(load_stage::kRenewal, core::Now() - sent);
-      }
-      self->OnRenewal(status, sent_ms);
-    });
-    Later(options.renewal_hedge_delay, &internal::HedgeRenewal);
-  }
-
-  void HedgeRenewal() {
-    if (renewals_in_flight == 0) return;
-    if (renewals_in_flight < options.max_renewals) {
-      Renew();
-      return;
-    }
-    Later(options.renewal_hedge_delay, &internal::HedgeRenewal);
-  }
-
-  void OnRenewal(lease_status status, std::int64_t sent_ms) {
-    --renewals_in_flight;
-    if (status == lease_status::kEnded) {
-      StepDown("lease ended");
-      return;
-    }
-    if (status != lease_status::kAlive) {
-      if (renewals_in_flight > 0) return;
-      ++generation;
-      Later(options.retry, &internal::Renew);
-      return;
-    }
-    last_response = core::Now();
-    valid_until_ms = std::max(valid_until_ms, sent_ms + lease.ttl.count());
-    ++generation;
-    Later(options.renewal_interval, &internal::Renew);
-  }
-
-  bool MayOrder() const {
-    return leading &&
-           hooks.boot_time_ms() + options.lease_margin.count() < valid_until_ms;
   }
 
   void StepDown(std::string_view reason) {
     if (!leading) return;
     leading = false;
+    renewal.Stop();
     // The cause may be this process's own connection to the store.
     last_response.reset();
     ++generation;
@@ -297,10 +251,8 @@
   // Store revision up to which changes of the leader key were processed.
   std::int64_t watched_revision = 0;
   store_lease lease;
-  std::int64_t valid_until_ms = 0;
-  // Number of times that this process was elected.
-  int term = 0;
-  int renewals_in_flight = 0;
+  std::int64_t lease_requested_ms = 0;
+  lease_renewal renewal;
   std::int64_t token = 0;
   // Token under which this process no longer leads, even if the key names it.
   std::int64_t relinquished_token = 0;
@@ -332,13 +284,14 @@
 
 leadership::~leadership() {
   internal_->leading = false;
+  internal_->renewal.Stop();
   ++internal_->generation;
   ++internal_->vacancy;
 }
 
 void leadership::Start() { internal_->ReadLeaderKey(); }
 
-bool leadership::MayOrder() const { return internal_->MayOrder(); }
+bool leadership::MayOrder() const { return internal_->renewal.Valid(); }
 
 bool leadership::Leading() const { return internal_->leading; }
 
--- a/src/waxwingfront/fleet/leadership.h
+++ b/src/waxwingfront/fleet/leadership.h
@@ -12,7 +12,8 @@
 #include <string_view>
 
 #include "waxwingfront/core/clock.h"
-#include "waxwingfront/fleet/load_monitor.h"
+#include "waxwingfront/fleet/lease_renewal.h"
+#include "waxwingfront/fleet/load_stage.h"
 #include "waxwingfront/fleet/platform_services.h"
 #include "waxwingfront/fleet/record_keys.h"
 #include "waxwingfront/net/event_loop.h"
@@ -28,13 +29,7 @@
   // the leader fails. Twice the platform's usual minimum would lengthen each
   // takeover.
   core::milliseconds lease{1500};
-  core::milliseconds renewal_interval{400};
-  // A renewal without a response after this time is hedged with another one.
-  core::milliseconds renewal_hedge_delay{200};
-  // Renewals in flight at a time.
-  int max_renewals = 3;
-  // Safety margin at the end of the lease for rounding and clock drift.
-  core::milliseconds lease_margin{100};
+  lease_renewal_options renewal;
   // Longest duration of one watch call, so that a silent connection is
   // detected.
   core::milliseconds watch_timeout{2000};
