Move reads and watches of the leader key to a class of their own

`leader_key_follower` takes the reads and watches of the key; claims keep a number of their own. No behaviour changes.

--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -13,6 +13,13 @@
         store(services),
         options(std::move(chosen)),
         hooks(std::move(callbacks)),
+        follower(event_loop, services, options.follower,
+                 {.on_vacant = [this](std::int64_t) { OnVacant(); },
+                  .on_held =
+                      [this](const std::string& value, std::int64_t revision) {
+                        OnHeld(value, revision);
+                      },
+                  .on_response = [this] { last_response = core::Now(); }}),
         renewal(event_loop, services, options.renewal,
                 {.on_renewed = [this] { last_response = core::Now(); },
                  .on_ended = [this] { StepDown("lease ended"); },
@@ -49,66 +56,11 @@
     claim_delay_over = false;
   }
 
-  // Calls `step` after `delay` unless the generation has changed by then.
-  void Later(core::milliseconds delay, void (internal::*step)()) {
-    loop.After(delay,
-               [self = shared_from_this(), step, generation = generation] {
-                 if (self->generation == generation) (*self.*step)();
-               });
-  }
-
+  // Drops a claim in flight.
   void ReadLeaderKey() {
     if (leading) return;
-    const int current = ++generation;
-    store.get(kLeaderKey, [self = shared_from_this(),
-                           current](core::result<store_page> page) {
-      if (self->generation != current) return;
-      if (!page) {
-        self->Later(self->options.retry, &internal::ReadLeaderKey);
-        return;
-      }
-      self->watched_revision = page->at;
-      self->last_response = core::Now();
-      const store_item& item = page->items.front();
-      if (item.revision == 0) {
-        self->OnVacant();
-      } else {
-        self->OnHeld(item.value, item.revision);
-      }
-    });
-  }
-
-  void Watch() {
-    if (leading) return;
-    const int current = ++generation;
-    store.watch(kLeaderKey, watched_revision, options.watch_timeout,
-                [self = shared_from_this(),
-                 current](core::result<store_changes> update) {
-                  if (self->generation == current) self->OnWatch(update);
-                });
-  }
-
-  void OnWatch(const core::result<store_changes>& update) {
-    if (!update) {
-      Later(options.retry, &internal::ReadLeaderKey);
-      return;
-    }
-    if (update->compacted) {
-      ReadLeaderKey();
-      return;
-    }
-    watched_revision = update->at;
-    last_response = core::Now();
-    if (update->changes.empty()) {
-      Watch();
-      return;
-    }
-    const store_change& last = update->changes.back();
-    if (!last.value) {
-      OnVacant();
-      return;
-    }
-    OnHeld(*last.value, last.revision);
+    ++claim;
+    follower.Read();
   }
 
   void OnHeld(const std::string& value, std::int64_t revision) {
@@ -124,7 +76,7 @@
       }
     }
     // The request that ends the relinquished lease is in flight.
-    Watch();
+    follower.Watch();
   }
 
   // Ends the lease of an earlier claim of this process, under which nobody
@@ -145,7 +97,7 @@
     SetLeader("", 0);
     if (!leaderless_since) leaderless_since = core::Now();
     if (!resigned && !claim_pending) ScheduleClaim();
-    Watch();
+    follower.Watch();
   }
 
   // The key is watched during the delay, so that no claim is made once another
@@ -167,32 +119,32 @@
 
   void Claim() {
     if (resigned || leading) return;
-    const int current = ++generation;
+    follower.Pause();
+    const int current = ++claim;
     const std::int64_t sent_ms = hooks.boot_time_ms();
-    store.grant_lease(
-        options.lease, [self = shared_from_this(), current,
-                        sent_ms](core::result<store_lease> granted) {
-          if (self->generation != current) return;
-          if (!granted) {
-            self->Later(self->options.retry, &internal::ReadLeaderKey);
-            return;
-          }
-          self->lease = *granted;
-          self->lease_requested_ms = sent_ms;
-          self->WriteClaim();
-        });
+    store.grant_lease(options.lease,
+                      [self = shared_from_this(), current,
+                       sent_ms](core::result<store_lease> granted) {
+                        if (self->claim != current) return;
+                        if (!granted) {
+                          self->follower.ReadLater();
+                          return;
+                        }
+                        self->lease = *granted;
+                        self->lease_requested_ms = sent_ms;
+                        self->WriteClaim();
+                      });
   }
 
   void WriteClaim() {
-    const int current = ++generation;
-    store_write claim;
-    claim.expect.push_back({.key = std::string(kLeaderKey), .revision = 0});
-    claim.put.push_back({.key = std::string(kLeaderKey),
+    store_write write;
+    write.expect.push_back({.key = std::string(kLeaderKey), .revision = 0});
+    write.put.push_back({.key = std::string(kLeaderKey),
                          .value = OwnValue(),
                          .lease = lease.id});
-    store.write(claim, [self = shared_from_this(),
-                        current](const store_write_reply& reply) {
-      if (self->generation != current) return;
+    store.write(write, [self = shared_from_this(),
+                        current = claim](const store_write_reply& reply) {
+      if (self->claim != current) return;
       const bool applied = reply.status == store_write_status::kApplied;
       if (applied && !self->resigned) {
         self->OnClaimed(reply.revision);
@@ -204,7 +156,7 @@
   }
 
   void OnClaimed(std::int64_t revision) {
-    ++generation;
+    follower.Pause();
     OnVacancyEnded();
     leading = true;
     token = revision;
@@ -221,7 +173,6 @@
     renewal.Stop();
     // The cause may be this process's own connection to the store.
     last_response.reset();
-    ++generation;
     leader.clear();
     hooks.on_deposed(reason);
     hooks.on_leader_change(leader);
@@ -248,8 +199,7 @@
   leadership_options options;
   leadership_hooks hooks;
   std::string leader;
-  // Store revision up to which changes of the leader key were processed.
-  std::int64_t watched_revision = 0;
+  leader_key_follower follower;
   store_lease lease;
   std::int64_t lease_requested_ms = 0;
   lease_renewal renewal;
@@ -273,8 +223,8 @@
   std::optional<core::monotonic_time> last_response;
   // Time of the last read on request, which limits the rate of store calls.
   core::monotonic_time last_recheck{};
-  // Responses to calls of an earlier generation are ignored.
-  int generation = 0;
+  // Number of claims; responses to calls of an earlier one are ignored.
+  int claim = 0;
 };
 
 leadership::leadership(net::event_loop& loop, const store_services& store,
@@ -285,7 +235,8 @@
 leadership::~leadership() {
   internal_->leading = false;
   internal_->renewal.Stop();
-  ++internal_->generation;
+  internal_->follower.Pause();
+  ++internal_->claim;
   ++internal_->vacancy;
 }
 
@@ -319,7 +270,7 @@
 void leadership::RecheckLeader() {
   const core::monotonic_time now = core::Now();
   if (internal_->leading ||
-      now - internal_->last_recheck < internal_->options.retry) {
+      now - internal_->last_recheck < internal_->options.recheck_interval) {
     return;
   }
   internal_->last_recheck = now;
@@ -339,7 +290,8 @@
 bool leadership::EligibleToLead() const {
   return !internal_->resigned && internal_->last_response &&
          core::Now() - *internal_->last_response <=
-             internal_->options.watch_timeout + internal_->options.watch_slack;
+             internal_->options.follower.watch_timeout +
+                 internal_->options.watch_slack;
 }
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/leadership.h
+++ b/src/waxwingfront/fleet/leadership.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "waxwingfront/core/clock.h"
+#include "waxwingfront/fleet/leader_key_follower.h"
 #include "waxwingfront/fleet/lease_renewal.h"
 #include "waxwingfront/fleet/load_stage.h"
 #include "waxwingfront/fleet/platform_services.h"
@@ -30,15 +31,14 @@
   // takeover.
   core::milliseconds lease{1500};
   lease_renewal_options renewal;
-  // Longest duration of one watch call, so that a silent connection is
-  // detected.
-  core::milliseconds watch_timeout{2000};
+  leader_key_follower_options follower;
   // Additional time allowed for the response to a watch.
   core::milliseconds watch_slack{500};
   // Upper bound of the random delay before a claim, so that not all processes
   // claim at once.
   core::milliseconds claim_jitter{80};
-  core::milliseconds retry{150};
+  // Minimum time between two reads of the key on request.
+  core::milliseconds recheck_interval{150};
 };
 
 struct leadership_hooks {
