Keep reads and claims of the leader key that are in flight on a recheck

Each failed call to the leader makes a process read the leader key again, up to every 150 ms.

A recheck now does nothing while a read or a claim is in flight, whose response tells as much.

--- a/src/waxwingfront/fleet/leader_key_follower.cc
+++ b/src/waxwingfront/fleet/leader_key_follower.cc
@@ -16,14 +16,22 @@
         hooks(std::move(callbacks)) {}
 
   void Read() {
-    const int current = ++generation;
+    const int current = Begin();
+    reading = true;
     store.get(kLeaderKey, [self = shared_from_this(),
                            current](const core::result<store_page>& page) {
       if (self->generation == current) self->OnRead(page);
     });
   }
 
+  // Ends the call in flight. Returns the generation of the next one.
+  int Begin() {
+    reading = false;
+    return ++generation;
+  }
+
   void OnRead(const core::result<store_page>& page) {
+    reading = false;
     if (!page) {
       ReadLater();
       return;
@@ -39,14 +47,13 @@
   }
 
   void ReadLater() {
-    loop.After(options.retry,
-               [self = shared_from_this(), current = ++generation] {
-                 if (self->generation == current) self->Read();
-               });
+    loop.After(options.retry, [self = shared_from_this(), current = Begin()] {
+      if (self->generation == current) self->Read();
+    });
   }
 
   void Watch() {
-    const int current = ++generation;
+    const int current = Begin();
     store.watch(kLeaderKey, revision, options.watch_timeout,
                 [self = shared_from_this(),
                  current](const core::result<store_changes>& update) {
@@ -83,6 +90,7 @@
   leader_key_follower_hooks hooks;
   // Store revision up to which changes of the key were processed.
   std::int64_t revision = 0;
+  bool reading = false;
   // Responses to calls of an earlier generation are ignored.
   int generation = 0;
 };
@@ -102,6 +110,8 @@
 
 void leader_key_follower::Watch() { internal_->Watch(); }
 
-void leader_key_follower::Pause() { ++internal_->generation; }
+void leader_key_follower::Pause() { internal_->Begin(); }
+
+bool leader_key_follower::Reading() const { return internal_->reading; }
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/leader_key_follower.h
+++ b/src/waxwingfront/fleet/leader_key_follower.h
@@ -47,6 +47,9 @@
   void Watch();
   void Pause();
 
+  // True while a read is in flight.
+  bool Reading() const;
+
  private:
   struct internal;
   std::shared_ptr<internal> internal_;
--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -56,13 +56,6 @@
     claim_delay_over = false;
   }
 
-  // Drops a claim in flight.
-  void ReadLeaderKey() {
-    if (leading) return;
-    ++claim;
-    follower.Read();
-  }
-
   void OnHeld(const std::string& value, std::int64_t revision) {
     if (revision != relinquished_token) {
       if (value == OwnValue() && !resigned) {
@@ -120,6 +113,7 @@
   void Claim() {
     if (resigned || leading) return;
     follower.Pause();
+    claiming = true;
     const int current = ++claim;
     const std::int64_t sent_ms = hooks.boot_time_ms();
     store.grant_lease(options.lease,
@@ -127,6 +121,7 @@
                        sent_ms](core::result<store_lease> granted) {
                         if (self->claim != current) return;
                         if (!granted) {
+                          self->claiming = false;
                           self->follower.ReadLater();
                           return;
                         }
@@ -145,13 +140,14 @@
     store.write(write, [self = shared_from_this(),
                         current = claim](const store_write_reply& reply) {
       if (self->claim != current) return;
+      self->claiming = false;
       const bool applied = reply.status == store_write_status::kApplied;
       if (applied && !self->resigned) {
         self->OnClaimed(reply.revision);
         return;
       }
       if (applied) self->store.end_lease(self->lease.id);
-      self->ReadLeaderKey();
+      self->follower.Read();
     });
   }
 
@@ -176,7 +172,7 @@
     leader.clear();
     hooks.on_deposed(reason);
     hooks.on_leader_change(leader);
-    ReadLeaderKey();
+    follower.Read();
   }
 
   // Steps down for good under this token, even while the leader key still names
@@ -223,6 +219,8 @@
   std::optional<core::monotonic_time> last_response;
   // Time of the last read on request, which limits the rate of store calls.
   core::monotonic_time last_recheck{};
+  // A claim is in flight.
+  bool claiming = false;
   // Number of claims; responses to calls of an earlier one are ignored.
   int claim = 0;
 };
@@ -240,7 +238,7 @@
   ++internal_->vacancy;
 }
 
-void leadership::Start() { internal_->ReadLeaderKey(); }
+void leadership::Start() { internal_->follower.Read(); }
 
 bool leadership::MayOrder() const { return internal_->renewal.Valid(); }
 
@@ -269,12 +267,15 @@
 
 void leadership::RecheckLeader() {
   const core::monotonic_time now = core::Now();
-  if (internal_->leading ||
+  // A read or claim in flight tells as much, and one that is repeated before
+  // the store responds never would.
+  if (internal_->leading || internal_->claiming ||
+      internal_->follower.Reading() ||
       now - internal_->last_recheck < internal_->options.recheck_interval) {
     return;
   }
   internal_->last_recheck = now;
-  internal_->ReadLeaderKey();
+  internal_->follower.Read();
 }
 
 void leadership::Resign() {
