--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -1,5 +1,6 @@
 #include "waxwingfront/fleet/leadership.h"
 
+#include <algorithm>
 #include <charconv>
 #include <system_error>
 #include <utility>
@@ -13,13 +14,13 @@
         store(services),
         options(std::move(chosen)),
         hooks(std::move(callbacks)),
-        follower(event_loop, services, options.follower,
-                 {.on_vacant = [this](std::int64_t) { OnVacant(); },
-                  .on_held =
-                      [this](const std::string& value, std::int64_t revision) {
-                        OnHeld(value, revision);
-                      },
-                  .on_response = [this] { last_response = core::Now(); }}),
+        follower(
+            event_loop, services, options.follower,
+            {.on_vacant = [this](std::int64_t revision) { OnVacant(revision); },
+             .on_held = [this](
+                            const std::string& value,
+                            std::int64_t revision) { OnHeld(value, revision); },
+             .on_response = [this] { last_response = core::Now(); }}),
         renewal(event_loop, services, options.renewal,
                 {.on_renewed = [this] { last_response = core::Now(); },
                  .on_ended = [this] { StepDown("lease ended"); },
@@ -86,7 +87,9 @@
     }
   }
 
-  void OnVacant() {
+  void OnVacant(std::int64_t revision) {
+    // Announcements of leaders that were elected before may still arrive.
+    latest_token = std::max(latest_token, revision);
     SetLeader("", 0);
     if (!leaderless_since) leaderless_since = core::Now();
     if (!resigned && !claim_pending) ScheduleClaim();
