Reserve the leader key for the successor

Cause: the key was vacant between two leaders, and who should claim it was told by announcements, which a process on a full link gets late and one that has just started does not get at all.

The leader now reserves the key for the successor in the transaction that gives it up, under its own lease. There is no vacancy to race for, and whoever sees that the leader is gone sees who comes next. Hand-overs are not announced any more. The time without a ready leader is carried along when a leader that was never ready hands over.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -135,6 +135,11 @@
                 [this](core::milliseconds jitter) {
                   return choice->ClaimDelay(jitter, core::Now());
                 },
+            .on_reserved =
+                [this](const std::string& successor) {
+                  log.Write("leader_reserved", {{"address", successor}});
+                  choice->OnHandover(successor, core::Now());
+                },
             .on_claim = [this](core::milliseconds delay) { LogClaim(delay); },
         });
     announcer->ReadStrongest([this](std::int64_t strength) {
@@ -155,12 +160,12 @@
     log.Write("leader_hands_over",
               {{"token", election->Token()}, {"address", *successor}});
     choice->OnHandover(*successor, now);
-    election->HandOver();
-    announcer->HandOver(*successor, [this] { election->Release(); });
+    election->HandOver(*successor);
   }
 
   std::string HandleAnnouncement(const schema::fleet_leadership& announcement) {
     election->OnAnnouncement(announcement.token(), announcement.address());
+    // Only earlier versions announce hand-overs.
     if (!announcement.successor().empty()) {
       choice->OnHandover(announcement.successor(), core::Now());
     } else if (announcement.address() == election->Leader()) {
--- a/src/waxwingfront/fleet/leader_announcer.cc
+++ b/src/waxwingfront/fleet/leader_announcer.cc
@@ -139,28 +139,6 @@
                 std::move(done));
   }
 
-  void HandOver(const std::string& successor,
-                std::function<void()> on_announced) {
-    schema::fleet_leadership announcement;
-    announcement.set_token(token);
-    announcement.set_address(address);
-    announcement.set_successor(successor);
-    const std::string body = announcement.SerializeAsString();
-    auto once =
-        std::make_shared<std::function<void()>>(std::move(on_announced));
-    auto unanswered = std::make_shared<std::size_t>(members.size());
-    const auto finish = [self = shared_from_this(), once] {
-      if (!self->closed && *once) std::exchange(*once, nullptr)();
-    };
-    for (const std::string& member : members) {
-      PostTo(member, body,
-             [finish, unanswered](const core::result<net::http_reply>&) {
-               if (--*unanswered == 0) finish();
-             });
-    }
-    loop.After(options.handover_timeout, finish);
-  }
-
   net::event_loop& loop;
   net::async_http_client& client;
   const store_services& store;
@@ -203,9 +181,4 @@
 
 void leader_announcer::Stop() { ++internal_->generation; }
 
-void leader_announcer::HandOver(const std::string& successor,
-                                std::function<void()> on_announced) {
-  internal_->HandOver(successor, std::move(on_announced));
-}
-
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/leader_announcer.h
+++ b/src/waxwingfront/fleet/leader_announcer.h
@@ -30,9 +30,6 @@
   // the leader delays the responses and the connections that they need.
   core::milliseconds timeout{2500};
   core::milliseconds retry{200};
-  // Longest wait for the members to acknowledge a hand-over, because nobody
-  // leads meanwhile.
-  core::milliseconds handover_timeout{150};
 };
 
 struct leader_announcer_hooks {
@@ -70,11 +67,6 @@
   void Start(std::int64_t token);
   void Stop();
 
-  // Announces the successor to the members as last known. Calls `on_announced`
-  // once all have responded or `handover_timeout` has elapsed.
-  void HandOver(const std::string& successor,
-                std::function<void()> on_announced);
-
  private:
   struct internal;
   std::shared_ptr<internal> internal_;
--- a/src/waxwingfront/fleet/leader_key_follower.cc
+++ b/src/waxwingfront/fleet/leader_key_follower.cc
@@ -77,6 +77,11 @@
       return;
     }
     const store_change& last = update->changes.back();
+    for (const store_change& change : update->changes) {
+      if (&change != &last && change.value && hooks.on_past) {
+        hooks.on_past(*change.value, change.revision);
+      }
+    }
     if (last.value) {
       hooks.on_held(*last.value, last.revision);
     } else {
--- a/src/waxwingfront/fleet/leader_key_follower.h
+++ b/src/waxwingfront/fleet/leader_key_follower.h
@@ -20,13 +20,14 @@
   core::milliseconds retry{150};
 };
 
-// At most one of the first two is called for each response. Nothing is called
-// after them until `Read` or `Watch`.
+// Nothing is called after `on_vacant` or `on_held` until `Read` or `Watch`.
 struct leader_key_follower_hooks {
   // The key does not exist at `revision` of the store.
   std::function<void(std::int64_t revision)> on_vacant;
   // The key was last written at `revision`.
   std::function<void(const std::string& value, std::int64_t revision)> on_held;
+  // The key was written at `revision` and has changed again since. Optional.
+  std::function<void(const std::string& value, std::int64_t revision)> on_past;
   // The store has responded.
   std::function<void()> on_response;
 };
--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -1,10 +1,11 @@
 #include "waxwingfront/fleet/leadership.h"
 
 #include <algorithm>
-#include <charconv>
-#include <system_error>
 #include <utility>
 
+#include "waxwingfront/fleet/leader_record.h"
+#include "waxwingfront/fleet/record_keys.h"
+
 namespace waxwingfront::fleet {
 
 struct leadership::internal : std::enable_shared_from_this<internal> {
@@ -20,6 +21,11 @@
              .on_held = [this](
                             const std::string& value,
                             std::int64_t revision) { OnHeld(value, revision); },
+             .on_past =
+                 [this](const std::string& value, std::int64_t revision) {
+                   const leader_record record = ParseLeaderRecord(value);
+                   if (record.reserved) NoteReservation(record, revision);
+                 },
              .on_response = [this] { last_response = core::Now(); }}),
         renewal(event_loop, services, options.renewal,
                 {.on_renewed = [this] { last_response = core::Now(); },
@@ -27,25 +33,31 @@
                  .boot_time_ms = hooks.boot_time_ms,
                  .on_stage = hooks.on_stage}) {}
 
-  // Prefix of the leader key's value in each claim of this process.
-  std::string OwnPrefix() const {
-    return options.address + " " + options.nonce + " ";
+  // Contains the lease, so that a claim that takes effect late is not mistaken
+  // for the claim under the lease that is being renewed.
+  std::string OwnValue() const {
+    return FormatLeaderRecord({.address = options.address,
+                               .nonce = options.nonce,
+                               .lease = lease.id});
   }
 
-  // The value includes the lease, so that a claim that takes effect late is not
-  // mistaken for the claim under the lease that is being renewed.
-  std::string OwnValue() const {
-    return OwnPrefix() + std::to_string(lease.id);
+  void SetLeader(const std::string& address, std::int64_t revision) {
+    if (revision < latest_token) return;
+    latest_token = revision;
+    OnVacancyEnded();
+    leaderless_since.reset();
+    ChangeLeader(address);
   }
 
-  void SetLeader(const std::string& value, std::int64_t revision) {
-    if (revision != 0 && revision < latest_token) return;
-    if (revision != 0) latest_token = revision;
-    const std::string address = value.substr(0, value.find(' '));
-    if (!address.empty()) {
-      OnVacancyEnded();
-      leaderless_since.reset();
-    }
+  // Nobody leads as of `revision` of the store.
+  void SetLeaderless(std::int64_t revision) {
+    // Announcements of leaders that were elected before may still arrive.
+    latest_token = std::max(latest_token, revision);
+    if (!leaderless_since) leaderless_since = core::Now();
+    ChangeLeader("");
+  }
+
+  void ChangeLeader(const std::string& address) {
     if (address == leader) return;
     leader = address;
     hooks.on_leader_change(leader);
@@ -58,40 +70,65 @@
   }
 
   void OnHeld(const std::string& value, std::int64_t revision) {
+    const leader_record record = ParseLeaderRecord(value);
+    if (record.reserved) {
+      OnReserved(record, revision);
+      return;
+    }
     if (revision != relinquished_token) {
       if (value == OwnValue() && !resigned) {
         OnClaimed(revision);
         return;
       }
-      if (value.starts_with(OwnPrefix())) {
-        EndStaleClaim(value);
+      if (record.address == options.address && record.nonce == options.nonce) {
+        EndStaleClaim(record.lease);
       } else {
-        SetLeader(value, revision);
+        SetLeader(record.address, revision);
+      }
+    }
+    // The request that ends or reserves the relinquished key is in flight.
+    follower.Watch();
+  }
+
+  // Only the process that the key is reserved for claims it. The reservation
+  // ends with the lease of the leader that made it.
+  void OnReserved(const leader_record& record, std::int64_t revision) {
+    NoteReservation(record, revision);
+    if (record.address == options.address) {
+      if (!resigned) {
+        if (hooks.on_claim) hooks.on_claim(core::milliseconds(0));
+        Claim(revision);
+        return;
       }
+      store_write decline;
+      decline.expect.push_back(
+          {.key = std::string(kLeaderKey), .revision = revision});
+      decline.remove.emplace_back(kLeaderKey);
+      store.write(decline, [](const store_write_reply&) {});
     }
-    // The request that ends the relinquished lease is in flight.
     follower.Watch();
   }
 
+  void NoteReservation(const leader_record& record, std::int64_t revision) {
+    if (revision <= latest_token) return;
+    OnVacancyEnded();
+    leaderless_since = core::Now() - record.leaderless;
+    SetLeaderless(revision);
+    if (record.reserved_by != relinquished_token && hooks.on_reserved) {
+      hooks.on_reserved(record.address);
+    }
+  }
+
   // Ends the lease of an earlier claim of this process, under which nobody
   // leads.
-  void EndStaleClaim(const std::string& value) {
+  void EndStaleClaim(std::int64_t claimed_under) {
     OnVacancyEnded();
-    SetLeader("", 0);
-    const char* const end = value.data() + value.size();
-    std::int64_t claimed_under = 0;
-    const auto read =
-        std::from_chars(value.data() + OwnPrefix().size(), end, claimed_under);
-    if (read.ec == std::errc() && read.ptr == end) {
-      store.end_lease(claimed_under);
-    }
+    SetLeaderless(0);
+    if (claimed_under != 0) store.end_lease(claimed_under);
   }
 
   void OnVacant(std::int64_t revision) {
-    // Announcements of leaders that were elected before may still arrive.
-    latest_token = std::max(latest_token, revision);
-    SetLeader("", 0);
-    if (!leaderless_since) leaderless_since = core::Now();
+    SetLeaderless(revision);
     if (!resigned && !claim_pending) ScheduleClaim();
     follower.Watch();
   }
@@ -109,19 +146,20 @@
       self->claim_pending = false;
       self->claim_delay_over = true;
       if (self->hooks.on_claim) self->hooks.on_claim(delay);
-      self->Claim();
+      self->Claim(0);
     });
   }
 
-  void Claim() {
+  // Claims the key if its revision is `expected`, which is 0 if it is vacant.
+  void Claim(std::int64_t expected) {
     if (resigned || leading) return;
     follower.Pause();
     claiming = true;
     const int current = ++claim;
     const std::int64_t sent_ms = hooks.boot_time_ms();
     store.grant_lease(options.lease,
-                      [self = shared_from_this(), current,
-                       sent_ms](core::result<store_lease> granted) {
+                      [self = shared_from_this(), current, sent_ms,
+                       expected](core::result<store_lease> granted) {
                         if (self->claim != current) return;
                         if (!granted) {
                           self->claiming = false;
@@ -130,13 +168,14 @@
                         }
                         self->lease = *granted;
                         self->lease_requested_ms = sent_ms;
-                        self->WriteClaim();
+                        self->WriteClaim(expected);
                       });
   }
 
-  void WriteClaim() {
+  void WriteClaim(std::int64_t expected) {
     store_write write;
-    write.expect.push_back({.key = std::string(kLeaderKey), .revision = 0});
+    write.expect.push_back(
+        {.key = std::string(kLeaderKey), .revision = expected});
     write.put.push_back({.key = std::string(kLeaderKey),
                          .value = OwnValue(),
                          .lease = lease.id});
@@ -160,9 +199,8 @@
     leading = true;
     token = revision;
     latest_token = revision;
-    leader = options.address;
     renewal.Start(lease, lease_requested_ms);
-    hooks.on_leader_change(leader);
+    ChangeLeader(options.address);
     hooks.on_elected(token, core::Now());
   }
 
@@ -172,14 +210,13 @@
     renewal.Stop();
     // The cause may be this process's own connection to the store.
     last_response.reset();
-    leader.clear();
     hooks.on_deposed(reason);
-    hooks.on_leader_change(leader);
+    ChangeLeader("");
     follower.Read();
   }
 
   // Steps down for good under this token, even while the leader key still names
-  // this process until `Release`.
+  // this process.
   void Relinquish(std::string_view reason) {
     if (!leading) return;
     relinquished_token = token;
@@ -187,6 +224,35 @@
     StepDown(reason);
   }
 
+  void HandOver(const std::string& successor) {
+    if (!leading) return;
+    store_write reservation;
+    reservation.expect.push_back(
+        {.key = std::string(kLeaderKey), .revision = token});
+    reservation.put.push_back(
+        {.key = std::string(kLeaderKey),
+         .value = FormatLeaderRecord({.address = successor,
+                                      .reserved = true,
+                                      .reserved_by = token,
+                                      .leaderless = LeaderlessTime()}),
+         .lease = lease.id});
+    Relinquish("handed over");
+    const auto release = [self = shared_from_this(), of = token] {
+      if (self->relinquished_token == of) self->Release();
+    };
+    store.write(reservation, [release](const store_write_reply& reply) {
+      if (reply.status != store_write_status::kApplied) release();
+    });
+    // A renewal that takes effect late would extend the reservation.
+    loop.After(options.lease, release);
+  }
+
+  core::milliseconds LeaderlessTime() const {
+    if (!leaderless_since) return core::milliseconds(0);
+    return std::chrono::duration_cast<core::milliseconds>(core::Now() -
+                                                          *leaderless_since);
+  }
+
   void Release() {
     if (relinquished_lease == 0) return;
     store.end_lease(relinquished_lease);
@@ -287,9 +353,9 @@
   internal_->Release();
 }
 
-void leadership::HandOver() { internal_->Relinquish("handed over"); }
-
-void leadership::Release() { internal_->Release(); }
+void leadership::HandOver(const std::string& successor) {
+  internal_->HandOver(successor);
+}
 
 bool leadership::EligibleToLead() const {
   return !internal_->resigned && internal_->last_response &&
--- a/src/waxwingfront/fleet/leadership.h
+++ b/src/waxwingfront/fleet/leadership.h
@@ -16,7 +16,6 @@
 #include "waxwingfront/fleet/lease_renewal.h"
 #include "waxwingfront/fleet/load_stage.h"
 #include "waxwingfront/fleet/platform_services.h"
-#include "waxwingfront/fleet/record_keys.h"
 #include "waxwingfront/net/event_loop.h"
 
 namespace waxwingfront::fleet {
@@ -59,6 +58,8 @@
   // Returns the delay before a claim, given the random jitter. The delay is the
   // jitter alone if this hook is not set.
   std::function<core::milliseconds(core::milliseconds jitter)> claim_delay;
+  // Optional; another process has handed over to the one at `successor`.
+  std::function<void(const std::string& successor)> on_reserved;
   // Optional; this process claims leadership after `delay`.
   std::function<void(core::milliseconds delay)> on_claim;
 };
@@ -95,11 +96,10 @@
   void RecheckLeader();
   // Gives up leadership for good; keeps watching the leader key.
   void Resign();
-  // Stops sending orders, so that another process can lead. The leader key
-  // stays until `Release` or until its lease ends.
-  void HandOver();
-  // Ends the lease of the relinquished leader key, so that others can claim it.
-  void Release();
+  // Gives up leadership and reserves the leader key for the process at
+  // `successor` in one transaction. Until that process claims or declines it or
+  // the lease of this process would have ended, no other process claims it.
+  void HandOver(const std::string& successor);
 
   // True if this process has not resigned and the store has responded recently
   // and since this process was last deposed.
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -110,6 +110,11 @@
     reply.actual.push_back({.key = condition.key, .revision = revision});
   }
   if (!all_met) return reply;
+  for (const auto& entry : write.put) {
+    if (entry.lease != 0 && !leases_[entry.lease]) {
+      return {.status = store_write_status::kLeaseEnded};
+    }
+  }
   ++revision_;
   for (const auto& entry : write.put) {
     items_[entry.key] = {
--- a/tests/waxwingfront/fleet/hand_over_test.cc
+++ b/tests/waxwingfront/fleet/hand_over_test.cc
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <string>
 
+#include "support/candidate.h"
 #include "support/fake_store.h"
 #include "support/fleet_process.h"
 #include "support/loop_runner.h"
@@ -39,6 +41,97 @@
   CHECK(leader.Elections() == 1);
 }
 
+TEST_CASE("only the successor claims a reserved leader key", "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate one(loop, store, "one");
+  REQUIRE(RunUntil(loop, [&] { return one.elected == 1; }));
+  candidate two(loop, store, "two");
+  REQUIRE(RunUntil(loop, [&] { return two.election.Leader() == "one"; }));
+  const std::int64_t lease = store.LeaseOf(std::string(fleet::kLeaderKey));
+  one.election.HandOver("gone");
+  RunFor(loop, milliseconds(50));
+  candidate three(loop, store, "three");
+  RunFor(loop, milliseconds(150));
+  CHECK(one.elected + two.elected + three.elected == 1);
+  CHECK(two.election.Leader().empty());
+  store.EndLease(lease);
+  CHECK(RunUntil(
+      loop, [&] { return one.elected + two.elected + three.elected == 2; },
+      milliseconds(100)));
+}
+
+TEST_CASE("a reservation ends with the lease although renewals arrive late",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate one(loop, store, "one");
+  REQUIRE(RunUntil(loop, [&] { return one.elected == 1; }));
+  candidate two(loop, store, "two");
+  REQUIRE(RunUntil(loop, [&] { return two.election.Leader() == "one"; }));
+  // The fake store ends no lease by itself.
+  one.election.HandOver("gone");
+  CHECK(RunUntil(
+      loop, [&] { return two.elected == 1; }, milliseconds(400)));
+}
+
+TEST_CASE("a process that is ending declines leadership at once", "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate one(loop, store, "one");
+  REQUIRE(RunUntil(loop, [&] { return one.elected == 1; }));
+  candidate ending(loop, store, "ending");
+  candidate two(loop, store, "two");
+  REQUIRE(RunUntil(loop, [&] { return two.election.Leader() == "one"; }));
+  ending.election.Resign();
+  one.election.HandOver("ending");
+  CHECK(RunUntil(
+      loop, [&] { return one.elected + two.elected == 2; }, milliseconds(100)));
+  CHECK(ending.elected == 0);
+}
+
+TEST_CASE("a hand-over that the store does not confirm leaves the key vacant",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate one(loop, store, "one");
+  REQUIRE(RunUntil(loop, [&] { return one.elected == 1; }));
+  candidate two(loop, store, "two");
+  REQUIRE(RunUntil(loop, [&] { return two.election.Leader() == "one"; }));
+  const auto write = one.store.write;
+  const bool applied = GENERATE(false, true);
+  one.store.write = [&](const fleet::store_write& entry, auto done) {
+    if (applied) write(entry, [](const fleet::store_write_reply&) {});
+    loop.After(milliseconds(20), [done] {
+      done({.status = fleet::store_write_status::kUnknown});
+    });
+  };
+  one.election.HandOver("gone");
+  CHECK(RunUntil(
+      loop, [&] { return two.elected == 1; }, milliseconds(100)));
+}
+
+TEST_CASE("the time without a ready leader spans leaders that were never ready",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate one(loop, store, "one", milliseconds(100));
+  REQUIRE(RunUntil(loop, [&] { return one.elected == 1; }));
+  candidate two(loop, store, "two");
+  RunFor(loop, milliseconds(100));
+  one.election.HandOver("two");
+  REQUIRE(RunUntil(loop, [&] { return two.elected == 1; }));
+  const auto first = two.election.OnReady();
+  REQUIRE(first);
+  CHECK(*first >= milliseconds(200));
+  CHECK_FALSE(two.election.OnReady());
+  two.election.HandOver("one");
+  REQUIRE(RunUntil(loop, [&] { return one.elected == 2; }));
+  const auto second = one.election.OnReady();
+  REQUIRE(second);
+  CHECK(*second < milliseconds(100));
+}
+
 TEST_CASE("a strong process that a weak leader does not reach still leads",
           "[fleet]") {
   net::event_loop loop;
--- a/tests/waxwingfront/fleet/leadership_test.cc
+++ b/tests/waxwingfront/fleet/leadership_test.cc
@@ -7,6 +7,7 @@
 #include "support/candidate.h"
 #include "support/fake_store.h"
 #include "support/loop_runner.h"
+#include "waxwingfront/fleet/record_keys.h"
 
 namespace waxwingfront::tests {
 namespace {
@@ -153,12 +154,11 @@
   REQUIRE(RunUntil(loop, [&] { return one.elected == 1; }));
   candidate two(loop, store, "two");
   const std::int64_t token = one.election.Token();
-  one.election.HandOver();
+  one.election.HandOver("two");
   CHECK_FALSE(one.election.MayOrder());
-  RunFor(loop, milliseconds(50));
   CHECK(one.elected + two.elected == 1);
-  one.election.Release();
   REQUIRE(RunUntil(loop, [&] { return two.elected == 1; }));
+  CHECK(one.elected == 1);
   CHECK(two.election.Token() > token);
   two.election.Resign();
   CHECK(RunUntil(loop, [&] { return one.elected == 2; }));
