Let strong processes ask a weak leader for leadership through the store

A leader learns from the answers to its announcements who could succeed it, and an answer counts for 2.5 s from when the announcement was sent. On a link on which calls take longer, nobody is ever ready, and a small leader stays because its link is full.

Processes now see the leader's strength in the leader key. One that is ready and strong enough to be handed over to asks for leadership through the store after 5 s under a weaker leader, and again every 5 s. The leader watches these requests and takes one as a status of that process. Its store calls are in time as long as it leads, since its lease depends on them.

Cost: a watch of 10 s by the leader; one write every 5 s by each strong process, only under a weak leader.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -105,13 +105,17 @@
                 [this](const std::string& address,
                        const schema::fleet_standing& status,
                        core::monotonic_time sent) {
-                  OnMemberStatus(address, status, sent);
+                  OnMemberStatus(
+                      address,
+                      {.strength = status.strength(), .ready = status.ready()},
+                      sent);
                 },
             .on_round = [this](std::size_t members) { LogSearch(members); }});
     announcer->Register(options.strength);
     leadership_options election_options = options.leadership;
     election_options.address = server.Address();
     election_options.nonce = std::to_string(random());
+    election_options.strength = options.strength;
     election = std::make_unique<leadership>(
         loop, store, std::move(election_options),
         leadership_hooks{
@@ -142,19 +146,31 @@
                 },
             .on_claim = [this](core::milliseconds delay) { LogClaim(delay); },
         });
+    candidacy = std::make_unique<leader_candidacy>(
+        loop, store, server.Address(), options.strength, options.candidacy,
+        leader_candidacy_hooks{
+            .should_lead =
+                [this] {
+                  return !election->Leading() && ReadyToLead() &&
+                         choice->ShouldReplace(election->LeaderStrength());
+                },
+            .on_candidate =
+                [this](const std::string& address, std::int64_t strength) {
+                  log.Write("leader_candidate", {{"address", address}});
+                  OnMemberStatus(address, {.strength = strength, .ready = true},
+                                 core::Now());
+                }});
+    candidacy->Start();
     announcer->ReadStrongest([this](std::int64_t strength) {
       choice->OnStrongest(strength);
       election->Start();
     });
   }
 
-  void OnMemberStatus(const std::string& address,
-                      const schema::fleet_standing& status,
+  void OnMemberStatus(const std::string& address, const member_status& status,
                       core::monotonic_time sent) {
     const core::monotonic_time now = core::Now();
-    choice->OnMemberStatus(
-        address, {.strength = status.strength(), .ready = status.ready()},
-        sent);
+    choice->OnMemberStatus(address, status, sent);
     const auto successor = choice->Successor(now);
     if (!successor || !election->Leading()) return;
     log.Write("leader_hands_over",
@@ -174,15 +190,20 @@
     choice->OnStrongest(announcement.strongest());
     schema::fleet_standing status;
     status.set_strength(options.strength);
-    status.set_ready(election->EligibleToLead() && manifests.Current());
+    status.set_ready(ReadyToLead());
     return status.SerializeAsString();
   }
 
+  bool ReadyToLead() const {
+    return election->EligibleToLead() && manifests.Current().has_value();
+  }
+
   void OnElected(std::int64_t token, core::monotonic_time claimed) {
     log.Write("leader_elected",
               {{"token", token}, {"strength", options.strength}},
               logging::line_priority::kUrgent);
     announcer->Start(token);
+    candidacy->OnElected(token);
     leader = std::make_unique<fleet_leader>(
         loop, store, executors, token, claimed, options.leader,
         fleet_leader_hooks{
@@ -211,6 +232,7 @@
               logging::line_priority::kUrgent);
     leader.reset();
     announcer->Stop();
+    candidacy->OnDeposed();
   }
 
   void OnCall(net::server_request request,
@@ -297,6 +319,7 @@
   lease_observer leases;
   std::optional<leader_choice> choice;
   std::unique_ptr<leader_announcer> announcer;
+  std::unique_ptr<leader_candidacy> candidacy;
   std::unique_ptr<leadership> election;
   std::unique_ptr<fleet_leader> leader;
   job_gateway gateway;
--- a/src/waxwingfront/fleet/fleet_node.h
+++ b/src/waxwingfront/fleet/fleet_node.h
@@ -15,6 +15,7 @@
 #include "waxwingfront/fleet/fleet_leader.h"
 #include "waxwingfront/fleet/job_gateway.h"
 #include "waxwingfront/fleet/leader_announcer.h"
+#include "waxwingfront/fleet/leader_candidacy.h"
 #include "waxwingfront/fleet/leader_choice.h"
 #include "waxwingfront/fleet/leadership.h"
 #include "waxwingfront/fleet/lease_observer.h"
@@ -40,6 +41,7 @@
   leader_choice_options choice;
   leadership_options leadership;
   leader_announcer_options announcer;
+  leader_candidacy_options candidacy;
   manifest_follower_options manifest;
   fleet_leader_options leader;
   lease_observer_options leases;
--- a/src/waxwingfront/fleet/leader_choice.cc
+++ b/src/waxwingfront/fleet/leader_choice.cc
@@ -94,12 +94,17 @@
 }
 
 bool leader_choice::IsWeak() const {
-  return options_.strength > 0 && strongest_ever_ >= MinSuccessorStrength();
+  return options_.strength > 0 &&
+         strongest_ever_ >= MinSuccessorStrength(options_.strength);
 }
 
-std::int64_t leader_choice::MinSuccessorStrength() const {
-  return static_cast<std::int64_t>(std::ceil(
-      static_cast<double>(options_.strength) * options_.min_strength_ratio));
+bool leader_choice::ShouldReplace(std::int64_t strength) const {
+  return strength > 0 && options_.strength >= MinSuccessorStrength(strength);
+}
+
+std::int64_t leader_choice::MinSuccessorStrength(std::int64_t leader) const {
+  return static_cast<std::int64_t>(
+      std::ceil(static_cast<double>(leader) * options_.min_strength_ratio));
 }
 
 std::int64_t leader_choice::StrongestReady(core::monotonic_time now) const {
@@ -120,7 +125,7 @@
     return std::nullopt;
   }
   std::optional<std::string> successor;
-  std::int64_t strongest = MinSuccessorStrength() - 1;
+  std::int64_t strongest = MinSuccessorStrength(options_.strength) - 1;
   for (const auto& [address, last] : reports_) {
     if (!Ready(last, now) || last.status.strength <= strongest) continue;
     const auto before = handovers_.find(address);
--- a/src/waxwingfront/fleet/leader_choice.h
+++ b/src/waxwingfront/fleet/leader_choice.h
@@ -90,6 +90,9 @@
   // Returns how many processes have a recent status, and how many of these are
   // ready.
   status_counts CountStatuses(core::monotonic_time now) const;
+  // True if this process is strong enough for a leader of `strength` to hand
+  // over to it.
+  bool ShouldReplace(std::int64_t strength) const;
   // True if a process that is strong enough to be handed over to is known,
   // whether or not it is ready.
   bool IsWeak() const;
@@ -109,8 +112,9 @@
   };
 
   bool Ready(const status_report& last, core::monotonic_time now) const;
-  // Smallest strength of a process that this one hands over to.
-  std::int64_t MinSuccessorStrength() const;
+  // Smallest strength of a process to which one of strength `leader` hands
+  // over.
+  std::int64_t MinSuccessorStrength(std::int64_t leader) const;
 
   leader_choice_options options_;
   std::int64_t strongest_ = 0;
--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -38,14 +38,17 @@
   std::string OwnValue() const {
     return FormatLeaderRecord({.address = options.address,
                                .nonce = options.nonce,
-                               .lease = lease.id});
+                               .lease = lease.id,
+                               .strength = options.strength});
   }
 
-  void SetLeader(const std::string& address, std::int64_t revision) {
+  void SetLeader(const std::string& address, std::int64_t strength,
+                 std::int64_t revision) {
     if (revision < latest_token) return;
     latest_token = revision;
     OnVacancyEnded();
     leaderless_since.reset();
+    leader_strength = strength;
     ChangeLeader(address);
   }
 
@@ -83,7 +86,7 @@
       if (record.address == options.address && record.nonce == options.nonce) {
         EndStaleClaim(record.lease);
       } else {
-        SetLeader(record.address, revision);
+        SetLeader(record.address, record.strength, revision);
       }
     }
     // The request that ends or reserves the relinquished key is in flight.
@@ -264,6 +267,8 @@
   leadership_options options;
   leadership_hooks hooks;
   std::string leader;
+  // 0 if unknown.
+  std::int64_t leader_strength = 0;
   leader_key_follower follower;
   store_lease lease;
   std::int64_t lease_requested_ms = 0;
@@ -323,6 +328,10 @@
 
 const std::string& leadership::Leader() const { return internal_->leader; }
 
+std::int64_t leadership::LeaderStrength() const {
+  return internal_->leader.empty() ? 0 : internal_->leader_strength;
+}
+
 void leadership::OnSuperseded(std::string_view reason) {
   internal_->StepDown(reason);
 }
@@ -331,7 +340,7 @@
                                 const std::string& address) {
   if (token <= internal_->latest_token) return;
   internal_->StepDown("another process announced a larger token");
-  internal_->SetLeader(address, token);
+  internal_->SetLeader(address, 0, token);
 }
 
 void leadership::RecheckLeader() {
--- a/src/waxwingfront/fleet/leadership.h
+++ b/src/waxwingfront/fleet/leadership.h
@@ -25,6 +25,8 @@
   std::string address;
   // Unique for each start of a process.
   std::string nonce;
+  // Strength of this machine, see `StrengthOf`; 0 if unknown.
+  std::int64_t strength = 0;
   // Store lease of the leader key, which bounds the time without a leader after
   // the leader fails. Twice the platform's usual minimum would lengthen each
   // takeover.
@@ -83,6 +85,8 @@
   std::int64_t Token() const;
   // Internal address of the leader; empty if unknown.
   const std::string& Leader() const;
+  // Strength of the other process that leads; 0 if unknown.
+  std::int64_t LeaderStrength() const;
 
   // This process is ready to serve as the leader. Returns for how long it has
   // seen no leader that was; empty if it was ready before.
--- a/src/waxwingfront/fleet/record_keys.h
+++ b/src/waxwingfront/fleet/record_keys.h
@@ -15,6 +15,8 @@
 // Separate from the members' records, because earlier versions use the whole
 // value of those as an address.
 inline constexpr std::string_view kStrengthsPrefix = "wf/strengths/";
+// Requests for leadership, by address.
+inline constexpr std::string_view kCandidatesPrefix = "wf/candidates/";
 inline constexpr std::string_view kSharingKey = "wf/sharing";
 inline constexpr std::string_view kLeasesKey = "wf/leases";
 inline constexpr std::string_view kJobPrefix = "wf/jobs/";
--- a/tests/waxwingfront/fleet/leader_record_test.cc
+++ b/tests/waxwingfront/fleet/leader_record_test.cc
@@ -24,11 +24,13 @@
     } else {
       record.nonce = std::to_string(*rc::gen::arbitrary<std::uint64_t>());
       record.lease = *rc::gen::positive<std::int64_t>();
+      record.strength = *rc::gen::positive<std::int64_t>();
     }
     const auto read = ParseLeaderRecord(FormatLeaderRecord(record));
     RC_ASSERT(read.address == record.address);
     RC_ASSERT(read.nonce == record.nonce);
     RC_ASSERT(read.lease == record.lease);
+    RC_ASSERT(read.strength == record.strength);
     RC_ASSERT(read.reserved == record.reserved);
     RC_ASSERT(read.reserved_by == record.reserved_by);
     RC_ASSERT(read.leaderless == record.leaderless);
