Repeat a failed read of the machines' strengths

A process reads the registered strengths when it starts. A failed read was taken as "nobody is stronger", so that a small machine claimed leadership like the strongest one. The read is now repeated until the store responds; claims need the store anyway.

--- a/src/waxwingfront/fleet/leader_announcer.cc
+++ b/src/waxwingfront/fleet/leader_announcer.cc
@@ -40,28 +40,33 @@
 
   void ReadStrongest(const std::string& after, std::int64_t strongest,
                      std::function<void(std::int64_t)> done) {
-    store.range(
-        kStrengthsPrefix, after,
-        [self = shared_from_this(), strongest,
-         done = std::move(done)](const core::result<store_page>& page) {
-          if (self->closed) return;
-          std::int64_t highest = strongest;
-          if (page) {
-            const std::string own =
-                std::string(kStrengthsPrefix) + self->address;
-            for (const store_item& item : page->items) {
-              schema::fleet_strength record;
-              if (item.key != own && record.ParseFromString(item.value)) {
-                highest = std::max(highest, record.strength());
-              }
-            }
-            if (page->has_more) {
-              self->ReadStrongest(page->items.back().key, highest, done);
-              return;
-            }
-          }
-          done(highest);
-        });
+    store.range(kStrengthsPrefix, after,
+                [self = shared_from_this(), after, strongest,
+                 done = std::move(done)](const core::result<store_page>& page) {
+                  if (self->closed) return;
+                  if (!page) {
+                    self->loop.After(
+                        self->options.retry, [self, after, strongest, done] {
+                          if (!self->closed)
+                            self->ReadStrongest(after, strongest, done);
+                        });
+                    return;
+                  }
+                  std::int64_t highest = strongest;
+                  const std::string own =
+                      std::string(kStrengthsPrefix) + self->address;
+                  for (const store_item& item : page->items) {
+                    schema::fleet_strength record;
+                    if (item.key != own && record.ParseFromString(item.value)) {
+                      highest = std::max(highest, record.strength());
+                    }
+                  }
+                  if (page->has_more) {
+                    self->ReadStrongest(page->items.back().key, highest, done);
+                    return;
+                  }
+                  done(highest);
+                });
   }
 
   void Refresh(int current) {
--- a/src/waxwingfront/fleet/leader_announcer.h
+++ b/src/waxwingfront/fleet/leader_announcer.h
@@ -59,8 +59,8 @@
   // retries until the store has it.
   void Register(std::int64_t strength);
 
-  // Reads the largest strength that another process has registered, or 0. Calls
-  // `done` once, even if the store does not respond.
+  // Reads the largest strength that another process has registered, or 0, and
+  // calls `done` once. Retries until the store responds.
   void ReadStrongest(std::function<void(std::int64_t strength)> done);
 
   // Announces this process as the leader until `Stop`.
--- a/tests/waxwingfront/fleet/leader_announcer_test.cc
+++ b/tests/waxwingfront/fleet/leader_announcer_test.cc
@@ -15,6 +15,28 @@
 
 using core::milliseconds;
 
+TEST_CASE(
+    "an unanswered read of the strengths does not show that none is known",
+    "[fleet]") {
+  net::event_loop loop;
+  net::async_http_client client{loop, {}};
+  fake_store store(loop);
+  schema::fleet_strength strong;
+  strong.set_strength(900);
+  store.Put(std::string(fleet::kStrengthsPrefix) + "strong",
+            strong.SerializeAsString());
+  const fleet::store_services services = store.Services();
+  fleet::leader_announcer announcer(loop, client, services, "weak", {}, {});
+  store.down = true;
+  std::int64_t strongest = -1;
+  announcer.ReadStrongest([&](std::int64_t strength) { strongest = strength; });
+  RunFor(loop, milliseconds(50));
+  CHECK(strongest == -1);
+  store.down = false;
+  REQUIRE(RunUntil(loop, [&] { return strongest >= 0; }));
+  CHECK(strongest == 900);
+}
+
 TEST_CASE("a leader on a slow link still discovers a stronger ready process",
           "[fleet]") {
   const milliseconds delay = GENERATE(milliseconds(800), milliseconds(1600));
