Let no announcement lower the strongest strength that is known

A small leader that hears only from small machines announced their strength as the strongest one, and that replaced what the others had read from the store. When it was lost, every small machine claimed after the jitter alone, on equal terms with large ones that had just come back.

Announcements and statuses now only raise what is known.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -272,7 +272,7 @@
     log.Write("leader_claims",
               {{"delay_ms", delay.count()},
                {"strength", options.strength},
-               {"strongest", choice->StrongestKnown(core::Now())}},
+               {"strongest", choice->StrongestKnown()}},
               logging::line_priority::kUrgent);
   }
 
--- a/src/waxwingfront/fleet/leader_choice.cc
+++ b/src/waxwingfront/fleet/leader_choice.cc
@@ -21,8 +21,7 @@
 }
 
 void leader_choice::OnStrongest(std::int64_t strength) {
-  if (strength > 0) strongest_ = strength;
-  strongest_ever_ = std::max(strongest_ever_, strength);
+  strongest_ = std::max(strongest_, strength);
 }
 
 void leader_choice::OnMemberStatus(const std::string& address,
@@ -33,7 +32,7 @@
   if (!first && entry->second.at <= sent) {
     entry->second = {.status = status, .at = sent};
   }
-  strongest_ever_ = std::max(strongest_ever_, status.strength);
+  OnStrongest(status.strength);
 }
 
 void leader_choice::OnHandover(const std::string& successor,
@@ -68,22 +67,16 @@
     return successor_ == options_.address ? core::milliseconds(0)
                                           : jitter + options_.max_claim_delay;
   }
-  const std::int64_t strongest = StrongestKnown(now);
-  if (options_.strength <= 0 || options_.strength >= strongest) {
+  if (options_.strength <= 0 || options_.strength >= strongest_) {
     return jitter;
   }
   const double missing = 1.0 - static_cast<double>(options_.strength) /
-                                   static_cast<double>(strongest);
+                                   static_cast<double>(strongest_);
   return jitter +
          core::milliseconds(std::llround(
              static_cast<double>(options_.max_claim_delay.count()) * missing));
 }
 
-std::int64_t leader_choice::StrongestKnown(core::monotonic_time now) const {
-  const std::int64_t ready = StrongestReady(now);
-  return ready > 0 ? ready : strongest_;
-}
-
 status_counts leader_choice::CountStatuses(core::monotonic_time now) const {
   status_counts counts;
   for (const auto& [address, last] : reports_) {
@@ -95,7 +88,7 @@
 
 bool leader_choice::IsWeak() const {
   return options_.strength > 0 &&
-         strongest_ever_ >= MinSuccessorStrength(options_.strength);
+         strongest_ >= MinSuccessorStrength(options_.strength);
 }
 
 bool leader_choice::ShouldReplace(std::int64_t strength) const {
--- a/src/waxwingfront/fleet/leader_choice.h
+++ b/src/waxwingfront/fleet/leader_choice.h
@@ -64,8 +64,9 @@
   explicit leader_choice(leader_choice_options options)
       : options_(std::move(options)) {}
 
-  // Sets the strength of the strongest other process, as reported by store
-  // records or the leader; 0 if unknown.
+  // Handles the strength of another process, as reported by store records or
+  // the leader; 0 if unknown. Smaller ones than before do not count: a weak
+  // leader may not hear from the strong processes.
   void OnStrongest(std::int64_t strength);
   // Handles the status that a process returned to an announcement which this
   // process sent at `sent`.
@@ -86,7 +87,7 @@
   // or 0 if there is none.
   std::int64_t StrongestReady(core::monotonic_time now) const;
   // Returns the strength by which `ClaimDelay` goes; 0 if unknown.
-  std::int64_t StrongestKnown(core::monotonic_time now) const;
+  std::int64_t StrongestKnown() const { return strongest_; }
   // Returns how many processes have a recent status, and how many of these are
   // ready.
   status_counts CountStatuses(core::monotonic_time now) const;
@@ -117,9 +118,8 @@
   std::int64_t MinSuccessorStrength(std::int64_t leader) const;
 
   leader_choice_options options_;
-  std::int64_t strongest_ = 0;
   // Largest strength that was ever reported.
-  std::int64_t strongest_ever_ = 0;
+  std::int64_t strongest_ = 0;
   // By address.
   std::map<std::string, status_report> reports_;
   std::map<std::string, handover> handovers_;
--- a/tests/waxwingfront/fleet/leader_choice_test.cc
+++ b/tests/waxwingfront/fleet/leader_choice_test.cc
@@ -85,6 +85,16 @@
   CHECK(weak.ClaimDelay(kJitter, At(0)) > kJitter + milliseconds(300));
 }
 
+TEST_CASE(
+    "announcements of a weak leader do not let weak processes claim early",
+    "[fleet]") {
+  leader_choice weak = Choice(100);
+  weak.OnStrongest(1000);
+  weak.OnStrongest(100);
+  weak.OnMemberStatus("weak", {.strength = 100, .ready = true}, At(0));
+  CHECK(weak.ClaimDelay(kJitter, At(0)) > kJitter + milliseconds(300));
+}
+
 TEST_CASE(
     "processes of equal or unknown strength never delay claims or hand over",
     "[fleet]") {
