Keep the turn of a candidate through vacancies and slow watches

A strong process began its wait under weak leaders anew with each vacancy, and whenever it was not ready for a moment, as with a store whose watches respond late. A request written while the store had dropped its history was read and thrown away.

The wait now ends only under a leader that is strong enough; readiness counts when the request is due. After a 410 the requests of the leader's term are read.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -149,11 +149,8 @@
     candidacy = std::make_unique<leader_candidacy>(
         loop, store, server.Address(), options.strength, options.candidacy,
         leader_candidacy_hooks{
-            .should_lead =
-                [this] {
-                  return !election->Leading() && ReadyToLead() &&
-                         choice->ShouldReplace(election->LeaderStrength());
-                },
+            .under_weak_leader = [this] { return UnderWeakLeader(); },
+            .ready = [this] { return ReadyToLead(); },
             .on_candidate =
                 [this](const std::string& address, std::int64_t strength) {
                   log.Write("leader_candidate", {{"address", address}});
@@ -198,6 +195,13 @@
     return election->EligibleToLead() && manifests.Current().has_value();
   }
 
+  std::optional<bool> UnderWeakLeader() const {
+    if (election->Leading()) return false;
+    const std::int64_t strength = election->LeaderStrength();
+    if (strength == 0) return std::nullopt;
+    return choice->ShouldReplace(strength);
+  }
+
   void OnElected(std::int64_t token, core::monotonic_time claimed) {
     log.Write("leader_elected",
               {{"token", token}, {"strength", options.strength}},
--- a/src/waxwingfront/fleet/leader_candidacy.cc
+++ b/src/waxwingfront/fleet/leader_candidacy.cc
@@ -1,6 +1,5 @@
 #include "waxwingfront/fleet/leader_candidacy.h"
 
-#include <optional>
 #include <utility>
 
 #include "waxwingfront/fleet/record_keys.h"
@@ -23,13 +22,15 @@
     if (closed) return;
     loop.After(options.check_interval,
                [self = shared_from_this()] { self->Check(); });
-    if (!hooks.should_lead()) {
+    const std::optional<bool> weak = hooks.under_weak_leader();
+    if (!weak) return;
+    if (!*weak) {
       waiting_since.reset();
       return;
     }
     const core::monotonic_time now = core::Now();
     if (!waiting_since) waiting_since = now;
-    if (now - *waiting_since < options.patience) return;
+    if (now - *waiting_since < options.patience || !hooks.ready()) return;
     waiting_since = now;
     Ask();
   }
@@ -62,30 +63,39 @@
       return;
     }
     if (update->compacted) {
-      ReadRevision(current);
+      ReadRequests(current, after);
       return;
     }
     for (const store_change& change : update->changes) {
-      schema::fleet_strength record;
-      if (!change.value || !record.ParseFromString(*change.value)) continue;
-      hooks.on_candidate(change.key.substr(kCandidatesPrefix.size()),
-                         record.strength());
+      if (change.value) OnRequest(change.key, *change.value);
       if (closed || generation != current) return;
     }
     Watch(current, update->at);
   }
 
-  void ReadRevision(int current) {
+  void OnRequest(const std::string& key, const std::string& value) {
+    schema::fleet_strength record;
+    if (!record.ParseFromString(value)) return;
+    hooks.on_candidate(key.substr(kCandidatesPrefix.size()), record.strength());
+  }
+
+  void ReadRequests(int current, std::int64_t after) {
     store.range(kCandidatesPrefix, "",
-                [self = shared_from_this(),
-                 current](const core::result<store_page>& page) {
+                [self = shared_from_this(), current,
+                 after](const core::result<store_page>& page) {
                   if (self->closed || self->generation != current) return;
-                  if (page) {
-                    self->Watch(current, page->at);
+                  if (!page) {
+                    self->Later(current, [self, current, after] {
+                      self->ReadRequests(current, after);
+                    });
                     return;
                   }
-                  self->Later(current,
-                              [self, current] { self->ReadRevision(current); });
+                  for (const store_item& item : page->items) {
+                    if (item.revision > after)
+                      self->OnRequest(item.key, item.value);
+                    if (self->closed || self->generation != current) return;
+                  }
+                  self->Watch(current, page->at);
                 });
   }
 
@@ -102,7 +112,7 @@
   std::int64_t strength;
   leader_candidacy_options options;
   leader_candidacy_hooks hooks;
-  // Since when `should_lead` holds, or the last request.
+  // Since when weak processes lead, or the last request.
   std::optional<core::monotonic_time> waiting_since;
   // Responses to watches of an earlier term are ignored.
   int generation = 0;
--- a/src/waxwingfront/fleet/leader_candidacy.h
+++ b/src/waxwingfront/fleet/leader_candidacy.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "waxwingfront/core/clock.h"
@@ -18,9 +19,9 @@
 
 struct leader_candidacy_options {
   core::milliseconds check_interval{500};
-  // How long a weak leader may lead before this process asks for leadership,
-  // and between two such requests. Longer than a hand-over through
-  // announcements takes.
+  // How long weak processes may lead, one after the other, before this process
+  // asks for leadership, and between two such requests. Longer than a hand-over
+  // through announcements takes.
   core::milliseconds patience{5000};
   // Longest duration of one watch call of the leader.
   core::milliseconds watch_timeout{10'000};
@@ -28,9 +29,11 @@
 };
 
 struct leader_candidacy_hooks {
-  // True if this process is ready to lead and markedly stronger than the
-  // leader, which is another process.
-  std::function<bool()> should_lead;
+  // True if the leader is another process and markedly weaker than this one.
+  // Empty while no leader, or not its strength, is known.
+  std::function<std::optional<bool>()> under_weak_leader;
+  // True if this process is ready to lead.
+  std::function<bool()> ready;
   // While this process leads, the one at `address` has asked for leadership.
   std::function<void(const std::string& address, std::int64_t strength)>
       on_candidate;
