Give machines of the soak slow links

A fault in which urgent starts waited on a full link was missed, since the soak ran on a loopback without any limit.

Settings state the link, so that strengths differ and small machines hand leadership over. A link carries all connections that its process opens: to the store, to executors and to the other processes. The proxies find the opener of a connection by the socket at its other end. Connections share a link by one chunk at a time. The summary of a run says what each link carried.

What the system says of a process moves out of site.cc.

Without the delay in fault_link, the test of the shared rate fails with 0.8 ms instead of 0.4 s.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -53,8 +53,8 @@
 }  // namespace
 
 callers::callers(timeline& log, const site& processes, job_book& book,
-                 std::uint64_t seed)
-    : log_(log), site_(processes), book_(book), seed_(seed) {}
+                 const caller_options& options)
+    : log_(log), site_(processes), book_(book), options_(options) {}
 
 void callers::Start(int count) {
   for (int i = 0; i < count; ++i) threads_.emplace_back([this, i] { Run(i); });
@@ -82,7 +82,7 @@
       caller_style::kKeeps,     caller_style::kHalfCloses,
       caller_style::kPipelines, caller_style::kBreaks};
   const auto position = static_cast<std::size_t>(number);
-  random draw(seed_ * 1000 + position);
+  random draw(options_.seed * 1000 + position);
   connection open;
   std::vector<soak_job> jobs;
   while (!stopping_) {
@@ -151,7 +151,8 @@
 
 void callers::Submit(random& draw, connection& open,
                      std::vector<soak_job>& jobs, caller_style style) {
-  const soak_job fresh = MakeJob(draw, queues_.size(), DrawKind(draw, jobs));
+  const soak_job fresh = MakeJob(draw, queues_.size(), DrawKind(draw, jobs),
+                                 options_.payload_bytes);
   for (int i = 0; i < kAttempts && !stopping_; ++i) {
     if (!Open(draw, open)) {
       Pause(draw, kMaxPauseMs);
@@ -289,7 +290,7 @@
 }
 
 void callers::AskAtEnd(const std::string& id, milliseconds latest) {
-  random draw(seed_);
+  random draw(options_.seed);
   const std::size_t queue = book_.QueueOf(id);
   std::string last;
   do {
@@ -310,7 +311,7 @@
 }
 
 void callers::CancelAtEnd(const std::string& id, milliseconds latest) {
-  random draw(seed_);
+  random draw(options_.seed);
   soak_job about;
   about.id = id;
   about.queue = book_.QueueOf(id);
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -30,10 +30,16 @@
   kBreaks,
 };
 
+struct caller_options {
+  std::uint64_t seed = 1;
+  // Of each job's spec.
+  std::size_t payload_bytes = 0;
+};
+
 class callers {
  public:
   callers(timeline& log, const site& processes, job_book& book,
-          std::uint64_t seed);
+          const caller_options& options);
   callers(const callers&) = delete;
   callers& operator=(const callers&) = delete;
   ~callers();
@@ -80,7 +86,7 @@
   timeline& log_;
   const site& site_;
   job_book& book_;
-  std::uint64_t seed_;
+  caller_options options_;
   std::vector<queue> queues_ = AllQueues();
   std::atomic<bool> stopping_{false};
   std::atomic<std::size_t> ended_{0};
--- a/tests/soak/fault_link.cc
+++ b/tests/soak/fault_link.cc
@@ -15,7 +15,8 @@
 }  // namespace
 
 fault_link::fault_link(tcp::socket client, const tcp::endpoint& target,
-                       const link_fault& fault, const link_rewriting& rewriting)
+                       const link_fault& fault, const link_rewriting& rewriting,
+                       machine_link* machine)
     : client_(std::move(client)),
       server_(client_.get_executor()),
       target_(target),
@@ -24,11 +25,13 @@
                  .to = server_,
                  .silent = fault.silent_to_target,
                  .rewrite = rewriting.to_target,
+                 .rate = machine == nullptr ? nullptr : &machine->to_target,
                  .timer = asio::steady_timer(client_.get_executor())},
       to_client_{.from = server_,
                  .to = client_,
                  .silent = fault.silent_to_client,
                  .rewrite = rewriting.to_client,
+                 .rate = machine == nullptr ? nullptr : &machine->to_client,
                  .timer = asio::steady_timer(client_.get_executor())} {
   failure_code ignored;
   client_.set_option(tcp::no_delay(true), ignored);
@@ -109,8 +112,14 @@
     return;
   }
   if (!one.to.is_open()) return;
-  const chunk& next = one.held.front();
-  if (next.due > clock::now()) {
+  chunk& next = one.held.front();
+  const clock::time_point now = clock::now();
+  if (next.due <= now && one.rate != nullptr && !next.carried) {
+    // One chunk of a connection at a time, so that connections share the link.
+    next.carried = true;
+    next.due = one.rate->Carry(next.bytes.size(), now);
+  }
+  if (next.due > now) {
     one.timer.expires_at(next.due);
     one.timer.async_wait(
         [self = shared_from_this(), &one](const failure_code& failure) {
--- a/tests/soak/fault_link.h
+++ b/tests/soak/fault_link.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "soak/fault_proxy.h"
+#include "soak/link_rate.h"
 
 namespace waxwingfront::soak {
 
@@ -18,9 +19,11 @@
  public:
   using tcp = boost::asio::ip::tcp;
 
-  // `fault` and `rewriting` outlive the link.
+  // `fault`, `rewriting` and `machine` outlive the link; without `machine` it
+  // has no limit.
   fault_link(tcp::socket client, const tcp::endpoint& target,
-             const link_fault& fault, const link_rewriting& rewriting);
+             const link_fault& fault, const link_rewriting& rewriting,
+             machine_link* machine);
 
   // Goes on with what the fault allows now.
   void Resume();
@@ -38,6 +41,8 @@
   struct chunk {
     clock::time_point due;
     std::string bytes;
+    // Takes its time on the machine's link once it is due.
+    bool carried = false;
   };
 
   static constexpr std::size_t kReadBytes = 16'384;
@@ -47,6 +52,7 @@
     tcp::socket& to;
     const bool& silent;
     const std::function<void(std::string&)>& rewrite;
+    link_rate* rate;
     boost::asio::steady_timer timer;
     std::array<char, kReadBytes> input{};
     std::deque<chunk> held;
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -71,6 +71,9 @@
   asio::executor_work_guard<asio::io_context::executor_type> work;
   std::uint16_t port = 0;
   link_fault fault;
+  link_finder find_machine = [](std::uint16_t, std::uint16_t) {
+    return nullptr;
+  };
   std::vector<std::shared_ptr<fault_link>> links;
   std::thread thread;
 };
@@ -112,6 +115,10 @@
   Run([&] { internal_->Apply(fault); });
 }
 
+void fault_proxy::SetMachines(link_finder find) {
+  Run([&] { internal_->find_machine = std::move(find); });
+}
+
 void fault_proxy::ResetAll() {
   Run([this] {
     for (const auto& link : internal_->links) link->Reset();
@@ -157,8 +164,12 @@
     return;
   }
   Sweep();
+  failure_code gone;
+  const tcp::endpoint caller = client.remote_endpoint(gone);
+  machine_link* const machine =
+      gone ? nullptr : find_machine(caller.port(), port);
   links.push_back(std::make_shared<fault_link>(std::move(client), target, fault,
-                                               rewriting));
+                                               rewriting, machine));
   links.back()->Resume();
   Accept();
 }
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -3,10 +3,13 @@
 #define WAXWINGFRONT_TESTS_SOAK_FAULT_PROXY_H_
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
+#include "soak/link_rate.h"
+
 namespace waxwingfront::soak {
 
 // Applies to open connections and to new ones.
@@ -26,6 +29,11 @@
   std::function<void(std::string&)> to_client = [](std::string&) {};
 };
 
+// Returns the link of the machine that opened a connection, by the ports of its
+// client and of the proxy, or null. The link outlives the proxy.
+using link_finder = std::function<machine_link*(std::uint16_t client_port,
+                                                std::uint16_t proxy_port)>;
+
 // One thread serves all connections. Calls take effect before they return.
 class fault_proxy {
  public:
@@ -41,6 +49,8 @@
   // Returns "127.0.0.1:PORT", where the proxy listens.
   const std::string& Address() const { return address_; }
   void Set(link_fault fault);
+  // Applies to new connections; `find` is called on the thread of the proxy.
+  void SetMachines(link_finder find);
   // Resets the open connections at both ends.
   void ResetAll();
   // Nothing passes on the open connections any more, not even their end.
--- a/tests/soak/job_maker.cc
+++ b/tests/soak/job_maker.cc
@@ -3,11 +3,13 @@
 #include <chrono>
 #include <iomanip>
 #include <sstream>
+#include <string_view>
 
 namespace waxwingfront::soak {
 namespace {
 
 constexpr int kIdDigits = 16;
+constexpr std::string_view kEndOfSpec = "\",\"steps\"";
 
 int Draw(std::mt19937_64& draw, int below) {
   return std::uniform_int_distribution<int>(0, below - 1)(draw);
@@ -77,7 +79,8 @@
       .count();
 }
 
-soak_job MakeJob(std::mt19937_64& draw, std::size_t queues, job_kind kind) {
+soak_job MakeJob(std::mt19937_64& draw, std::size_t queues, job_kind kind,
+                 std::size_t payload_bytes) {
   std::ostringstream id;
   id << std::hex << std::setfill('0') << std::setw(kIdDigits) << draw();
   soak_job job;
@@ -97,6 +100,10 @@
       MakeScheduled(draw, job);
       break;
   }
+  if (payload_bytes > 0) {
+    job.body.insert(job.body.find(kEndOfSpec),
+                    " payload=" + std::string(payload_bytes, 'x'));
+  }
   job.queue = static_cast<std::size_t>(Draw(draw, static_cast<int>(queues)));
   return job;
 }
--- a/tests/soak/job_maker.h
+++ b/tests/soak/job_maker.h
@@ -37,7 +37,9 @@
 
 std::int64_t UnixMs();
 
-soak_job MakeJob(std::mt19937_64& draw, std::size_t queues, job_kind kind);
+// The spec carries `payload_bytes` beside its orders.
+soak_job MakeJob(std::mt19937_64& draw, std::size_t queues, job_kind kind,
+                 std::size_t payload_bytes);
 
 }  // namespace waxwingfront::soak
 
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -9,6 +9,7 @@
 #include "soak/address_map.h"
 #include "soak/callers.h"
 #include "soak/fault_proxy.h"
+#include "soak/machine_links.h"
 #include "soak/schedule.h"
 #include "soak/soak_executor.h"
 #include "soak/store_gate.h"
@@ -42,7 +43,8 @@
   bool check_memory = true;
 };
 
-site_options SiteOptions(const soak_options& options, const store_gate& gate) {
+site_options SiteOptions(const soak_options& options, const store_gate& gate,
+                         const link_plan& plan, machine_links& machines) {
   constexpr int kShortStatus = 2;
   constexpr int kLongStatus = 120;
   constexpr int kFewDescriptors = 256;
@@ -50,8 +52,8 @@
   const std::uint64_t seed = options.seed;
   std::vector<std::string> addresses;
   addresses.reserve(static_cast<std::size_t>(options.processes));
-  for (int i = 0; i < options.processes; ++i) {
-    addresses.push_back(gate.Address(static_cast<std::size_t>(i)));
+  for (std::size_t i = 0; i < plan.mbps.size(); ++i) {
+    addresses.push_back(machines.StoreAddress(i, gate.Address(i)));
   }
   return {.program = options.program,
           .folder = options.report,
@@ -61,12 +63,14 @@
                                     : kLongStatus,
           .one_core = seed % 5 == 3,
           .descriptors = seed % 7 == 2 ? kFewDescriptors : kDescriptors,
+          .link_mbps = plan.mbps,
           .check_memory = options.check_memory};
 }
 
 // Puts a proxy before each process. The others and the store know the process
 // by the proxy's address, and it knows itself by its own.
-std::vector<fault_proxy*> MakeLinks(const site& processes, store_gate& gate) {
+std::vector<fault_proxy*> MakeLinks(const site& processes, store_gate& gate,
+                                    machine_links& machines) {
   // Addresses of the process and of its proxy; complete before the first
   // process starts. Threads of the proxies use them until the program ends.
   auto& names = *new std::vector<std::pair<std::string, std::string>>;
@@ -89,6 +93,7 @@
     };
     links.push_back(new fault_proxy(
         inner, {.to_target = to_process, .to_client = from_process}));
+    machines.Limit(*links.back(), processes);
     names[i].second = links.back()->Address();
     address_map written;
     written.Add(inner, names[i].second);
@@ -126,7 +131,10 @@
   auto& platform = *new review::store;
   auto& gate =
       *new store_gate(platform, static_cast<std::size_t>(options.processes));
-  const site_options site_values = SiteOptions(options, gate);
+  const link_plan plan =
+      PlanLinks(options.seed, static_cast<std::size_t>(options.processes));
+  auto& machines = *new machine_links(plan);
+  const site_options site_values = SiteOptions(options, gate, plan, machines);
   auto& book =
       *new job_book(log, {.status = milliseconds(1000 * site_values.status_s)});
   auto& gangs = *new gang_hall;
@@ -141,12 +149,16 @@
          .gangs = &gangs},
         [&book](const review::run_event& event) { book.Ran(event); }));
   }
-  site processes(log, site_values);
+  // Threads of the proxies ask it.
+  auto& processes = *new site(log, site_values);
+  for (soak_executor* const one : executors) {
+    machines.Limit(one->Link(), processes);
+  }
   schedule faults(log, processes,
                   {.platform = platform,
                    .gate = gate,
                    .executors = executors,
-                   .links = MakeLinks(processes, gate)},
+                   .links = MakeLinks(processes, gate, machines)},
                   {.seed = options.seed, .replaces = options.seed % 6 == 4});
   book.is_disturbed = [&](milliseconds time) {
     const milliseconds since = log.Now() - time;
@@ -160,14 +172,16 @@
     std::cerr << "the processes did not get ready\n";
     return kNotRun;
   }
-  callers all(log, processes, book, options.seed);
+  callers all(log, processes, book,
+              {.seed = options.seed, .payload_bytes = plan.payload_bytes});
   all.Start(kCallers);
   faults.Run(milliseconds(1000 * options.seconds));
   faults.Await([&] { return all.Stop(); }, kEndTime);
   CheckEnd(log, faults, processes, all, book,
            options.seed % kCalmSeeds == 0 ? kCalmTime : milliseconds{0});
   std::cout << "seed " << options.seed << ": " << book.Summary() << "; "
-            << all.Summary() << "; " << processes.Summary() << "\n";
+            << all.Summary() << "; " << processes.Summary()
+            << machines.Summary() << "\n";
   return log.Print(std::cout) == 0 ? kHeld : kBroken;
 }
 
--- a/tests/soak/site.cc
+++ b/tests/soak/site.cc
@@ -17,6 +17,7 @@
 #include <thread>
 
 #include "review/standin/http.h"
+#include "soak/process_info.h"
 
 namespace waxwingfront::soak {
 namespace {
@@ -32,39 +33,6 @@
 constexpr int kMachineDescriptors = 4100;
 constexpr int kMaxMemoryKb = 260 * 1024;
 
-// True if the process blocks or catches SIGTERM, so that it does not end by it.
-bool HandlesSigterm(pid_t pid) {
-  constexpr int kHexadecimal = 16;
-  constexpr std::uint64_t kSigterm = std::uint64_t{1} << (SIGTERM - 1);
-  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-  std::uint64_t masks = 0;
-  for (std::string word; file >> word;) {
-    if (word != "SigBlk:" && word != "SigCgt:") continue;
-    file >> word;
-    masks |= std::stoull(word, nullptr, kHexadecimal);
-  }
-  return (masks & kSigterm) != 0;
-}
-
-int MemoryKb(pid_t pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-  std::string word;
-  while (file >> word) {
-    if (word != "VmRSS:") continue;
-    int kb = 0;
-    file >> kb;
-    return kb;
-  }
-  return 0;
-}
-
-int Descriptors(pid_t pid) {
-  std::error_code gone;
-  const std::filesystem::directory_iterator files(
-      "/proc/" + std::to_string(pid) + "/fd", gone);
-  return gone ? 0 : static_cast<int>(std::distance(begin(files), end(files)));
-}
-
 }  // namespace
 
 site::site(timeline& log, site_options options)
@@ -118,8 +86,9 @@
          std::to_string(one.internal) + "\nbootstrap=true\nlimits.cpu_share=" +
          std::to_string(options_.cpu_share) +
          "\nlimits.cores=1\nlimits.memory_mb=260\n"
-         "limits.file_descriptors=4100\nlimits.link_mbps=1000.0\n"
-         "discovery=platform\nentry=virtual_ip\nheartbeat_ms=1500\n"
+         "limits.file_descriptors=4100\nlimits.link_mbps=" +
+         std::to_string(options_.link_mbps[node]) +
+         "\ndiscovery=platform\nentry=virtual_ip\nheartbeat_ms=1500\n"
          "contracts=base,drain,config,cost,recover,sched,platform,advice\n"
          "bounds.contact_ms=3000\nbounds.ack_timeout_ms=4000\n"
          "bounds.drain_ms=2000\nbounds.grace_s=6\n"
@@ -352,6 +321,20 @@
   for (const std::size_t node : due) Start(node);
 }
 
+std::optional<std::size_t> site::OpenerOf(std::uint16_t client_port,
+                                          std::uint16_t server_port) const {
+  const std::uint64_t socket = ClientSocket(client_port, server_port);
+  if (socket == 0) return std::nullopt;
+  const std::scoped_lock lock(mutex_);
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    const bool holds = std::ranges::any_of(
+        nodes_[i].processes,
+        [socket](const process& one) { return HoldsSocket(one.pid, socket); });
+    if (holds) return i;
+  }
+  return std::nullopt;
+}
+
 bool site::Ready() const {
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     if (review::Call(nodes_[i].readiness, "GET", "/readiness", "", "",
--- a/tests/soak/site.h
+++ b/tests/soak/site.h
@@ -25,8 +25,9 @@
   bool one_core = false;
   // Limit of descriptors in the process; 0: none.
   int descriptors = 0;
-  // Of the settings.
+  // Of the settings; the links are one a process.
   double cpu_share = 0.25;
+  std::vector<double> link_mbps;
   bool check_memory = true;
 };
 
@@ -66,6 +67,9 @@
   // A process that was stopped between SIGTERM and its end has ended.
   bool EndedFrozenSince(std::size_t node, milliseconds since) const;
   bool AnyDisturbedSince(milliseconds since) const;
+  // The process that has opened this loopback connection.
+  std::optional<std::size_t> OpenerOf(std::uint16_t client_port,
+                                      std::uint16_t server_port) const;
   std::string Summary() const;
 
  private:
--- a/tests/waxwingfront/soak/fault_proxy_test.cc
+++ b/tests/waxwingfront/soak/fault_proxy_test.cc
@@ -4,6 +4,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <unistd.h>
 
 #include <array>
 #include <catch2/catch.hpp>
@@ -15,6 +16,7 @@
 #include <thread>
 #include <vector>
 
+#include "soak/process_info.h"
 #include "support/scripted_server.h"
 
 namespace waxwingfront::soak {
@@ -97,6 +99,53 @@
   CHECK(steady_clock::now() - start >= 2 * kQuiet);
 }
 
+TEST_CASE("connections of one machine share the rate of its link", "[soak]") {
+  constexpr double kBytesPerSecond = 100'000;
+  constexpr std::size_t kBody = 20'000;
+  const tests::scripted_server server([](const std::string&, int) {
+    return tests::scripted_response{
+        .bytes = tests::MakeOkResponse(std::string(kBody, 'x'))};
+  });
+  machine_link machine(kBytesPerSecond);
+  std::vector<std::unique_ptr<fault_proxy>> proxies;
+  std::vector<std::unique_ptr<caller>> callers;
+  for (int i = 0; i < 2; ++i) {
+    proxies.push_back(std::make_unique<fault_proxy>(server.Address()));
+    proxies.back()->SetMachines(
+        [&](std::uint16_t, std::uint16_t) { return &machine; });
+    callers.push_back(std::make_unique<caller>(proxies.back()->Address()));
+  }
+  const auto start = steady_clock::now();
+  for (const auto& one : callers) one->Send();
+  for (const auto& one : callers) {
+    for (std::size_t received = 0; received < kBody;) {
+      const auto bytes = one->Receive(kLong);
+      REQUIRE(bytes.has_value());
+      REQUIRE_FALSE(bytes->empty());
+      received += bytes->size();
+    }
+  }
+  CHECK(steady_clock::now() - start >=
+        std::chrono::duration<double>(2 * kBody / kBytesPerSecond));
+  CHECK(machine.to_client.Carried() > 2 * kBody);
+  CHECK(machine.to_target.Carried() == 2 * kRequest.size());
+}
+
+TEST_CASE("the socket of a loopback connection's client is found", "[soak]") {
+  const tests::scripted_server server(Reply);
+  std::uint64_t socket = 0;
+  fault_proxy proxy(server.Address());
+  proxy.SetMachines([&](std::uint16_t client, std::uint16_t own) {
+    socket = ClientSocket(client, own);
+    return nullptr;
+  });
+  caller one(proxy.Address());
+  REQUIRE(Answers(one));
+  CHECK(socket != 0);
+  CHECK(HoldsSocket(getpid(), socket));
+  CHECK_FALSE(HoldsSocket(getpid(), socket + 1'000'000'000));
+}
+
 TEST_CASE("a silent direction holds bytes back until it is open again",
           "[soak]") {
   const tests::scripted_server server(Reply);
