Let unanswered starts leave the link when it has carried them

Callers of urgent tasks saw their starts wait while executors were silent: an unanswered start kept its place on the link until its call timed out after 1.5 s, and on a link of 10 Mbit/s some 80 starts fill it.

Cause: `start_queue` gave room back only on a response or a failure.

Change: an unanswered start leaves the link once the link had the time to carry it at its nominal speed, counted from when all starts before it are carried, and an executor has responded to a later start. The response is the stronger sign, since the link may be slower than its nominal speed. Without a response to any start for 400 ms the time alone suffices. Failures, such as a refused connection or a time-out, make room for themselves and show nothing of others. Time is an argument of `Take`, `OnResponse` and `fleet_core::TakeOrders`. `NextRoom` tells when room appears by time alone, and the leader looks at the queue then.

The case of long-running starts in "short tasks are placed as far as the link carries their starts" looked at the queue 400 ms after the first starts, when silence now lets further short starts follow. It looks after 350 ms, while the link is still full, and expects the same as before.

--- a/bench/fleet_core_bench.cc
+++ b/bench/fleet_core_bench.cc
@@ -103,7 +103,7 @@
         costs_.Measure("plan", [this] { core_.Plan(Now()); });
       }
       WriteRecords();
-      ExecuteOrders(core_.TakeOrders());
+      ExecuteOrders(core_.TakeOrders(Now()));
     }
   }
 
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -308,9 +308,9 @@
   DropUnused();
 }
 
-orders fleet_core::TakeOrders() {
+orders fleet_core::TakeOrders(moment at) {
   orders taken = std::exchange(state_.outgoing, {});
-  taken.starts = state_.starts.Take();
+  taken.starts = state_.starts.Take(at.now);
   for (const start_order& order : taken.starts) {
     task_state* const task = state_.FindTask(order.task);
     if (task == nullptr || task->run != order.run) continue;
@@ -355,7 +355,7 @@
 
 void fleet_core::OnStartResponse(const start_order& order,
                                  start_outcome outcome, moment at) {
-  state_.starts.OnResponse(order);
+  state_.starts.OnResponse(order, outcome, at.now);
   runs_.OnStartResponse(order, outcome, at);
   executor_state* const executor = state_.FindExecutor(order.executor);
   const bool accepted = outcome == start_outcome::kAccepted;
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -139,8 +139,12 @@
   bool Plan(moment at, const std::function<bool()>& should_stop = {});
   std::uint64_t Evaluations() const { return planner_.Evaluations(); }
   // Returns the orders to be sent now. Further starts become available when
-  // those sent before get their responses.
-  orders TakeOrders();
+  // those sent before get their responses, and at `NextStarts`.
+  orders TakeOrders(moment at);
+  // See `start_queue::NextRoom`.
+  std::optional<core::monotonic_time> NextStarts() const {
+    return state_.starts.NextRoom();
+  }
 
  private:
   placement_cost PlacementCost();
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -174,10 +174,23 @@
   void SendOrders() {
     bool all_sent = false;
     while (!all_sent) {
-      const orders decided = core.TakeOrders();
+      const orders decided = core.TakeOrders(hooks.now());
       all_sent = driver.Send(decided);
       advice.Send(decided.advice);
     }
+    ScheduleStarts();
+  }
+
+  void ScheduleStarts() {
+    const auto next = core.NextStarts();
+    if (!next || (scheduled_starts && *scheduled_starts <= *next)) return;
+    scheduled_starts = next;
+    const auto delay =
+        std::chrono::ceil<core::milliseconds>(*next - core::Now());
+    Later(std::max(delay, core::milliseconds(0)), [this, next] {
+      if (scheduled_starts == next) scheduled_starts.reset();
+      SendOrders();
+    });
   }
 
   void Measure(load_stage stage, core::monotonic_time since) const {
@@ -308,6 +321,7 @@
   bool round_scheduled = false;
   bool store_lost = false;
   std::optional<core::monotonic_time> scheduled_write;
+  std::optional<core::monotonic_time> scheduled_starts;
   core::monotonic_time next_plan{};
   // Executors of the tasks that the present round has placed.
   std::set<std::string> placed_on;
--- a/src/waxwingfront/fleet/link_speed.h
+++ b/src/waxwingfront/fleet/link_speed.h
@@ -19,6 +19,17 @@
                                   static_cast<double>(time.count()));
 }
 
+// Returns how long a link of `mbps` Mbit/s takes to carry `bytes`; 0 if its
+// speed is unknown.
+inline core::monotonic_time::duration TimeOnLink(double mbps,
+                                                 std::size_t bytes) {
+  constexpr double kBytesPerSecondAtOneMbps = 125'000.0;
+  if (mbps <= 0.0) return {};
+  return std::chrono::ceil<core::monotonic_time::duration>(
+      std::chrono::duration<double>(static_cast<double>(bytes) /
+                                    (mbps * kBytesPerSecondAtOneMbps)));
+}
+
 }  // namespace waxwingfront::fleet
 
 #endif  // WAXWINGFRONT_FLEET_LINK_SPEED_H_
--- a/src/waxwingfront/fleet/run_outcome.cc
+++ b/src/waxwingfront/fleet/run_outcome.cc
@@ -2,6 +2,12 @@
 
 namespace waxwingfront::fleet {
 
+bool SentByExecutor(start_outcome outcome) {
+  return outcome != start_outcome::kUnreachable &&
+         outcome != start_outcome::kUnknown &&
+         outcome != start_outcome::kNotSent;
+}
+
 run_outcome OutcomeOf(run_end how) {
   switch (how) {
     case run_end::kDone:
--- a/src/waxwingfront/fleet/run_outcome.h
+++ b/src/waxwingfront/fleet/run_outcome.h
@@ -30,6 +30,9 @@
 // The same for the outcome of a start.
 std::string_view OutcomeName(start_outcome outcome);
 
+// True if the executor responded to the start.
+bool SentByExecutor(start_outcome outcome);
+
 run_outcome OutcomeOf(run_end how);
 
 // True if an executor reported the outcome, which implies that the run had
--- a/src/waxwingfront/fleet/start_queue.cc
+++ b/src/waxwingfront/fleet/start_queue.cc
@@ -1,8 +1,10 @@
 #include "waxwingfront/fleet/start_queue.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "waxwingfront/fleet/link_speed.h"
+#include "waxwingfront/fleet/run_outcome.h"
 
 namespace waxwingfront::fleet {
 namespace {
@@ -18,7 +20,8 @@
 }  // namespace
 
 start_queue::start_queue(start_queue_options options)
-    : max_in_flight_(BytesOnLink(options.link_mbps, options.max_link_time)),
+    : options_(options),
+      max_in_flight_(BytesOnLink(options.link_mbps, options.max_link_time)),
       max_backlog_(BytesOnLink(options.link_mbps, options.max_backlog_time)) {}
 
 void start_queue::OnPlaced(task_state& task) {
@@ -37,25 +40,28 @@
 }
 
 void start_queue::Add(start_order order) {
-  lane& where = LaneOf(order);
+  lane& where = lanes_[UrgencyOf(order)];
   where.waiting.push_back(std::move(order));
 }
 
-std::vector<start_order> start_queue::Take() {
+std::vector<start_order> start_queue::Take(core::monotonic_time now) {
+  ReleaseCarried(now);
   std::vector<start_order> taken;
-  for (lane& from : lanes_) {
-    TakeFrom(from, taken);
-    if (!from.waiting.empty()) break;
+  for (const urgency of : {kInterrupted, kLongRunning, kShort}) {
+    TakeFrom(of, now, taken);
+    if (!lanes_[of].waiting.empty()) break;
   }
   return taken;
 }
 
-start_queue::lane& start_queue::LaneOf(const start_order& order) {
-  if (!order.long_running) return lanes_[kShort];
-  return lanes_[order.run > 1 ? kInterrupted : kLongRunning];
+start_queue::urgency start_queue::UrgencyOf(const start_order& order) {
+  if (!order.long_running) return kShort;
+  return order.run > 1 ? kInterrupted : kLongRunning;
 }
 
-void start_queue::TakeFrom(lane& from, std::vector<start_order>& taken) {
+void start_queue::TakeFrom(urgency of, core::monotonic_time now,
+                           std::vector<start_order>& taken) {
+  lane& from = lanes_[of];
   while (!from.waiting.empty()) {
     const std::size_t bytes = BytesOf(from.waiting.front());
     // A start that is larger than the limit is sent alone.
@@ -66,25 +72,66 @@
     start_order order = std::move(from.waiting.front());
     from.waiting.pop_front();
     order.number = ++last_number_;
-    from.bytes_in_flight += bytes;
-    in_flight_[order.number] = bytes;
+    RecordSent(order.number,
+               {.of = of, .bytes = bytes, .sent = now, .carried = {}});
     taken.push_back(std::move(order));
   }
 }
 
-void start_queue::OnResponse(const start_order& order) {
+void start_queue::RecordSent(std::uint64_t number, sent_start start) {
+  // Responses show that the link has carried more than its nominal speed lets
+  // expect.
+  const core::monotonic_time others_carried =
+      std::min(std::max(all_carried_, start.sent),
+               start.sent + TimeOnLink(options_.link_mbps, bytes_in_flight_));
+  start.carried = others_carried + TimeOnLink(options_.link_mbps, start.bytes);
+  all_carried_ = start.carried;
+  lanes_[start.of].bytes_in_flight += start.bytes;
+  bytes_in_flight_ += start.bytes;
+  in_flight_.emplace(number, start);
+}
+
+void start_queue::Release(sent_starts::iterator start) {
+  lanes_[start->second.of].bytes_in_flight -= start->second.bytes;
+  bytes_in_flight_ -= start->second.bytes;
+  in_flight_.erase(start);
+}
+
+core::monotonic_time start_queue::LeavesLink(
+    const sent_starts::value_type& start) const {
+  const auto& [number, sent] = start;
+  if (number < last_answered_) return sent.carried;
+  return std::max(sent.carried,
+                  std::max(sent.sent, last_response_) + options_.max_silence);
+}
+
+void start_queue::ReleaseCarried(core::monotonic_time now) {
+  while (!in_flight_.empty() && LeavesLink(*in_flight_.begin()) <= now) {
+    Release(in_flight_.begin());
+  }
+}
+
+std::optional<core::monotonic_time> start_queue::NextRoom() const {
+  const bool waits = std::ranges::any_of(
+      lanes_, [](const lane& one) { return !one.waiting.empty(); });
+  if (!waits || in_flight_.empty()) return std::nullopt;
+  return LeavesLink(*in_flight_.begin());
+}
+
+void start_queue::OnResponse(const start_order& order, start_outcome outcome,
+                             core::monotonic_time now) {
+  if (SentByExecutor(outcome)) {
+    last_answered_ = std::max(last_answered_, order.number);
+    last_response_ = now;
+  }
   const auto found = in_flight_.find(order.number);
-  if (found == in_flight_.end()) return;
-  LaneOf(order).bytes_in_flight -= found->second;
-  in_flight_.erase(found);
+  if (found != in_flight_.end()) Release(found);
 }
 
 start_queue_levels start_queue::Levels() const {
-  start_queue_levels levels{.backlog_bytes = backlog_bytes_};
-  for (const lane& one : lanes_) {
-    levels.waiting += one.waiting.size();
-    levels.bytes_in_flight += one.bytes_in_flight;
-  }
+  start_queue_levels levels{.backlog_bytes = backlog_bytes_,
+                            .bytes_in_flight = bytes_in_flight_};
+  for (const lane& one : lanes_) levels.waiting += one.waiting.size();
   return levels;
 }
 
--- a/src/waxwingfront/fleet/start_queue.h
+++ b/src/waxwingfront/fleet/start_queue.h
@@ -10,8 +10,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 #include "waxwingfront/core/clock.h"
@@ -28,6 +28,10 @@
   core::milliseconds max_link_time{100};
   // The same for short tasks that are placed and whose start was not sent yet.
   core::milliseconds max_backlog_time{200};
+  // Time without a response to any start after which unanswered starts are
+  // taken to have left the link. Shorter times would not protect links that
+  // are slower than their nominal speed.
+  core::milliseconds max_silence{400};
 };
 
 struct start_queue_levels {
@@ -35,7 +39,7 @@
   std::size_t waiting = 0;
   // Size of the starts of short tasks that are placed and were not sent yet.
   std::size_t backlog_bytes = 0;
-  // Size of the starts that were sent and have no response.
+  // Size of the starts that were sent and may not have left the link yet.
   std::size_t bytes_in_flight = 0;
 };
 
@@ -56,10 +60,18 @@
   // Removes and returns the starts to be sent now: those of interrupted
   // long-running tasks first, then those of new ones, then those of short
   // tasks. None is sent while a more urgent one waits for the link. Each is in
-  // flight until its first response.
-  std::vector<start_order> Take();
-  // Handles a response to a start, or its failure. Further ones are ignored.
-  void OnResponse(const start_order& order);
+  // flight until its first response or failure. An unanswered one leaves the
+  // link earlier: once the link had the time to carry it at its nominal speed,
+  // and an executor has responded to a later start or none has responded for
+  // `max_silence`.
+  std::vector<start_order> Take(core::monotonic_time now);
+  // Handles a response to a start, or its failure.
+  void OnResponse(const start_order& order, start_outcome outcome,
+                  core::monotonic_time now);
+
+  // Returns when `Take` may return starts that wait now, without any response
+  // in between; nothing if none wait.
+  std::optional<core::monotonic_time> NextRoom() const;
 
   start_queue_levels Levels() const;
 
@@ -70,19 +82,41 @@
   };
   enum urgency : std::size_t { kInterrupted, kLongRunning, kShort };
   static constexpr std::size_t kUrgencies = 3;
+  struct sent_start {
+    urgency of;
+    std::size_t bytes;
+    core::monotonic_time sent;
+    // When a link of nominal speed has carried it.
+    core::monotonic_time carried;
+  };
+  using sent_starts = std::map<std::uint64_t, sent_start>;
 
-  lane& LaneOf(const start_order& order);
+  static urgency UrgencyOf(const start_order& order);
   // Takes as many starts as the link has room for.
-  void TakeFrom(lane& from, std::vector<start_order>& taken);
+  void TakeFrom(urgency of, core::monotonic_time now,
+                std::vector<start_order>& taken);
+  void RecordSent(std::uint64_t number, sent_start start);
+  void Release(sent_starts::iterator start);
+  void ReleaseCarried(core::monotonic_time now);
+  // Returns when the unanswered start is taken to have left the link.
+  core::monotonic_time LeavesLink(const sent_starts::value_type& start) const;
 
+  start_queue_options options_;
   // Limits in bytes; empty if the speed of the link is unknown.
   std::optional<std::size_t> max_in_flight_;
   std::optional<std::size_t> max_backlog_;
   // By urgency.
   std::array<lane, kUrgencies> lanes_;
-  // Sizes of starts in flight, by the number of the order.
-  std::unordered_map<std::uint64_t, std::size_t> in_flight_;
+  // By the number of the order.
+  sent_starts in_flight_;
+  std::size_t bytes_in_flight_ = 0;
+  // When a link of nominal speed has carried all starts in flight.
+  core::monotonic_time all_carried_{};
   std::uint64_t last_number_ = 0;
+  // Highest number of a start that an executor responded to, and when one last
+  // responded.
+  std::uint64_t last_answered_ = 0;
+  core::monotonic_time last_response_{};
   std::size_t backlog_bytes_ = 0;
 };
 
--- a/tests/support/driver_scene.h
+++ b/tests/support/driver_scene.h
@@ -72,7 +72,7 @@
     core.Submit(job, {.now = core::Now()});
     core.Plan({.now = core::Now()});
     Store();
-    driver.Send(core.TakeOrders());
+    driver.Send(core.TakeOrders({.now = core::Now()}));
   }
 
   // Answers the hold in flight, or else the next one, with `report`. Expects
--- a/tests/support/fleet_fixture.cc
+++ b/tests/support/fleet_fixture.cc
@@ -123,7 +123,7 @@
   core_.Plan(At(at_ms));
   Store(at_ms);
   AnswerHolds(at_ms);
-  return core_.TakeOrders();
+  return core_.TakeOrders(At(at_ms));
 }
 
 fleet::orders fleet_fixture::StepAccepted(std::int64_t at_ms) {
--- a/tests/support/simulated_fleet_leader.cc
+++ b/tests/support/simulated_fleet_leader.cc
@@ -128,7 +128,7 @@
   instance->core.Tick(Now());
   WriteLeases(instance);
   instance->core.Plan(Now());
-  Send(instance, instance->core.TakeOrders());
+  Send(instance, instance->core.TakeOrders(Now()));
   Write(instance);
   After(kLeaderRoundMs, [this, instance] {
     Deliver(instance, [this, instance] { RunLeaderRound(instance); });
--- a/tests/waxwingfront/fleet/advice_driver_test.cc
+++ b/tests/waxwingfront/fleet/advice_driver_test.cc
@@ -78,7 +78,7 @@
   }
   const auto out_of_time = [] { return true; };
   fixture.Core().Plan(At(2), out_of_time);
-  const fleet::orders first = fixture.Core().TakeOrders();
+  const fleet::orders first = fixture.Core().TakeOrders(At(2));
   REQUIRE(first.advice.size() == 1);
   fixture.Core().OnAdvice(
       first.advice[0],
@@ -91,7 +91,7 @@
     fixture.Report("a", at_ms, {});
     fixture.Core().Plan(At(at_ms), out_of_time);
     fixture.Store(at_ms);
-    started += fixture.Core().TakeOrders().starts.size();
+    started += fixture.Core().TakeOrders(At(at_ms)).starts.size();
   }
   CHECK(started == 1);
 }
--- a/tests/waxwingfront/fleet/executor_driver_test.cc
+++ b/tests/waxwingfront/fleet/executor_driver_test.cc
@@ -23,7 +23,7 @@
   const fleet::write_batch batch = scene.core.Journal().NextBatch(15);
   scene.core.Journal().Stored(batch.number, 2, {.now = core::Now()});
   scene.unresponsive = true;
-  scene.driver.Send(scene.core.TakeOrders());
+  scene.driver.Send(scene.core.TakeOrders({.now = core::Now()}));
   REQUIRE(RunUntil(scene.loop, [&] { return scene.holds.size() >= 6; }));
   const std::int64_t bound = scene.core.FindExecutor("a")->deadline_sent_ms;
   scene.holds.clear();
@@ -275,12 +275,12 @@
   scene.core.Plan({.now = core::Now()});
   scene.Store();
   scene.may_order = false;
-  const fleet::orders first = scene.core.TakeOrders();
+  const fleet::orders first = scene.core.TakeOrders({.now = core::Now()});
   REQUIRE(!first.starts.empty());
-  CHECK(scene.core.TakeOrders().starts.empty());
+  CHECK(scene.core.TakeOrders({.now = core::Now()}).starts.empty());
   CHECK_FALSE(scene.driver.Send(first));
   scene.may_order = true;
-  const fleet::orders next = scene.core.TakeOrders();
+  const fleet::orders next = scene.core.TakeOrders({.now = core::Now()});
   CHECK(!next.starts.empty());
   CHECK(scene.driver.Send(next));
   CHECK(scene.starts.size() == next.starts.size());
--- a/tests/waxwingfront/fleet/executor_incarnation_test.cc
+++ b/tests/waxwingfront/fleet/executor_incarnation_test.cc
@@ -47,7 +47,7 @@
     scene.RecordLeases(at_ms);
     scene.Core().Plan(At(at_ms));
     scene.Store(at_ms);
-    return scene.Core().TakeOrders().starts.size();
+    return scene.Core().TakeOrders(At(at_ms)).starts.size();
   }
 
   fleet_fixture scene;
@@ -80,11 +80,12 @@
   CHECK(fixture.scene.Core().NeedsHold("a"));
   SECTION("it is the same") {
     fixture.scene.Report("a", kRestartMs + 20, {});
-    CHECK(fixture.scene.Core().TakeOrders().starts.size() == 1);
+    CHECK(fixture.scene.Core().TakeOrders(At(kRestartMs + 20)).starts.size() ==
+          1);
   }
   SECTION("it has restarted") {
     fixture.ReportRestarted(kRestartMs + 20);
-    CHECK(fixture.scene.Core().TakeOrders().starts.empty());
+    CHECK(fixture.scene.Core().TakeOrders(At(kRestartMs + 20)).starts.empty());
     CHECK(fixture.StartsAt(kRestartMs + 30) == 0);
   }
   SECTION("it does not respond") {
--- a/tests/waxwingfront/fleet/fleet_journal_test.cc
+++ b/tests/waxwingfront/fleet/fleet_journal_test.cc
@@ -236,7 +236,7 @@
     REQUIRE(stored.applied);
     journal.Stored(again.number, stored.revision, At(30));
     CHECK(records.Progress("a")->state() == schema::FLEET_CANCELLED);
-    CHECK(core.TakeOrders().starts.size() == 2);
+    CHECK(core.TakeOrders(At(30)).starts.size() == 2);
   }
   CHECK(records.Violations().empty());
 }
--- a/tests/waxwingfront/fleet/lease_ledger_test.cc
+++ b/tests/waxwingfront/fleet/lease_ledger_test.cc
@@ -109,7 +109,7 @@
       leader_->Plan(At(ms));
       const fleet::write_batch batch = leader_->Journal().NextBatch(15);
       leader_->Journal().Stored(batch.number, ++revision_, At(ms));
-      if (!leader_->TakeOrders().starts.empty()) return true;
+      if (!leader_->TakeOrders(At(ms)).starts.empty()) return true;
     }
     return false;
   }
--- a/tests/waxwingfront/fleet/planner_overload_test.cc
+++ b/tests/waxwingfront/fleet/planner_overload_test.cc
@@ -82,7 +82,7 @@
     fixture_.Core().Plan(At(now), [] { return true; });
     fixture_.Store(now);
     std::vector<fleet::start_order> starts =
-        fixture_.Core().TakeOrders().starts;
+        fixture_.Core().TakeOrders(At(now)).starts;
     std::erase_if(starts, [](const fleet::start_order& start) {
       return start.task.job != "lasting";
     });
@@ -148,7 +148,7 @@
     fixture.Report("a", now, {}, std::move(ended));
     fixture.Core().Plan(At(now), [] { return true; });
     fixture.Store(now);
-    started = !fixture.Core().TakeOrders().starts.empty();
+    started = !fixture.Core().TakeOrders(At(now)).starts.empty();
   }
   CHECK(started);
 }
@@ -182,7 +182,7 @@
     fixture.Report("a", now, {});
     fixture.Core().Plan(At(now), [] { return true; });
     fixture.Store(now);
-    started += fixture.Core().TakeOrders().starts.size();
+    started += fixture.Core().TakeOrders(At(now)).starts.size();
   }
   CHECK(started == kNewJobs);
 }
--- a/tests/waxwingfront/fleet/planner_sweep_test.cc
+++ b/tests/waxwingfront/fleet/planner_sweep_test.cc
@@ -28,7 +28,7 @@
   const auto plan = [&fixture](std::int64_t at_ms) {
     fixture.Core().Plan(At(at_ms), [] { return true; });
     fixture.Store(at_ms);
-    return fixture.Core().TakeOrders().starts.size();
+    return fixture.Core().TakeOrders(At(at_ms)).starts.size();
   };
   fixture.Core().Submit(JobOf("next", 1, kCapacity), At(1));
   for (int i = 0; i < kJobs; ++i) {
@@ -63,7 +63,7 @@
   const auto plan = [&fixture](std::int64_t at_ms) {
     fixture.Core().Plan(At(at_ms), [] { return true; });
     fixture.Store(at_ms);
-    return fixture.Core().TakeOrders().starts.size();
+    return fixture.Core().TakeOrders(At(at_ms)).starts.size();
   };
   fixture.Core().Submit(JobOf("next", 1, kCapacity), At(1));
   for (int i = 0; i < kJobs; ++i) {
@@ -118,7 +118,7 @@
     }
     fixture.Core().Plan(At(at_ms), [] { return true; });
     fixture.Store(at_ms);
-    started += fixture.Core().TakeOrders().starts.size();
+    started += fixture.Core().TakeOrders(At(at_ms)).starts.size();
   }
   CHECK(started == 1);
 }
@@ -145,7 +145,7 @@
   const auto plan = [&fixture](std::int64_t at_ms) {
     fixture.Core().Plan(At(at_ms), [] { return true; });
     fixture.Store(at_ms);
-    return fixture.Core().TakeOrders().starts.size();
+    return fixture.Core().TakeOrders(At(at_ms)).starts.size();
   };
   // The first job ends just after the visit of the fresh one.
   REQUIRE(plan(kNowMs) == 0);
@@ -189,7 +189,7 @@
                      .how = fleet::run_end::kDone}});
     fixture.Core().Plan(At(at_ms), [] { return true; });
     fixture.Store(at_ms);
-    started += fixture.Core().TakeOrders().starts.size();
+    started += fixture.Core().TakeOrders(At(at_ms)).starts.size();
   }
   CHECK(started == 1);
 }
--- a/tests/waxwingfront/fleet/planner_work_test.cc
+++ b/tests/waxwingfront/fleet/planner_work_test.cc
@@ -272,7 +272,7 @@
     all = fixture.Core().Plan(At(at_ms), [] { return true; });
     fixture.Store(at_ms);
     std::vector<std::string> started;
-    for (const auto& start : fixture.Core().TakeOrders().starts) {
+    for (const auto& start : fixture.Core().TakeOrders(At(at_ms)).starts) {
       started.push_back(start.task.job);
     }
     return started;
@@ -302,7 +302,7 @@
   for (std::int64_t round = 1; round <= 4; ++round) {
     fixture.Core().Plan(At(5 + round), [] { return true; });
     fixture.Store(5 + round);
-    started += fixture.Core().TakeOrders().starts.size();
+    started += fixture.Core().TakeOrders(At(5 + round)).starts.size();
   }
   CHECK(started == 1);
 }
--- a/tests/waxwingfront/fleet/restart_stages_test.cc
+++ b/tests/waxwingfront/fleet/restart_stages_test.cc
@@ -50,7 +50,7 @@
     scene.Report("a", 5050, {});
     scene.Report("b", 5050, {});
     scene.Store(5100);
-    return scene.Core().TakeOrders().starts.at(0);
+    return scene.Core().TakeOrders(At(5100)).starts.at(0);
   }
 
   fleet_fixture scene;
--- a/tests/waxwingfront/fleet/start_queue_test.cc
+++ b/tests/waxwingfront/fleet/start_queue_test.cc
@@ -1,8 +1,13 @@
 #include "waxwingfront/fleet/start_queue.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "support/fleet_fixture.h"
@@ -29,14 +34,14 @@
   for (std::size_t i = 0; i < 2 * kMaxStarts; ++i) {
     queue.Add(OrderOf("short" + std::to_string(i)));
   }
-  const std::vector<fleet::start_order> first = queue.Take();
+  const std::vector<fleet::start_order> first = queue.Take(At(0).now);
   REQUIRE(first.size() == kMaxStarts);
   CHECK(first.front().task.job == "short0");
-  CHECK(queue.Take().empty());
-  queue.OnResponse(first[0]);
+  CHECK(queue.Take(At(0).now).empty());
+  queue.OnResponse(first[0], fleet::start_outcome::kAccepted, At(0).now);
   // A late response after a timeout.
-  queue.OnResponse(first[0]);
-  const std::vector<fleet::start_order> next = queue.Take();
+  queue.OnResponse(first[0], fleet::start_outcome::kAccepted, At(0).now);
+  const std::vector<fleet::start_order> next = queue.Take(At(0).now);
   REQUIRE(next.size() == 1);
   CHECK(next[0].task.job == "short" + std::to_string(kMaxStarts));
 }
@@ -47,9 +52,9 @@
   for (std::size_t i = 0; i < 2 * kMaxStarts; ++i) {
     queue.Add(OrderOf("short" + std::to_string(i)));
   }
-  REQUIRE(queue.Take().size() == kMaxStarts);
+  REQUIRE(queue.Take(At(0).now).size() == kMaxStarts);
   queue.Add(OrderOf("lasting", true));
-  const std::vector<fleet::start_order> taken = queue.Take();
+  const std::vector<fleet::start_order> taken = queue.Take(At(0).now);
   REQUIRE(taken.size() == 1);
   CHECK(taken[0].task.job == "lasting");
 }
@@ -61,11 +66,11 @@
   for (std::size_t i = 0; i < 2 * kMaxStarts; ++i) {
     queue.Add(OrderOf("new", true));
   }
-  REQUIRE(queue.Take().size() == kMaxStarts);
+  REQUIRE(queue.Take(At(0).now).size() == kMaxStarts);
   fleet::start_order interrupted = OrderOf("interrupted", true);
   interrupted.run = kSecondRun;
   queue.Add(interrupted);
-  const std::vector<fleet::start_order> taken = queue.Take();
+  const std::vector<fleet::start_order> taken = queue.Take(At(0).now);
   REQUIRE(taken.size() == 1);
   CHECK(taken[0].task.job == "interrupted");
 }
@@ -77,10 +82,10 @@
   for (std::size_t i = 0; i <= kMaxStarts; ++i) {
     queue.Add(OrderOf("lasting", true));
   }
-  const std::vector<fleet::start_order> first = queue.Take();
+  const std::vector<fleet::start_order> first = queue.Take(At(0).now);
   CHECK(first.size() == kMaxStarts);
-  queue.OnResponse(first[0]);
-  const std::vector<fleet::start_order> next = queue.Take();
+  queue.OnResponse(first[0], fleet::start_outcome::kAccepted, At(0).now);
+  const std::vector<fleet::start_order> next = queue.Take(At(0).now);
   REQUIRE(next.size() == 2);
   CHECK(next[0].task.job == "lasting");
   CHECK(next[1].task.job == "short");
@@ -92,17 +97,17 @@
   for (std::size_t i = 0; i < 2 * kMaxStarts; ++i) {
     queue.Add(OrderOf("lasting", true));
   }
-  CHECK(queue.Take().size() == kMaxStarts);
+  CHECK(queue.Take(At(0).now).size() == kMaxStarts);
 }
 
 TEST_CASE("a start that is larger than the limit is sent alone", "[fleet]") {
   fleet::start_queue queue({.link_mbps = 0.1});
   queue.Add(OrderOf("first"));
   queue.Add(OrderOf("second"));
-  const std::vector<fleet::start_order> first = queue.Take();
+  const std::vector<fleet::start_order> first = queue.Take(At(0).now);
   REQUIRE(first.size() == 1);
-  queue.OnResponse(first[0]);
-  CHECK(queue.Take().size() == 1);
+  queue.OnResponse(first[0], fleet::start_outcome::kAccepted, At(0).now);
+  CHECK(queue.Take(At(0).now).size() == 1);
 }
 
 TEST_CASE("starts on a link of unknown speed are not limited", "[fleet]") {
@@ -111,7 +116,7 @@
   for (std::size_t i = 0; i < kMany; ++i) {
     queue.Add(OrderOf("short"));
   }
-  CHECK(queue.Take().size() == kMany);
+  CHECK(queue.Take(At(0).now).size() == kMany);
   CHECK_FALSE(queue.IsFull());
 }
 
@@ -134,7 +139,7 @@
     schema::fleet_job lasting = JobOf("lasting", 1, 1);
     lasting.mutable_steps(0)->set_long_running(true);
     fixture.Core().Submit(lasting, At(0));
-    constexpr std::int64_t kBatchingMs = 400;
+    constexpr std::int64_t kBatchingMs = 350;
     fixture.Step(0);
     fixture.Report("a", kBatchingMs, {});
     const fleet::orders next = fixture.Step(kBatchingMs);
@@ -177,6 +182,143 @@
   }
 }
 
+// A link that always has starts to carry, first come first served.
+class busy_link {
+ public:
+  explicit busy_link(double mbps) : mbps_(mbps) {}
+
+  // Every second executor gets its starts but does not respond.
+  void SilenceHalf() { half_silent_ = true; }
+
+  void Play(std::int64_t ms) {
+    for (const std::int64_t until = now_ms_ + ms; now_ms_ < until; ++now_ms_) {
+      while (queue_.Levels().waiting < 2 * kMaxStarts) {
+        queue_.Add(OrderOf("short"));
+      }
+      Carry();
+      Respond();
+      for (fleet::start_order& order : queue_.Take(At(now_ms_).now)) {
+        link_.push_back({.order = std::move(order), .since_ms = now_ms_});
+      }
+    }
+  }
+
+  // Number of starts that reached executors which respond.
+  std::size_t Responses() const { return responses_; }
+  // Longest time that a start waited for the link.
+  std::int64_t LongestWaitMs() const { return longest_wait_ms_; }
+
+ private:
+  static constexpr std::int64_t kTimeoutMs = 1500;
+  static constexpr std::int64_t kResponseMs = 10;
+  static constexpr double kBytesPerMsAtOneMbps = 125.0;
+  static constexpr double kBytes = kPayload + 500.0;
+
+  struct sent_start {
+    fleet::start_order order;
+    std::int64_t since_ms;
+  };
+
+  void Carry() {
+    carried_bytes_ += mbps_ * kBytesPerMsAtOneMbps;
+    while (!link_.empty() && carried_bytes_ >= kBytes) {
+      carried_bytes_ -= kBytes;
+      const sent_start& first = link_.front();
+      longest_wait_ms_ = std::max(longest_wait_ms_, now_ms_ - first.since_ms);
+      const bool silent = half_silent_ && first.order.number % 2 == 0;
+      outcomes_.emplace(
+          silent ? first.since_ms + kTimeoutMs : now_ms_ + kResponseMs,
+          outcome{.order = first.order,
+                  .value = silent ? fleet::start_outcome::kUnknown
+                                  : fleet::start_outcome::kAccepted});
+      link_.pop_front();
+    }
+    if (link_.empty()) carried_bytes_ = 0.0;
+  }
+
+  void Respond() {
+    while (!outcomes_.empty() && outcomes_.begin()->first <= now_ms_) {
+      const outcome& next = outcomes_.begin()->second;
+      if (next.value == fleet::start_outcome::kAccepted) ++responses_;
+      queue_.OnResponse(next.order, next.value, At(now_ms_).now);
+      outcomes_.erase(outcomes_.begin());
+    }
+  }
+
+  struct outcome {
+    fleet::start_order order;
+    fleet::start_outcome value;
+  };
+
+  double mbps_;
+  bool half_silent_ = false;
+  fleet::start_queue queue_{{.link_mbps = kLinkMbps}};
+  std::int64_t now_ms_ = 0;
+  std::deque<sent_start> link_;
+  double carried_bytes_ = 0.0;
+  // By the time at which they become known.
+  std::multimap<std::int64_t, outcome> outcomes_;
+  std::size_t responses_ = 0;
+  std::int64_t longest_wait_ms_ = 0;
+};
+
+// Guards against a link that unanswered starts occupy until they time out.
+TEST_CASE("starts to silent executors do not hold up those to others",
+          "[fleet][overload]") {
+  // The link carries 125 starts a second.
+  constexpr std::int64_t kPlayMs = 4'000;
+  constexpr std::size_t kCarried = 500;
+  busy_link link(kLinkMbps);
+  link.SilenceHalf();
+  link.Play(kPlayMs);
+  CHECK(link.Responses() > kCarried * 2 / 5);
+  CHECK(link.LongestWaitMs() <= 120);
+}
+
+// Guards against starts that pile up in the sockets for their deadlines.
+TEST_CASE("a link that is slower than its nominal speed is not overfilled",
+          "[fleet][overload]") {
+  constexpr std::int64_t kPlayMs = 8'000;
+  constexpr double kSlowness = 4.0;
+  busy_link link(kLinkMbps / kSlowness);
+  SECTION("all executors respond") {}
+  SECTION("half of the executors are silent") { link.SilenceHalf(); }
+  link.Play(kPlayMs);
+  // What the link carries in 100 ms at its nominal speed, and one start more.
+  CHECK(link.LongestWaitMs() <= 440);
+}
+
+// Guards against unanswered starts that count as gone while they are sent.
+TEST_CASE("an unanswered start occupies the link for as long as it is carried",
+          "[fleet]") {
+  constexpr std::int64_t kCarriedMs = 8;
+  fleet::start_queue queue({.link_mbps = kLinkMbps});
+  for (std::size_t i = 0; i < 4 * kMaxStarts; ++i) queue.Add(OrderOf("short"));
+  const std::vector<fleet::start_order> first = queue.Take(At(0).now);
+  REQUIRE(first.size() == kMaxStarts);
+  SECTION("a later start was answered") {
+    queue.OnResponse(first.back(), fleet::start_outcome::kNoCapacity,
+                     At(1).now);
+    CHECK(queue.NextRoom() == At(kCarriedMs).now);
+    CHECK(queue.Take(At(kCarriedMs - 1).now).size() == 1);
+    CHECK(queue.Take(At(kCarriedMs).now).size() == 1);
+    CHECK(queue.Take(At(3 * kCarriedMs).now).size() == 2);
+  }
+  SECTION("a failure is no answer") {
+    queue.OnResponse(first.back(), fleet::start_outcome::kUnreachable,
+                     At(1).now);
+    CHECK(queue.Take(At(kCarriedMs).now).size() == 1);
+    CHECK(queue.Take(At(2 * kCarriedMs).now).empty());
+  }
+  SECTION("no start is answered") {
+    constexpr std::int64_t kSilenceMs = 400;
+    CHECK(queue.NextRoom() == At(kSilenceMs).now);
+    CHECK(queue.Take(At(kSilenceMs - 1).now).empty());
+    CHECK(queue.Take(At(kSilenceMs).now).size() == kMaxStarts);
+    CHECK(queue.Take(At(2 * kSilenceMs - 1).now).empty());
+  }
+}
+
 // Guards against a backlog that placements which came to nothing keep full.
 TEST_CASE("placements that are given up make room for others", "[fleet]") {
   constexpr std::uint32_t kTasks = 100;
--- a/tests/waxwingfront/fleet/start_report_test.cc
+++ b/tests/waxwingfront/fleet/start_report_test.cc
@@ -26,7 +26,7 @@
   scene.Store();
   scene.driver.Hold("a");
   RunFor(scene.loop, milliseconds(20));
-  return scene.core.TakeOrders();
+  return scene.core.TakeOrders({.now = core::Now()});
 }
 
 TEST_CASE("a start that is held back is logged with its cause and its wait",
--- a/tests/waxwingfront/fleet/takeover_test.cc
+++ b/tests/waxwingfront/fleet/takeover_test.cc
@@ -43,7 +43,7 @@
           "[fleet]") {
   cancelled_job_scene scene;
   scene.core.Tick(At(10));
-  CHECK(scene.core.TakeOrders().stops.empty());
+  CHECK(scene.core.TakeOrders(At(10)).stops.empty());
 }
 
 TEST_CASE("a new leader stops the runs of final jobs that are reported",
@@ -55,7 +55,7 @@
        .clock_ms = 20,
        .running = {{.task = {.job = "job", .index = 7}, .run = 1}}},
       At(10).now, At(20));
-  const fleet::orders decided = scene.core.TakeOrders();
+  const fleet::orders decided = scene.core.TakeOrders(At(20));
   REQUIRE(decided.stops.size() == 1);
   CHECK(decided.stops[0].task.index == 7);
   // The others are over.
@@ -64,7 +64,7 @@
   CHECK(executor.used.processor_milli == 1000);
   // The stop is repeated until it is confirmed.
   scene.core.Tick(At(10'000));
-  CHECK(scene.core.TakeOrders().stops.size() == 1);
+  CHECK(scene.core.TakeOrders(At(10'000)).stops.size() == 1);
 }
 
 // Guards against reading a freed job, which ended each new leader in turn.
--- a/tests/waxwingfront/fleet/write_pacer_test.cc
+++ b/tests/waxwingfront/fleet/write_pacer_test.cc
@@ -123,7 +123,7 @@
     if (stored - placed <= kFirstStartMs) ++in_time;
   }
   CHECK(in_time >= 100);
-  CHECK(fixture.Core().TakeOrders().starts.size() == 200);
+  CHECK(fixture.Core().TakeOrders(At(store.Now())).starts.size() == 200);
 }
 
 TEST_CASE("a cancel does not wait behind 200 placements", "[fleet]") {
@@ -198,7 +198,7 @@
   fixture.Core().Submit(JobOf("old", 2, 1000), At(0));
   fixture.Core().Plan(At(0));
   store.Run(100);
-  for (const auto& start : fixture.Core().TakeOrders().starts) {
+  for (const auto& start : fixture.Core().TakeOrders(At(store.Now())).starts) {
     fixture.Core().OnStartResponse(start, fleet::start_outcome::kAccepted,
                                    At(store.Now()));
   }
