Let starts that waited for the link wait for a hold as well

Tasks whose start waited for a full link began later than needed: when its turn came and the executor had been held more than 2 s ago, the start was given up, placed again with the next run number, and stored again, which added work where there was too much already.

Cause: `ForStart` gives no deadline then, as rule 10 demands, and the driver took that for a start that must not be sent at all.

Change: `fleet_core::TakeOrders` returns such a task to the placed ones and makes room for others. The next report of the executor makes the start available again, with all checks of a placed task; a failed hold gives it up. Nothing was sent for the run, so its number stays valid, and rule 10 is checked again when the start is sent. Starts of one urgency are sent in the order in which they were placed, so that a delayed one keeps its turn. Each delay is logged as `start_delayed`, and the stages of restarts count once.

--- a/src/waxwingfront/fleet/decision_log.cc
+++ b/src/waxwingfront/fleet/decision_log.cc
@@ -85,6 +85,21 @@
                             {"pace", std::int64_t{task.pace_percent}}});
 }
 
+void decision_log::StartDelayed(const start_order& order, moment at) {
+  const auto waited =
+      std::chrono::duration_cast<core::milliseconds>(at.now - order.placed_at);
+  log_.Write("start_delayed",
+             {{"job", order.task.job},
+              {"step", std::int64_t{order.task.step}},
+              {"task", std::int64_t{order.task.index}},
+              {"run", std::int64_t{order.run}},
+              {"executor", order.executor},
+              {"cause", "held_too_long_ago"},
+              {"waited_ms", std::int64_t{waited.count()}}},
+             order.long_running ? logging::line_priority::kUrgent
+                                : logging::line_priority::kOrdinary);
+}
+
 void decision_log::RunEnded(const task_state& task, run_outcome outcome) {
   log_.Write("run_over",
              {{"job", task.job->Id()},
--- a/src/waxwingfront/fleet/decision_log.h
+++ b/src/waxwingfront/fleet/decision_log.h
@@ -24,6 +24,8 @@
   void JobBegun(const job_state& job);
   void JobFinal(const job_state& job);
   void Moved(const task_state& task);
+  // The start waits for its executor to respond to another hold.
+  void StartDelayed(const start_order& order, moment at);
   void RunEnded(const task_state& task, run_outcome outcome);
 
  private:
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -310,15 +310,31 @@
 
 orders fleet_core::TakeOrders(moment at) {
   orders taken = std::exchange(state_.outgoing, {});
-  taken.starts = state_.starts.Take(at.now);
-  for (const start_order& order : taken.starts) {
-    task_state* const task = state_.FindTask(order.task);
-    if (task == nullptr || task->run != order.run) continue;
-    state_.starts.Withdraw(*task);
+  bool all_taken = false;
+  while (!all_taken) {
+    all_taken = true;
+    for (start_order& order : state_.starts.Take(at.now)) {
+      if (deadlines_.AwaitsHold(order, at.now)) {
+        ReturnToPlaced(order, at);
+        all_taken = false;
+        continue;
+      }
+      task_state* const task = state_.FindTask(order.task);
+      if (task != nullptr && task->run == order.run) {
+        state_.starts.Withdraw(*task);
+      }
+      taken.starts.push_back(std::move(order));
+    }
   }
   return taken;
 }
 
+void fleet_core::ReturnToPlaced(const start_order& order, moment at) {
+  state_.starts.OnResponse(order, start_outcome::kNotSent, at.now);
+  state_.FindTask(order.task)->phase = task_phase::kPlaced;
+  if (on_start_delayed) on_start_delayed(order, at);
+}
+
 void fleet_core::OnHold(std::string_view executor, const hold_report& report,
                         core::monotonic_time sent, moment at) {
   runs_.OnHold(executor, report, sent, at);
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -125,6 +125,9 @@
   // Called with each placed task, for logging.
   std::function<void(const task_state&, moment)> on_placed;
 
+  // Called with each start that has to wait for another hold, for logging.
+  std::function<void(const start_order&, moment)> on_start_delayed;
+
   // See `planner::on_waiting`.
   std::function<void(const task_state&, const placement_rejections&, moment)>
       on_waiting;
@@ -147,6 +150,9 @@
   }
 
  private:
+  // Takes back a start that was not sent: the executor's next report makes it
+  // available again.
+  void ReturnToPlaced(const start_order& order, moment at);
   placement_cost PlacementCost();
   placement_epoch PlacementEpoch();
   // True while the first holds to executors with runs have no outcome yet.
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -78,6 +78,9 @@
       decisions.Placed(task, core.Manifest().version);
       placed_on.insert(task.executor);
     };
+    core.on_start_delayed = [this](const start_order& order, moment at) {
+      decisions.StartDelayed(order, at);
+    };
     core.on_waiting =
         [this](const task_state& task, const placement_rejections& rejections,
                moment at) { decisions.Waiting(task, rejections, at); };
--- a/src/waxwingfront/fleet/order_deadlines.cc
+++ b/src/waxwingfront/fleet/order_deadlines.cc
@@ -42,15 +42,26 @@
   return RecordDeadline(executor, lease, now);
 }
 
-std::optional<std::int64_t> order_deadlines::ForStart(
-    const start_order& order, core::monotonic_time now) const {
+executor_state* order_deadlines::ExecutorOf(const start_order& order) const {
   const task_state* const task = state_.FindTask(order.task);
-  executor_state* const executor = state_.FindExecutor(order.executor);
   const bool current =
       task != nullptr && task->phase == task_phase::kStarting &&
       task->run == order.run && task->executor == order.executor;
-  if (!current || task->job->Final() || executor == nullptr ||
-      !executor->registered || executor->info.draining ||
+  return current && !task->job->Final() ? state_.FindExecutor(order.executor)
+                                        : nullptr;
+}
+
+bool order_deadlines::AwaitsHold(const start_order& order,
+                                 core::monotonic_time now) const {
+  const executor_state* const executor = ExecutorOf(order);
+  return executor != nullptr && executor->in_contact &&
+         !executor->HeldRecently(now);
+}
+
+std::optional<std::int64_t> order_deadlines::ForStart(
+    const start_order& order, core::monotonic_time now) const {
+  executor_state* const executor = ExecutorOf(order);
+  if (executor == nullptr || !executor->registered || executor->info.draining ||
       !executor->HeldRecently(now) || !executor->MatchesEntry()) {
     return std::nullopt;
   }
--- a/src/waxwingfront/fleet/order_deadlines.h
+++ b/src/waxwingfront/fleet/order_deadlines.h
@@ -40,11 +40,17 @@
   std::optional<std::int64_t> ForStart(const start_order& order,
                                        core::monotonic_time now) const;
 
+  // True if the start only waits for its executor to respond to a hold. Any
+  // hold in flight will respond or fail.
+  bool AwaitsHold(const start_order& order, core::monotonic_time now) const;
+
   // True if the executors' entries are recent enough to place work, and starts
   // may give leases.
   bool MayPlace(core::monotonic_time now) const;
 
  private:
+  // Returns the executor of a start that its task still needs, or null.
+  executor_state* ExecutorOf(const start_order& order) const;
   // Returns the time within which a start sent now may take effect.
   core::milliseconds StartValidity(core::monotonic_time now) const;
   // Returns by how much an order sent now may extend the executor's leases, on
--- a/src/waxwingfront/fleet/restart_stages.cc
+++ b/src/waxwingfront/fleet/restart_stages.cc
@@ -18,7 +18,8 @@
 
 void restart_stages::OnStartable(task_state& task,
                                  core::monotonic_time now) const {
-  if (!Counts(task)) return;
+  const bool reported = task.startable_at >= task.placed_at;
+  if (!Counts(task) || reported) return;
   task.startable_at = now;
   task.start_sent_at = {};
   Report(load_stage::kRestartStore, task.placed_at, now);
--- a/src/waxwingfront/fleet/start_queue.cc
+++ b/src/waxwingfront/fleet/start_queue.cc
@@ -40,8 +40,13 @@
 }
 
 void start_queue::Add(start_order order) {
-  lane& where = lanes_[UrgencyOf(order)];
-  where.waiting.push_back(std::move(order));
+  std::deque<start_order>& waiting = lanes_[UrgencyOf(order)].waiting;
+  const auto place =
+      std::upper_bound(waiting.rbegin(), waiting.rend(), order.placed_at,
+                       [](core::monotonic_time at, const start_order& other) {
+                         return at >= other.placed_at;
+                       });
+  waiting.insert(place.base(), std::move(order));
 }
 
 std::vector<start_order> start_queue::Take(core::monotonic_time now) {
--- a/src/waxwingfront/fleet/start_queue.h
+++ b/src/waxwingfront/fleet/start_queue.h
@@ -56,6 +56,7 @@
   // only wait for those of others.
   bool IsFull() const;
 
+  // Adds a start behind those of its urgency that were placed no later.
   void Add(start_order order);
   // Removes and returns the starts to be sent now: those of interrupted
   // long-running tasks first, then those of new ones, then those of short
--- a/tests/waxwingfront/fleet/start_queue_test.cc
+++ b/tests/waxwingfront/fleet/start_queue_test.cc
@@ -319,6 +319,57 @@
   }
 }
 
+// Guards against starts that are given up because the link was busy.
+TEST_CASE("a start whose executor was held too long ago waits for a hold",
+          "[fleet]") {
+  constexpr std::uint32_t kTasks = 2 * kMaxStarts;
+  constexpr std::int64_t kCapacity = 1'000'000;
+  constexpr std::int64_t kLaterMs = 2'500;
+  fleet_fixture fixture({{}}, {.starts = {.link_mbps = kLinkMbps}});
+  fleet::fleet_core& core = fixture.Core();
+  fixture.AddExecutor("a", kCapacity);
+  schema::fleet_job job = JobOf("short", kTasks, 1);
+  job.set_payload(std::string(kPayload, 'x'));
+  core.Submit(job, At(0));
+  const std::vector<fleet::start_order> first = fixture.Step(0).starts;
+  REQUIRE(first.size() == kMaxStarts);
+  std::vector<fleet::running_report> running;
+  for (const fleet::start_order& order : first) {
+    core.OnStartResponse(order, fleet::start_outcome::kAccepted, At(kLaterMs));
+    running.push_back({.task = order.task, .run = order.run});
+  }
+  fixture.RecordLeases(kLaterMs);
+  for (const auto& order : core.TakeOrders(At(kLaterMs)).starts) {
+    const bool sent =
+        core.Deadlines().ForStart(order, At(kLaterMs).now).has_value();
+    CHECK(sent);
+    if (sent) continue;
+    core.OnStartResponse(order, fleet::start_outcome::kNotSent, At(kLaterMs));
+  }
+  CHECK(core.NeedsHold("a"));
+  fixture.Report("a", kLaterMs, running);
+  const std::vector<fleet::start_order> next = fixture.Step(kLaterMs).starts;
+  REQUIRE(next.size() == kMaxStarts);
+  for (const fleet::start_order& order : next) {
+    CHECK(order.run == 1);
+    CHECK(core.Deadlines().ForStart(order, At(kLaterMs).now));
+  }
+}
+
+// Guards against starts that lose their turn each time they wait for a hold.
+TEST_CASE("starts are sent in the order in which they were placed", "[fleet]") {
+  fleet::start_queue queue({.link_mbps = kLinkMbps});
+  fleet::start_order early = OrderOf("early");
+  early.placed_at = At(0).now;
+  fleet::start_order late = OrderOf("late");
+  late.placed_at = At(1).now;
+  queue.Add(late);
+  queue.Add(early);
+  const std::vector<fleet::start_order> taken = queue.Take(At(2).now);
+  REQUIRE(taken.size() == 2);
+  CHECK(taken[0].task.job == "early");
+}
+
 // Guards against a backlog that placements which came to nothing keep full.
 TEST_CASE("placements that are given up make room for others", "[fleet]") {
   constexpr std::uint32_t kTasks = 100;
