Do not repeat a stop while its call is in flight

Change: the driver sends no stop while a call with it to the same address has neither a response nor a failure. An executor that is back at another address gets its stop at once.

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,9 @@
     core::monotonic_time pause_end{};
   };
 
+  // Address, task and run.
+  using stop_call = std::tuple<std::string, task_ref, std::uint32_t>;
+
   internal(net::event_loop& event_loop, const executor_services& services,
            fleet_core& fleet, std::int64_t fencing_token,
            executor_driver_options chosen, executor_driver_hooks callbacks,
@@ -297,23 +301,22 @@
   }
 
   void OnStart(const start_order& order, start_outcome outcome) {
-    if (outcome != start_outcome::kAccepted) {
-      LogNotConfirmed(order, outcome);
-    }
+    if (outcome != start_outcome::kAccepted) LogNotConfirmed(order, outcome);
     core.OnStartResponse(order, outcome, hooks.now());
-    if (outcome == start_outcome::kFenced) {
-      hooks.on_fenced();
-      return;
-    }
+    if (outcome == start_outcome::kFenced) return hooks.on_fenced();
     hooks.on_progress();
   }
 
   void SendStop(const stop_order& order) {
     const executor_state* const executor = core.FindExecutor(order.executor);
     if (executor == nullptr || !hooks.may_order()) return;
+    stop_call call{executor->info.address, order.task, order.run};
+    if (!stops_in_flight.insert(call).second) return;
     executors.stop(executor->info.address, order, token,
-                   [self = shared_from_this(), order](order_status status) {
+                   [self = shared_from_this(), order,
+                    call = std::move(call)](order_status status) {
                      if (self->closed) return;
+                     self->stops_in_flight.erase(call);
                      self->core.Runs().OnStopResponse(
                          order, status == order_status::kDone,
                          self->hooks.now());
@@ -341,6 +344,7 @@
   std::map<std::string, hold_slot> slots;
   first_hold_queue first_holds;
   hold_pace pace;
+  std::set<stop_call> stops_in_flight;
   // Executors whose next hold waits for the store.
   std::set<std::string> awaiting_store;
   bool closed = false;
--- a/tests/support/driver_scene.h
+++ b/tests/support/driver_scene.h
@@ -42,7 +42,12 @@
                          starts.push_back(order);
                          done(start_outcome);
                        },
-                   .stop = [](auto...) {},
+                   .stop =
+                       [this](std::string_view, const fleet::stop_order& order,
+                              std::int64_t, auto done) {
+                         stops.push_back(order);
+                         stop_callbacks.push_back(done);
+                       },
                    .pace = [](auto...) {}}),
         core(options),
         driver(loop, executors, core, 7,
@@ -104,6 +109,8 @@
   // Callbacks of holds that have no response yet.
   std::vector<std::function<void(core::result<fleet::hold_report>)>> callbacks;
   std::vector<fleet::start_order> starts;
+  std::vector<fleet::stop_order> stops;
+  std::vector<std::function<void(fleet::order_status)>> stop_callbacks;
   fleet::executor_services executors;
   fleet::fleet_core core;
   fleet::executor_driver driver;
--- a/tests/waxwingfront/fleet/executor_driver_test.cc
+++ b/tests/waxwingfront/fleet/executor_driver_test.cc
@@ -261,6 +261,40 @@
   CHECK_FALSE(scene.core.FindExecutor("a")->in_contact);
 }
 
+// Guards against stops that multiply while their responses are late.
+TEST_CASE("a stop is not sent again while its call is in flight", "[fleet]") {
+  constexpr milliseconds kRetry{600};
+  driver_scene scene;
+  scene.driver.HoldAll();
+  scene.SubmitAndStart(JobOf("job", 1, 1000));
+  REQUIRE(scene.starts.size() == 1);
+  fleet::moment at{.now = core::Now()};
+  const auto repeat_stops = [&] {
+    at.now += kRetry;
+    scene.core.Tick(at);
+    scene.driver.Send(scene.core.TakeOrders(at));
+  };
+  scene.core.Cancel("job", at);
+  scene.driver.Send(scene.core.TakeOrders(at));
+  REQUIRE(scene.stops.size() == 1);
+  repeat_stops();
+  repeat_stops();
+  CHECK(scene.stops.size() == 1);
+  SECTION("it is sent again once its call has failed") {
+    scene.stop_callbacks[0](fleet::order_status::kFailed);
+    repeat_stops();
+    CHECK(scene.stops.size() == 2);
+  }
+  SECTION("a stop at another address is another call") {
+    scene.core.SetExecutor({.id = "a",
+                            .address = "a2",
+                            .service = "s",
+                            .capacity = {.processor_milli = 8000}});
+    repeat_stops();
+    CHECK(scene.stops.size() == 2);
+  }
+}
+
 // Guards against a link that starts which were never sent keep occupied.
 TEST_CASE("starts that are held back make room for others", "[fleet]") {
   constexpr std::uint32_t kTasks = 100;
