--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -125,6 +125,9 @@
   // Called with each placed task, for logging.
   std::function<void(const task_state&, moment)> on_placed;
 
+  // Called with each start that has to wait for another hold, for logging.
+  std::function<void(const start_order&, moment)> on_start_delayed;
+
   // See `planner::on_waiting`.
   std::function<void(const task_state&, const placement_rejections&, moment)>
       on_waiting;
@@ -139,10 +142,17 @@
   bool Plan(moment at, const std::function<bool()>& should_stop = {});
   std::uint64_t Evaluations() const { return planner_.Evaluations(); }
   // Returns the orders to be sent now. Further starts become available when
-  // those sent before get their responses.
-  orders TakeOrders();
+  // those sent before get their responses, and at `NextStarts`.
+  orders TakeOrders(moment at);
+  // See `start_queue::NextRoom`.
+  std::optional<core::monotonic_time> NextStarts() const {
+    return state_.starts.NextRoom();
+  }
 
  private:
+  // Takes back a start that was not sent: the executor's next report makes it
+  // available again.
+  void ReturnToPlaced(const start_order& order, moment at);
   placement_cost PlacementCost();
   placement_epoch PlacementEpoch();
   // True while the first holds to executors with runs have no outcome yet.
