Keep the candidates of a step that a full link cut off

Callers of a leader on a slow link saw jobs stand still half started although executors had room. Cause: a search counts as used up once it was made, and a step whose placement stops because the queue of starts is full returned without clearing it. Later rounds then offered the step only executors that had changed since. Such a step now searches again.

The new test failed before: 25 of 40 tasks were ever started on 40 executors with room for one each ("25 == 40").

--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -180,7 +180,11 @@
   const executor_state* selected = nullptr;
   for (task_state& task : step.tasks) {
     if (task.phase != task_phase::kWaiting) continue;
-    if (!MayPlace(task)) return;
+    if (!MayPlace(task)) {
+      // More candidates may be left.
+      if (selected != nullptr) step.last_failed_search = {};
+      return;
+    }
     if (!same_cost) {
       FindCandidates(step, task, scope, at);
     } else {
--- a/tests/waxwingfront/fleet/slow_link_test.cc
+++ b/tests/waxwingfront/fleet/slow_link_test.cc
@@ -168,5 +168,27 @@
   CHECK(leader.ShortStarts() > 1400);
 }
 
+// Guards against tasks that wait although executors have room: a search that
+// the full link cut off has candidates left.
+TEST_CASE("a step that a full link cut off is placed on the other executors",
+          "[fleet][overload]") {
+  constexpr int kTasks = 40;
+  // Fills the link with fewer starts than the step has tasks.
+  constexpr std::size_t kLargePayload = 9'500;
+  constexpr std::int64_t kPlayMs = 2'000;
+  fleet_fixture fixture({{}}, {.starts = {.link_mbps = kLinkMbps}});
+  for (int i = 0; i < kTasks; ++i) {
+    fixture.AddExecutor("e" + std::to_string(i), 1000);
+  }
+  schema::fleet_job job = JobOf("j", kTasks, 1000);
+  job.set_payload(std::string(kLargePayload, 'x'));
+  fixture.Core().Submit(job, At(0));
+  std::size_t starts = 0;
+  for (std::int64_t now = kStepMs; now <= kPlayMs; now += kStepMs) {
+    starts += fixture.StepAccepted(now).starts.size();
+  }
+  CHECK(starts == kTasks);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
