Reject short jobs that the leader's link would start too late

Cause: the leader accepted every short job while the starts of those that it had needed more than its link carries.

Change: start_admission compares the starts that useful jobs still need (start_backlog, sampled every 0.5 s at most and only while the link is full) with the link's speed, or the measured rate of placed starts if that is lower, and with the share that jobs of higher ranks have taken lately. A new short job that would start neither on time nor usefully late is rejected before anything is done, with a Retry-After by when the backlog has drained. Jobs that the leader has, cancels, long-running and repeating jobs are untouched.

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "waxwingfront/fleet/job_queue.h"
+#include "waxwingfront/fleet/start_backlog.h"
 
 namespace waxwingfront::fleet {
 namespace {
@@ -28,6 +29,7 @@
       state_{.starts = start_queue(options.starts)},
       sharing_(state_),
       admission_(state_, options.admission),
+      start_admission_({.link_mbps = options.starts.link_mbps}),
       distance_(options.remote_factor),
       deadlines_(state_, leases_, options.deadlines),
       runs_(state_, options.runs,
@@ -39,6 +41,10 @@
       rebalancer_(state_, {}, PlacementCost()) {
   planner_.on_placed = [this](const task_state& task, moment at) {
     if (task.Spec().long_running()) sharing_.CountExecutors(at.now);
+    if (start_admission_.IsCongested(at.now)) {
+      start_admission_.OnPlaced(RankOf(state_, task, at.now),
+                                task.start_backlog_bytes);
+    }
     runs_.Restarts().OnPlaced(task);
     if (on_placed) on_placed(task, at);
   };
@@ -90,6 +96,7 @@
   }
   reserve_.Update(at.now);
   const bool all = planner_.Plan(at, should_stop);
+  start_admission_.Observe(state_.starts.IsFull(), at.now);
   rebalancer_.Run(at);
   return all;
 }
@@ -301,6 +308,19 @@
   return admission_.MayAdmit(figures) ? std::nullopt : std::optional(figures);
 }
 
+std::optional<start_refusal> fleet_core::AdmitStarts(
+    const schema::fleet_job& job, moment at) {
+  if (!start_admission_.IsCongested(at.now)) return std::nullopt;
+  const queue_spec* const queue = state_.FindQueue(job.queue());
+  if (queue == nullptr) return std::nullopt;
+  const auto starts = FirstStarts(job, *queue, at);
+  if (!starts) return std::nullopt;
+  if (start_admission_.NeedsSample(at.now)) {
+    start_admission_.SetBacklog(StartBacklog(state_, at), at.now);
+  }
+  return start_admission_.Admit(*starts, at.now);
+}
+
 void fleet_core::Tick(moment at) {
   admission_.Sample(at);
   runs_.Tick(at);
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -22,6 +22,7 @@
 #include "waxwingfront/fleet/run_tracker.h"
 #include "waxwingfront/fleet/sharing_policy.h"
 #include "waxwingfront/fleet/standing_admission.h"
+#include "waxwingfront/fleet/start_admission.h"
 #include "waxwingfront/fleet/start_queue.h"
 
 namespace waxwingfront::fleet {
@@ -73,6 +74,10 @@
   // Returns the room for the long-running tasks of a new job, or nothing if it
   // may be accepted.
   std::optional<standing_room> MissingRoom(const schema::fleet_job& job) const;
+  // Returns why a new short job would be useless, see `start_admission`.
+  // Otherwise the caller has to submit it.
+  std::optional<start_refusal> AdmitStarts(const schema::fleet_job& job,
+                                           moment at);
   // Returns false if there is no such job.
   bool Cancel(const std::string& id, moment at);
   // Returns the stored state, or nothing if there is no such job.
@@ -161,6 +166,7 @@
   fleet_state state_;
   sharing_policy sharing_;
   standing_admission admission_;
+  start_admission start_admission_;
   locality distance_;
   // Entries have changed since the last round of planning.
   bool racks_changed_ = false;
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -62,6 +62,10 @@
              .on_no_room =
                  [this](const std::string& job, const standing_room& figures) {
                    LogNoRoom(job, figures);
+                 },
+             .on_link_full =
+                 [this](const std::string& job, const start_refusal& refusal) {
+                   LogLinkFull(job, refusal);
                  }}),
         server(loop,
                {.address = options.internal_address,
@@ -241,6 +245,19 @@
                {"displaced", static_cast<std::int64_t>(figures.displaced)}});
   }
 
+  void LogLinkFull(const std::string& job, const start_refusal& refusal) {
+    constexpr double kMsPerSecond = 1000.0;
+    log.Write("job_without_link",
+              {{"job", job},
+               {"wait_ms", refusal.wait.count()},
+               {"max_wait_ms", refusal.max_wait.count()},
+               {"bytes_ahead", static_cast<std::int64_t>(refusal.bytes_ahead)},
+               {"bytes", static_cast<std::int64_t>(refusal.bytes)},
+               {"bytes_per_s",
+                static_cast<std::int64_t>(refusal.bytes_per_ms * kMsPerSecond)},
+               {"retry_after_ms", refusal.retry_after.count()}});
+  }
+
   void FlushLog() {
     log.Flush();
     loop.After(options.log_flush, [this] { FlushLog(); });
--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -212,6 +212,16 @@
   return missing.has_value();
 }
 
+std::optional<core::milliseconds> job_gateway::RejectsForLink(
+    fleet_core& core, const schema::fleet_job& job) const {
+  if (core.HasJob(job.id())) return std::nullopt;
+  const std::optional<start_refusal> refusal =
+      core.AdmitStarts(job, hooks_.now());
+  if (!refusal) return std::nullopt;
+  if (hooks_.on_link_full) hooks_.on_link_full(job.id(), *refusal);
+  return refusal->retry_after;
+}
+
 void job_gateway::Handle(const schema::fleet_request& request,
                          std::function<void(schema::fleet_reply)> done) {
   fleet_leader* const leader = hooks_.local();
@@ -250,6 +260,12 @@
             static_cast<std::uint32_t>(options_.no_room_retry.count()));
         break;
       }
+      if (const auto retry_after = RejectsForLink(core, request.submit())) {
+        reply.set_outcome(schema::FLEET_OVERLOADED);
+        reply.set_retry_after_ms(
+            static_cast<std::uint32_t>(retry_after->count()));
+        break;
+      }
       core.Submit(request.submit(), hooks_.now());
       once_stored(request.submit().id());
       return;
--- a/src/waxwingfront/fleet/job_gateway.h
+++ b/src/waxwingfront/fleet/job_gateway.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "waxwingfront/core/clock.h"
@@ -51,6 +52,10 @@
   std::function<moment()> now;
   // Called when this process, as the leader, rejects a job without room.
   std::function<void(const std::string& job, const standing_room&)> on_no_room;
+  // The same for a job whose starts would wait for the link until it is
+  // useless.
+  std::function<void(const std::string& job, const start_refusal&)>
+      on_link_full;
 };
 
 class job_gateway {
@@ -65,8 +70,8 @@
   // leader was reached within `leader_search_timeout`, so that nothing was
   // done; with `kOverloaded` if the leader's backlog is too long for the
   // remaining time, so that nothing was done either; and with `kOutcomeUnknown`
-  // if a leader may have received the call. A job without room is a reply with
-  // the outcome `FLEET_OVERLOADED`.
+  // if a leader may have received the call. A job without room, or one that
+  // would be useless, is a reply with the outcome `FLEET_OVERLOADED`.
   void Call(schema::fleet_request request, core::monotonic_time deadline,
             callback done);
 
@@ -89,6 +94,10 @@
   // True if the job is new and there is no room for it.
   bool RejectsForRoom(const fleet_core& core,
                       const schema::fleet_job& job) const;
+  // Returns when the caller should return if the job is new and would be
+  // useless.
+  std::optional<core::milliseconds> RejectsForLink(
+      fleet_core& core, const schema::fleet_job& job) const;
 
   net::event_loop& loop_;
   net::async_http_client& client_;
--- a/src/waxwingfront/fleet/start_queue.cc
+++ b/src/waxwingfront/fleet/start_queue.cc
@@ -17,14 +17,18 @@
 
 }  // namespace
 
+std::size_t StartBytesOf(const task_state& task) {
+  return task.job->Spec().payload().size() + task.checkpoint.size() +
+         kStartOverheadBytes;
+}
+
 start_queue::start_queue(start_queue_options options)
     : max_in_flight_(BytesOnLink(options.link_mbps, options.max_link_time)),
       max_backlog_(BytesOnLink(options.link_mbps, options.max_backlog_time)) {}
 
 void start_queue::OnPlaced(task_state& task) {
   if (task.Spec().long_running()) return;
-  task.start_backlog_bytes = task.job->Spec().payload().size() +
-                             task.checkpoint.size() + kStartOverheadBytes;
+  task.start_backlog_bytes = StartBytesOf(task);
   backlog_bytes_ += task.start_backlog_bytes;
 }
 
--- a/src/waxwingfront/fleet/start_queue.h
+++ b/src/waxwingfront/fleet/start_queue.h
@@ -39,6 +39,9 @@
   std::size_t bytes_in_flight = 0;
 };
 
+// Returns the size of the start of a short task on the link.
+std::size_t StartBytesOf(const task_state& task);
+
 class start_queue {
  public:
   explicit start_queue(start_queue_options options = {});
--- a/tests/waxwingfront/fleet/slow_link_test.cc
+++ b/tests/waxwingfront/fleet/slow_link_test.cc
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::int64_t kLinkMbps = 10;
-constexpr std::int64_t kBytesPerMs = kLinkMbps * 125;
+constexpr std::int64_t kBytesPerMsAtOneMbps = 125;
 // Size of a start beside the payload.
 constexpr std::int64_t kStartBytes = 500;
 constexpr std::int64_t kStepMs = 20;
@@ -28,7 +28,10 @@
 // arrive, and nothing else.
 class slow_link_leader {
  public:
-  slow_link_leader() : fixture_({{}}, {.starts = {.link_mbps = kLinkMbps}}) {
+  explicit slow_link_leader(std::int64_t link_mbps = kLinkMbps)
+      : fixture_({{}},
+                 {.starts = {.link_mbps = static_cast<double>(link_mbps)}}),
+        bytes_per_ms_(link_mbps * kBytesPerMsAtOneMbps) {
     for (int i = 0; i < kExecutors; ++i) {
       executors_.push_back("e" + std::to_string(i));
       fixture_.AddExecutor(executors_.back(), kCapacity);
@@ -59,12 +62,28 @@
   std::size_t ShortStarts() const { return short_starts_; }
   std::size_t LateStarts() const { return late_starts_; }
 
+  std::size_t RejectedJobs() const { return rejected_; }
+  // Returns how many of the accepted jobs whose useful time is over have ended
+  // in it, and how many have not.
+  std::pair<std::size_t, std::size_t> UsefulAndUselessJobs() const {
+    std::size_t useful = 0;
+    std::size_t useless = 0;
+    for (const auto& [accepted, started] : tasks_started_) {
+      if (now_ - accepted <= kUsefulMs) continue;
+      ++(started == kTasksPerJob ? useful : useless);
+    }
+    return {useful, useless};
+  }
+
  private:
   static constexpr int kExecutors = 20;
   static constexpr std::int64_t kCapacity = 100'000'000;
   static constexpr std::uint32_t kTasksPerJob = 20;
   static constexpr std::size_t kPayload = 3000;
   static constexpr std::int64_t kHoldMs = 500;
+  // Latest time after its acceptance for the last start of a short job: three
+  // times its objective, less its own duration.
+  static constexpr std::int64_t kUsefulMs = 8'000;
 
   struct sent_start {
     fleet::start_order order;
@@ -76,7 +95,12 @@
     now_ += kStepMs;
     schema::fleet_job job = JobOf("j" + std::to_string(now_), kTasksPerJob, 1);
     job.set_payload(std::string(kPayload, 'x'));
-    fixture_.Core().Submit(job, At(now_));
+    if (fixture_.Core().AdmitStarts(job, At(now_))) {
+      ++rejected_;
+    } else {
+      fixture_.Core().Submit(job, At(now_));
+      tasks_started_[now_] = 0;
+    }
     if (now_ % kHoldMs == 0) Hold();
     Carry();
     const fleet::orders orders = fixture_.Step(now_);
@@ -103,7 +127,7 @@
   }
 
   void Carry() {
-    std::int64_t bytes = kStepMs * kBytesPerMs;
+    std::int64_t bytes = kStepMs * bytes_per_ms_;
     while (!link_.empty() && bytes > 0) {
       sent_start& first = link_.front();
       const std::int64_t part = std::min(bytes, first.bytes_left);
@@ -128,6 +152,8 @@
       lasting_["lasting"] = start.order;
     } else {
       ++short_starts_;
+      const std::int64_t accepted = std::stoll(start.order.task.job.substr(1));
+      if (now_ - accepted <= kUsefulMs) ++tasks_started_[accepted];
       ended_[start.order.executor].push_back({.task = start.order.task,
                                               .run = start.order.run,
                                               .how = fleet::run_end::kDone});
@@ -135,6 +161,7 @@
   }
 
   fleet_fixture fixture_;
+  std::int64_t bytes_per_ms_;
   std::int64_t now_ = 0;
   std::vector<std::string> executors_;
   std::deque<sent_start> link_;
@@ -145,6 +172,10 @@
   std::map<std::string, std::uint64_t> ends_;
   std::size_t short_starts_ = 0;
   std::size_t late_starts_ = 0;
+  std::size_t rejected_ = 0;
+  // Tasks of accepted short jobs that started while that was useful, by the
+  // time of acceptance.
+  std::map<std::int64_t, std::uint32_t> tasks_started_;
 };
 
 // Guards against urgent starts that wait for all others on a full link.
@@ -168,6 +199,22 @@
   CHECK(leader.ShortStarts() > 1400);
 }
 
+// Guards against callers that wait until their jobs are useless.
+TEST_CASE("a full link does not make accepted jobs useless",
+          "[fleet][overload]") {
+  constexpr std::int64_t kOverloadMs = 40'000;
+  slow_link_leader leader;
+  leader.Play(kOverloadMs);
+  const auto [useful, useless] = leader.UsefulAndUselessJobs();
+  INFO(useful << " useful, " << useless << " useless, " << leader.RejectedJobs()
+              << " rejected");
+  // One in ten of those that the link can carry.
+  CHECK(useless * 10 <= useful);
+  // Two thirds of the jobs cannot be carried.
+  CHECK(leader.RejectedJobs() > 800);
+  CHECK(useful > 400);
+}
+
 // Guards against tasks that wait although executors have room: a search that
 // the full link cut off has candidates left.
 TEST_CASE("a step that a full link cut off is placed on the other executors",
@@ -190,5 +237,13 @@
   CHECK(starts == kTasks);
 }
 
+TEST_CASE("a link with room rejects no jobs", "[fleet][overload]") {
+  constexpr std::int64_t kPlayMs = 20'000;
+  constexpr std::int64_t kFastMbps = 200;
+  slow_link_leader leader(kFastMbps);
+  leader.Play(kPlayMs);
+  CHECK(leader.RejectedJobs() == 0);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
