--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -52,7 +52,7 @@
 
   void HoldIfDue(const std::string& id) {
     const executor_state* const executor = core.FindExecutor(id);
-    if (executor != nullptr && fleet_core::NeedsHold(*executor)) {
+    if (executor != nullptr && executor->NeedsHold()) {
       HoldIfDue(id, *executor);
     }
   }
@@ -363,7 +363,7 @@
 
 void executor_driver::HoldAll() {
   for (const auto& [id, executor] : internal_->core.Executors()) {
-    if (fleet_core::NeedsHold(executor)) internal_->HoldIfDue(id, executor);
+    if (executor.NeedsHold()) internal_->HoldIfDue(id, executor);
   }
   internal_->SendFirstHolds();
 }
--- a/src/waxwingfront/fleet/executor_state.cc
+++ b/src/waxwingfront/fleet/executor_state.cc
@@ -61,6 +61,12 @@
   return Available(now) && now >= unhealthy_until;
 }
 
+bool executor_state::NeedsHold() const {
+  if (info.address.empty()) return false;
+  return !reached || !in_contact || restart_expected || !active.empty() ||
+         processed > acknowledged;
+}
+
 bool executor_state::HealthPermits(const task_state& task,
                                    core::monotonic_time now) const {
   if (ToleratesFailures(task)) return true;
--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -194,6 +194,9 @@
   bool HeldRecently(core::monotonic_time now) const {
     return in_contact && clock && now - clock->sent < kMinRestartTime;
   }
+  // True if it has to be held: it has runs or ends to report, or is not known
+  // to be in contact.
+  bool NeedsHold() const;
   // True if it may get tasks as far as its health permits them.
   bool Available(core::monotonic_time now) const;
   // True if it may get any task.
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -290,14 +290,7 @@
 
 bool fleet_core::NeedsHold(std::string_view id) const {
   const auto found = state_.executors.find(id);
-  return found != state_.executors.end() && NeedsHold(found->second);
-}
-
-bool fleet_core::NeedsHold(const executor_state& executor) {
-  if (executor.info.address.empty()) return false;
-  return !executor.reached || !executor.in_contact ||
-         executor.restart_expected || !executor.active.empty() ||
-         executor.processed > executor.acknowledged;
+  return found != state_.executors.end() && found->second.NeedsHold();
 }
 
 std::optional<standing_room> fleet_core::MissingRoom(
@@ -310,15 +303,7 @@
 
 std::optional<start_refusal> fleet_core::AdmitStarts(
     const schema::fleet_job& job, moment at) {
-  if (!start_admission_.IsCongested(at.now)) return std::nullopt;
-  const queue_spec* const queue = state_.FindQueue(job.queue());
-  if (queue == nullptr) return std::nullopt;
-  const auto starts = FirstStarts(job, *queue, at);
-  if (!starts) return std::nullopt;
-  if (start_admission_.NeedsSample(at.now)) {
-    start_admission_.SetBacklog(StartBacklog(state_, at), at.now);
-  }
-  return start_admission_.Admit(*starts, at.now);
+  return fleet::AdmitStarts(start_admission_, state_, job, at);
 }
 
 void fleet_core::Tick(moment at) {
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -104,7 +104,6 @@
   // True if the executor has active runs or unacknowledged ends, is not in
   // contact, or is said to have restarted.
   bool NeedsHold(std::string_view id) const;
-  static bool NeedsHold(const executor_state& executor);
   executor_state* FindExecutor(std::string_view id) {
     return state_.FindExecutor(id);
   }
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "waxwingfront/core/unix_time.h"
+#include "waxwingfront/fleet/rejection_log.h"
 #include "waxwingfront/fleet/types.h"
 #include "waxwingfront/net/http_status.h"
 
@@ -61,11 +62,11 @@
              .now = ReadClocks,
              .on_no_room =
                  [this](const std::string& job, const standing_room& figures) {
-                   LogNoRoom(job, figures);
+                   LogNoRoom(log, job, figures);
                  },
              .on_link_full =
                  [this](const std::string& job, const start_refusal& refusal) {
-                   LogLinkFull(job, refusal);
+                   LogLinkFull(log, job, refusal);
                  }}),
         server(loop,
                {.address = options.internal_address,
@@ -301,27 +302,6 @@
               logging::line_priority::kUrgent);
   }
 
-  void LogNoRoom(const std::string& job, const standing_room& figures) {
-    log.Write("job_without_room",
-              {{"job", job},
-               {"room", static_cast<std::int64_t>(figures.room)},
-               {"demand", static_cast<std::int64_t>(figures.demand)},
-               {"displaced", static_cast<std::int64_t>(figures.displaced)}});
-  }
-
-  void LogLinkFull(const std::string& job, const start_refusal& refusal) {
-    constexpr double kMsPerSecond = 1000.0;
-    log.Write("job_without_link",
-              {{"job", job},
-               {"wait_ms", refusal.wait.count()},
-               {"max_wait_ms", refusal.max_wait.count()},
-               {"bytes_ahead", static_cast<std::int64_t>(refusal.bytes_ahead)},
-               {"bytes", static_cast<std::int64_t>(refusal.bytes)},
-               {"bytes_per_s",
-                static_cast<std::int64_t>(refusal.bytes_per_ms * kMsPerSecond)},
-               {"retry_after_ms", refusal.retry_after.count()}});
-  }
-
   void FlushLog() {
     log.Flush();
     loop.After(options.log_flush, [this] { FlushLog(); });
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -24,18 +24,6 @@
 // Of this many incomplete rounds one begins with a useless job.
 constexpr std::uint64_t kRoundsPerUselessTurn = 4;
 
-// True if all waiting tasks of the step have the same cost on an executor.
-bool HaveSameCost(const step_state& step) {
-  // Costs of long-running tasks depend on all executors, costs of tasks with a
-  // data rack on how long each task has waited, and tasks that have failed are
-  // more selective.
-  const schema::fleet_step& spec = step.tasks.front().Spec();
-  return !spec.long_running() && spec.data_rack().empty() &&
-         std::ranges::all_of(step.tasks, [](const task_state& task) {
-           return task.phase != task_phase::kWaiting || task.failures == 0;
-         });
-}
-
 }  // namespace
 
 void planner::BeginRound(core::monotonic_time now) {
--- /dev/null
+++ b/src/waxwingfront/fleet/rejection_log.h
@@ -0,0 +1,20 @@
+// Log lines about jobs that the leader rejects.
+#ifndef WAXWINGFRONT_FLEET_REJECTION_LOG_H_
+#define WAXWINGFRONT_FLEET_REJECTION_LOG_H_
+
+#include <string>
+
+#include "waxwingfront/fleet/standing_admission.h"
+#include "waxwingfront/fleet/start_admission.h"
+#include "waxwingfront/logging/event_log.h"
+
+namespace waxwingfront::fleet {
+
+void LogNoRoom(logging::event_log& log, const std::string& job,
+               const standing_room& figures);
+void LogLinkFull(logging::event_log& log, const std::string& job,
+                 const start_refusal& refusal);
+
+}  // namespace waxwingfront::fleet
+
+#endif  // WAXWINGFRONT_FLEET_REJECTION_LOG_H_
--- a/src/waxwingfront/fleet/start_backlog.cc
+++ b/src/waxwingfront/fleet/start_backlog.cc
@@ -124,4 +124,19 @@
   return first;
 }
 
+std::optional<start_refusal> AdmitStarts(start_admission& admission,
+                                         const fleet_state& state,
+                                         const schema::fleet_job& job,
+                                         moment at) {
+  if (!admission.IsCongested(at.now)) return std::nullopt;
+  const queue_spec* const queue = state.FindQueue(job.queue());
+  if (queue == nullptr) return std::nullopt;
+  const auto starts = FirstStarts(job, *queue, at);
+  if (!starts) return std::nullopt;
+  if (admission.NeedsSample(at.now)) {
+    admission.SetBacklog(StartBacklog(state, at), at.now);
+  }
+  return admission.Admit(*starts, at.now);
+}
+
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/start_backlog.h
+++ b/src/waxwingfront/fleet/start_backlog.h
@@ -23,6 +23,13 @@
 std::optional<pending_starts> FirstStarts(const schema::fleet_job& job,
                                           const queue_spec& queue, moment at);
 
+// Returns why a new job is rejected; nothing if it is accepted. Samples the
+// backlog if a decision needs a new sample.
+std::optional<start_refusal> AdmitStarts(start_admission& admission,
+                                         const fleet_state& state,
+                                         const schema::fleet_job& job,
+                                         moment at);
+
 }  // namespace waxwingfront::fleet
 
 #endif  // WAXWINGFRONT_FLEET_START_BACKLOG_H_
--- a/src/waxwingfront/fleet/step_candidates.cc
+++ b/src/waxwingfront/fleet/step_candidates.cc
@@ -6,6 +6,17 @@
 
 namespace waxwingfront::fleet {
 
+bool HaveSameCost(const step_state& step) {
+  // Costs of long-running tasks depend on all executors, costs of tasks with a
+  // data rack on how long each task has waited, and tasks that have failed are
+  // more selective.
+  const schema::fleet_step& spec = step.tasks.front().Spec();
+  return !spec.long_running() && spec.data_rack().empty() &&
+         std::ranges::all_of(step.tasks, [](const task_state& task) {
+           return task.phase != task_phase::kWaiting || task.failures == 0;
+         });
+}
+
 executor_state* step_candidates::SelectCheapest(const task_state& task) {
   executor_state* best = nullptr;
   double lowest = 0.0;
--- a/src/waxwingfront/fleet/step_candidates.h
+++ b/src/waxwingfront/fleet/step_candidates.h
@@ -10,6 +10,9 @@
 
 namespace waxwingfront::fleet {
 
+// True if all waiting tasks of the step have the same cost on an executor.
+bool HaveSameCost(const step_state& step);
+
 // All tasks of a step have the same cost on an executor, so one search covers
 // them all: after a placement only the selected executor is evaluated again.
 class step_candidates {
