Check in simulations that no executor forgets an end that is not stored

Change: entries lapse and come back within 2 s in a new property, beside lost and late writes and messages, crashes and changes of the leader. In all simulations, an end that an executor is told to forget must be in the store by then: a `done` end as a task that succeeded, the `failed` ends of a task as so many failures, unless the job is final or the executor's lease lapsed after the end.

--- a/tests/support/fake_executor.h
+++ b/tests/support/fake_executor.h
@@ -39,6 +39,8 @@
             std::int64_t deadline_ms, std::int64_t now_ms,
             fleet::hold_report& report);
 
+  // Returns the ends that it has not been told to forget.
+  const std::vector<fleet::ended_report>& Ended() const { return ended_; }
   // Returns the number of the last end when the lease last lapsed.
   std::uint64_t LapsedThrough() const { return lapsed_through_; }
 
--- a/tests/support/fleet_invariants.cc
+++ b/tests/support/fleet_invariants.cc
@@ -64,6 +64,36 @@
   }
 }
 
+void fleet_invariants::OnEndForgotten(
+    const fake_executor& executor, const fleet::ended_report& end,
+    const std::optional<schema::fleet_progress>& progress) {
+  // An end before the lease last lapsed does not count.
+  if (end.number <= executor.LapsedThrough()) return;
+  if (progress && progress->state() >= schema::FLEET_COMPLETED) return;
+  bool succeeded = false;
+  std::size_t failures = 0;
+  if (progress) {
+    for (const schema::fleet_task& task : progress->tasks()) {
+      if (task.step() != end.task.step || task.index() != end.task.index) {
+        continue;
+      }
+      succeeded = task.succeeded();
+      failures = task.failures();
+    }
+  }
+  if (end.how == fleet::run_end::kDone && !succeeded) {
+    violations_.push_back(executor.Id() + " forgot a done end of " +
+                          end.task.job + " that is not stored");
+  }
+  if (end.how != fleet::run_end::kFailed) return;
+  std::set<std::uint32_t>& failed = forgotten_failures_[end.task];
+  failed.insert(end.run);
+  if (!succeeded && failures < failed.size()) {
+    violations_.push_back(executor.Id() + " forgot a failed end of " +
+                          end.task.job + " that is not stored");
+  }
+}
+
 void fleet_invariants::OnDrainReported(const std::string& executor,
                                        std::int64_t now_ms) {
   drains_.try_emplace(executor, now_ms);
--- a/tests/support/fleet_invariants.h
+++ b/tests/support/fleet_invariants.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -40,6 +41,11 @@
   // Records the ends that an executor has reported.
   void OnEndsReported(const fake_executor& executor,
                       const fleet::hold_report& report, std::int64_t now_ms);
+  // Checks an end that an executor is about to forget on a leader's word, given
+  // the `progress` of its job in the store.
+  void OnEndForgotten(const fake_executor& executor,
+                      const fleet::ended_report& end,
+                      const std::optional<schema::fleet_progress>& progress);
   // Records that a leader was notified of a draining executor.
   void OnDrainReported(const std::string& executor, std::int64_t now_ms);
   // Discards the earlier reports of an executor that restarts.
@@ -59,6 +65,8 @@
   std::map<std::string, std::int64_t> drains_;
   // Runs that were reported as done.
   std::map<fleet::task_ref, reported_end> done_;
+  // Failed runs that executors have forgotten.
+  std::map<fleet::task_ref, std::set<std::uint32_t>> forgotten_failures_;
   std::vector<std::string> violations_;
 };
 
--- a/tests/support/simulated_fleet.h
+++ b/tests/support/simulated_fleet.h
@@ -38,6 +38,13 @@
   bool reliable_executors = false;
   // Executors that begin to drain per second, out of 1000.
   int drains_per_mille = 0;
+  // Executors whose store entries lapse per second, out of 1000, and the
+  // longest time until an entry is back.
+  int lapses_per_mille = 0;
+  std::int64_t max_lapse_ms = 0;
+  // Time from the crash of an executor until it is back. 0: it loses its state
+  // but answers at once, also what was sent before.
+  std::int64_t crash_downtime_ms = 0;
   // Stalls of a leader per second, out of 1000, and the longest duration.
   int stalls_per_mille = 0;
   std::int64_t max_stall_ms = 0;
@@ -100,6 +107,9 @@
       const std::shared_ptr<leader>& instance, std::function<void(bool)> read);
   void Stall();
   void Drain();
+  void LapseEntry();
+  // Returns the executor's entry, but the state.
+  static fleet::executor_info EntryOf(const fake_executor& executor);
   // Passes the store's entries of all executors to a leader immediately.
   void ListExecutors(const std::shared_ptr<leader>& instance);
   void Watch(const std::shared_ptr<leader>& instance);
@@ -110,6 +120,11 @@
   void Elect();
   void RunLeaderRound(const std::shared_ptr<leader>& instance);
   void HoldAll(const std::shared_ptr<leader>& instance);
+  // Delivers a hold that was meant for the incarnation `born_ms`; returns false
+  // if the token is outdated.
+  bool Hold(fake_executor& executor, std::int64_t born_ms, std::int64_t token,
+            std::uint64_t acknowledged, std::int64_t until_ms,
+            fleet::hold_report& report);
   void Send(const std::shared_ptr<leader>& instance,
             const fleet::orders& decided);
   void Write(const std::shared_ptr<leader>& instance);
@@ -136,6 +151,8 @@
   std::set<std::string> jobs_;
   // Executors whose store entries are marked as draining.
   std::set<std::string> draining_;
+  // Executors that have no store entry.
+  std::set<std::string> lapsed_;
   int entries_version_ = 0;
   fleet_invariants invariants_;
   bool fault_free_ = false;
--- a/tests/waxwingfront/fleet/fleet_core_property_test.cc
+++ b/tests/waxwingfront/fleet/fleet_core_property_test.cc
@@ -90,6 +90,27 @@
            });
 }
 
+TEST_CASE("no executor forgets an end that is not stored", "[fleet]") {
+  rc::prop("invariants hold while entries lapse and store responses are lost",
+           [] {
+             const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+             simulated_fleet simulation(seed, {.jobs = 12,
+                                               .lost_per_mille = 150,
+                                               .late_per_mille = 150,
+                                               .faults_per_mille = 300,
+                                               .max_open_batches = 3,
+                                               .max_batch_records = 3,
+                                               .lapses_per_mille = 700,
+                                               .max_lapse_ms = 2000,
+                                               .crash_downtime_ms = 2000});
+             simulation.Run(kFaultPhaseMs, false);
+             RequireNoViolation(simulation);
+             simulation.Run(kRecoveryMs, true);
+             RequireNoViolation(simulation);
+             RC_ASSERT(simulation.AllFinal());
+           });
+}
+
 TEST_CASE("a slow leader violates no invariant", "[fleet]") {
   rc::prop("executors without faults: a reported end counts", [] {
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
