Keep the interference record until it was read

Callers saw latency-critical tasks disturbed after a change of leader: a new leader placed filling work by default estimates, and for good, since it had replaced what earlier leaders had learned.

A record that does not parse was replaced without a line in the log.

Change: the read is repeated until it is answered. Taking over waits for its first attempt only, as before, because the records of jobs suffice for it; a later answer is merged into what was reported meanwhile, as the prior of the estimates. The record is written only once it was read, found missing or found damaged, and a damaged one is logged.

--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -124,7 +124,7 @@
 
   void StoreSharing() {
     Later(options.sharing_period, [this] { StoreSharing(); });
-    if (!hooks.may_order()) return;
+    if (!hooks.may_order() || !loader.SharingRead()) return;
     store_write write;
     write.expect.push_back({.key = std::string(kLeaderKey), .revision = token});
     write.put.push_back({.key = std::string(kSharingKey),
--- a/src/waxwingfront/fleet/fleet_loader.cc
+++ b/src/waxwingfront/fleet/fleet_loader.cc
@@ -85,20 +85,35 @@
     core.Restore(std::move(job), item.revision, progress_record, revision, at);
   }
 
+  // The records of jobs suffice to take over; a read that failed is repeated
+  // beside the work.
   void ReadSharing() {
     store.get(kSharingKey, [self = shared_from_this()](
                                const core::result<store_page>& page) {
       if (self->closed) return;
-      schema::fleet_sharing record;
-      // Without the record the leader starts its estimates from scratch.
-      if (page && page->items.front().revision != 0 &&
-          record.ParseFromString(page->items.front().value)) {
-        self->core.RestoreSharing(record);
+      if (page) {
+        self->RestoreSharing(page->items.front());
+      } else {
+        self->loop.After(self->retry, [self] {
+          if (!self->closed) self->ReadSharing();
+        });
       }
-      self->hooks.on_loaded();
+      if (!std::exchange(self->loaded, true)) self->hooks.on_loaded();
     });
   }
 
+  // Without the record the leader starts its estimates from scratch.
+  void RestoreSharing(const store_item& item) {
+    sharing_read = true;
+    if (item.revision == 0) return;
+    schema::fleet_sharing record;
+    if (!record.ParseFromString(item.value)) {
+      log.Write("record_damaged", {{"key", kSharingKey}});
+      return;
+    }
+    core.RestoreSharing(record);
+  }
+
   net::event_loop& loop;
   const store_services& store;
   fleet_core& core;
@@ -107,6 +122,8 @@
   logging::event_log& log;
   records jobs;
   records progress;
+  bool loaded = false;
+  bool sharing_read = false;
   bool closed = false;
 };
 
@@ -122,4 +139,6 @@
   internal_->Read(kJobPrefix, "", internal_->jobs, &internal::ReadProgress);
 }
 
+bool fleet_loader::SharingRead() const { return internal_->sharing_read; }
+
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/fleet_loader.h
+++ b/src/waxwingfront/fleet/fleet_loader.h
@@ -1,4 +1,4 @@
-// Loads all job records from the store into a new leader's core.
+// Loads the records in the store into a new leader's core.
 #ifndef WAXWINGFRONT_FLEET_FLEET_LOADER_H_
 #define WAXWINGFRONT_FLEET_FLEET_LOADER_H_
 
@@ -15,7 +15,7 @@
 
 struct fleet_loader_hooks {
   std::function<moment()> now;
-  // All records are loaded into the core.
+  // All records of jobs are loaded into the core.
   std::function<void()> on_loaded;
 };
 
@@ -30,6 +30,10 @@
 
   void Start();
 
+  // True once the interference record was read: it is in the core, missing or
+  // damaged. Before that it must not be overwritten.
+  bool SharingRead() const;
+
  private:
   struct internal;
   std::shared_ptr<internal> internal_;
--- a/src/waxwingfront/fleet/sharing_model.cc
+++ b/src/waxwingfront/fleet/sharing_model.cc
@@ -358,7 +358,9 @@
     const std::size_t index = ServingIndex(row.image());
     if (index >= kMaxImages) continue;
     serving_image& image = images_[index];
-    image.base_ms = row.base_ms();
+    // A lower latency was reported before the record was read.
+    const bool lower = image.base_ms == 0.0 || row.base_ms() < image.base_ms;
+    if (lower && row.base_ms() > 0.0) image.base_ms = row.base_ms();
     image.prior_weight = kRestoredWeight;
     for (int i = 0; i < row.pressures_size(); ++i) {
       const std::size_t image_index =
--- a/src/waxwingfront/fleet/sharing_model.h
+++ b/src/waxwingfront/fleet/sharing_model.h
@@ -80,7 +80,8 @@
   // interfere with them, from 0 to 1; 0 for different images without reports.
   double Similarity(std::string_view left, std::string_view right) const;
 
-  // Saves and restores the model, so that a later leader starts from it.
+  // Saves and restores the model, so that a later leader starts from it, or
+  // continues with it if it has processed reports already.
   schema::fleet_sharing ToRecord() const;
   void Restore(const schema::fleet_sharing& record);
 
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -25,6 +25,7 @@
   void Remove(const std::string& key);
   // Returns the value of a key; empty if the key does not exist.
   std::string Value(const std::string& key) const;
+  bool Holds(const std::string& key) const { return items_.contains(key); }
   // Ends a lease and removes the keys attached to it.
   void EndLease(std::int64_t lease);
   // Returns the lease that `key` is attached to; 0 if there is none.
--- a/tests/waxwingfront/fleet/sharing_model_test.cc
+++ b/tests/waxwingfront/fleet/sharing_model_test.cc
@@ -85,6 +85,28 @@
         Approx(first.Utilisation("soft", 18.0)));
 }
 
+// Guards against reports that a record read late undoes.
+TEST_CASE("a restored record keeps a lower tail latency that was reported",
+          "[fleet]") {
+  sharing_model model;
+  const std::vector<sharing_model::serving_latency> serving = {
+      {.job = "job", .index = 0, .image = "soft", .tail_ms = 10.0}};
+  model.Observe("e", kCapacityMillis, {}, serving, At(0).now);
+  const double before = model.Utilisation("soft", 18.0);
+  schema::fleet_sharing record;
+  schema::fleet_sharing::serving_image& row = *record.add_serving_images();
+  row.set_image("soft");
+  row.set_base_ms(15.0);
+  model.Restore(record);
+  CHECK(model.Utilisation("soft", 18.0) == before);
+  row.set_base_ms(0.0);
+  model.Restore(record);
+  CHECK(model.Utilisation("soft", 18.0) == before);
+  row.set_base_ms(1.0);
+  model.Restore(record);
+  CHECK(model.Utilisation("soft", 18.0) > before);
+}
+
 TEST_CASE("a rising own load is extrapolated", "[fleet]") {
   sharing_model model;
   for (int n = 0; n < 30; ++n) {
