Take an interference record with odd rows for damaged

Callers saw no leader get ready for as long as such a record was in the store: each new one ended while it loaded.

Cause: sharing_model::Restore reads as many pressures of a row as it has, by the list of images, whose at() throws beyond its end. Fewer pressures than images left the rest at the prior without a word.

The test failed before: std::out_of_range from the loader (index 1 of 1) for the longer row, no record_damaged line for the shorter one.

Change: the loader passes on a record only if each row has a pressure for each image, as all records that are written have; otherwise it logs record_damaged, and the estimates start from scratch.

--- a/src/waxwingfront/fleet/fleet_loader.cc
+++ b/src/waxwingfront/fleet/fleet_loader.cc
@@ -1,5 +1,6 @@
 #include "waxwingfront/fleet/fleet_loader.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -107,7 +108,11 @@
     sharing_read = true;
     if (item.revision == 0) return;
     schema::fleet_sharing record;
-    if (!record.ParseFromString(item.value)) {
+    const auto whole = [&record](const auto& row) {
+      return row.pressures_size() == record.filling_images_size();
+    };
+    if (!record.ParseFromString(item.value) ||
+        !std::ranges::all_of(record.serving_images(), whole)) {
       log.Write("record_damaged", {{"key", kSharingKey}});
       return;
     }
--- a/tests/waxwingfront/fleet/sharing_record_test.cc
+++ b/tests/waxwingfront/fleet/sharing_record_test.cc
@@ -125,5 +125,23 @@
         std::string::npos);
 }
 
+// Guards against an index beyond the images, which ended each new leader.
+TEST_CASE("an interference record with odd rows is damaged", "[fleet]") {
+  const bool longer = GENERATE(true, false);
+  schema::fleet_sharing record = Estimates();
+  if (longer) {
+    record.mutable_serving_images(0)->add_pressures(0.5);
+  } else {
+    record.mutable_serving_images(0)->clear_pressures();
+  }
+  new_leader process(record.SerializeAsString());
+  process.TakeOver();
+  CHECK(process.leader->Core().SharingRecord().serving_images_size() == 0);
+  process.log.Flush();
+  CHECK(process.stream.Read().find(
+            R"("event":"record_damaged","key":"wf/sharing")") !=
+        std::string::npos);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
