Recheck the leader after a response of one that no longer leads

Callers of a process that had missed a change of leader got no_owner after 1 s, or outcome_unknown at the end of their time, although another process led: the call went to the former leader again and again.

Cause: the gateway rechecked the leader only if an attempt got no response. FLEET_NOT_LEADING, or FLEET_OUTCOME_UNKNOWN of a leader that was deposed while it stored the job, only led to another attempt at the same address.

The test failed before with both outcomes: with FLEET_NOT_LEADING the call ended in an error, with FLEET_OUTCOME_UNKNOWN it had no response after 3 s. Now both get FLEET_OK, and the next leader sees one call.

--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -185,6 +185,7 @@
   if (reply.outcome() == schema::FLEET_NOT_LEADING ||
       reply.outcome() == schema::FLEET_OUTCOME_UNKNOWN) {
     call->may_have_arrived |= reply.outcome() == schema::FLEET_OUTCOME_UNKNOWN;
+    RecheckLeader(*call);
     Retry(std::move(call), options_.retry);
     return;
   }
--- a/tests/waxwingfront/fleet/job_gateway_test.cc
+++ b/tests/waxwingfront/fleet/job_gateway_test.cc
@@ -85,7 +85,10 @@
                  .leader_search_timeout = milliseconds(1000)},
                 {.local = [] { return nullptr; },
                  .leader = [this] { return leader; },
-                 .recheck_leader = [] {},
+                 .recheck_leader =
+                     [this] {
+                       if (on_recheck) on_recheck();
+                     },
                  .now = [] { return At(0); }}) {
     REQUIRE(server.Start());
     leader = server.Address();
@@ -109,6 +112,7 @@
   net::event_loop loop;
   std::vector<net::async_http_server::responder> responders;
   std::function<void(const net::async_http_server::responder&)> on_call;
+  std::function<void()> on_recheck;
   std::string leader;
   std::vector<core::result<schema::fleet_reply>> replies;
   net::async_http_client client{loop, {}};
@@ -215,6 +219,42 @@
   CHECK(remote.replies.empty());
 }
 
+// Guards against calls that stay with a process that no longer leads.
+TEST_CASE("a call to a process that no longer leads reaches the next leader",
+          "[fleet]") {
+  const auto outcome =
+      GENERATE(schema::FLEET_NOT_LEADING, schema::FLEET_OUTCOME_UNKNOWN);
+  CAPTURE(outcome);
+  remote_leader remote;
+  int calls = 0;
+  net::async_http_server next(
+      remote.loop, {.address = "127.0.0.1:0"},
+      [&calls](const net::server_request&,
+               const net::async_http_server::responder& respond) {
+        ++calls;
+        respond(remote_leader::Reply(schema::FLEET_OK));
+      });
+  REQUIRE(next.Start());
+  bool deposed = false;
+  remote.on_call = [&](const net::async_http_server::responder& respond) {
+    deposed = true;
+    respond(remote_leader::Reply(outcome));
+  };
+  // The store names the next leader only once the first one is deposed.
+  remote.on_recheck = [&] {
+    if (deposed) remote.leader = next.Address();
+  };
+  remote.Cancel(milliseconds(5000));
+  REQUIRE(RunUntil(
+      remote.loop, [&remote] { return !remote.replies.empty(); },
+      milliseconds(3000)));
+  REQUIRE(remote.replies[0]);
+  CHECK(remote.replies[0]->outcome() == schema::FLEET_OK);
+  RunFor(remote.loop, milliseconds(200));
+  CHECK(calls == 1);
+  CHECK(remote.replies.size() == 1);
+}
+
 // A process that leads, with a store that can be made unavailable.
 struct leading_process {
   leading_process()
