--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -5,9 +5,13 @@
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "support/loop_runner.h"
 #include "waxwingfront/net/async_http_server.h"
@@ -73,20 +77,34 @@
 
 // A store that sends the same response to every call after a delay.
 struct delayed_store {
-  delayed_store(milliseconds delay, std::string body)
+  delayed_store(milliseconds delay, std::string body, int status = 200)
       : server(loop, {.address = "127.0.0.1:0"},
-               [this, delay, body = std::move(body)](
+               [this, delay, status, body = std::move(body)](
                    const net::server_request&,
                    const net::async_http_server::responder& respond) {
                  ++calls;
-                 loop.After(delay, [respond, body] {
-                   respond({.status = 200, .body = body});
+                 loop.After(delay, [respond, status, body] {
+                   respond({.status = status, .body = body});
                  });
                }) {
     REQUIRE(server.Start());
     services = platform::MakeStoreServices(server.Address(), client);
   }
 
+  // Calls the service with `arguments` and returns the response.
+  template <typename Result, typename Service, typename... Arguments>
+  Result Call(const Service& service, const Arguments&... arguments) {
+    std::optional<Result> got;
+    service(arguments..., [&got](Result result) { got = std::move(result); });
+    REQUIRE(RunUntil(loop, [&got] { return got.has_value(); }));
+    return *std::move(got);
+  }
+  fleet::store_write_reply Write() {
+    return Call<fleet::store_write_reply>(
+        services.write,
+        fleet::store_write{.expect = {{.key = "k", .revision = 2}}});
+  }
+
   // Repeats the write until it is applied.
   void WriteUntilApplied() {
     services.write({}, [this](const fleet::store_write_reply& reply) {
@@ -114,7 +132,9 @@
 
 TEST_CASE("ranges and watches adapt their timeouts to late store responses",
           "[platform]") {
-  delayed_store store(milliseconds(800), R"({"revision":3,"at":3})");
+  delayed_store store(milliseconds(800),
+                      R"({"revision":3,"at":3,"items":[],"has_more":false,)"
+                      R"("events":[]})");
   store.WriteUntilApplied();
   REQUIRE(RunUntil(store.loop, [&store] { return store.applied; }));
   std::optional<core::result<fleet::store_page>> page;
@@ -131,5 +151,19 @@
   CHECK(changes->has_value());
 }
 
+constexpr milliseconds kNoDelay{0};
+constexpr int kConflict = 412;
+
+// Guards against a removal that is repeated for ever, since the response to its
+// first attempt was lost.
+TEST_CASE("a key that a conflict leaves out does not exist", "[platform]") {
+  delayed_store store(kNoDelay, R"({"at":7,"items":[]})", kConflict);
+  const fleet::store_write_reply reply = store.Write();
+  CHECK(reply.status == fleet::store_write_status::kConflict);
+  REQUIRE(reply.actual.size() == 1);
+  CHECK(reply.actual[0].key == "k");
+  CHECK(reply.actual[0].revision == 0);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
