Repeat the request that ends a former leader's lease

A leader that hands over or is told to stop ends its lease with one request, which has no answer. If that request was lost while late renewals arrived, the reservation, or the key of a process that was gone, lasted for as long as these extended the lease, and nobody could claim.

Evidence: "a lost request to end a leader's lease is repeated" failed before, for a reservation and for a process that resigns: nobody else was elected within 10 s (the fake store ends no lease by itself).

The claim under which a process led last is now a class of its own. A process does not lead twice under one token, whatever made it step down: this held for hand-overs and resignations only. Cost: one more read of the key per hand-over.

--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "waxwingfront/fleet/former_claim.h"
 #include "waxwingfront/fleet/leader_record.h"
 #include "waxwingfront/fleet/record_keys.h"
 
@@ -78,7 +79,7 @@
       OnReserved(record, revision);
       return;
     }
-    if (revision != relinquished_token) {
+    if (revision != former.Token()) {
       if (value == OwnValue() && !resigned) {
         OnClaimed(revision);
         return;
@@ -89,8 +90,15 @@
         SetLeader(record.address, record.strength, revision);
       }
     }
-    // The request that ends or reserves the relinquished key is in flight.
-    follower.Watch();
+    Follow(record, revision);
+  }
+
+  void Follow(const leader_record& record, std::int64_t revision) {
+    if (former.EndAgain(record, revision)) {
+      follower.ReadLater();
+    } else {
+      follower.Watch();
+    }
   }
 
   // Only the process that the key is reserved for claims it. The reservation
@@ -109,7 +117,7 @@
       decline.remove.emplace_back(kLeaderKey);
       store.write(decline, [](const store_write_reply&) {});
     }
-    follower.Watch();
+    Follow(record, revision);
   }
 
   void NoteReservation(const leader_record& record, std::int64_t revision) {
@@ -117,7 +125,7 @@
     OnVacancyEnded();
     leaderless_since = core::Now() - record.leaderless;
     SetLeaderless(revision);
-    if (record.reserved_by != relinquished_token && hooks.on_reserved) {
+    if (record.reserved_by != former.Token() && hooks.on_reserved) {
       hooks.on_reserved(record.address);
     }
   }
@@ -216,6 +224,7 @@
   void StepDown(std::string_view reason) {
     if (!leading) return;
     leading = false;
+    former.Set(token, lease.id);
     renewal.Stop();
     // The cause may be this process's own connection to the store.
     last_response.reset();
@@ -224,15 +233,6 @@
     follower.Read();
   }
 
-  // Steps down for good under this token, even while the leader key still names
-  // this process.
-  void Relinquish(std::string_view reason) {
-    if (!leading) return;
-    relinquished_token = token;
-    relinquished_lease = lease.id;
-    StepDown(reason);
-  }
-
   void HandOver(const std::string& successor) {
     if (!leading) return;
     store_write reservation;
@@ -245,10 +245,9 @@
                                       .reserved_by = token,
                                       .leaderless = LeaderlessTime()}),
          .lease = lease.id});
-    Relinquish("handed over");
-    const auto release = [self = shared_from_this(),
-                          of = std::exchange(relinquished_lease, 0)] {
-      if (!self->closed) self->store.end_lease(of);
+    StepDown("handed over");
+    const auto release = [self = shared_from_this(), of = lease.id] {
+      if (!self->closed) self->EndReservation(of);
     };
     store.write(reservation, [release](const store_write_reply& reply) {
       if (reply.status != store_write_status::kApplied) release();
@@ -263,10 +262,10 @@
                                                           *leaderless_since);
   }
 
-  void Release() {
-    if (relinquished_lease == 0) return;
-    store.end_lease(relinquished_lease);
-    relinquished_lease = 0;
+  void EndReservation(std::int64_t of) {
+    former.End(of);
+    // Shows whether the request was lost.
+    if (!leading && !claiming && !follower.Reading()) follower.ReadLater();
   }
 
   net::event_loop& loop;
@@ -281,10 +280,8 @@
   std::int64_t lease_requested_ms = 0;
   lease_renewal renewal;
   std::int64_t token = 0;
-  // Token under which this process no longer leads, even if the key names it.
-  std::int64_t relinquished_token = 0;
-  // Lease of `relinquished_token`; 0 once its end was requested.
-  std::int64_t relinquished_lease = 0;
+  // Nobody leads under it any more, even while the key names this process.
+  former_claim former{store};
   // Token of the latest known leader.
   std::int64_t latest_token = 0;
   bool leading = false;
@@ -367,8 +364,9 @@
 
 void leadership::Resign() {
   internal_->resigned = true;
-  internal_->Relinquish("resigned");
-  internal_->Release();
+  if (!internal_->leading) return;
+  internal_->StepDown("resigned");
+  internal_->former.End(internal_->lease.id);
 }
 
 void leadership::HandOver(const std::string& successor) {
--- a/tests/waxwingfront/fleet/hand_over_test.cc
+++ b/tests/waxwingfront/fleet/hand_over_test.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "support/candidate.h"
 #include "support/fake_store.h"
@@ -90,6 +91,20 @@
                  [&] { return scene.one.elected + scene.two->elected == 2; }));
 }
 
+TEST_CASE("a lost request to end a leader's lease is repeated", "[fleet]") {
+  hand_over_scene scene;
+  const auto end = scene.one.store.end_lease;
+  // Renewals that arrive late keep the lease alive until then.
+  bool lost = false;
+  scene.one.store.end_lease = [&](std::int64_t lease) {
+    if (std::exchange(lost, true)) end(lease);
+  };
+  SECTION("of a reservation") { scene.one.election.HandOver("gone"); }
+  SECTION("of a process that resigns") { scene.one.election.Resign(); }
+  CHECK(RunUntil(scene.loop,
+                 [&] { return scene.one.elected + scene.two->elected == 2; }));
+}
+
 TEST_CASE("a process that is ending declines leadership at once", "[fleet]") {
   hand_over_scene scene;
   candidate ending(scene.loop, scene.store, "ending");
