Acknowledge ends only once the version that knows of them is stored

Cause: the list of ends that wait for a write belongs to the executor's state, which is dropped when the executor's entry lapses. When the entry is back, the executor lists the same ends again. They are not those of active runs any more, so they were acknowledged at once, without waiting for a write. Only members of gangs waited.

Each end now waits for the version that its job has when the end is processed. That version includes whatever the end has changed, in this report, in an earlier one, or through another member of a gang.

--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -91,19 +91,16 @@
     const bool current = task != nullptr && task->Active() &&
                          task->run == end.run &&
                          task->executor == executor.info.id;
-    if (!current) {
-      // A gang member may have ended because another member did. That other
-      // end has to be stored as well before this one is forgotten.
-      const bool gang = task != nullptr && task->Spec().gang();
-      executor.pending_ends.push_back({end.number,
-                                       gang ? end.task.job : std::string(),
-                                       gang ? task->job->version : 0});
-      continue;
+    if (current) {
+      RecordCheckpoint(*task, end.checkpoint);
+      EndRun(*task, OutcomeOf(end.how), at);
     }
-    RecordCheckpoint(*task, end.checkpoint);
-    job_state& job = *task->job;
-    EndRun(*task, OutcomeOf(end.how), at);
-    executor.pending_ends.push_back({end.number, job.Id(), job.version});
+    // An earlier report, or the end of another gang member, may have ended the
+    // run in a version that is not stored yet.
+    const job_state* const job = state_.FindJob(end.task.job);
+    executor.pending_ends.push_back({.number = end.number,
+                                     .job = end.task.job,
+                                     .version = job ? job->version : 0});
   }
   state_.AcknowledgeEnds(executor);
 }
