Lose writes beside changes of the leader in the soak

Cause: three things were missing. All executors had room for 64 tasks and were never idle, so leaders dropped none of them. And writes were late for all calls of a process alike: nothing else was stored meanwhile, so no new start or hold told the executor which ends it could forget. The check was there: a start after an end `done` that `last_seen` reached is TWICE.

Change: in seeds 7n and 9n, for 4 to 9 s at a time, the store gate gives no answer to 15 to 64 % of the transactions and carries them out up to 8 s later under their own conditions; the others take up to 0.3 s. Entries lapse for 20 to 120 ms and come back with the same incarnation, and the leader is killed, hands over or loses its lease every 1.5 to 3 s. In two of three such times no other fault begins. These seeds have twelve more executors, each with room for one task. The draws have a generator of their own, so other faults stay as they were for a seed.

--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -33,6 +33,12 @@
 constexpr int kCalmSeeds = 6;
 constexpr double kSlowClock = 0.98;
 
+// For one task. Leaders drop an executor that is idle when its entry lapses.
+constexpr int kSmallCpu = 500;
+constexpr int kCpu = 32'000;
+
+bool LosesWrites(std::uint64_t seed) { return seed % 7 == 0 || seed % 9 == 0; }
+
 struct soak_options {
   std::string program = WAXWINGFRONT_PROGRAM;
   std::string report = "soak-report";
@@ -140,11 +146,15 @@
   auto& gangs = *new gang_hall;
   std::vector<soak_executor*> executors;
   executors.reserve(static_cast<std::size_t>(options.executors));
-  for (int i = 0; i < options.executors; ++i) {
+  const bool late_writes = LosesWrites(options.seed);
+  const int small = late_writes ? 2 * options.executors : 0;
+  for (int i = 0; i < options.executors + small; ++i) {
+    const bool is_small = i >= options.executors;
     executors.push_back(new soak_executor(
         platform,
-        {.common = {.id = "i-" + std::to_string(i + 1),
+        {.common = {.id = (is_small ? "i-0" : "i-") + std::to_string(i + 1),
                     .service = i % 2 == 0 ? "serve1" : "serve2"},
+         .cpu = is_small ? kSmallCpu : kCpu,
          .clock_rate = i % 3 == 0 ? kSlowClock : 1,
          .gangs = &gangs},
         [&book](const review::run_event& event) { book.Ran(event); }));
@@ -159,7 +169,9 @@
                    .gate = gate,
                    .executors = executors,
                    .links = MakeLinks(processes, gate, machines)},
-                  {.seed = options.seed, .replaces = options.seed % 6 == 4});
+                  {.seed = options.seed,
+                   .replaces = options.seed % 6 == 4,
+                   .late_writes = late_writes});
   book.is_disturbed = [&](milliseconds time) {
     const milliseconds since = log.Now() - time;
     return processes.AnyDisturbedSince(since) || faults.LinksDisturbed(since);
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -25,7 +25,9 @@
       random_(options.seed),
       link_random_(options.seed + 1),
       clock_random_(options.seed + 2),
-      replaces_(options.replaces) {}
+      write_random_(options.seed + 3),
+      replaces_(options.replaces),
+      late_writes_(options.late_writes) {}
 
 int schedule::Draw(random& draw, int below) {
   return std::uniform_int_distribution<int>(0, below - 1)(draw);
@@ -177,6 +179,7 @@
   milliseconds next = log_.Now() + kFirstFault;
   milliseconds next_link = next;
   milliseconds next_clock = next;
+  milliseconds next_late = next;
   milliseconds calm = next + kFaultTime;
   if (replaces_)
     After(2 * kFirstFault.count(), [this] { Replace(DrawNode()); });
@@ -191,6 +194,12 @@
       StepClock();
       next_clock = log_.Now() + milliseconds(500 + Draw(clock_random_, 9000));
     }
+    if (late_writes_ && log_.Now() >= next_late) {
+      const milliseconds lost = LoseWrites();
+      // Some leaders get to work, since no others of these faults begin.
+      if (Draw(write_random_, 3) > 0) Await([] { return false; }, lost);
+      next_late = log_.Now() + milliseconds(2000 + Draw(write_random_, 4000));
+    }
     if (log_.Now() >= next_link) {
       DisturbProcessLink();
       next_link = log_.Now() + milliseconds(500 + Draw(link_random_, 5000));
@@ -217,6 +226,7 @@
   for (auto& [time, action] : std::exchange(due_, {})) action();
   for (std::size_t i = 0; i < site_.Size(); ++i) site_.Continue(i);
   outside_.gate.SetAll({});
+  outside_.gate.SetLateWrites({});
   for (fault_proxy* const one : outside_.links) one->Set({});
   for (soak_executor* const one : outside_.executors) {
     one->Set({});
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -32,6 +32,8 @@
   std::uint64_t seed = 1;
   // Successors start beside processes that are still ending.
   bool replaces = false;
+  // Writes without an answer beside changes of the leader.
+  bool late_writes = false;
 };
 
 class schedule {
@@ -72,6 +74,10 @@
   void DisturbLink(random& draw, fault_proxy& link, const std::string& about);
   void DisturbProcessLink();
   void StepClock();
+  // In series with changes of the leader and entries that lapse. Returns for
+  // how long.
+  milliseconds LoseWrites();
+  void ChangeLeader(int how);
   void LoseExecutor(soak_executor& target);
   // Many idle connections at once.
   void Crowd(std::size_t node);
@@ -86,10 +92,12 @@
   // Apart from the other faults, which stay as they are for a seed.
   random link_random_;
   random clock_random_;
+  random write_random_;
   std::int64_t version_ = 0;
   std::multimap<milliseconds, std::function<void()>> due_;
   std::atomic<std::int64_t> disturbed_until_ms_{0};
   bool replaces_;
+  bool late_writes_;
 };
 
 }  // namespace waxwingfront::soak
--- a/tests/soak/schedule_outside.cc
+++ b/tests/soak/schedule_outside.cc
@@ -12,6 +12,8 @@
 constexpr int kLongestStepMs = 4000;
 // Orders are carried out this much later at most.
 constexpr int kLongestDelayMs = 2500;
+constexpr int kSlowestWriteMs = 300;
+constexpr int kLongestLapseMs = 100;
 
 }  // namespace
 
@@ -139,6 +141,52 @@
           0, [] {});
 }
 
+void schedule::ChangeLeader(int how) {
+  const std::optional<std::size_t> leader = outside_.gate.Leader();
+  if (!leader) return;
+  switch (how) {
+    case 0:
+      site_.Kill(*leader);
+      break;
+    case 1:
+    case 2:
+      site_.Terminate(*leader);
+      break;
+    default:
+      outside_.gate.EndLeaderLease();
+      Outside("the leader's lease ends", 0, [] {});
+      break;
+  }
+}
+
+milliseconds schedule::LoseWrites() {
+  random& draw = write_random_;
+  const late_writes late = {
+      .percent = 15 + Draw(draw, 50),
+      .latest = milliseconds(3000 + Draw(draw, kLongestFaultMs)),
+      .delay = milliseconds(Draw(draw, kSlowestWriteMs)),
+      .seed = draw()};
+  const int time_ms = 4000 + Draw(draw, kLongestFaultMs);
+  outside_.gate.SetLateWrites(late);
+  Outside("the store answers " + std::to_string(late.percent) +
+              " % of the writes not at all and is up to " +
+              std::to_string(late.latest.count()) +
+              " ms late for these, and entries lapse",
+          time_ms, [this] { outside_.gate.SetLateWrites({}); });
+  for (soak_executor* const one : outside_.executors) {
+    for (int at = Draw(draw, 500); at < time_ms; at += 200 + Draw(draw, 500)) {
+      After(at, [one, time = milliseconds(20 + Draw(draw, kLongestLapseMs))] {
+        one->Lapse(time);
+      });
+    }
+  }
+  for (int at = 1000 + Draw(draw, 1500); at < time_ms;
+       at += 1500 + Draw(draw, 1500)) {
+    After(at, [this, how = Draw(draw, 6)] { ChangeLeader(how); });
+  }
+  return milliseconds(time_ms);
+}
+
 void schedule::DisturbExecutor() {
   constexpr std::array kAnswers = {
       odd_answer::kUnavailable,   odd_answer::kTooMany,
--- a/tests/soak/soak_executor.cc
+++ b/tests/soak/soak_executor.cc
@@ -92,6 +92,12 @@
   runs_->StepClock(step);
 }
 
+void soak_executor::Lapse(milliseconds time) {
+  const std::scoped_lock lock(mutex_);
+  lapsed_until_ = clock::now() + time;
+  next_report_ = lapsed_until_;
+}
+
 void soak_executor::Crash() {
   {
     const std::scoped_lock lock(mutex_);
@@ -136,9 +142,10 @@
          proxy_->Address() +
          R"(","zone":"z1","version":"v1","slots":8,"state":")" +
          (drains ? "draining" : "ready") +
-         R"(","cold_remaining_ms":0,"capacity":{"cpu":32000,)"
-         R"("memory_request_mb":128000,"gpu":0},"labels":[")" +
-         kind_ + R"(",")" + options_.common.rack + R"("],"clock_ms":)" +
+         R"(","cold_remaining_ms":0,"capacity":{"cpu":)" +
+         std::to_string(options_.cpu) +
+         R"(,"memory_request_mb":128000,"gpu":0},"labels":[")" + kind_ +
+         R"(",")" + options_.common.rack + R"("],"clock_ms":)" +
          std::to_string(runs_->ClockMs()) +
          (drains ? R"(,"remaining_ms":)" + std::to_string(remaining.count())
                  : std::string()) +
@@ -155,13 +162,14 @@
     const bool leaves = up_ && now >= leaves_at_;
     if (leaves) Leave();
     const bool expired =
+        now < lapsed_until_ ||
         now - last_report_ > kSilentHeartbeats * options_.heartbeat;
     if (listed_ && (leaves || expired)) {
       platform_.Remove(key);
       listed_ = false;
     }
     if (!up_) continue;
-    if (now >= next_report_ && !fault_.unreported) {
+    if (now >= std::max(next_report_, lapsed_until_) && !fault_.unreported) {
       ++sequence_;
       platform_.Put(key, Entry());
       listed_ = true;
--- a/tests/soak/soak_executor.h
+++ b/tests/soak/soak_executor.h
@@ -53,6 +53,8 @@
   // From its draining entry until it leaves.
   milliseconds drain{2000};
   std::int64_t max_hold_ms = 10'000;
+  // Thousandths of a core.
+  int cpu = 32'000;
   // The clock may be 2 % slow.
   double clock_rate = 1;
   // Outlives the executor.
@@ -82,6 +84,8 @@
   void Restart(const std::string& kind);
   // Its clock steps forward.
   void StepClock(milliseconds step);
+  // Its entry is gone for `time`, then back, while it serves.
+  void Lapse(milliseconds time);
   // Reports `draining`, serves for `drain`, then terminates and removes its
   // entry.
   void Drain();
@@ -115,6 +119,7 @@
   std::int64_t sequence_ = 0;
   clock::time_point next_report_;
   clock::time_point last_report_;
+  clock::time_point lapsed_until_;
   // Set while it drains.
   clock::time_point leaves_at_ = clock::time_point::max();
   std::unique_ptr<run_table> runs_;
--- a/tests/soak/store_gate.cc
+++ b/tests/soak/store_gate.cc
@@ -12,6 +12,7 @@
 using review::http_response;
 
 const char* const kLeaderKey = "wf/leader";
+constexpr int kWhole = 100;
 
 bool IsWatch(const http_request& request) {
   return request.path == "/kv-watch";
@@ -72,6 +73,19 @@
   changed_.notify_all();
 }
 
+void store_gate::SetLateWrites(const late_writes& late) {
+  const std::scoped_lock lock(mutex_);
+  late_ = late;
+  late_random_.seed(late.seed);
+}
+
+store_gate::late_write store_gate::DrawLate() {
+  std::uniform_int_distribution<int> percent(0, kWhole - 1);
+  if (percent(late_random_) >= late_.percent) return {.delay = late_.delay};
+  std::uniform_int_distribution<std::int64_t> delay(0, late_.latest.count());
+  return {.delay = milliseconds(delay(late_random_)), .answered = false};
+}
+
 http_request store_gate::Call(const std::string& path, const std::string& key) {
   http_request request;
   request.method = "GET";
@@ -87,9 +101,21 @@
   forgotten_ = now;
 }
 
+std::int64_t store_gate::LeaderLease() {
+  return Member(platform_.Handle(Call("/kv-key", kLeaderKey)), "lease");
+}
+
+std::optional<std::size_t> store_gate::Leader() {
+  const std::int64_t lease = LeaderLease();
+  const std::scoped_lock lock(mutex_);
+  for (std::size_t i = 0; lease != 0 && i < processes_.size(); ++i) {
+    if (processes_[i].lease == lease) return i;
+  }
+  return std::nullopt;
+}
+
 bool store_gate::EndLeaderLease() {
-  const std::int64_t lease =
-      Member(platform_.Handle(Call("/kv-key", kLeaderKey)), "lease");
+  const std::int64_t lease = LeaderLease();
   if (lease == 0) return false;
   platform_.Handle(Call("/kv-lease-end/" + std::to_string(lease)));
   return true;
@@ -106,15 +132,18 @@
   if (IsWatch(request) && After(request) < forgotten_) {
     return {.status = 410, .body = "{}"};
   }
+  const late_write late = request.path == "/kv-txn" ? DrawLate() : late_write();
   lock.unlock();
-  if (!IsRead(request)) Sleep(fault.write_delay);
+  if (!IsRead(request)) Sleep(fault.write_delay + late.delay);
   http_request translated = request;
   caller.written.TranslateItems(translated.body);
   for (auto& [name, value] : translated.query) caller.written.Translate(value);
   http_response response = platform_.Handle(translated);
+  if (!late.answered) return {.status = 0, .body = {}};
   caller.read.TranslateItems(response.body);
   Sleep(fault.response_delay);
   lock.lock();
+  if (request.path == "/kv-lease") caller.lease = Member(response, "lease");
   // A refusal that began during a watch cuts it.
   const store_refusal refusal = caller.fault.refusal;
   if (IsWatch(request) && refusal != store_refusal::kNone) {
--- a/tests/soak/store_gate.h
+++ b/tests/soak/store_gate.h
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -41,6 +43,17 @@
   milliseconds response_delay{0};
 };
 
+// Transactions of all processes that get no answer and are carried out later,
+// where their conditions hold then.
+struct late_writes {
+  int percent = 0;
+  milliseconds latest{0};
+  // The others are carried out and answered this much later.
+  milliseconds delay{0};
+  // Of the choice and of the delays.
+  std::uint64_t seed = 1;
+};
+
 // Thread-safe. Threads use it until the process ends, so it is never destroyed.
 class store_gate {
  public:
@@ -56,24 +69,36 @@
   // Applies to calls that arrive from now on; refusals also to waiting watches.
   void Set(std::size_t process, const store_fault& fault);
   void SetAll(const store_fault& fault);
+  // Applies to transactions that arrive from now on, beside the other faults.
+  void SetLateWrites(const late_writes& late);
   // Watches that ask for changes up to now get 410.
   void ForgetHistory();
   // Ends the lease of the leader; false if there is no leader.
   bool EndLeaderLease();
+  // The process whose lease holds the leader's key.
+  std::optional<std::size_t> Leader();
 
  private:
   struct process_state {
     store_fault fault;
     int answered = 0;
+    // The last that it was granted; 0: none.
+    std::int64_t lease = 0;
     address_map written;
     address_map read;
     std::unique_ptr<review::http_server> server;
   };
+  struct late_write {
+    milliseconds delay{0};
+    bool answered = true;
+  };
 
   review::http_response Handle(std::size_t process,
                                const review::http_request& request);
   review::http_response Refuse(std::size_t process, store_refusal refusal,
                                std::unique_lock<std::mutex>& lock);
+  late_write DrawLate();
+  std::int64_t LeaderLease();
   static review::http_request Call(const std::string& path,
                                    const std::string& key = "");
 
@@ -81,6 +106,8 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::vector<process_state> processes_;
+  late_writes late_;
+  std::mt19937_64 late_random_;
   std::int64_t forgotten_ = 0;
 };
 
