Report unreadable responses of the store as errors

Callers could lose work without a sign: a leader that took an unreadable item of a job, of its leases or of the leader key for a missing one, or a truncated page of jobs, members or executors for a whole one, would overwrite, forget or give up what is stored. Rows that are no objects, and values that are not base64, ended the process.

Cause: the adapter read each field with a default: no body was a missing key, no list an empty one, no revision 0, no ttl the wanted one. The same held for changes, conflicts, writes and leases.

Reads, watches and grants fail with the error type protocol, which all their callers repeat after a pause; a write whose response is unreadable has an unknown outcome, and a renewal an unknown one; an item must be the one asked for, and a conflict may name only expected keys. A 404 needs a body with the store's revision, since the watch begins there.

--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -78,7 +78,7 @@
       rows += "," + Row("servers/i-" + std::to_string(i),
                         EntryAt("10.0.0.9:" + std::to_string(1000 + i)), 1);
     }
-    return R"({"at":1,"items":[)" + rows + "]}";
+    return R"({"at":1,"has_more":false,"items":[)" + rows + "]}";
   }
 
   // Responds to the open watch with one change of each key.
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -99,11 +99,30 @@
     REQUIRE(RunUntil(loop, [&got] { return got.has_value(); }));
     return *std::move(got);
   }
+  core::result<fleet::store_page> Get(std::string_view key) {
+    return Call<core::result<fleet::store_page>>(services.get, key);
+  }
+  core::result<fleet::store_page> Range() {
+    return Call<core::result<fleet::store_page>>(
+        services.range, std::string_view("k"), std::string_view());
+  }
+  core::result<fleet::store_changes> Watch() {
+    return Call<core::result<fleet::store_changes>>(
+        services.watch, std::string_view("k"), std::int64_t{1},
+        milliseconds(0));
+  }
   fleet::store_write_reply Write() {
     return Call<fleet::store_write_reply>(
         services.write,
         fleet::store_write{.expect = {{.key = "k", .revision = 2}}});
   }
+  core::result<fleet::store_lease> Grant() {
+    return Call<core::result<fleet::store_lease>>(services.grant_lease,
+                                                  milliseconds(1500));
+  }
+  fleet::lease_status Renew() {
+    return Call<fleet::lease_status>(services.renew_lease, std::int64_t{9});
+  }
 
   // Repeats the write until it is applied.
   void WriteUntilApplied() {
@@ -151,9 +170,140 @@
   CHECK(changes->has_value());
 }
 
+// Bodies that no call can read.
+const std::vector<std::string> kNoObjects = {"", "{", "[]", "null"};
+
+std::vector<std::string> WithNoObjects(std::vector<std::string> bodies) {
+  bodies.insert(bodies.end(), kNoObjects.begin(), kNoObjects.end());
+  return bodies;
+}
+
 constexpr milliseconds kNoDelay{0};
+constexpr int kFound = 200;
+constexpr int kNotFound = 404;
 constexpr int kConflict = 412;
 
+// Guards against records that a leader takes for missing and overwrites.
+TEST_CASE("an unreadable item of the store is not taken for a missing one",
+          "[platform]") {
+  const auto body = GENERATE(from_range(
+      WithNoObjects({R"({"at":7})", R"({"at":7,"key":"k","value":""})",
+                     R"({"at":7,"key":"k","revision":3})",
+                     R"({"at":7,"key":"k","value":"","revision":"3"})",
+                     R"({"at":7,"key":"k","value":"","revision":0})",
+                     R"({"at":7,"key":"k","value":"AA","revision":3})",
+                     R"({"at":7,"key":"k","value":"?+==","revision":3})",
+                     R"({"at":7,"key":"other","value":"","revision":3})",
+                     R"({"key":"k","value":"","revision":3})"})));
+  CAPTURE(body);
+  delayed_store store(kNoDelay, body, kFound);
+  const auto page = store.Get("k");
+  REQUIRE_FALSE(page);
+  CHECK(page.error().code == core::error_code::kProtocol);
+}
+
+// Guards against a watch from the store's beginning.
+TEST_CASE("a missing item needs a response with the store's revision",
+          "[platform]") {
+  const auto body = GENERATE(from_range(WithNoObjects({R"({"at":"7"})"})));
+  CAPTURE(body);
+  delayed_store store(kNoDelay, body, kNotFound);
+  const auto page = store.Get("k");
+  REQUIRE_FALSE(page);
+  CHECK(page.error().code == core::error_code::kProtocol);
+}
+
+TEST_CASE("a missing item of the store is not an error", "[platform]") {
+  delayed_store store(kNoDelay, R"({"at":7})", kNotFound);
+  const auto page = store.Get("k");
+  REQUIRE(page);
+  CHECK(page->at == 7);
+  CHECK(page->items.front().key == "k");
+  CHECK(page->items.front().revision == 0);
+}
+
+// Guards against jobs and members that a leader takes for ended.
+TEST_CASE("an unreadable page of the store is not taken for a shorter one",
+          "[platform]") {
+  const auto body = GENERATE(from_range(WithNoObjects(
+      {R"({"at":7,"has_more":false})", R"({"items":[],"has_more":false})",
+       R"({"at":7,"items":[]})", R"({"at":7,"items":{},"has_more":false})",
+       R"({"at":7,"items":[3],"has_more":false})",
+       R"({"at":7,"items":[],"has_more":true})",
+       R"({"at":7,"items":[{"key":"k","value":""}],"has_more":false})",
+       R"({"at":7,"items":[{"value":"","revision":3}],"has_more":false})"})));
+  CAPTURE(body);
+  delayed_store store(kNoDelay, body);
+  const auto page = store.Range();
+  REQUIRE_FALSE(page);
+  CHECK(page.error().code == core::error_code::kProtocol);
+}
+
+// Guards against changes that a watch skips.
+TEST_CASE("unreadable changes of the store are not passed over", "[platform]") {
+  const auto body = GENERATE(from_range(
+      WithNoObjects({R"({"at":7})", R"({"events":[]})",
+                     R"({"at":7,"events":{}})", R"({"at":7,"events":[3]})",
+                     R"({"at":7,"events":[{"key":"k","revision":3}]})",
+                     R"({"at":7,"events":[{"key":"k","deleted":true}]})",
+                     R"({"at":7,"events":[{"value":"","revision":3}]})"})));
+  CAPTURE(body);
+  delayed_store store(kNoDelay, body);
+  const auto changes = store.Watch();
+  REQUIRE_FALSE(changes);
+  CHECK(changes.error().code == core::error_code::kProtocol);
+}
+
+TEST_CASE("readable pages and changes of the store are passed on",
+          "[platform]") {
+  delayed_store store(
+      kNoDelay,
+      R"({"at":7,"items":[{"key":"k","value":"QQ==","revision":3}],)"
+      R"("has_more":true,"events":[{"key":"k","value":"QQ==","revision":3},)"
+      R"({"key":"l","revision":4,"deleted":true}]})");
+  const auto page = store.Range();
+  REQUIRE(page);
+  REQUIRE(page->items.size() == 1);
+  CHECK(page->items[0].value == "A");
+  CHECK(page->has_more);
+  const auto changes = store.Watch();
+  REQUIRE(changes);
+  REQUIRE(changes->changes.size() == 2);
+  CHECK(changes->changes[0].value == "A");
+  CHECK_FALSE(changes->changes[1].value);
+}
+
+// Guards against conditions on revisions that the store never had.
+TEST_CASE("an unreadable response leaves a write's outcome unknown",
+          "[platform]") {
+  SECTION("applied") {
+    const auto body = GENERATE(from_range(
+        WithNoObjects({"{}", R"({"revision":"3"})", R"({"revision":0})"})));
+    CAPTURE(body);
+    delayed_store store(kNoDelay, body, kFound);
+    CHECK(store.Write().status == fleet::store_write_status::kUnknown);
+  }
+  SECTION("conflict") {
+    const auto body = GENERATE(from_range(WithNoObjects(
+        {"{}", R"({"items":{}})", R"({"items":[3]})",
+         R"({"items":[{"key":"k"}]})", R"({"items":[{"revision":3}]})",
+         R"({"items":[{"key":"other","value":"","revision":3}]})"})));
+    CAPTURE(body);
+    delayed_store store(kNoDelay, body, kConflict);
+    CHECK(store.Write().status == fleet::store_write_status::kUnknown);
+  }
+}
+
+TEST_CASE("a readable conflict names the present revisions", "[platform]") {
+  delayed_store store(kNoDelay,
+                      R"({"items":[{"key":"k","value":"","revision":3}]})",
+                      kConflict);
+  const fleet::store_write_reply reply = store.Write();
+  CHECK(reply.status == fleet::store_write_status::kConflict);
+  REQUIRE(reply.actual.size() == 1);
+  CHECK(reply.actual[0].revision == 3);
+}
+
 // Guards against a removal that is repeated for ever, since the response to its
 // first attempt was lost.
 TEST_CASE("a key that a conflict leaves out does not exist", "[platform]") {
@@ -165,5 +315,26 @@
   CHECK(reply.actual[0].revision == 0);
 }
 
+// Guards against a leader that relies on a lease that it may not have.
+TEST_CASE("an unreadable response neither grants nor renews a lease",
+          "[platform]") {
+  SECTION("grant") {
+    const auto body = GENERATE(from_range(WithNoObjects(
+        {"{}", R"({"lease":9})", R"({"ttl_ms":1500})",
+         R"({"lease":"9","ttl_ms":1500})", R"({"lease":9,"ttl_ms":0})"})));
+    CAPTURE(body);
+    delayed_store store(kNoDelay, body);
+    const auto lease = store.Grant();
+    REQUIRE_FALSE(lease);
+    CHECK(lease.error().code == core::error_code::kProtocol);
+  }
+  SECTION("renewal") {
+    const auto body = GENERATE(from_range(kNoObjects));
+    CAPTURE(body);
+    delayed_store store(kNoDelay, body);
+    CHECK(store.Renew() == fleet::lease_status::kUnknown);
+  }
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
