Watch the leader key while leading

A leader whose key was taken away while its lease lasted (an operator removed or replaced it) gave orders until a write of its own conflicted. Executors fenced these orders once a successor had reached them.

Cause: a process stopped following the key when it was elected; renewals tell about the lease only.

Evidence: "a leader whose key was taken away steps down" failed before: not deposed within 2 s, with another process in the key and without one, each with and without the history of the key.

A leader goes on watching the key from the revision of its claim, steps down when it is gone or has another revision, and then reads it as any other process does. Cost: one watch call of at most 2 s at a time, as for every follower.

--- a/src/waxwingfront/fleet/leader_key_follower.cc
+++ b/src/waxwingfront/fleet/leader_key_follower.cc
@@ -115,6 +115,11 @@
 
 void leader_key_follower::Watch() { internal_->Watch(); }
 
+void leader_key_follower::WatchAfter(std::int64_t revision) {
+  internal_->revision = revision;
+  internal_->Watch();
+}
+
 void leader_key_follower::Pause() { internal_->Begin(); }
 
 bool leader_key_follower::Reading() const { return internal_->reading; }
--- a/src/waxwingfront/fleet/leader_key_follower.h
+++ b/src/waxwingfront/fleet/leader_key_follower.h
@@ -46,6 +46,8 @@
   void ReadLater();
   // Waits for the next change after the last response.
   void Watch();
+  // Waits for the next change after `revision`.
+  void WatchAfter(std::int64_t revision);
   void Pause();
 
   // True while a read is in flight.
--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -75,6 +75,8 @@
   }
 
   void OnHeld(const std::string& value, std::int64_t revision) {
+    if (leading && revision == token) return follower.Watch();
+    if (leading) return StepDown("the leader key was taken away");
     const leader_record record = ParseLeaderRecord(value);
     if (record.reserved) {
       OnReserved(record, revision);
@@ -140,6 +142,7 @@
   }
 
   void OnVacant(std::int64_t revision) {
+    if (leading) return StepDown("the leader key is gone");
     SetLeaderless(revision);
     if (!resigned && !claim_pending) ScheduleClaim();
     follower.Watch();
@@ -212,7 +215,8 @@
   }
 
   void OnClaimed(std::int64_t revision) {
-    follower.Pause();
+    // The key may be taken away although its lease lasts.
+    follower.WatchAfter(revision);
     OnVacancyEnded();
     leading = true;
     token = revision;
--- a/tests/waxwingfront/fleet/leadership_test.cc
+++ b/tests/waxwingfront/fleet/leadership_test.cc
@@ -41,6 +41,39 @@
   CHECK(std::max(one.election.Token(), two.election.Token()) > token);
 }
 
+TEST_CASE("a leader whose key was taken away steps down", "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  candidate one(loop, store, "one");
+  // Its history of the key may be gone, or a watch be cut.
+  const bool cut = GENERATE(false, true);
+  const auto watch = one.store.watch;
+  one.store.watch = [&](std::string_view prefix, std::int64_t after,
+                        milliseconds wait, auto done) {
+    if (!cut || one.elected == 0) return watch(prefix, after, wait, done);
+    loop.After(milliseconds(5),
+               [done] { done(fleet::store_changes{.compacted = true}); });
+  };
+  REQUIRE(RunUntil(loop, [&] { return one.election.MayOrder(); }));
+  RunFor(loop, milliseconds(300));
+  REQUIRE(one.deposed == 0);
+  // Its lease stays alive.
+  SECTION("by another process") {
+    store.Put(std::string(fleet::kLeaderKey), "two 2");
+    REQUIRE(RunUntil(
+        loop, [&] { return one.deposed == 1; }, milliseconds(2000)));
+    CHECK(RunUntil(loop, [&] { return one.election.Leader() == "two"; }));
+  }
+  SECTION("without a successor") {
+    const std::int64_t token = one.election.Token();
+    store.Remove(std::string(fleet::kLeaderKey));
+    REQUIRE(RunUntil(
+        loop, [&] { return one.deposed == 1; }, milliseconds(2000)));
+    REQUIRE(RunUntil(loop, [&] { return one.elected == 2; }));
+    CHECK(one.election.Token() > token);
+  }
+}
+
 TEST_CASE("a leader that was suspended past its lease sends no orders",
           "[fleet]") {
   net::event_loop loop;
