Bound the backoff of hand-overs to processes that ask for leadership

A process that had lost leadership several times was not handed over to for up to 80 s, also if it asked for leadership through the store. A small machine led meanwhile, whose link may be full: the request through the store is made for that case.

Cause: a request counted as a status like any other, so that hand-overs on request backed off as the others.

Evidence: "hand-overs on request back off for a bounded time" failed before, with requests as the node handled them: a process that asked every 5 s for ten minutes waited 80 s (now 10 s); "a request that came before the last hand-over does not count again" failed at its first request.

A process that asks is ready and served by the store now, which is what most hand-overs fail of. Such a request, not older than the 5 s after which the process asks again, bounds the backoff by 10 s. It has to come after the last hand-over to the process, so each hand-over needs another request, which a process makes only after 5 s under weak leaders. Backoffs go on growing, and apply in full to hand-overs by statuses.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -159,8 +159,8 @@
             .on_candidate =
                 [this](const std::string& address, std::int64_t strength) {
                   log.Write("leader_candidate", {{"address", address}});
-                  OnMemberStatus(address, {.strength = strength, .ready = true},
-                                 core::Now());
+                  choice->OnRequest(address, strength, core::Now());
+                  HandOverIfBetter();
                 }});
     candidacy->Start();
     announcer->ReadStrongest([this](std::optional<std::int64_t> strength) {
@@ -175,8 +175,12 @@
 
   void OnMemberStatus(const std::string& address, const member_status& status,
                       core::monotonic_time sent) {
-    const core::monotonic_time now = core::Now();
     choice->OnMemberStatus(address, status, sent);
+    HandOverIfBetter();
+  }
+
+  void HandOverIfBetter() {
+    const core::monotonic_time now = core::Now();
     const auto successor = choice->Successor(now);
     if (!successor || !election->Leading()) return;
     log.Write("leader_hands_over",
--- a/src/waxwingfront/fleet/leader_choice.cc
+++ b/src/waxwingfront/fleet/leader_choice.cc
@@ -29,13 +29,21 @@
                                    const member_status& status,
                                    core::monotonic_time sent) {
   const auto [entry, first] = reports_.try_emplace(
-      address, status_report{.status = status, .at = sent});
+      address,
+      status_report{.status = status, .at = sent, .requested = std::nullopt});
   if (!first && entry->second.at <= sent) {
-    entry->second = {.status = status, .at = sent};
+    entry->second.status = status;
+    entry->second.at = sent;
   }
   OnStrongest(status.strength);
 }
 
+void leader_choice::OnRequest(const std::string& address, std::int64_t strength,
+                              core::monotonic_time now) {
+  OnMemberStatus(address, {.strength = strength, .ready = true}, now);
+  reports_.at(address).requested = now;
+}
+
 void leader_choice::OnHandover(const std::string& successor,
                                core::monotonic_time now) {
   successor_ = successor;
@@ -123,11 +131,7 @@
   std::int64_t strongest = MinSuccessorStrength(options_.strength) - 1;
   for (const auto& [address, last] : reports_) {
     if (!Ready(last, now) || last.status.strength <= strongest) continue;
-    const auto before = handovers_.find(address);
-    if (before != handovers_.end() &&
-        now - before->second.at < before->second.backoff) {
-      continue;
-    }
+    if (BacksOff(address, last, now)) continue;
     strongest = last.status.strength;
     successor = address;
   }
@@ -139,4 +143,22 @@
   return last.status.ready && now - last.at <= options_.max_status_age;
 }
 
+bool leader_choice::Requested(const status_report& last,
+                              core::monotonic_time now) const {
+  return last.requested && now - *last.requested <= options_.max_request_age;
+}
+
+bool leader_choice::BacksOff(const std::string& address,
+                             const status_report& last,
+                             core::monotonic_time now) const {
+  const auto found = handovers_.find(address);
+  if (found == handovers_.end()) return false;
+  const handover& before = found->second;
+  const bool asked_since = Requested(last, now) && *last.requested > before.at;
+  const core::milliseconds backoff =
+      asked_since ? std::min(before.backoff, options_.max_request_backoff)
+                  : before.backoff;
+  return now - before.at < backoff;
+}
+
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/leader_choice.h
+++ b/src/waxwingfront/fleet/leader_choice.h
@@ -52,6 +52,11 @@
   // again once the process has led for the whole backoff.
   core::milliseconds initial_backoff{5000};
   core::milliseconds max_backoff{80'000};
+  // Upper bound of the backoff for a process that has asked for leadership
+  // through the store since the last hand-over to it.
+  core::milliseconds max_request_backoff{10'000};
+  // Older requests are ignored, since the process should have asked again.
+  core::milliseconds max_request_age{5000};
 };
 
 struct status_counts {
@@ -74,6 +79,10 @@
   // process sent at `sent`.
   void OnMemberStatus(const std::string& address, const member_status& status,
                       core::monotonic_time sent);
+  // Handles that the process at `address` asked for leadership through the
+  // store: it is ready, and the store serves it.
+  void OnRequest(const std::string& address, std::int64_t strength,
+                 core::monotonic_time now);
   // Handles the hand-over of any leader to the process at `successor`.
   void OnHandover(const std::string& successor, core::monotonic_time now);
   // Handles an announcement of the process at `address`, which leads. Once it
@@ -108,12 +117,17 @@
     member_status status;
     // When the announcement was sent.
     core::monotonic_time at;
+    // When the process last asked for leadership.
+    std::optional<core::monotonic_time> requested;
   };
   struct handover {
     core::monotonic_time at;
     core::milliseconds backoff;
   };
 
+  bool Requested(const status_report& last, core::monotonic_time now) const;
+  bool BacksOff(const std::string& address, const status_report& last,
+                core::monotonic_time now) const;
   bool Ready(const status_report& last, core::monotonic_time now) const;
   // Smallest strength of a process to which one of strength `leader` hands
   // over.
--- a/tests/waxwingfront/fleet/leader_choice_test.cc
+++ b/tests/waxwingfront/fleet/leader_choice_test.cc
@@ -2,6 +2,7 @@
 
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdint>
 #include <string>
@@ -226,6 +227,44 @@
   CHECK(ready(205'000));
 }
 
+TEST_CASE("hand-overs on request back off for a bounded time", "[fleet]") {
+  constexpr milliseconds kPatience(5000);
+  constexpr std::int64_t kTenMinutes = 600'000;
+  leader_choice choice = Choice(100);
+  std::vector<std::int64_t> handovers = {0};
+  std::int64_t longest = 0;
+  std::int64_t shortest = kTenMinutes;
+  choice.OnHandover("strong", At(0));
+  for (std::int64_t now = 0; now < kTenMinutes; now += kPatience.count()) {
+    choice.OnRequest("strong", 500, At(now));
+    if (!choice.Successor(At(now))) continue;
+    choice.OnHandover("strong", At(now));
+    longest = std::max(longest, now - handovers.back());
+    shortest = std::min(shortest, now - handovers.back());
+    handovers.push_back(now);
+  }
+  CHECK(longest == 10'000);
+  CHECK(shortest == 5000);
+  CHECK(handovers.size() <= 62);
+  // Statuses alone still back off.
+  constexpr std::int64_t kLater = kTenMinutes + 20'000;
+  choice.OnMemberStatus("strong", {.strength = 500, .ready = true}, At(kLater));
+  CHECK_FALSE(choice.Successor(At(kLater)));
+}
+
+TEST_CASE("a request that came before the last hand-over does not count again",
+          "[fleet]") {
+  leader_choice choice = Choice(100);
+  for (const std::int64_t now : {0, 5000, 15'000}) {
+    choice.OnHandover("strong", At(now));
+  }
+  choice.OnRequest("strong", 500, At(25'001));
+  REQUIRE(choice.Successor(At(25'001)));
+  choice.OnHandover("strong", At(25'001));
+  choice.OnMemberStatus("strong", {.strength = 500, .ready = true}, At(35'001));
+  CHECK_FALSE(choice.Successor(At(35'001)));
+}
+
 TEST_CASE("only leading for the whole backoff resets it", "[fleet]") {
   leader_choice choice = Choice(100);
   const auto ready = [&](std::int64_t now) {
