Keep best-effort work stopped until tail latencies have recovered

Cause, as far as it can be shown: what stops all best-effort work beside a task that is over its target for 1.5 s ended with the first report of exactly the target. Executors report whole milliseconds, and the tail latency has to stay below the target, so it may still be over. Best-effort tasks that interfere little one by one then went back to full pace together, because only heavy ones wait for a tail latency below 0.8 of the target, and new ones were placed there all the while. The tail latency rose again without having been below the target.

A reported tail latency at the target now counts as over it, for the stop and for the margin.

--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -150,6 +150,8 @@
   // tasks.
   double margin = 0.0;
   core::monotonic_time margin_at{};
+  // See `UpdateBestEffortStop`.
+  bool best_effort_stopped = false;
 
   // Invalidated by each change of `active` and each report.
   mutable sharing_view sharing;
--- a/src/waxwingfront/fleet/tail_latency.cc
+++ b/src/waxwingfront/fleet/tail_latency.cc
@@ -8,7 +8,7 @@
 
 constexpr int kServingPercent = 100;
 // The margin below the targets grows while more than the tolerated share of an
-// executor's serving tasks is above its target, and shrinks otherwise. Time
+// executor's serving tasks is not below its target, and shrinks otherwise. Time
 // above the target counts four times, so that the tolerated share costs a fifth
 // of what serving jobs earn. The gain is in utilisation per second, the maximum
 // in utilisation.
@@ -17,10 +17,8 @@
 constexpr double kMaxMargin = 0.2;
 // A report covers at most this many seconds before it.
 constexpr double kMaxReportGapSeconds = 2.0;
-// A task above its target for this long stops all best-effort tasks on its
-// executor, regardless of the model. The platform allows 4 s, of which reports
-// and orders take up to 2.
-constexpr core::milliseconds kMaxTimeOverTarget{1500};
+// The platform allows 4 s, of which reports and orders take up to 2.
+constexpr core::milliseconds kMaxTimeAtTarget{1500};
 
 }  // namespace
 
@@ -36,12 +34,21 @@
          static_cast<double>(task.Spec().target_ms());
 }
 
-bool AnyAboveTargetTooLong(const executor_state& executor,
-                           core::monotonic_time now) {
-  return std::ranges::any_of(executor.active, [now](const task_state* task) {
-    return HasTailLatency(*task) && LatencyRatio(*task) > 1.0 &&
-           now - task->last_within_target >= kMaxTimeOverTarget;
-  });
+bool AtOrAboveTarget(const task_state& task) {
+  return HasTailLatency(task) && LatencyRatio(task) >= 1.0;
+}
+
+void UpdateBestEffortStop(executor_state& executor, core::monotonic_time now) {
+  const bool stopped = executor.best_effort_stopped;
+  executor.best_effort_stopped = std::ranges::any_of(
+      executor.active, [now, stopped](const task_state* task) {
+        if (stopped && HasTailLatency(*task) &&
+            LatencyRatio(*task) >= kMaxIncreaseRatio) {
+          return true;
+        }
+        return AtOrAboveTarget(*task) &&
+               now - task->last_within_target >= kMaxTimeAtTarget;
+      });
 }
 
 void AdjustMargin(executor_state& executor, core::monotonic_time now) {
@@ -54,7 +61,7 @@
   for (const task_state* const task : executor.active) {
     if (!HasTailLatency(*task)) continue;
     serving += 1.0;
-    if (LatencyRatio(*task) > 1.0) over += 1.0;
+    if (AtOrAboveTarget(*task)) over += 1.0;
   }
   const double share = serving > 0.0 ? over / serving : 0.0;
   executor.margin =
