Announce a leader to the members of all pages

At a site with more members than a page of the store holds (about 500), processes of later pages never heard of a leader by its announcements: they could not succeed a weak leader, and their callers waited for a read of the leader key.

Cause: leader_announcer took the first page of members for all of them.

The test failed before: of two members on two pages, one was reached within 2 s (100 announcements); now both are, although the first read of the second page fails.

Change: all pages are read before the list is replaced, and a failed read leaves the former list as it is. Up to a page of members the reads of the store stay the same.

--- a/src/waxwingfront/fleet/leader_announcer.cc
+++ b/src/waxwingfront/fleet/leader_announcer.cc
@@ -70,28 +70,46 @@
                 });
   }
 
-  void Refresh(int current) {
+  void Refresh(int current) { ReadMembers(current, "", {}, 0); }
+
+  // Reads the members after the key `after`; `found` are those before it, and
+  // `first_revision` is that of the first page.
+  void ReadMembers(int current, const std::string& after,
+                   std::vector<std::string> found,
+                   std::int64_t first_revision) {
     if (closed || generation != current) return;
-    store.range(kMembersPrefix, "",
-                [self = shared_from_this(),
-                 current](const core::result<store_page>& page) {
+    store.range(kMembersPrefix, after,
+                [self = shared_from_this(), current, found = std::move(found),
+                 first_revision](const core::result<store_page>& page) mutable {
                   if (self->closed || self->generation != current) return;
-                  if (page) {
-                    self->members.clear();
-                    for (const store_item& item : page->items) {
-                      if (item.value != self->address)
-                        self->members.push_back(item.value);
-                    }
-                  }
-                  if (!self->announcing) self->Announce(current);
-                  if (page) {
-                    self->WatchMembers(current, page->at);
-                  } else {
-                    self->RefreshLater(current);
-                  }
+                  self->OnMembers(current, std::move(found), first_revision,
+                                  page);
                 });
   }
 
+  void OnMembers(int current, std::vector<std::string> found,
+                 std::int64_t first_revision,
+                 const core::result<store_page>& page) {
+    if (page) {
+      if (first_revision == 0) first_revision = page->at;
+      for (const store_item& item : page->items) {
+        if (item.value != address) found.push_back(item.value);
+      }
+      if (page->has_more) {
+        ReadMembers(current, page->items.back().key, std::move(found),
+                    first_revision);
+        return;
+      }
+      members = std::move(found);
+    }
+    if (!announcing) Announce(current);
+    if (page) {
+      WatchMembers(current, first_revision);
+    } else {
+      RefreshLater(current);
+    }
+  }
+
   // A process that has just registered may be the one that should lead.
   void WatchMembers(int current, std::int64_t after) {
     store.watch(kMembersPrefix, after, options.watch_timeout,
--- a/tests/waxwingfront/fleet/leader_announcer_test.cc
+++ b/tests/waxwingfront/fleet/leader_announcer_test.cc
@@ -1,8 +1,11 @@
 #include "waxwingfront/fleet/leader_announcer.h"
 
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 
 #include "support/fake_store.h"
 #include "support/loop_runner.h"
@@ -84,5 +87,49 @@
       loop, [&] { return successor == strong.Address(); }, milliseconds(4000)));
 }
 
+// Guards against processes that never hear of a leader, and cannot succeed it,
+// at a site with more members than a page holds.
+TEST_CASE("a leader announces itself to the members of all pages", "[fleet]") {
+  net::event_loop loop;
+  net::async_http_client client{loop, {}};
+  fake_store store(loop);
+  std::set<std::string> reached;
+  net::async_http_server first(
+      loop, {.address = "127.0.0.1:0"},
+      [&](const net::server_request&,
+          const net::async_http_server::responder&) { reached.insert("a"); });
+  net::async_http_server second(
+      loop, {.address = "127.0.0.1:0"},
+      [&](const net::server_request&,
+          const net::async_http_server::responder&) { reached.insert("b"); });
+  REQUIRE(first.Start());
+  REQUIRE(second.Start());
+  const std::string prefix(fleet::kMembersPrefix);
+  fleet::store_services services = store.Services();
+  // Each page holds one member, and the first read of the second one fails.
+  int failures = 1;
+  services.range = [&](std::string_view, std::string_view after, auto done) {
+    loop.After(milliseconds(1), [&, done, at_start = after.empty()] {
+      if (!at_start && failures-- > 0) {
+        return done(core::Failure(core::error_code::kStoreUnavailable, "lost"));
+      }
+      const std::string member = (at_start ? first : second).Address();
+      done(fleet::store_page{
+          .items = {{.key = prefix + member, .value = member, .revision = 3}},
+          .has_more = at_start,
+          .at = 3});
+    });
+  };
+  fleet::leader_announcer announcer(
+      loop, client, services, "weak",
+      {.period = milliseconds(20), .retry = milliseconds(20)},
+      {.strongest = [] { return std::int64_t{0}; },
+       .on_member_status = [](const std::string&, const schema::fleet_standing&,
+                              core::monotonic_time) {}});
+  announcer.Start(7);
+  CHECK(RunUntil(
+      loop, [&reached] { return reached.size() == 2; }, milliseconds(2000)));
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
