State what has to be stored before an end is acknowledged, in one place

Which version an end waits for was decided beside the processing of reports, by where the end came from.

Change: `fleet_state::AddEnd` takes the version, `AcknowledgeEnds` compares it.

--- a/src/waxwingfront/fleet/fleet_state.cc
+++ b/src/waxwingfront/fleet/fleet_state.cc
@@ -83,10 +83,19 @@
   task.pace_percent = kFullPace;
 }
 
+void fleet_state::AddEnd(executor_state& executor, std::uint64_t number,
+                         const std::string& job_id) {
+  // An earlier report, or the end of another gang member, may have ended the
+  // run in a version that is not stored yet.
+  const job_state* const job = FindJob(job_id);
+  executor.pending_ends.push_back(
+      {.number = number, .job = job_id, .version = job ? job->version : 0});
+}
+
 void fleet_state::AcknowledgeEnds(executor_state& executor) {
   while (!executor.pending_ends.empty()) {
     const executor_state::pending_end& end = executor.pending_ends.front();
-    job_state* const job = end.job.empty() ? nullptr : FindJob(end.job);
+    job_state* const job = FindJob(end.job);
     if (job != nullptr && job->stored_version < end.version) {
       if (executor.awaited_job == end.job) return;
       executor.awaited_job = end.job;
--- a/src/waxwingfront/fleet/fleet_state.h
+++ b/src/waxwingfront/fleet/fleet_state.h
@@ -67,6 +67,11 @@
   // Ends the task's run without deciding the task's outcome.
   void Release(task_state& task, core::monotonic_time now);
 
+  // Adds an end whose effect is in the job's present version, which has to be
+  // stored before the end is acknowledged. The end of a job that is not known
+  // has no effect.
+  void AddEnd(executor_state& executor, std::uint64_t number,
+              const std::string& job_id);
   // Acknowledges stored ends, so that the executor may forget them.
   void AcknowledgeEnds(executor_state& executor);
   // The same for executors whose ends were waiting for `job` to be stored.
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -95,12 +95,7 @@
       RecordCheckpoint(*task, end.checkpoint);
       EndRun(*task, OutcomeOf(end.how), at);
     }
-    // An earlier report, or the end of another gang member, may have ended the
-    // run in a version that is not stored yet.
-    const job_state* const job = state_.FindJob(end.task.job);
-    executor.pending_ends.push_back({.number = end.number,
-                                     .job = end.task.job,
-                                     .version = job ? job->version : 0});
+    state_.AddEnd(executor, end.number, end.task.job);
   }
   state_.AcknowledgeEnds(executor);
 }
