Keep requests for leadership that come too early for a hand-over

A process that asked for leadership through the store within 3 s of another hand-over was not handed over to before it asked again 5 s later; a small machine with a full link led that much longer.

Cause: a request was considered once, when it arrived, and lapsed after 2.5 s like a status, before hand-overs were allowed again.

Evidence: "a request for leadership soon after a hand-over counts" failed before: the key was not reserved for the process within 5 s of its request.

A request now counts for 5 s, after which the process asks again, unless a later status says that the process is not ready. The leader considers it with each round of announcements, once a second, since no status may arrive on a full link. It can stop announcing within a round for that.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -115,7 +115,11 @@
                       {.strength = status.strength(), .ready = status.ready()},
                       sent);
                 },
-            .on_round = [this](std::size_t members) { LogSearch(members); }});
+            .on_round =
+                [this](std::size_t members) {
+                  LogSearch(members);
+                  HandOverTo(choice->SuccessorOnRequest(core::Now()));
+                }});
     announcer->Register(options.strength);
     leadership_options election_options = options.leadership;
     election_options.address = server.Address();
@@ -160,7 +164,7 @@
                 [this](const std::string& address, std::int64_t strength) {
                   log.Write("leader_candidate", {{"address", address}});
                   choice->OnRequest(address, strength, core::Now());
-                  HandOverIfBetter();
+                  HandOverTo(choice->Successor(core::Now()));
                 }});
     candidacy->Start();
     announcer->ReadStrongest([this](std::optional<std::int64_t> strength) {
@@ -176,16 +180,14 @@
   void OnMemberStatus(const std::string& address, const member_status& status,
                       core::monotonic_time sent) {
     choice->OnMemberStatus(address, status, sent);
-    HandOverIfBetter();
+    HandOverTo(choice->Successor(core::Now()));
   }
 
-  void HandOverIfBetter() {
-    const core::monotonic_time now = core::Now();
-    const auto successor = choice->Successor(now);
+  void HandOverTo(const std::optional<std::string>& successor) {
     if (!successor || !election->Leading()) return;
     log.Write("leader_hands_over",
               {{"token", election->Token()}, {"address", *successor}});
-    choice->OnHandover(*successor, now);
+    choice->OnHandover(*successor, core::Now());
     election->HandOver(*successor);
   }
 
--- a/src/waxwingfront/fleet/leader_announcer.h
+++ b/src/waxwingfront/fleet/leader_announcer.h
@@ -42,7 +42,8 @@
                      const schema::fleet_standing& status,
                      core::monotonic_time sent)>
       on_member_status;
-  // Optional; this process announces itself to `members` processes now.
+  // Optional; this process announces itself to `members` processes now. May
+  // call `Stop`.
   std::function<void(std::size_t members)> on_round;
 };
 
--- a/src/waxwingfront/fleet/leader_choice.cc
+++ b/src/waxwingfront/fleet/leader_choice.cc
@@ -138,9 +138,18 @@
   return successor;
 }
 
+std::optional<std::string> leader_choice::SuccessorOnRequest(
+    core::monotonic_time now) const {
+  const auto successor = Successor(now);
+  if (!successor || !Requested(reports_.at(*successor), now))
+    return std::nullopt;
+  return successor;
+}
+
 bool leader_choice::Ready(const status_report& last,
                           core::monotonic_time now) const {
-  return last.status.ready && now - last.at <= options_.max_status_age;
+  return last.status.ready &&
+         (now - last.at <= options_.max_status_age || Requested(last, now));
 }
 
 bool leader_choice::Requested(const status_report& last,
--- a/src/waxwingfront/fleet/leader_choice.h
+++ b/src/waxwingfront/fleet/leader_choice.h
@@ -111,6 +111,9 @@
   // Returns the address of the process to which this one hands over if it
   // leads.
   std::optional<std::string> Successor(core::monotonic_time now) const;
+  // Returns the same if that process has asked for leadership recently, so that
+  // a request that came too early for a hand-over is not lost.
+  std::optional<std::string> SuccessorOnRequest(core::monotonic_time now) const;
 
  private:
   struct status_report {
--- a/tests/waxwingfront/fleet/hand_over_test.cc
+++ b/tests/waxwingfront/fleet/hand_over_test.cc
@@ -254,6 +254,32 @@
   CHECK(*second <= core::Now() - handed_over);
 }
 
+// Guards against a request that lapses until the process asks again.
+TEST_CASE("a request for leadership soon after a hand-over counts", "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  store.Put("manifest", "1");
+  fleet_process leader(loop, store, kWeak);
+  REQUIRE(RunUntil(loop, [&] { return leader.Leads(store); }));
+  schema::fleet_strength record;
+  record.set_strength(kStrong);
+  const auto reserved_for = [&](const std::string& process) {
+    return store.Value(std::string(fleet::kLeaderKey))
+        .starts_with(process + " -");
+  };
+  const auto ask = [&](const std::string& process) {
+    store.Put(std::string(fleet::kCandidatesPrefix) + process,
+              record.SerializeAsString());
+  };
+  ask("gone");
+  REQUIRE(RunUntil(loop, [&] { return reserved_for("gone"); }));
+  REQUIRE(RunUntil(loop, [&] { return leader.Elections() == 2; }));
+  RunFor(loop, milliseconds(50));
+  ask("strong");
+  CHECK(RunUntil(
+      loop, [&] { return reserved_for("strong"); }, milliseconds(5000)));
+}
+
 TEST_CASE("a strong process that a weak leader does not reach still leads",
           "[fleet]") {
   net::event_loop loop;
