Read all pages of members and of requests for leadership

A leader announced itself to the members on the first page of their list only (about 500 entries, addresses of former processes among them); the others did not hear from it and could not be handed over to. Where the history of the requests for leadership was gone, it read the first page of these only.

Evidence: "members on later pages of the list hear of the leader" and "a request on a later page of the list reaches the leader" failed before, within 3 s and 2 s.

A list that could not be read to the end leaves the earlier one in place.

--- a/src/waxwingfront/fleet/leader_announcer.cc
+++ b/src/waxwingfront/fleet/leader_announcer.cc
@@ -72,26 +72,48 @@
 
   void Refresh(int current) {
     if (closed || generation != current) return;
-    store.range(kMembersPrefix, "",
-                [self = shared_from_this(),
-                 current](const core::result<store_page>& page) {
+    ReadMembers(current, {.after = "", .members = {}, .at = std::nullopt});
+  }
+
+  struct member_list {
+    // Last key that was read.
+    std::string after;
+    std::vector<std::string> members;
+    // Store revision of the first page; later ones may be newer.
+    std::optional<std::int64_t> at;
+  };
+
+  void ReadMembers(int current, member_list list) {
+    const std::string after = list.after;
+    store.range(kMembersPrefix, after,
+                [self = shared_from_this(), current, list = std::move(list)](
+                    const core::result<store_page>& page) mutable {
                   if (self->closed || self->generation != current) return;
-                  if (page) {
-                    self->members.clear();
-                    for (const store_item& item : page->items) {
-                      if (item.value != self->address)
-                        self->members.push_back(item.value);
-                    }
-                  }
-                  if (!self->announcing) self->Announce(current);
-                  if (page) {
-                    self->WatchMembers(current, page->at);
-                  } else {
-                    self->RefreshLater(current);
-                  }
+                  self->OnMembers(current, page, std::move(list));
                 });
   }
 
+  void OnMembers(int current, const core::result<store_page>& page,
+                 member_list list) {
+    if (!page) {
+      if (!announcing) Announce(current);
+      RefreshLater(current);
+      return;
+    }
+    for (const store_item& item : page->items) {
+      if (item.value != address) list.members.push_back(item.value);
+    }
+    if (!list.at) list.at = page->at;
+    if (page->has_more) {
+      list.after = page->items.back().key;
+      ReadMembers(current, std::move(list));
+      return;
+    }
+    members = std::move(list.members);
+    if (!announcing) Announce(current);
+    WatchMembers(current, *list.at);
+  }
+
   // A process that has just registered may be the one that should lead.
   void WatchMembers(int current, std::int64_t after) {
     store.watch(kMembersPrefix, after, options.watch_timeout,
--- a/src/waxwingfront/fleet/leader_candidacy.cc
+++ b/src/waxwingfront/fleet/leader_candidacy.cc
@@ -63,7 +63,7 @@
       return;
     }
     if (update->compacted) {
-      ReadRequests(current, after);
+      ReadRequests(current, after, {.key = "", .at = std::nullopt});
       return;
     }
     for (const store_change& change : update->changes) {
@@ -79,14 +79,22 @@
     hooks.on_candidate(key.substr(kCandidatesPrefix.size()), record.strength());
   }
 
-  void ReadRequests(int current, std::int64_t after) {
-    store.range(kCandidatesPrefix, "",
-                [self = shared_from_this(), current,
-                 after](const core::result<store_page>& page) {
+  struct read_position {
+    // Last key that was read.
+    std::string key;
+    // Store revision of the first page; later ones may be newer.
+    std::optional<std::int64_t> at;
+  };
+
+  void ReadRequests(int current, std::int64_t after,
+                    const read_position& position) {
+    store.range(kCandidatesPrefix, position.key,
+                [self = shared_from_this(), current, after,
+                 position](const core::result<store_page>& page) {
                   if (self->closed || self->generation != current) return;
                   if (!page) {
-                    self->Later(current, [self, current, after] {
-                      self->ReadRequests(current, after);
+                    self->Later(current, [self, current, after, position] {
+                      self->ReadRequests(current, after, position);
                     });
                     return;
                   }
@@ -95,7 +103,14 @@
                       self->OnRequest(item.key, item.value);
                     if (self->closed || self->generation != current) return;
                   }
-                  self->Watch(current, page->at);
+                  const std::int64_t at = position.at.value_or(page->at);
+                  if (page->has_more) {
+                    self->ReadRequests(
+                        current, after,
+                        {.key = page->items.back().key, .at = at});
+                    return;
+                  }
+                  self->Watch(current, at);
                 });
   }
 
--- a/tests/waxwingfront/fleet/leader_announcer_test.cc
+++ b/tests/waxwingfront/fleet/leader_announcer_test.cc
@@ -1,8 +1,10 @@
 #include "waxwingfront/fleet/leader_announcer.h"
 
 #include <catch2/catch.hpp>
+#include <cstddef>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "support/fake_store.h"
 #include "support/loop_runner.h"
@@ -42,6 +44,48 @@
   CHECK(*strongest == 900);
 }
 
+TEST_CASE("members on later pages of the list hear of the leader", "[fleet]") {
+  net::event_loop loop;
+  net::async_http_client client{loop, {}};
+  fake_store store(loop);
+  fleet::store_services services = store.Services();
+  std::size_t announced = 0;
+  const auto page_of = [](std::size_t first) {
+    fleet::store_page page{.has_more = first < 4, .at = 1};
+    for (std::size_t i = first; i < first + 2; ++i) {
+      // Nothing listens there.
+      const std::string address = "127.0.0.1:" + std::to_string(i + 1);
+      page.items.push_back({.key = std::string(fleet::kMembersPrefix) + address,
+                            .value = address,
+                            .revision = 1});
+    }
+    return page;
+  };
+  bool failed = false;
+  services.range = [&](std::string_view, std::string_view after, auto done) {
+    if (after.ends_with(":2") && !std::exchange(failed, true)) {
+      loop.After(milliseconds(1), [done] {
+        done(core::Failure(core::error_code::kStoreUnavailable, "refused"));
+      });
+      return;
+    }
+    std::size_t first = 0;
+    if (after.ends_with(":2")) first = 2;
+    if (after.ends_with(":4")) first = 4;
+    loop.After(milliseconds(1), [&, done, first] { done(page_of(first)); });
+  };
+  fleet::leader_announcer announcer(
+      loop, client, services, "127.0.0.1:1",
+      {.period = milliseconds(50), .watch_timeout = milliseconds(100)},
+      {.strongest = [] { return std::int64_t{0}; },
+       .on_member_status = [](const std::string&, const schema::fleet_standing&,
+                              core::monotonic_time) {},
+       .on_round = [&](std::size_t members) { announced = members; }});
+  announcer.Start(1);
+  CHECK(RunUntil(
+      loop, [&] { return announced == 5; }, milliseconds(3000)));
+}
+
 TEST_CASE("a leader on a slow link still discovers a stronger ready process",
           "[fleet]") {
   const milliseconds delay = GENERATE(milliseconds(800), milliseconds(1600));
--- a/tests/waxwingfront/fleet/leader_candidacy_test.cc
+++ b/tests/waxwingfront/fleet/leader_candidacy_test.cc
@@ -65,6 +65,40 @@
   CHECK(counted.requests == 0);
 }
 
+TEST_CASE("a request on a later page of the list reaches the leader",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  fleet::store_services services = store.Services();
+  services.watch = [&, watch = services.watch](std::string_view prefix,
+                                               std::int64_t after,
+                                               milliseconds wait, auto done) {
+    if (after > 1) return watch(prefix, after, wait, done);
+    loop.After(milliseconds(1),
+               [done] { done(fleet::store_changes{.compacted = true}); });
+  };
+  schema::fleet_strength record;
+  record.set_strength(kStrong);
+  services.range = [&](std::string_view, std::string_view after, auto done) {
+    const bool first = after.empty();
+    fleet::store_page page{.has_more = first, .at = 10};
+    page.items.push_back({.key = first ? "wf/candidates/a" : "wf/candidates/b",
+                          .value = record.SerializeAsString(),
+                          .revision = first ? 1 : 9});
+    loop.After(milliseconds(1), [done, page] { done(page); });
+  };
+  std::string asked;
+  fleet::leader_candidacy candidacy(
+      loop, services, "weak", kWeak, kQuick,
+      {.under_weak_leader = [] { return false; },
+       .ready = [] { return true; },
+       .on_candidate = [&](const std::string& address,
+                           std::int64_t) { asked += address; }});
+  candidacy.OnElected(1);
+  CHECK(RunUntil(
+      loop, [&] { return asked == "b"; }, milliseconds(2000)));
+}
+
 TEST_CASE("a request written while history is gone reaches the leader",
           "[fleet]") {
   net::event_loop loop;
