Count a gang's failed run once across a change of the leader

A job whose gang may fail twice was failed after one run.

Cause: which run of a gang is counted towards `max_attempts` was in the leader's memory only. A new leader loaded the count without it, and counted the failed end of another member of the same run again.

Change: the record of a gang's first member, which holds the count, also holds the run (`failed_run`). Records of earlier versions have none and are read as before.

Result: the new test fails without the change (the job is not running any more) and passes with it.

--- a/src/waxwingfront/fleet/job_state.cc
+++ b/src/waxwingfront/fleet/job_state.cc
@@ -133,6 +133,7 @@
         entry.set_index(task.index);
         entry.set_run(task.run);
         entry.set_failures(task.failures);
+        if (task.index == 0) entry.set_failed_run(step.failed_run);
         if (task.phase == task_phase::kSucceeded) {
           entry.set_succeeded(true);
           continue;
@@ -160,6 +161,7 @@
     if (task == nullptr) continue;
     task->run = entry.run();
     task->failures = entry.failures();
+    if (task->index == 0) StepOf(*task).failed_run = entry.failed_run();
     task->checkpoint = entry.checkpoint();
     begun_ |= entry.succeeded() || entry.failures() > 0 ||
               !entry.checkpoint().empty();
--- a/tests/waxwingfront/fleet/gang_test.cc
+++ b/tests/waxwingfront/fleet/gang_test.cc
@@ -14,6 +14,7 @@
 using fleet::start_outcome;
 
 constexpr std::int64_t kCores = 4000;
+constexpr std::size_t kMaxRecords = 15;
 
 schema::fleet_job Gang(std::uint32_t members, std::int64_t cpu_millis) {
   schema::fleet_job job = JobOf("job", members, cpu_millis);
@@ -133,6 +134,34 @@
   CHECK(fixture.Core().StoredState("job") == schema::FLEET_FAILED);
 }
 
+TEST_CASE("a failed gang run counts once across a change of the leader",
+          "[fleet]") {
+  const std::vector<queue_options> queues{{.max_attempts = 2}};
+  fleet_fixture fixture(queues);
+  fixture.AddExecutor("a", kCores);
+  fixture.AddExecutor("b", kCores);
+  fixture.Core().Submit(Gang(2, kCores), At(0));
+  const std::vector<fleet::start_order> starts =
+      fixture.StepAccepted(10).starts;
+  REQUIRE(starts.size() == 2);
+  fixture.Report(starts[0].executor, 500, {},
+                 {End(1, starts[0], run_end::kFailed)});
+  const fleet::write_batch write =
+      fixture.Core().Journal().NextBatch(kMaxRecords);
+  REQUIRE(write.records.size() == 1);
+  schema::fleet_progress stored;
+  REQUIRE(stored.ParseFromString(write.records[0].value));
+
+  fleet_fixture successor(queues);
+  successor.Core().Restore(Gang(2, kCores), 1, stored, 2, At(600));
+  successor.Core().SetExecutor(
+      fixture.Core().FindExecutor(starts[1].executor)->info);
+  successor.Report(starts[1].executor, 620, {},
+                   {End(1, starts[1], run_end::kFailed)});
+  successor.Store(630);
+  CHECK(successor.Core().StoredState("job") == schema::FLEET_RUNNING);
+}
+
 TEST_CASE("all gang members restart from the same checkpoint", "[fleet]") {
   started_gang gang;
   REQUIRE(gang.starts.size() == 2);
