Send no announcement of a leader that steps down in a round

Members heard that a process leads right after it had handed over. One that is behind would send its callers there.

Found by the review.

The test failed before: 1 announcement, expected 0.

--- a/src/waxwingfront/fleet/leader_announcer.cc
+++ b/src/waxwingfront/fleet/leader_announcer.cc
@@ -133,6 +133,7 @@
     announcement.set_address(address);
     announcement.set_strongest(hooks.strongest());
     if (hooks.on_round) hooks.on_round(members.size());
+    if (generation != current) return;
     const std::string body = announcement.SerializeAsString();
     const core::monotonic_time sent = core::Now();
     for (const std::string& member : members) {
--- a/tests/waxwingfront/fleet/leader_announcer_test.cc
+++ b/tests/waxwingfront/fleet/leader_announcer_test.cc
@@ -131,5 +131,47 @@
       loop, [&reached] { return reached.size() == 2; }, milliseconds(2000)));
 }
 
+TEST_CASE("a leader that steps down in a round does not announce itself in it",
+          "[fleet]") {
+  net::event_loop loop;
+  net::async_http_client client{loop, {}};
+  fake_store store(loop);
+  int announcements = 0;
+  net::async_http_server member(
+      loop, {.address = "127.0.0.1:0"},
+      [&](const net::server_request&,
+          const net::async_http_server::responder&) { ++announcements; });
+  REQUIRE(member.Start());
+  fleet::store_services services = store.Services();
+  services.range = [&](std::string_view, std::string_view, auto done) {
+    loop.After(milliseconds(1), [&, done] {
+      done(fleet::store_page{
+          .items = {{.key = std::string(fleet::kMembersPrefix),
+                     .value = member.Address(),
+                     .revision = 3}},
+          .at = 3});
+    });
+  };
+  int rounds = 0;
+  std::optional<fleet::leader_announcer> announcer;
+  announcer.emplace(loop, client, services, "weak",
+                    fleet::leader_announcer_options{.period = milliseconds(20)},
+                    fleet::leader_announcer_hooks{
+                        .strongest = [] { return std::int64_t{0}; },
+                        .on_member_status = [](const std::string&,
+                                               const schema::fleet_standing&,
+                                               core::monotonic_time) {},
+                        .on_round =
+                            [&](std::size_t) {
+                              ++rounds;
+                              announcer->Stop();
+                            }});
+  announcer->Start(7);
+  REQUIRE(RunUntil(
+      loop, [&rounds] { return rounds == 1; }, milliseconds(2000)));
+  RunFor(loop, milliseconds(200));
+  CHECK(announcements == 0);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
