Resume best-effort work beside serving tasks with a high load of their own

Best-effort jobs beside a serving task that its own load keeps between 0.8 and 1.0 of its target never went on once they had been stopped.

Cause: the stop had no other end than a tail latency below 0.8 of the target, which it does not bring about there.

It now also ends once no serving task on the executor was at its target for 3 s. The test failed before: all at pace 0 after 5 s at 17 of 18 ms.

--- a/src/waxwingfront/fleet/tail_latency.cc
+++ b/src/waxwingfront/fleet/tail_latency.cc
@@ -19,6 +19,8 @@
 constexpr double kMaxReportGapSeconds = 2.0;
 // The platform allows 4 s, of which reports and orders take up to 2.
 constexpr core::milliseconds kMaxTimeAtTarget{1500};
+// A stop ends after this time below the targets even without recovery.
+constexpr core::milliseconds kMaxRecoveryTime{3000};
 
 }  // namespace
 
@@ -39,16 +41,21 @@
 }
 
 void UpdateBestEffortStop(executor_state& executor, core::monotonic_time now) {
-  const bool stopped = executor.best_effort_stopped;
-  executor.best_effort_stopped = std::ranges::any_of(
-      executor.active, [now, stopped](const task_state* task) {
-        if (stopped && HasTailLatency(*task) &&
-            LatencyRatio(*task) >= kMaxIncreaseRatio) {
-          return true;
-        }
-        return AtOrAboveTarget(*task) &&
-               now - task->last_within_target >= kMaxTimeAtTarget;
-      });
+  bool at_target = false;
+  bool at_target_too_long = false;
+  bool recovered = true;
+  for (const task_state* const task : executor.active) {
+    if (!HasTailLatency(*task)) continue;
+    recovered &= LatencyRatio(*task) < kMaxIncreaseRatio;
+    if (!AtOrAboveTarget(*task)) continue;
+    at_target = true;
+    at_target_too_long |= now - task->last_within_target >= kMaxTimeAtTarget;
+  }
+  if (at_target) executor.last_at_target = now;
+  // The serving tasks' own load may keep them just below their targets.
+  const bool stays = executor.best_effort_stopped && !recovered &&
+                     now - executor.last_at_target < kMaxRecoveryTime;
+  executor.best_effort_stopped = at_target_too_long || stays;
 }
 
 void AdjustMargin(executor_state& executor, core::monotonic_time now) {
--- a/src/waxwingfront/fleet/tail_latency.h
+++ b/src/waxwingfront/fleet/tail_latency.h
@@ -26,7 +26,8 @@
 
 // Stops all best-effort tasks on the executor, regardless of the model, once a
 // serving task has not been below its target for too long. They stay stopped
-// until all of its tail latencies are below `kMaxIncreaseRatio`.
+// until all of its tail latencies are below `kMaxIncreaseRatio`, or below their
+// targets for a few seconds.
 void UpdateBestEffortStop(executor_state& executor, core::monotonic_time now);
 
 // Adjusts the margin below the targets by the share of serving tasks that are
--- a/tests/waxwingfront/fleet/tail_latency_test.cc
+++ b/tests/waxwingfront/fleet/tail_latency_test.cc
@@ -117,6 +117,15 @@
   CHECK(executor.AllAtPace(kFullPace));
 }
 
+TEST_CASE("best-effort tasks are resumed beside tasks whose own load is high",
+          "[fleet]") {
+  shared_executor executor;
+  executor.ReportFor(2500, kFarAboveTargetMs);
+  REQUIRE(executor.AllAtPace(0));
+  executor.ReportFor(5000, kTargetMs - 1);
+  CHECK_FALSE(executor.AllAtPace(0));
+}
+
 TEST_CASE("no best-effort task is started beside others that are stopped",
           "[fleet]") {
   shared_executor executor;
