--- a/review/standin/store.cc
+++ b/review/standin/store.cc
@@ -265,9 +265,8 @@
     for (const auto& row : expected) {
       const std::string key = row["key"].GetString();
       const auto found = items_.find(key);
-      if (found == items_.end()) continue;
       writer.StartObject();
-      WriteItem(writer, key, found->second);
+      WriteItem(writer, key, found == items_.end() ? item() : found->second);
       writer.EndObject();
     }
     writer.EndArray();
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -306,8 +306,14 @@
 
 // Guards against a removal that is repeated for ever, since the response to its
 // first attempt was lost.
-TEST_CASE("a key that a conflict leaves out does not exist", "[platform]") {
-  delayed_store store(kNoDelay, R"({"at":7,"items":[]})", kConflict);
+TEST_CASE(
+    "a key that a conflict leaves out or lists at revision 0 does not exist",
+    "[platform]") {
+  const std::string body = GENERATE(
+      R"({"at":7,"items":[]})",
+      R"({"at":7,"items":[{"key":"k","value":"","revision":0,"lease":0}]})");
+  CAPTURE(body);
+  delayed_store store(kNoDelay, body, kConflict);
   const fleet::store_write_reply reply = store.Write();
   CHECK(reply.status == fleet::store_write_status::kConflict);
   REQUIRE(reply.actual.size() == 1);
