--- a/src/waxwingfront/fleet/lease_renewal.cc
+++ b/src/waxwingfront/fleet/lease_renewal.cc
@@ -16,9 +16,8 @@
 
   // Sends a renewal, and the next one once this one is complete or late, since
   // a lost or delayed response must not use up the time of the next renewal.
-  void Renew() { RenewAt(hooks.boot_time_ms()); }
-
-  void RenewAt(std::int64_t sent_ms) {
+  void Renew() {
+    const std::int64_t sent_ms = hooks.boot_time_ms();
     in_flight.push_back(sent_ms);
     store.renew_lease(lease.id, [self = shared_from_this(), of = term, sent_ms,
                                  sent = core::Now()](lease_status status) {
@@ -55,19 +54,16 @@
     valid_until_ms = std::max(valid_until_ms, sent_ms + lease.ttl.count());
     hooks.on_renewed();
     ++timer;
-    // The next renewal has to be sent while the lease is valid.
-    const core::milliseconds remaining(valid_until_ms - hooks.boot_time_ms());
-    Later(std::clamp(remaining / 2, core::milliseconds(0), options.interval),
-          &internal::Renew);
+    Later(options.interval, &internal::Renew);
   }
 
-  // Time at which the lease ends if its first renewal and all that were sent
-  // while it was valid succeed. Later ones do not count, so that a store that
-  // never responds cannot postpone the end.
+  // Time at which the lease ends if all renewals that were sent while it was
+  // valid succeed. Later ones do not count, so that a store that never responds
+  // cannot postpone the end.
   std::int64_t LatestEndMs() const {
     std::int64_t end_ms = valid_until_ms;
     for (const std::int64_t sent_ms : in_flight) {
-      if (sent_ms < valid_until_ms || sent_ms == started_ms)
+      if (sent_ms < valid_until_ms)
         end_ms = std::max(end_ms, sent_ms + lease.ttl.count());
     }
     return end_ms;
@@ -102,8 +98,6 @@
   lease_renewal_hooks hooks;
   store_lease lease;
   std::int64_t valid_until_ms = 0;
-  // When the first renewal was sent.
-  std::int64_t started_ms = 0;
   bool active = false;
   // Number of leases that were renewed, including this one.
   int term = 0;
@@ -128,8 +122,7 @@
   ++internal_->term;
   ++internal_->timer;
   internal_->in_flight.clear();
-  internal_->started_ms = internal_->hooks.boot_time_ms();
-  internal_->RenewAt(internal_->started_ms);
+  internal_->Renew();
   internal_->AwaitEnd();
 }
 
