--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -31,7 +31,6 @@
         renewal(event_loop, services, options.renewal,
                 {.on_renewed = [this] { last_response = core::Now(); },
                  .on_ended = [this] { StepDown("lease ended"); },
-                 .on_expired = [this] { GiveUp("lease ran out"); },
                  .boot_time_ms = hooks.boot_time_ms,
                  .on_stage = hooks.on_stage}) {}
 
@@ -238,13 +237,6 @@
     follower.Read();
   }
 
-  // Steps down and frees the key, which may still name this process.
-  void GiveUp(std::string_view reason) {
-    if (!leading) return;
-    StepDown(reason);
-    former.End(lease.id);
-  }
-
   void HandOver(const std::string& successor) {
     if (!leading) return;
     store_write reservation;
@@ -376,7 +368,9 @@
 
 void leadership::Resign() {
   internal_->resigned = true;
-  internal_->GiveUp("resigned");
+  if (!internal_->leading) return;
+  internal_->StepDown("resigned");
+  internal_->former.End(internal_->lease.id);
 }
 
 void leadership::HandOver(const std::string& successor) {
--- a/src/waxwingfront/fleet/lease_renewal.cc
+++ b/src/waxwingfront/fleet/lease_renewal.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace waxwingfront::fleet {
 
@@ -18,7 +17,7 @@
   // a lost or delayed response must not use up the time of the next renewal.
   void Renew() {
     const std::int64_t sent_ms = hooks.boot_time_ms();
-    in_flight.push_back(sent_ms);
+    ++in_flight;
     store.renew_lease(lease.id, [self = shared_from_this(), of = term, sent_ms,
                                  sent = core::Now()](lease_status status) {
       if (!self->active || self->term != of) return;
@@ -31,8 +30,8 @@
   }
 
   void Hedge() {
-    if (in_flight.empty()) return;
-    if (std::ssize(in_flight) < options.max_in_flight) {
+    if (in_flight == 0) return;
+    if (in_flight < options.max_in_flight) {
       Renew();
       return;
     }
@@ -40,13 +39,13 @@
   }
 
   void OnResponse(lease_status status, std::int64_t sent_ms) {
-    in_flight.erase(std::ranges::find(in_flight, sent_ms));
+    --in_flight;
     if (status == lease_status::kEnded) {
       hooks.on_ended();
       return;
     }
     if (status != lease_status::kAlive) {
-      if (ExpireIfDue() || !in_flight.empty()) return;
+      if (in_flight > 0) return;
       ++timer;
       Later(options.retry, &internal::Renew);
       return;
@@ -57,33 +56,6 @@
     Later(options.interval, &internal::Renew);
   }
 
-  // Time at which the lease ends if all renewals that were sent while it was
-  // valid succeed. Later ones do not count, so that a store that never responds
-  // cannot postpone the end.
-  std::int64_t LatestEndMs() const {
-    std::int64_t end_ms = valid_until_ms;
-    for (const std::int64_t sent_ms : in_flight) {
-      if (sent_ms < valid_until_ms)
-        end_ms = std::max(end_ms, sent_ms + lease.ttl.count());
-    }
-    return end_ms;
-  }
-
-  bool ExpireIfDue() {
-    if (hooks.boot_time_ms() < LatestEndMs()) return false;
-    hooks.on_expired();
-    return true;
-  }
-
-  void AwaitEnd() {
-    const core::milliseconds remaining(LatestEndMs() - hooks.boot_time_ms());
-    loop.After(std::max(remaining, core::milliseconds(0)),
-               [self = shared_from_this(), of = term] {
-                 if (!self->active || self->term != of) return;
-                 if (!self->ExpireIfDue()) self->AwaitEnd();
-               });
-  }
-
   // Calls `step` after `delay`, unless stopped or another timer was set
   // instead.
   void Later(core::milliseconds delay, void (internal::*step)()) {
@@ -101,8 +73,7 @@
   bool active = false;
   // Number of leases that were renewed, including this one.
   int term = 0;
-  // When the renewals in flight were sent, on the clock of `boot_time_ms`.
-  std::vector<std::int64_t> in_flight;
+  int in_flight = 0;
   // Timers of an earlier number are ignored.
   int timer = 0;
 };
@@ -121,9 +92,8 @@
   internal_->active = true;
   ++internal_->term;
   ++internal_->timer;
-  internal_->in_flight.clear();
+  internal_->in_flight = 0;
   internal_->Renew();
-  internal_->AwaitEnd();
 }
 
 void lease_renewal::Stop() {
--- a/src/waxwingfront/fleet/lease_renewal.h
+++ b/src/waxwingfront/fleet/lease_renewal.h
@@ -28,11 +28,8 @@
 struct lease_renewal_hooks {
   // The store has renewed the lease.
   std::function<void()> on_renewed;
-  // The store has ended the lease.
+  // The lease has ended.
   std::function<void()> on_ended;
-  // The lease has ended by the clock of this process, and no response to a
-  // renewal that was sent before can extend it. The store may still hold it.
-  std::function<void()> on_expired;
   // Returns milliseconds on a clock that includes time suspended.
   std::function<std::int64_t()> boot_time_ms;
   // Optional.
@@ -47,8 +44,7 @@
   lease_renewal& operator=(const lease_renewal&) = delete;
   ~lease_renewal();
 
-  // Renews `lease`, whose grant was requested at `granted_ms`, until `Stop`,
-  // which the hooks for its end have to call.
+  // Renews `lease`, whose grant was requested at `granted_ms`, until `Stop`.
   void Start(const store_lease& lease, std::int64_t granted_ms);
   void Stop();
 
