--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -150,10 +150,6 @@
   // tasks.
   double margin = 0.0;
   core::monotonic_time margin_at{};
-  // See `UpdateBestEffortStop`.
-  bool best_effort_stopped = false;
-  // When a serving task was last reported at or above its target.
-  core::monotonic_time last_at_target{};
 
   // Invalidated by each change of `active` and each report.
   mutable sharing_view sharing;
--- a/src/waxwingfront/fleet/sharing_policy.cc
+++ b/src/waxwingfront/fleet/sharing_policy.cc
@@ -66,6 +66,9 @@
 constexpr double kHighRatio = 2.5;
 constexpr double kCriticalRatio = 6.0;
 constexpr double kHighRatioHeadroomShare = 0.3;
+// Paces rise only while the affected tail latencies are below this share of
+// their target.
+constexpr double kPaceRiseMaxRatio = 0.8;
 // Paces are rounded down to a multiple of this many percent; a rise has to be
 // larger to justify an order.
 constexpr int kPaceRounding = 10;
@@ -195,7 +198,6 @@
 double sharing_policy::BestEffortCost(const executor_state& executor,
                                       const task_state& task,
                                       core::monotonic_time now) const {
-  if (executor.best_effort_stopped) return kInfiniteCost;
   const sharing_view& view = View(executor, now);
   const double load = (view.use_millis + Millis(task)) / Capacity(executor);
   const double cost =
@@ -306,7 +308,6 @@
                               core::monotonic_time now) {
   UpdateModel(executor, now);
   AdjustMargin(executor, now);
-  UpdateBestEffortStop(executor, now);
   executor.Touch();
   AdjustPace(executor, now);
 }
@@ -325,12 +326,13 @@
   if (claims.empty()) return;
   std::vector<serving_budget> budgets = Budgets(executor, kPaceAheadSeconds);
   CutBudgets(executor, budgets);
+  const bool over_target_too_long = AnyAboveTargetTooLong(executor, now);
   // The job most likely to be on time gets full pace before the next gets any,
   // so that a shortage makes few jobs late.
   std::sort(claims.begin(), claims.end());
   std::vector<double> interferences;
   for (const pace_claim& claim : claims) {
-    double pace = executor.best_effort_stopped ? 0.0 : 1.0;
+    double pace = over_target_too_long ? 0.0 : 1.0;
     interferences.clear();
     const std::size_t image = model_.FindBestEffort(claim.task->Spec().image());
     const double cores = CoresOf(executor, *claim.task);
@@ -353,7 +355,8 @@
   std::vector<sharing_model::serving_latency> serving;
   for (task_state* const task : executor.active) {
     if (!task->listed) continue;
-    if (!AtOrAboveTarget(*task)) task->last_within_target = now;
+    if (!HasTailLatency(*task) || LatencyRatio(*task) <= 1.0)
+      task->last_within_target = now;
     if (task->Spec().fills()) {
       usage.push_back({.image = task->Spec().image(),
                        .cpu_millis = static_cast<double>(task->reported_load)});
@@ -387,7 +390,7 @@
 bool sharing_policy::MayRaisePace(const executor_state& executor,
                                   const task_state& best_effort) const {
   return std::ranges::none_of(executor.active, [&](const task_state* task) {
-    return HasTailLatency(*task) && LatencyRatio(*task) > kMaxIncreaseRatio &&
+    return HasTailLatency(*task) && LatencyRatio(*task) > kPaceRiseMaxRatio &&
            InterferenceOf(executor, task->Spec().image(), best_effort) >=
                kMinInterference;
   });
