Take the times of the soak's events before they wait for its book

Cause: the book took the time of an event once it held its lock. Threads of other executors wait there too, in no order. A gang works from the moment when its last member has joined, before the begin of that member is written down; its end could be written down first, and the begin then counted as a start after it.

Change: `Ran` is given the time by its caller, and the other events take it before the lock. A begin breaks the promise if its time is after that of an acknowledged end `done`, whichever of the two is written down first.

The check is as strict as before: an executor acknowledges an end only after it was reported, so a start that follows the acknowledgement has a later time than the end, and a start after an unacknowledged end is compared as before. Times of acceptance and cancel are earlier by the wait, which makes the bounds that count from them tighter.

--- a/tests/soak/job_book.cc
+++ b/tests/soak/job_book.cc
@@ -20,6 +20,7 @@
 }  // namespace
 
 void job_book::Sent(const soak_job& sent) {
+  const milliseconds now = log_.Now();
   const std::scoped_lock lock(mutex_);
   job_state& job = jobs_[sent.id];
   job.queue = sent.queue;
@@ -28,15 +29,16 @@
   job.width = sent.width;
   job.first_run_ms = sent.first_run_ms;
   job.interval_ms = sent.interval_ms;
-  job.last_sent = log_.Now();
+  job.last_sent = std::max(job.last_sent, now);
   ++job.attempts;
 }
 
 void job_book::Answered(const std::string& id, int status) {
+  const milliseconds now = log_.Now();
   const std::scoped_lock lock(mutex_);
   job_state& job = jobs_[id];
   if (IsSuccess(status)) {
-    if (!job.accepted) job.accepted = log_.Now();
+    if (!job.accepted) job.accepted = now;
     if (job.kind == job_kind::kLasting) lasting_.insert(id);
   } else if (status == kTooMany || status == kUnavailable ||
              status == kNotFound) {
@@ -45,12 +47,13 @@
 }
 
 void job_book::Cancelled(const std::string& id, int status) {
+  const milliseconds now = log_.Now();
   const std::scoped_lock lock(mutex_);
   job_state& job = jobs_[id];
-  if (!job.cancel_sent) job.cancel_sent = log_.Now();
+  if (!job.cancel_sent) job.cancel_sent = now;
   lasting_.erase(id);
   if (!IsSuccess(status) || job.cancelled) return;
-  job.cancelled = log_.Now();
+  job.cancelled = now;
   stopping_.insert(id);
 }
 
@@ -77,6 +80,7 @@
 
 void job_book::Shown(const std::string& id, int status, std::string_view body,
                      milliseconds sent_at, std::string_view where) {
+  const milliseconds now = log_.Now();
   const std::scoped_lock lock(mutex_);
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
@@ -87,7 +91,7 @@
     if (cancelled || !job.accepted) return;
     if (sent_at <= *job.accepted + bounds_.visible) return;
     const std::optional<milliseconds> end = EndOf(job);
-    if (end && log_.Now() > *end + bounds_.status) return;
+    if (end && now > *end + bounds_.status) return;
     log_.Breach("LOST", about + "is unknown; accepted at " +
                             std::to_string(job.accepted->count()) +
                             (end ? ", ended at " + std::to_string(end->count())
@@ -99,9 +103,9 @@
   if (completed && !AllDone(job)) {
     log_.Breach("MIXED", about + "shown as completed with tasks not done");
   }
-  if (completed && !job.shown_ended) job.shown_ended = log_.Now();
+  if (completed && !job.shown_ended) job.shown_ended = now;
   if (body.find("\"failed\"") != std::string_view::npos && !cancelled) {
-    if (!job.shown_ended) job.shown_ended = log_.Now();
+    if (!job.shown_ended) job.shown_ended = now;
     const bool has_cause =
         job.kind != job_kind::kLasting &&
         std::ranges::any_of(job.task_states, [this](const auto& row) {
@@ -114,7 +118,8 @@
   }
 }
 
-void job_book::Begun(job_state& job, const review::run_event& event) {
+void job_book::Begun(job_state& job, const review::run_event& event,
+                     milliseconds at) {
   task_state& task = job.task_states[event.task];
   const std::string about = event.task + " run " + std::to_string(event.run) +
                             " at " + event.executor + ", ";
@@ -130,22 +135,21 @@
   // A request that arrives again after the record's end is a new job.
   const std::optional<milliseconds> end = EndOf(job);
   const bool sent_again = end && job.last_sent > *end + bounds_.status;
-  if (task.done_seen && !sent_again) {
+  if (task.done_seen && at > *task.done_seen && !sent_again) {
     log_.Breach("TWICE", about + "starts after an acknowledged end");
   }
-  task.last_begun = log_.Now();
+  task.last_begun = std::max(task.last_begun.value_or(at), at);
   task.missed = false;
   if (job.cancelled) stopping_.insert(JobOf(event.task));
-  if (job.cancelled && log_.Now() > *job.cancelled + bounds_.cancel &&
+  if (job.cancelled && at > *job.cancelled + bounds_.cancel &&
       !is_disturbed(bounds_.contact)) {
-    log_.Breach("UNASKED",
-                about + "starts " +
-                    std::to_string((log_.Now() - *job.cancelled).count()) +
-                    " ms after its cancel");
+    log_.Breach("UNASKED", about + "starts " +
+                               std::to_string((at - *job.cancelled).count()) +
+                               " ms after its cancel");
   }
 }
 
-void job_book::Ran(const review::run_event& event) {
+void job_book::Ran(const review::run_event& event, milliseconds at) {
   log_.Write(event.executor + " " + event.task + " run " +
              std::to_string(event.run) + " " + event.what + " " + event.detail);
   if (event.task.empty()) return;
@@ -157,7 +161,7 @@
   }
   job_state& job = found->second;
   if (event.what == "begun") {
-    Begun(job, event);
+    Begun(job, event, at);
     return;
   }
   if (event.what == "refused") return;
@@ -167,8 +171,8 @@
   }
   task_state& task = job.task_states[event.task];
   task.running.erase({event.executor, event.run});
-  task.last_end = log_.Now();
-  if (event.what == "done") Done(job, event);
+  task.last_end = std::max(task.last_end.value_or(at), at);
+  if (event.what == "done") Done(job, event, at);
   if (event.what == "alone") CheckGang(job, event);
   if (event.what == "failed") ++task.failed;
 }
@@ -186,12 +190,13 @@
 }
 
 std::vector<std::string> job_book::Owed() const {
+  const milliseconds now = log_.Now();
   const std::scoped_lock lock(mutex_);
   std::vector<std::string> ids;
   for (const auto& [id, job] : jobs_) {
     if (!job.accepted || job.cancel_sent) continue;
     const std::optional<milliseconds> end = EndOf(job);
-    if (!end || log_.Now() <= *end + bounds_.status) ids.push_back(id);
+    if (!end || now <= *end + bounds_.status) ids.push_back(id);
   }
   return ids;
 }
--- a/tests/soak/job_book.h
+++ b/tests/soak/job_book.h
@@ -47,7 +47,8 @@
   // `sent_at`: when the request was sent.
   void Shown(const std::string& id, int status, std::string_view body,
              milliseconds sent_at, std::string_view where);
-  void Ran(const review::run_event& event);
+  // `at`: when it happened, before any wait for another event.
+  void Ran(const review::run_event& event, milliseconds at);
 
   // Checks of what has to happen in time; to be called often.
   void CheckNow();
@@ -77,7 +78,8 @@
     std::set<run_place> running;
     // Ends `done` and when they were.
     std::map<run_place, milliseconds> done;
-    bool done_seen = false;
+    // When the first end `done` was that is acknowledged.
+    std::optional<milliseconds> done_seen;
     std::optional<milliseconds> last_begun;
     std::optional<milliseconds> last_end;
     int failed = 0;
@@ -106,16 +108,16 @@
   bool AllDone(const job_state& job) const;
   static bool AllBegun(const job_state& job);
   std::optional<milliseconds> EndOf(const job_state& job) const;
-  void Begun(job_state& job, const review::run_event& event);
-  void Done(job_state& job, const review::run_event& event);
+  void Begun(job_state& job, const review::run_event& event, milliseconds at);
+  void Done(job_state& job, const review::run_event& event, milliseconds at);
   void Seen(job_state& job, const review::run_event& event);
   // The task, or all members of its gang.
   static std::vector<std::string> Members(const job_state& job,
                                           const std::string& task);
   void CheckGang(const job_state& job, const review::run_event& event);
   void CheckDue(const job_state& job, const review::run_event& event);
-  void CheckLasting(const std::string& id, job_state& job);
-  void CheckStopped(job_state& job);
+  void CheckLasting(const std::string& id, job_state& job, milliseconds now);
+  void CheckStopped(job_state& job, milliseconds now);
   static bool IsRunning(const job_state& job);
 
   timeline& log_;
--- a/tests/soak/job_checks.cc
+++ b/tests/soak/job_checks.cc
@@ -25,10 +25,10 @@
   return names;
 }
 
-void job_book::Done(job_state& job, const review::run_event& event) {
+void job_book::Done(job_state& job, const review::run_event& event,
+                    milliseconds at) {
   for (const std::string& name : Members(job, event.task)) {
-    job.task_states[name].done.try_emplace({event.executor, event.run},
-                                           log_.Now());
+    job.task_states[name].done.try_emplace({event.executor, event.run}, at);
   }
 }
 
@@ -37,7 +37,8 @@
     task_state& task = job.task_states[name];
     const auto done = task.done.find({event.executor, event.run});
     if (done == task.done.end()) continue;
-    task.done_seen = true;
+    task.done_seen =
+        std::min(task.done_seen.value_or(done->second), done->second);
     if (task.last_begun.value_or(milliseconds{0}) > done->second) {
       log_.Breach("TWICE",
                   name + " started after an end that is acknowledged now");
@@ -89,35 +90,36 @@
 }
 
 void job_book::CheckNow() {
+  const milliseconds now = log_.Now();
   const std::scoped_lock lock(mutex_);
-  if (log_.Now() < next_check_) return;
-  next_check_ = log_.Now() + kCheckInterval;
+  if (now < next_check_) return;
+  next_check_ = now + kCheckInterval;
   if (!is_disturbed(kIdle + kCalmBefore)) {
-    for (const std::string& id : lasting_) CheckLasting(id, jobs_.at(id));
+    for (const std::string& id : lasting_) CheckLasting(id, jobs_.at(id), now);
   }
-  std::erase_if(stopping_, [this](const std::string& id) {
+  std::erase_if(stopping_, [this, now](const std::string& id) {
     job_state& job = jobs_.at(id);
-    CheckStopped(job);
+    CheckStopped(job, now);
     return !IsRunning(job);
   });
 }
 
-void job_book::CheckLasting(const std::string& id, job_state& job) {
+void job_book::CheckLasting(const std::string& id, job_state& job,
+                            milliseconds now) {
   for (int i = 0; i < job.tasks; ++i) {
     const std::string name = id + ".0.0." + std::to_string(i);
     task_state& task = job.task_states[name];
     if (!task.running.empty() || task.missed) continue;
     const milliseconds since =
         std::max(*job.accepted, task.last_end.value_or(milliseconds{0}));
-    if (log_.Now() <= since + kTurn + kIdle) continue;
+    if (now <= since + kTurn + kIdle) continue;
     task.missed = true;
     log_.Breach("LOST", name + " lasts and has not run for " +
-                            std::to_string((log_.Now() - since).count()) +
-                            " ms");
+                            std::to_string((now - since).count()) + " ms");
   }
 }
 
-void job_book::CheckStopped(job_state& job) {
+void job_book::CheckStopped(job_state& job, milliseconds now) {
   for (auto& [name, task] : job.task_states) {
     if (task.running.empty() || task.overran) continue;
     milliseconds due = *job.cancelled + bounds_.cancel;
@@ -125,15 +127,14 @@
     if (*task.last_begun > *job.cancelled) {
       due = std::max(due, *task.last_begun + bounds_.contact);
     }
-    if (log_.Now() <= due + bounds_.stop_timeout ||
+    if (now <= due + bounds_.stop_timeout ||
         is_disturbed(bounds_.contact + bounds_.cancel + bounds_.stop_timeout)) {
       continue;
     }
     task.overran = true;
-    log_.Breach("UNASKED",
-                name + " runs " +
-                    std::to_string((log_.Now() - *job.cancelled).count()) +
-                    " ms after its cancel");
+    log_.Breach("UNASKED", name + " runs " +
+                               std::to_string((now - *job.cancelled).count()) +
+                               " ms after its cancel");
   }
 }
 
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -157,7 +157,9 @@
          .cpu = is_small ? kSmallCpu : kCpu,
          .clock_rate = i % 3 == 0 ? kSlowClock : 1,
          .gangs = &gangs},
-        [&book](const review::run_event& event) { book.Ran(event); }));
+        [&book, &log](const review::run_event& event) {
+          book.Ran(event, log.Now());
+        }));
   }
   // Threads of the proxies ask it.
   auto& processes = *new site(log, site_values);
