Watch a process of the soak only once it runs its own program

Cause: between `fork` and `execve` a child has the descriptors and the memory of the soak, which are more than a machine's limit in a run of this size. The watch came in that time. The process had been started 48 ms before; with few executors the soak has fewer descriptors than a machine.

Change: the watch skips a child whose program is still that of the soak. Bounds on memory and descriptors of the processes are unchanged.

--- a/tests/soak/process_info.cc
+++ b/tests/soak/process_info.cc
@@ -42,6 +42,13 @@
   return (masks & kSigterm) != 0;
 }
 
+bool RunsOtherProgram(pid_t pid) {
+  std::error_code gone;
+  const auto program = std::filesystem::read_symlink(
+      "/proc/" + std::to_string(pid) + "/exe", gone);
+  return !gone && program != std::filesystem::read_symlink("/proc/self/exe");
+}
+
 int MemoryKb(pid_t pid) {
   std::ifstream file("/proc/" + std::to_string(pid) + "/status");
   std::string word;
--- a/tests/soak/process_info.h
+++ b/tests/soak/process_info.h
@@ -10,6 +10,9 @@
 
 // True if the process blocks or catches SIGTERM, so that it does not end by it.
 bool HandlesSigterm(pid_t pid);
+// False for a child that has yet to replace the program of this process, with
+// its memory and descriptors, by another one.
+bool RunsOtherProgram(pid_t pid);
 int MemoryKb(pid_t pid);
 int Descriptors(pid_t pid);
 
--- a/tests/soak/site.cc
+++ b/tests/soak/site.cc
@@ -262,6 +262,7 @@
 }
 
 void site::Watch(std::size_t node, process& one) {
+  if (!RunsOtherProgram(one.pid)) return;
   const int memory_kb = MemoryKb(one.pid);
   const int descriptors = Descriptors(one.pid);
   peak_memory_kb_ = std::max(peak_memory_kb_, memory_kb);
