Let the soak allow starts after an end whose executor's lease lapsed

Cause: an end that `last_seen` reaches counts as taken note of, unless the executor's lease lapsed between the two, and that stands for good. The soak's check did not know of lapses.

Change: the stand-in reports `seen_after_lapse` for an end from before the last lapse of its lease, as the executors of the simulation do, and the book takes note of no such end. `seen` and all other checks stay.

--- a/tests/soak/run_table.h
+++ b/tests/soak/run_table.h
@@ -36,7 +36,8 @@
 class run_table {
  public:
   // Called with "begun", "refused", an end, or "seen" for an end that
-  // `last_seen` reached.
+  // `last_seen` reached: "seen_after_lapse" if the lease lapsed in between, as
+  // the end does not count as taken note of then.
   using report_hook =
       std::function<void(const std::string& what, const std::string& task,
                          std::int64_t run, const std::string& detail)>;
@@ -97,6 +98,8 @@
   std::int64_t token_ = 0;
   std::int64_t lease_end_ms_ = 0;
   std::int64_t last_number_ = 0;
+  // Number of the last end when the lease last lapsed.
+  std::int64_t lapsed_through_ = 0;
   std::map<std::string, live_run> running_;
   std::map<std::string, std::int64_t> highest_ended_;
   std::deque<ended_run> ended_;
