Simulate gangs

No simulation had gangs, so that the properties covered none of their paths.

Change: on request the second step of each simulated job is a gang. Its members work once all have joined, end together, and end as `broken` or `alone` if one is missing; a member may fail beside another one that fails. Failures count once per run. All simulations now also check that a job fails only if one of its tasks has used up its attempts.

--- a/tests/support/fake_executor.cc
+++ b/tests/support/fake_executor.cc
@@ -28,7 +28,7 @@
     return found->second.run == order.run ? start_outcome::kAccepted
                                           : start_outcome::kStaleRun;
   }
-  running_[order.task] = {.run = order.run};
+  running_[order.task] = {.run = order.run, .begun_ms = now_ms};
   return start_outcome::kAccepted;
 }
 
--- a/tests/support/fake_executor.h
+++ b/tests/support/fake_executor.h
@@ -16,6 +16,7 @@
   struct live_run {
     std::uint32_t run = 0;
     int percent = 0;
+    std::int64_t begun_ms = 0;
   };
 
   fake_executor(std::string id, std::int64_t born_ms)
--- a/tests/support/fleet_invariants.cc
+++ b/tests/support/fleet_invariants.cc
@@ -1,5 +1,8 @@
 #include "support/fleet_invariants.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace waxwingfront::tests {
 
 void fleet_invariants::OnStart(
@@ -11,19 +14,20 @@
     violations_.emplace_back("a task started before its record was stored");
     return;
   }
+  const fleet::task_ref counted = CountedTask(order.task);
   std::uint32_t first_done = 0;
   for (const schema::fleet_task& task : progress->tasks()) {
     if (task.step() == 0 && task.succeeded()) ++first_done;
-    const bool same =
-        task.step() == order.task.step && task.index() == order.task.index;
-    if (!same) continue;
-    if (task.succeeded()) {
-      violations_.emplace_back("a task started after its end was stored");
-    }
-    if (task.failures() >= static_cast<std::uint32_t>(options_.max_attempts)) {
+    if (task.step() != order.task.step) continue;
+    if (task.index() == counted.index &&
+        task.failures() >= static_cast<std::uint32_t>(options_.max_attempts)) {
       violations_.emplace_back(
           "a task started more often than its attempts allow");
     }
+    if (task.index() != order.task.index) continue;
+    if (task.succeeded()) {
+      violations_.emplace_back("a task started after its end was stored");
+    }
     if (task.run() < order.run) {
       violations_.emplace_back("a run started before it was stored");
     }
@@ -34,6 +38,11 @@
   }
 }
 
+fleet::task_ref fleet_invariants::CountedTask(fleet::task_ref task) const {
+  if (options_.second_step_is_gang && task.step == 1) task.index = 0;
+  return task;
+}
+
 void fleet_invariants::CheckEnds(const fleet::start_order& order,
                                  std::int64_t now_ms) {
   const auto drain = drains_.find(order.executor);
@@ -70,15 +79,14 @@
   // An end before the lease last lapsed does not count.
   if (end.number <= executor.LapsedThrough()) return;
   if (progress && progress->state() >= schema::FLEET_COMPLETED) return;
+  const fleet::task_ref counted = CountedTask(end.task);
   bool succeeded = false;
   std::size_t failures = 0;
   if (progress) {
     for (const schema::fleet_task& task : progress->tasks()) {
-      if (task.step() != end.task.step || task.index() != end.task.index) {
-        continue;
-      }
-      succeeded = task.succeeded();
-      failures = task.failures();
+      if (task.step() != end.task.step) continue;
+      if (task.index() == end.task.index) succeeded = task.succeeded();
+      if (task.index() == counted.index) failures = task.failures();
     }
   }
   if (end.how == fleet::run_end::kDone && !succeeded) {
@@ -86,7 +94,7 @@
                           end.task.job + " that is not stored");
   }
   if (end.how != fleet::run_end::kFailed) return;
-  std::set<std::uint32_t>& failed = forgotten_failures_[end.task];
+  std::set<std::uint32_t>& failed = forgotten_failures_[counted];
   failed.insert(end.run);
   if (!succeeded && failures < failed.size()) {
     violations_.push_back(executor.Id() + " forgot a failed end of " +
@@ -94,6 +102,25 @@
   }
 }
 
+void fleet_invariants::OnFailed(const fleet::task_ref& task,
+                                std::uint32_t run) {
+  failed_runs_[CountedTask(task)].insert(run);
+}
+
+void fleet_invariants::CheckFailed(const std::string& job,
+                                   const schema::fleet_progress& progress) {
+  if (progress.state() != schema::FLEET_FAILED) return;
+  const bool has_cause =
+      std::ranges::any_of(failed_runs_, [&](const auto& entry) {
+        return entry.first.job == job &&
+               std::cmp_greater_equal(entry.second.size(),
+                                      options_.max_attempts);
+      });
+  if (!has_cause) {
+    violations_.push_back(job + " failed with attempts left");
+  }
+}
+
 void fleet_invariants::OnDrainReported(const std::string& executor,
                                        std::int64_t now_ms) {
   drains_.try_emplace(executor, now_ms);
--- a/tests/support/fleet_invariants.h
+++ b/tests/support/fleet_invariants.h
@@ -20,6 +20,8 @@
   int max_attempts = 3;
   // Tasks of the first step, on which the second depends.
   std::uint32_t first_step_tasks = 3;
+  // Its failures are counted once per run, on its first member.
+  bool second_step_is_gang = false;
   std::int64_t drain_ms = 2000;
   // Time after which an end that an executor has reported counts as known, even
   // if the leader has not read it, provided that only the leader itself drops
@@ -46,6 +48,11 @@
   void OnEndForgotten(const fake_executor& executor,
                       const fleet::ended_report& end,
                       const std::optional<schema::fleet_progress>& progress);
+  // Records that a run failed by itself.
+  void OnFailed(const fleet::task_ref& task, std::uint32_t run);
+  // Checks that a job was failed only for a task without attempts left.
+  void CheckFailed(const std::string& job,
+                   const schema::fleet_progress& progress);
   // Records that a leader was notified of a draining executor.
   void OnDrainReported(const std::string& executor, std::int64_t now_ms);
   // Discards the earlier reports of an executor that restarts.
@@ -55,6 +62,8 @@
 
  private:
   void CheckEnds(const fleet::start_order& order, std::int64_t now_ms);
+  // Returns the task on which failures of `task` are counted.
+  fleet::task_ref CountedTask(fleet::task_ref task) const;
 
   struct reported_end {
     std::string executor;
@@ -67,6 +76,8 @@
   std::map<fleet::task_ref, reported_end> done_;
   // Failed runs that executors have forgotten.
   std::map<fleet::task_ref, std::set<std::uint32_t>> forgotten_failures_;
+  // Failed runs by the task on which they count.
+  std::map<fleet::task_ref, std::set<std::uint32_t>> failed_runs_;
   std::vector<std::string> violations_;
 };
 
--- a/tests/support/simulated_fleet.cc
+++ b/tests/support/simulated_fleet.cc
@@ -6,8 +6,18 @@
 #include "support/simulated_fleet_leader.h"
 
 namespace waxwingfront::tests {
+namespace {
 
-schema::fleet_job TwoStepJob(const std::string& id) {
+// How often a run ends in a step of the simulation, and how often it fails.
+constexpr int kEndPerMille = 10;
+constexpr int kSlowEndPerMille = 2;
+constexpr int kFailurePerMille = 50;
+// How often a member of a gang fails by itself when another one ends.
+constexpr int kFailsTooPerMille = 300;
+
+}  // namespace
+
+schema::fleet_job TwoStepJob(const std::string& id, bool has_gang) {
   schema::fleet_job job;
   job.set_id(id);
   job.set_queue("q");
@@ -19,6 +29,7 @@
   second.set_task_count(kSecondStepTasks);
   second.set_cpu_millis(kCpuMillis);
   second.add_after(0);
+  second.set_gang(has_gang);
   return job;
 }
 simulated_fleet::simulated_fleet(std::uint32_t seed,
@@ -28,6 +39,7 @@
       invariants_(
           {.max_attempts = kMaxAttempts,
            .first_step_tasks = kFirstStepTasks,
+           .second_step_is_gang = options.gangs,
            .drain_ms = kDrainMs,
            .end_grace_ms = options.reliable_executors ? kEndGraceMs : 0}) {
   for (int i = 0; i < options.executors; ++i) {
@@ -38,7 +50,7 @@
   for (int i = 0; i < options.jobs; ++i) {
     const std::string id = "job" + std::to_string(i);
     jobs_.insert(id);
-    current_->core.Submit(TwoStepJob(id), Now());
+    current_->core.Submit(TwoStepJob(id, options_.gangs), Now());
   }
 }
 
@@ -76,6 +88,7 @@
       act();
     }
     RunTasks();
+    if (options_.gangs) RunGangs();
     if (!fault_free && now_ms_ % kThousand == 0) {
       if (ChancePerMille(options_.faults_per_mille)) InjectFault();
       if (options_.drains_per_mille > 0 &&
@@ -90,6 +103,11 @@
     }
     invariants_.Check(executors_);
   }
+  for (const std::string& id : jobs_) {
+    if (const auto progress = Progress(id)) {
+      invariants_.CheckFailed(id, *progress);
+    }
+  }
 }
 
 void simulated_fleet::SendCall(int executor, call sent) {
@@ -212,10 +230,60 @@
     executor.Tick(now_ms_);
     const auto running = executor.Running();
     for (const auto& [task, live] : running) {
+      if (IsMember(task)) continue;
       const bool long_running = options_.uneven_tasks && task.index == 0;
-      if (!ChancePerMille(long_running ? 2 : 10)) continue;
-      executor.End(task, ChancePerMille(50) ? fleet::run_end::kFailed
-                                            : fleet::run_end::kDone);
+      if (!ChancePerMille(long_running ? kSlowEndPerMille : kEndPerMille)) {
+        continue;
+      }
+      const bool failed = ChancePerMille(kFailurePerMille);
+      if (failed) invariants_.OnFailed(task, live.run);
+      executor.End(task,
+                   failed ? fleet::run_end::kFailed : fleet::run_end::kDone);
+    }
+  }
+}
+
+bool simulated_fleet::IsMember(const fleet::task_ref& task) const {
+  return options_.gangs && task.step == 1;
+}
+
+void simulated_fleet::RunGangs() {
+  std::map<gang_key, std::set<std::uint32_t>> present;
+  for (const fake_executor& executor : executors_) {
+    for (const auto& [task, live] : executor.Running()) {
+      if (!IsMember(task)) continue;
+      present[{task.job, live.run}].insert(task.index);
+      gangs_[{task.job, live.run}].joined.insert(task.index);
+    }
+  }
+  for (auto& [key, one] : gangs_) {
+    if (!one.end && one.joined != present[key]) {
+      one.end = fleet::run_end::kBroken;
+    }
+  }
+  for (fake_executor& executor : executors_) {
+    const auto running = executor.Running();
+    for (const auto& [task, live] : running) {
+      if (!IsMember(task)) continue;
+      gang& one = gangs_[{task.job, live.run}];
+      if (one.end) {
+        const bool fails_too = one.end == fleet::run_end::kBroken &&
+                               ChancePerMille(kFailsTooPerMille);
+        if (fails_too) invariants_.OnFailed(task, live.run);
+        executor.End(task, fails_too ? fleet::run_end::kFailed : *one.end);
+        continue;
+      }
+      const bool complete = one.joined.size() == kSecondStepTasks;
+      if (complete ? !ChancePerMille(kEndPerMille)
+                   : now_ms_ - live.begun_ms <= kGangTimeoutMs) {
+        continue;
+      }
+      const bool done = complete && !ChancePerMille(kFailurePerMille);
+      if (complete && !done) invariants_.OnFailed(task, live.run);
+      one.end = done ? fleet::run_end::kDone : fleet::run_end::kBroken;
+      executor.End(task, done       ? fleet::run_end::kDone
+                         : complete ? fleet::run_end::kFailed
+                                    : fleet::run_end::kGangIncomplete);
     }
   }
 }
--- a/tests/support/simulated_fleet.h
+++ b/tests/support/simulated_fleet.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "support/fake_executor.h"
@@ -54,6 +55,8 @@
   std::int64_t max_hold_wait_ms = 0;
   // One task of each step runs five times as long as the others.
   bool uneven_tasks = false;
+  // The second step of each job is a gang.
+  bool gangs = false;
   // Longest delay until a new leader sends its first hold to an executor.
   std::int64_t max_takeover_delay_ms = 0;
 };
@@ -87,6 +90,13 @@
   bool ChancePerMille(int in_thousand);
   std::int64_t Between(std::int64_t low, std::int64_t high);
   void After(std::int64_t ms, std::function<void()> act);
+  // A job and a run.
+  using gang_key = std::pair<std::string, std::uint32_t>;
+  struct gang {
+    std::set<std::uint32_t> joined;
+    // How the members that are left end, once the first has ended.
+    std::optional<fleet::run_end> end;
+  };
   // A call to an executor.
   struct call {
     std::function<void()> act;
@@ -134,6 +144,9 @@
   std::optional<schema::fleet_progress> Progress(const std::string& job) const;
   void InjectFault();
   void RunTasks();
+  bool IsMember(const fleet::task_ref& task) const;
+  // Ends members of gangs; the others run in `RunTasks`.
+  void RunGangs();
 
   std::mt19937 random_;
   simulated_fleet_options options_;
@@ -154,6 +167,7 @@
   // Executors that have no store entry.
   std::set<std::string> lapsed_;
   int entries_version_ = 0;
+  std::map<gang_key, gang> gangs_;
   fleet_invariants invariants_;
   bool fault_free_ = false;
 };
--- a/tests/support/simulated_fleet_leader.cc
+++ b/tests/support/simulated_fleet_leader.cc
@@ -130,7 +130,8 @@
   current_->leases_revision = leases_revision_;
   core.FinishRestore(Now(), recorded);
   // Callers that got no response submit their jobs again.
-  for (const std::string& id : jobs_) core.Submit(TwoStepJob(id), Now());
+  for (const std::string& id : jobs_)
+    core.Submit(TwoStepJob(id, options_.gangs), Now());
   RunLeaderRound(current_);
   HoldAll(current_);
   Watch(current_);
--- a/tests/support/simulated_fleet_leader.h
+++ b/tests/support/simulated_fleet_leader.h
@@ -32,13 +32,16 @@
 inline constexpr std::uint32_t kSecondStepTasks = 2;
 inline constexpr int kThousand = 1000;
 inline constexpr std::int64_t kCpuMillis = 1000;
+// Longest time that a member of a gang waits for the others.
+inline constexpr std::int64_t kGangTimeoutMs = 3000;
 
 inline std::size_t Index(const std::string& executor) {
   return std::stoul(executor.substr(1));
 }
 
 // Returns a job of two steps, the second of which depends on the first.
-schema::fleet_job TwoStepJob(const std::string& id);
+// The second step is a gang on request.
+schema::fleet_job TwoStepJob(const std::string& id, bool has_gang);
 
 struct simulated_fleet::leader {
   explicit leader(std::int64_t fencing_token)
--- a/tests/waxwingfront/fleet/fleet_core_property_test.cc
+++ b/tests/waxwingfront/fleet/fleet_core_property_test.cc
@@ -111,6 +111,41 @@
            });
 }
 
+TEST_CASE("no executor forgets an end of a gang that is not stored",
+          "[fleet]") {
+  rc::prop("invariants hold while entries lapse and store responses are lost",
+           [] {
+             const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+             simulated_fleet simulation(seed, {.jobs = 12,
+                                               .lost_per_mille = 150,
+                                               .late_per_mille = 150,
+                                               .faults_per_mille = 300,
+                                               .max_open_batches = 3,
+                                               .max_batch_records = 3,
+                                               .lapses_per_mille = 700,
+                                               .max_lapse_ms = 2000,
+                                               .crash_downtime_ms = 2000,
+                                               .gangs = true});
+             simulation.Run(kFaultPhaseMs, false);
+             RequireNoViolation(simulation);
+             simulation.Run(kRecoveryMs, true);
+             RequireNoViolation(simulation);
+             RC_ASSERT(simulation.AllFinal());
+           });
+  rc::prop("invariants hold with a fault nearly every second", [] {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    simulated_fleet simulation(seed, {.lost_per_mille = 80,
+                                      .late_per_mille = 80,
+                                      .faults_per_mille = 900,
+                                      .gangs = true});
+    simulation.Run(kFaultPhaseMs, false);
+    RequireNoViolation(simulation);
+    simulation.Run(kRecoveryMs, true);
+    RequireNoViolation(simulation);
+    RC_ASSERT(simulation.AllFinal());
+  });
+}
+
 TEST_CASE("a slow leader violates no invariant", "[fleet]") {
   rc::prop("executors without faults: a reported end counts", [] {
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
