Treat an unlisted status of a start like a start without an answer

By the protocol only 409, 400, 421, 429 and 503 say that an executor has done nothing. The adapter took any other status (500, 404, 202) for a malformed and rejected start, so that the task could be started elsewhere while the first run was at work.

Ruled out elsewhere: a stop or a pace is done with 200 only and repeated otherwise; a hold counts as failed; advice changes nothing; calls between processes and writes to the store already leave the outcome open.

--- a/src/waxwingfront/fleet/run_outcome.cc
+++ b/src/waxwingfront/fleet/run_outcome.cc
@@ -8,6 +8,11 @@
          outcome != start_outcome::kNotSent;
 }
 
+bool MayBeExecuted(start_outcome outcome) {
+  return outcome == start_outcome::kUnknown ||
+         outcome == start_outcome::kUnclear;
+}
+
 run_outcome OutcomeOf(run_end how) {
   switch (how) {
     case run_end::kDone:
@@ -78,6 +83,8 @@
       return "unreachable";
     case start_outcome::kUnknown:
       return "no_response";
+    case start_outcome::kUnclear:
+      return "unclear_response";
     case start_outcome::kNotSent:
       return "not_sent";
   }
--- a/src/waxwingfront/fleet/run_outcome.h
+++ b/src/waxwingfront/fleet/run_outcome.h
@@ -33,6 +33,9 @@
 // True if the executor responded to the start.
 bool SentByExecutor(start_outcome outcome);
 
+// True if the outcome leaves open whether the start was or will be executed.
+bool MayBeExecuted(start_outcome outcome);
+
 run_outcome OutcomeOf(run_end how);
 
 // True if an executor reported the outcome, which implies that the run had
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -189,7 +189,7 @@
     return;
   }
   executor_state* const executor = state_.FindExecutor(order.executor);
-  if (outcome == start_outcome::kUnknown) {
+  if (MayBeExecuted(outcome)) {
     if (executor != nullptr) {
       executor->avoid_until = at.now + options_.unanswered_avoid_time;
     }
--- a/src/waxwingfront/fleet/types.h
+++ b/src/waxwingfront/fleet/types.h
@@ -192,6 +192,8 @@
   kUnreachable,
   // No response; the order may still be executed.
   kUnknown,
+  // A response that leaves open whether the order was or will be executed.
+  kUnclear,
   // The leader did not send the order.
   kNotSent,
 };
--- a/tests/waxwingfront/fleet/run_tracker_test.cc
+++ b/tests/waxwingfront/fleet/run_tracker_test.cc
@@ -30,7 +30,9 @@
   started_job_scene fixture;
   fleet_fixture& scene = fixture.scene;
   scene.AddExecutor("b", kCores, 10);
-  scene.Core().OnStartResponse(fixture.start, start_outcome::kUnknown, At(400));
+  const auto outcome =
+      GENERATE(start_outcome::kUnknown, start_outcome::kUnclear);
+  scene.Core().OnStartResponse(fixture.start, outcome, At(400));
   const fleet::orders after = scene.Step(410);
   CHECK(after.starts.empty());
   REQUIRE(after.stops.size() == 1);
