Refuse a job whose record cannot be read

A new leader passed over a damaged record, so that its id was unknown: GET and DELETE said 410, and a submission was accepted. Its write conflicted with the damaged record, which was taken for an earlier write of the same job; the caller got 200, and the next leader could not load the job either.

The loader now remembers the ids of damaged records of jobs and of their progress. Submissions, queries and cancels of such an id get 500 `record_damaged`, from this leader and each later one, since each loads the record anew. 410 would say that there is no such job, 503 that it never runs, and neither is known: the job may have been accepted, have run and have ended. 502 and 504 would ask for endless retries. A damaged progress alone is treated alike: a job restored without it would run again.

Between processes this is the outcome "unknown" with a flag, so that a process of an earlier version repeats the call until its caller's deadline and does not take it for success.

Left: runs of such a job are stopped as those of an unknown one, and their ends are acknowledged, since nobody can store them.

--- a/src/waxwingfront/core/error.cc
+++ b/src/waxwingfront/core/error.cc
@@ -36,6 +36,7 @@
     error_row{error_code::kStoreUnavailable, "store_unavailable", 503},
     error_row{error_code::kUnreachable, "unreachable", 503},
     error_row{error_code::kOutcomeUnknown, "outcome_unknown", 502},
+    error_row{error_code::kRecordDamaged, "record_damaged", 500},
     error_row{error_code::kSignOffConflict, "sign_off_conflict", 409},
     error_row{error_code::kUnknownVersion, "unknown_version", 404},
     error_row{error_code::kDeposed, "deposed", 503},
--- a/src/waxwingfront/core/error.h
+++ b/src/waxwingfront/core/error.h
@@ -38,6 +38,8 @@
   kUnreachable,
   // The request may or may not have taken effect.
   kOutcomeUnknown,
+  // What is stored cannot be read.
+  kRecordDamaged,
   // A concurrent writer took precedence.
   kSignOffConflict,
   kUnknownVersion,
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "waxwingfront/fleet/capacity_reserve.h"
@@ -70,6 +71,12 @@
   bool LeaseRecordOutdated(core::monotonic_time now) const;
 
   bool HasJob(const std::string& id) const { return state_.jobs.contains(id); }
+  // The records of the job with this id cannot be read: the job may have been
+  // accepted, its state is not known, and nothing may be written over them.
+  void MarkDamaged(const std::string& id) { damaged_jobs_.insert(id); }
+  bool IsDamaged(const std::string& id) const {
+    return damaged_jobs_.contains(id);
+  }
   submission Submit(schema::fleet_job job, moment at);
   // Returns the room for the long-running tasks of a new job, or nothing if it
   // may be accepted.
@@ -194,6 +201,7 @@
   core::monotonic_time dropped_lease_end_{};
   // The newest lease record repeats `inherited_`.
   bool recorded_inherited_ = false;
+  std::unordered_set<std::string> damaged_jobs_;
   // New jobs that no planning round has considered yet.
   std::vector<std::string> unplanned_;
 };
--- a/src/waxwingfront/fleet/fleet_loader.cc
+++ b/src/waxwingfront/fleet/fleet_loader.cc
@@ -68,7 +68,7 @@
     schema::fleet_job job;
     if (!job.ParseFromString(item.value) ||
         key != RecordKey(record_kind::kJob, job.id()) || job.steps().empty()) {
-      log.Write("record_damaged", {{"key", key}});
+      OnDamaged(key, "not the record of a job");
       return;
     }
     std::optional<schema::fleet_progress> progress_record;
@@ -79,7 +79,7 @@
       revision = found->second.revision;
       progress_record.emplace();
       if (!progress_record->ParseFromString(found->second.value)) {
-        log.Write("record_damaged", {{"key", found->first}});
+        OnDamaged(found->first, "not the progress of a job");
         return;
       }
     }
@@ -96,6 +96,12 @@
         self->RestoreSharing(page->items.front());
       } else {
         self->loop.After(self->retry, [self] {
+  // The job is refused instead of forgotten, since it may have been accepted.
+  void OnDamaged(const std::string& key, std::string_view cause) {
+    log.Write("record_damaged", {{"key", key}, {"cause", cause}});
+    core.MarkDamaged(ToRecordRevision(key, 0).id);
+  }
+
           if (!self->closed) self->ReadSharing();
         });
       }
--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -21,6 +21,23 @@
   return parsed;
 }
 
+tl::unexpected<core::error> DamagedRecord() {
+  return core::Failure(core::error_code::kRecordDamaged,
+                       "the job's record in the store cannot be read");
+}
+
+// Returns the id of the job that `request` is about; empty if it is about none.
+const std::string& JobOf(const schema::fleet_request& request) {
+  switch (request.call_case()) {
+    case schema::fleet_request::kCancel:
+      return request.cancel();
+    case schema::fleet_request::kShow:
+      return request.show();
+    default:
+      return request.submit().id();
+  }
+}
+
 }  // namespace
 
 struct job_gateway::call_state {
@@ -157,6 +174,9 @@
     case schema::FLEET_OK:
       call.End(*parsed);
       break;
+    case schema::FLEET_OUTCOME_UNKNOWN:
+      if (parsed->record_damaged()) call.End(DamagedRecord());
+      break;
     case schema::FLEET_UNKNOWN_JOB:
       // A newer leader may know the job.
       if (address == hooks_.leader()) call.End(*parsed);
@@ -182,6 +202,10 @@
 void job_gateway::OnReply(std::shared_ptr<call_state> call,
                           const schema::fleet_reply& reply) {
   if (!call->done) return;
+  if (reply.record_damaged()) {
+    call->End(DamagedRecord());
+    return;
+  }
   if (reply.outcome() == schema::FLEET_NOT_LEADING ||
       reply.outcome() == schema::FLEET_OUTCOME_UNKNOWN) {
     call->may_have_arrived |= reply.outcome() == schema::FLEET_OUTCOME_UNKNOWN;
@@ -235,6 +259,13 @@
   fleet_core& core = leader->Core();
   const core::monotonic_time now = core::Now();
   const auto once_stored = [pending = pending_, &core, leader, &done,
+  if (core.IsDamaged(JobOf(request))) {
+    // Processes of earlier versions know this outcome and repeat the call.
+    reply.set_outcome(schema::FLEET_OUTCOME_UNKNOWN);
+    reply.set_record_damaged(true);
+    done(reply);
+    return;
+  }
                             now](const std::string& id) {
     pending->Add(now);
     core.OnceStored(id, [pending, now, done](bool stored) {
--- a/tests/platform/front_test.cc
+++ b/tests/platform/front_test.cc
@@ -84,5 +84,49 @@
   CHECK(text.find("WHEN") == std::string::npos);
 }
 
+// Guards against a promise that the job is not known or will never run.
+TEST_CASE("callers learn that the record of their job cannot be read",
+          "[platform]") {
+  net::event_loop loop;
+  fake_store shared(loop);
+  shared.Put("manifest", "1");
+  shared.Put("wf/jobs/0123456789abcdef", "damaged");
+  fleet::store_services store = shared.Services();
+  store.read_manifest = [](std::string_view) {
+    fleet::manifest content;
+    content.version = 1;
+    content.queues.push_back({.name = "queue",
+                              .host = "queue.example",
+                              .path_prefix = "/",
+                              .service = "s",
+                              .request_timeout = milliseconds(2000)});
+    return core::result<fleet::manifest>(content);
+  };
+  net::async_http_client client(loop, {});
+  const fleet::executor_services executors;
+  logging::event_log log({});
+  fleet::fleet_node_options options;
+  options.internal_address = "127.0.0.1:0";
+  fleet::fleet_node node(loop, client, store, executors, options, log);
+  REQUIRE(node.Start());
+  platform::front front(loop, node);
+  REQUIRE(RunUntil(loop, [&] { return node.Ready(); }));
+  for (const char* const method : {"POST", "GET", "DELETE", "POST"}) {
+    CAPTURE(method);
+    std::optional<net::server_response> response;
+    front.Handle(
+        {.method = method,
+         .target = "/0123456789abcdef",
+         .host = "queue.example",
+         .body = R"({"spec":"x","steps":[{"count":1,"cpu":100}]})",
+         .received = core::Now()},
+        [&response](net::server_response got) { response = std::move(got); });
+    REQUIRE(RunUntil(loop, [&response] { return response.has_value(); }));
+    CHECK(response->status == 500);
+    CHECK(response->body.find(R"("type":"record_damaged")") !=
+          std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
