Keep the readable rows of a page, and log and pace what cannot be read

One row of a page that could not be read failed the whole page: a new leader read it again every 100 ms without a log line and never loaded, and the registry of executors likewise.

A row with a key and a revision whose value cannot be read is now passed on beside the others. That is safe where the key says what is missing: the loader refuses the job of such a row like one with a damaged record, also if it is the row of the progress, and an executor's row names no executor, as a malformed entry. Members, strengths and requests for leadership are passed over; each is only a preference or is repeated. Where the key or the revision is missing too, nobody knows which job is not there, so the page still fails as a whole. The next page begins after the last row, readable or not.

Pages and changes that cannot be read are logged (`read_damaged`: key, cause, delay) and repeated after 0.1 s at first and 2 s at last, which bounds the lines too. A store that does not answer is asked again after 0.1 s as before. The manifest already logged it; reads of single keys are as they were.

The existing test of unreadable pages is unchanged.

--- a/src/waxwingfront/fleet/executor_registry.cc
+++ b/src/waxwingfront/fleet/executor_registry.cc
@@ -3,9 +3,12 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
+#include "waxwingfront/fleet/read_retry.h"
+
 namespace waxwingfront::fleet {
 namespace {
 
@@ -26,7 +29,8 @@
         core(fleet),
         options(chosen),
         hooks(std::move(callbacks)),
-        log(events) {}
+        log(events),
+        repeats(chosen.retry, events) {}
 
   void List(const std::string& after, std::int64_t first_revision,
             std::vector<std::string> seen) {
@@ -45,11 +49,19 @@
               std::vector<std::string> seen,
               const core::result<store_page>& page) {
     if (!page) {
-      RunAfter(options.retry, [this, after, first_revision, seen] {
-        List(after, first_revision, seen);
-      });
+      const std::string_view from =
+          after.empty() ? store.executors_prefix : after;
+      RunAfter(repeats.OnFailure(from, page.error()),
+               [this, after, first_revision, seen] {
+                 List(after, first_revision, seen);
+               });
       return;
     }
+    repeats.OnSuccess();
+    // Those that were known are missing from `seen`, as with malformed entries.
+    for (const unreadable_item& item : page->unreadable) {
+      LogIgnored(item.key, item.cause);
+    }
     if (first_revision == 0) first_revision = page->at;
     for (const store_item& item : page->items) {
       if (const auto id = ReadEntry(item.key, item.value)) {
@@ -57,7 +69,7 @@
       }
     }
     if (page->has_more) {
-      List(page->items.back().key, first_revision, std::move(seen));
+      List(page->LastKey(), first_revision, std::move(seen));
       return;
     }
     std::ranges::sort(seen);
@@ -80,9 +92,7 @@
                                        const std::string& value) {
     core::result<executor_info> info = store.read_executor(key, value);
     if (!info) {
-      log.Write("executor_entry_ignored",
-                {{"key", key.substr(0, kMaxLoggedKeyBytes)},
-                 {"cause", info.error().detail}});
+      LogIgnored(key, info.error().detail);
       Remove(key.substr(store.executors_prefix.size()));
       return std::nullopt;
     }
@@ -100,6 +110,11 @@
     return id;
   }
 
+  void LogIgnored(std::string_view key, std::string_view cause) {
+    log.Write("executor_entry_ignored",
+              {{"key", key.substr(0, kMaxLoggedKeyBytes)}, {"cause", cause}});
+  }
+
   void Remove(const std::string& id) {
     const executor_state* const known = core.FindExecutor(id);
     if (known != nullptr && known->registered) {
@@ -119,9 +134,11 @@
   void OnChanges(std::int64_t after, core::monotonic_time sent,
                  const core::result<store_changes>& response) {
     if (!response) {
-      RunAfter(options.retry, [this, after] { Watch(after); });
+      RunAfter(repeats.OnFailure(store.executors_prefix, response.error()),
+               [this, after] { Watch(after); });
       return;
     }
+    repeats.OnSuccess();
     if (response->compacted) {
       List("", 0, {});
       return;
@@ -150,6 +167,7 @@
   executor_registry_options options;
   executor_registry_hooks hooks;
   logging::event_log& log;
+  read_retry repeats;
   bool closed = false;
   // When the list that is being read was requested.
   core::monotonic_time list_requested_at{};
--- a/src/waxwingfront/fleet/fleet_loader.cc
+++ b/src/waxwingfront/fleet/fleet_loader.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "waxwingfront/fleet/read_retry.h"
 #include "waxwingfront/fleet/record_keys.h"
 
 namespace waxwingfront::fleet {
@@ -20,6 +21,7 @@
         store(services),
         core(fleet),
         retry(retry_time),
+        repeats(retry_time, events),
         hooks(std::move(callbacks)),
         log(events) {}
 
@@ -32,18 +34,25 @@
                  next](const core::result<store_page>& page) {
                   if (self->closed) return;
                   if (!page) {
-                    self->loop.After(self->retry,
-                                     [self, prefix, after, &into, next] {
-                                       if (self->closed) return;
-                                       self->Read(prefix, after, into, next);
-                                     });
+                    const std::string_view from =
+                        after.empty() ? prefix : std::string_view(after);
+                    self->loop.After(
+                        self->repeats.OnFailure(from, page.error()),
+                        [self, prefix, after, &into, next] {
+                          if (self->closed) return;
+                          self->Read(prefix, after, into, next);
+                        });
                     return;
                   }
+                  self->repeats.OnSuccess();
+                  for (const unreadable_item& item : page->unreadable) {
+                    self->OnDamaged(item.key, item.cause);
+                  }
                   for (const store_item& item : page->items) {
                     into[item.key] = item;
                   }
                   if (page->has_more) {
-                    self->Read(prefix, page->items.back().key, into, next);
+                    self->Read(prefix, page->LastKey(), into, next);
                   } else {
                     (*self.*next)();
                   }
@@ -71,6 +80,7 @@
       OnDamaged(key, "not the record of a job");
       return;
     }
+    if (core.IsDamaged(job.id())) return;
     std::optional<schema::fleet_progress> progress_record;
     std::int64_t revision = 0;
     const auto found =
@@ -86,6 +96,12 @@
     core.Restore(std::move(job), item.revision, progress_record, revision, at);
   }
 
+  // The job is refused instead of forgotten, since it may have been accepted.
+  void OnDamaged(const std::string& key, std::string_view cause) {
+    log.Write("record_damaged", {{"key", key}, {"cause", cause}});
+    core.MarkDamaged(ToRecordRevision(key, 0).id);
+  }
+
   // The records of jobs suffice to take over; a read that failed is repeated
   // beside the work.
   void ReadSharing() {
@@ -96,12 +112,6 @@
         self->RestoreSharing(page->items.front());
       } else {
         self->loop.After(self->retry, [self] {
-  // The job is refused instead of forgotten, since it may have been accepted.
-  void OnDamaged(const std::string& key, std::string_view cause) {
-    log.Write("record_damaged", {{"key", key}, {"cause", cause}});
-    core.MarkDamaged(ToRecordRevision(key, 0).id);
-  }
-
           if (!self->closed) self->ReadSharing();
         });
       }
@@ -129,6 +139,7 @@
   const store_services& store;
   fleet_core& core;
   core::milliseconds retry;
+  read_retry repeats;
   fleet_loader_hooks hooks;
   logging::event_log& log;
   records jobs;
--- a/src/waxwingfront/fleet/leader_announcer.cc
+++ b/src/waxwingfront/fleet/leader_announcer.cc
@@ -63,7 +63,7 @@
                     }
                   }
                   if (page->has_more) {
-                    self->ReadStrongest(page->items.back().key, highest, done);
+                    self->ReadStrongest(page->LastKey(), highest, done);
                     return;
                   }
                   done(highest);
@@ -96,8 +96,7 @@
         if (item.value != address) found.push_back(item.value);
       }
       if (page->has_more) {
-        ReadMembers(current, page->items.back().key, std::move(found),
-                    first_revision);
+        ReadMembers(current, page->LastKey(), std::move(found), first_revision);
         return;
       }
       members = std::move(found);
--- a/src/waxwingfront/fleet/leader_candidacy.cc
+++ b/src/waxwingfront/fleet/leader_candidacy.cc
@@ -105,9 +105,8 @@
                   }
                   const std::int64_t at = position.at.value_or(page->at);
                   if (page->has_more) {
-                    self->ReadRequests(
-                        current, after,
-                        {.key = page->items.back().key, .at = at});
+                    self->ReadRequests(current, after,
+                                       {.key = page->LastKey(), .at = at});
                     return;
                   }
                   self->Watch(current, at);
--- a/src/waxwingfront/fleet/platform_services.h
+++ b/src/waxwingfront/fleet/platform_services.h
@@ -4,6 +4,7 @@
 #ifndef WAXWINGFRONT_FLEET_PLATFORM_SERVICES_H_
 #define WAXWINGFRONT_FLEET_PLATFORM_SERVICES_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -24,11 +25,25 @@
   std::int64_t revision = 0;
 };
 
+// An item whose value cannot be read.
+struct unreadable_item {
+  std::string key;
+  std::string cause;
+};
+
 struct store_page {
   std::vector<store_item> items;
+  std::vector<unreadable_item> unreadable;
   bool has_more = false;
   // Store revision at which the page was read.
   std::int64_t at = 0;
+
+  // Returns the key after which the next page begins. Fails on empty pages.
+  const std::string& LastKey() const {
+    if (unreadable.empty()) return items.back().key;
+    if (items.empty()) return unreadable.back().key;
+    return std::max(items.back().key, unreadable.back().key);
+  }
 };
 
 struct store_change {
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -239,6 +239,24 @@
   CHECK(page.error().code == core::error_code::kProtocol);
 }
 
+// Guards against a page that is lost with one row.
+TEST_CASE("a row whose value cannot be read does not hide the rest of its page",
+          "[platform]") {
+  const auto value = GENERATE(R"("%%%%")", R"("QQ=")", "7", "null");
+  CAPTURE(value);
+  delayed_store store(
+      kNoDelay, R"({"at":7,"items":[{"key":"k","value":"QQ==","revision":3},)"
+                R"({"key":"l","value":)" +
+                    std::string(value) + R"(,"revision":4}],"has_more":true})");
+  const auto page = store.Range();
+  REQUIRE(page);
+  REQUIRE(page->items.size() == 1);
+  CHECK(page->items[0].value == "A");
+  REQUIRE(page->unreadable.size() == 1);
+  CHECK(page->unreadable[0].key == "l");
+  CHECK(page->LastKey() == "l");
+}
+
 // Guards against changes that a watch skips.
 TEST_CASE("unreadable changes of the store are not passed over", "[platform]") {
   const auto body = GENERATE(from_range(
