Claim by strength once the successor of a hand-over has led and left

A process now remembers whether the last successor has led, from the leader key or from its announcements. If so, claims go by strength, also that of the successor itself, and the hand-over delays no hand-over of another leader. A hand-over of one's own, and one whose successor has not led, still do: without that, weak leaders would hand over to a process that cannot claim, one after the other, without a pause.

Before, "after a successor that has led and left, claims go by strength": the strongest claimed after 450 ms (now the jitter of 50 ms), the successor after 0 ms; "a hand-over of another leader that succeeded delays no other": none after 0.7 s.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -140,6 +140,8 @@
             .boot_time_ms = BootTimeMs,
             .on_stage = StageHook(),
             .random =
+                  // A leader that is lost soon announces itself to nobody.
+                  choice->OnLeading(address, core::Now());
                 [this](std::int64_t limit) {
                   return std::uniform_int_distribution<std::int64_t>(
                       0, limit - 1)(random);
@@ -151,7 +153,7 @@
             .on_reserved =
                 [this](const std::string& successor) {
                   log.Write("leader_reserved", {{"address", successor}});
-                  choice->OnHandover(successor, core::Now());
+                  choice->OnOtherHandover(successor, core::Now());
                 },
             .on_claim = [this](core::milliseconds delay) { LogClaim(delay); },
         });
@@ -195,7 +197,7 @@
     election->OnAnnouncement(announcement.token(), announcement.address());
     // Only earlier versions announce hand-overs.
     if (!announcement.successor().empty()) {
-      choice->OnHandover(announcement.successor(), core::Now());
+      choice->OnOtherHandover(announcement.successor(), core::Now());
     } else if (announcement.address() == election->Leader()) {
       choice->OnLeading(announcement.address(), core::Now());
     }
--- a/src/waxwingfront/fleet/leader_choice.cc
+++ b/src/waxwingfront/fleet/leader_choice.cc
@@ -46,8 +46,20 @@
 
 void leader_choice::OnHandover(const std::string& successor,
                                core::monotonic_time now) {
+  NoteHandover(successor, now);
+  own_handover_ = now;
+}
+
+void leader_choice::OnOtherHandover(const std::string& successor,
+                                    core::monotonic_time now) {
+  NoteHandover(successor, now);
+}
+
+void leader_choice::NoteHandover(const std::string& successor,
+                                 core::monotonic_time now) {
   successor_ = successor;
   handed_over_ = now;
+  successor_led_ = false;
   const auto [entry, first] = handovers_.try_emplace(
       successor, handover{.at = now, .backoff = options_.initial_backoff});
   if (first) return;
@@ -62,6 +74,7 @@
 
 void leader_choice::OnLeading(const std::string& address,
                               core::monotonic_time now) {
+  if (address == successor_) successor_led_ = true;
   const auto last = handovers_.find(address);
   if (last != handovers_.end() &&
       now - last->second.at >= last->second.backoff) {
@@ -71,7 +84,7 @@
 
 core::milliseconds leader_choice::ClaimDelay(core::milliseconds jitter,
                                              core::monotonic_time now) const {
-  if (!successor_.empty() &&
+  if (!successor_.empty() && !successor_led_ &&
       now - handed_over_ < options_.successor_claim_timeout) {
     return successor_ == options_.address ? core::milliseconds(0)
                                           : jitter + options_.max_claim_delay;
@@ -123,7 +136,10 @@
 std::optional<std::string> leader_choice::Successor(
     core::monotonic_time now) const {
   if (options_.strength <= 0) return std::nullopt;
-  if (!successor_.empty() &&
+  if (own_handover_ && now - *own_handover_ < options_.min_handover_interval) {
+    return std::nullopt;
+  }
+  if (!successor_.empty() && !successor_led_ &&
       now - handed_over_ < options_.min_handover_interval) {
     return std::nullopt;
   }
--- a/src/waxwingfront/fleet/leader_choice.h
+++ b/src/waxwingfront/fleet/leader_choice.h
@@ -45,7 +45,8 @@
   // Time that the successor has to claim leadership after a hand-over.
   core::milliseconds successor_claim_timeout{1000};
   // Minimum time between two hand-overs, by which a process that lost its
-  // connection to the store has reported it.
+  // connection to the store has reported it. Hand-overs of other leaders whose
+  // successor has led do not count.
   core::milliseconds min_handover_interval{3000};
   // Exponential backoff of hand-overs to the same process: `initial_backoff`
   // after the first, twice that after the next, up to `max_backoff`. It starts
@@ -83,11 +84,14 @@
   // store: it is ready, and the store serves it.
   void OnRequest(const std::string& address, std::int64_t strength,
                  core::monotonic_time now);
-  // Handles the hand-over of any leader to the process at `successor`.
+  // Handles the hand-over of this leader to the process at `successor`.
   void OnHandover(const std::string& successor, core::monotonic_time now);
-  // Handles an announcement of the process at `address`, which leads. Once it
-  // has led for the whole backoff since the last hand-over to it, that
-  // hand-over succeeded and no longer counts.
+  // The same for the hand-over of another leader.
+  void OnOtherHandover(const std::string& successor, core::monotonic_time now);
+  // Handles that the process at `address` leads. If it is the last successor,
+  // it has no claim to the next vacancy. Once it has led for the whole backoff
+  // since the last hand-over to it, that hand-over succeeded and no longer
+  // counts.
   void OnLeading(const std::string& address, core::monotonic_time now);
 
   // Returns the delay before this process claims free leadership: zero if it is
@@ -128,6 +132,7 @@
     core::milliseconds backoff;
   };
 
+  void NoteHandover(const std::string& successor, core::monotonic_time now);
   bool Requested(const status_report& last, core::monotonic_time now) const;
   bool BacksOff(const std::string& address, const status_report& last,
                 core::monotonic_time now) const;
@@ -144,8 +149,11 @@
   // By address.
   std::map<std::string, status_report> reports_;
   std::map<std::string, handover> handovers_;
+  // Of the last hand-over.
   std::string successor_;
   core::monotonic_time handed_over_{};
+  bool successor_led_ = false;
+  std::optional<core::monotonic_time> own_handover_;
 };
 
 }  // namespace waxwingfront::fleet
--- a/tests/waxwingfront/fleet/leader_choice_test.cc
+++ b/tests/waxwingfront/fleet/leader_choice_test.cc
@@ -284,5 +284,43 @@
   CHECK(ready(40'001));
 }
 
+TEST_CASE("after a successor that has led and left, claims go by strength",
+          "[fleet]") {
+  constexpr std::int64_t kWeakest = 69'000;
+  constexpr std::int64_t kStrongest = 500'000;
+  leader_choice weak = Choice(kWeakest, "weak");
+  leader_choice strong = Choice(kStrongest, "strong");
+  leader_choice named = Choice(kWeakest, "named");
+  for (leader_choice* choice : {&weak, &strong, &named}) {
+    choice->OnStrongest(kStrongest);
+    choice->OnOtherHandover("named", At(0));
+    choice->OnLeading("other", At(30));
+  }
+  CHECK(strong.ClaimDelay(kJitter, At(40)) > kJitter);
+  for (leader_choice* choice : {&weak, &strong, &named}) {
+    choice->OnLeading("named", At(40));
+  }
+  CHECK(strong.ClaimDelay(kJitter, At(800)) == kJitter);
+  CHECK(weak.ClaimDelay(kJitter, At(800)) > kJitter + milliseconds(300));
+  CHECK(named.ClaimDelay(kJitter, At(800)) > kJitter + milliseconds(300));
+}
+
+TEST_CASE("a hand-over of another leader that succeeded delays no other",
+          "[fleet]") {
+  leader_choice choice = Choice(100);
+  const auto ready = [&](std::int64_t now) {
+    choice.OnMemberStatus("strong", {.strength = 500, .ready = true}, At(now));
+    return choice.Successor(At(now)).has_value();
+  };
+  choice.OnOtherHandover("named", At(0));
+  CHECK_FALSE(ready(500));
+  choice.OnLeading("named", At(600));
+  CHECK(ready(700));
+  choice.OnHandover("named", At(10'000));
+  choice.OnLeading("named", At(10'100));
+  CHECK_FALSE(ready(12'999));
+  CHECK(ready(13'000));
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
