Back off hand-overs in series whose successors never lead

Several strong processes that ask for leadership and never claim it got it in turns, a hand-over every 3 s, each with about 2 s without a leader: the backoff counts hand-overs to one process.

The minimum time after a hand-over whose successor has not led now doubles with each such hand-over before it, whoever its successor was: 3, 6 and then 10 s, the bound for a single process that asks. It starts again once a successor has led or after 20 s without a hand-over. So a strong process that can lead waits for 10 s at most.

--- a/src/waxwingfront/fleet/leader_choice.cc
+++ b/src/waxwingfront/fleet/leader_choice.cc
@@ -57,6 +57,9 @@
 
 void leader_choice::NoteHandover(const std::string& successor,
                                  core::monotonic_time now) {
+  const bool in_series = !successor_.empty() && !successor_led_ &&
+                         now - handed_over_ < 2 * options_.max_request_backoff;
+  unclaimed_ = in_series ? unclaimed_ + 1 : 0;
   successor_ = successor;
   handed_over_ = now;
   successor_led_ = false;
@@ -133,6 +136,15 @@
   return strongest;
 }
 
+core::milliseconds leader_choice::HandoverInterval() const {
+  core::milliseconds interval = options_.min_handover_interval;
+  for (int i = 0; i < unclaimed_ && interval < options_.max_request_backoff;
+       ++i) {
+    interval *= 2;
+  }
+  return std::min(interval, options_.max_request_backoff);
+}
+
 std::optional<std::string> leader_choice::Successor(
     core::monotonic_time now) const {
   if (options_.strength <= 0) return std::nullopt;
@@ -140,7 +152,7 @@
     return std::nullopt;
   }
   if (!successor_.empty() && !successor_led_ &&
-      now - handed_over_ < options_.min_handover_interval) {
+      now - handed_over_ < HandoverInterval()) {
     return std::nullopt;
   }
   std::optional<std::string> successor;
--- a/src/waxwingfront/fleet/leader_choice.h
+++ b/src/waxwingfront/fleet/leader_choice.h
@@ -46,7 +46,8 @@
   core::milliseconds successor_claim_timeout{1000};
   // Minimum time between two hand-overs, by which a process that lost its
   // connection to the store has reported it. Hand-overs of other leaders whose
-  // successor has led do not count.
+  // successor has led do not count. Doubles, up to `max_request_backoff`, with
+  // each further hand-over to whomever whose successor has not led.
   core::milliseconds min_handover_interval{3000};
   // Exponential backoff of hand-overs to the same process: `initial_backoff`
   // after the first, twice that after the next, up to `max_backoff`. It starts
@@ -133,6 +134,8 @@
   };
 
   void NoteHandover(const std::string& successor, core::monotonic_time now);
+  // Returns the minimum time between the last hand-over and the next one.
+  core::milliseconds HandoverInterval() const;
   bool Requested(const status_report& last, core::monotonic_time now) const;
   bool BacksOff(const std::string& address, const status_report& last,
                 core::monotonic_time now) const;
@@ -153,6 +156,8 @@
   std::string successor_;
   core::monotonic_time handed_over_{};
   bool successor_led_ = false;
+  // Consecutive hand-overs before it whose successors have not led.
+  int unclaimed_ = 0;
   std::optional<core::monotonic_time> own_handover_;
 };
 
--- a/tests/waxwingfront/fleet/leader_choice_test.cc
+++ b/tests/waxwingfront/fleet/leader_choice_test.cc
@@ -322,5 +322,34 @@
   CHECK(ready(13'000));
 }
 
+TEST_CASE("strong processes that ask and never claim do not take turns",
+          "[fleet]") {
+  constexpr std::int64_t kTenMinutes = 600'000;
+  constexpr std::int64_t kPatience = 5000;
+  constexpr std::int64_t kStep = 100;
+  constexpr std::int64_t kProcesses = 6;
+  leader_choice choice = Choice(100);
+  std::vector<std::int64_t> handovers;
+  for (std::int64_t now = 0; now < kTenMinutes; now += kStep) {
+    for (std::int64_t i = 0; i < kProcesses; ++i) {
+      if ((now + i * kStep) % kPatience != 0) continue;
+      choice.OnRequest(std::to_string(i), 500, At(now));
+    }
+    const auto successor = choice.Successor(At(now));
+    if (!successor) continue;
+    choice.OnHandover(*successor, At(now));
+    handovers.push_back(now);
+  }
+  // One each 10 s, as for a single process that asks.
+  CHECK(handovers.size() <= 62);
+  CHECK(handovers.size() >= 55);
+  for (std::int64_t i = 0; i < kProcesses; ++i) {
+    choice.OnLeading(std::to_string(i), At(kTenMinutes));
+  }
+  choice.OnHandover("0", At(kTenMinutes));
+  choice.OnRequest("new", 900, At(kTenMinutes + 3000));
+  CHECK(choice.Successor(At(kTenMinutes + 3000)) == "new");
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
