Do not look for another leader while one loads

A leader that loads answers calls like a process that does not lead, and each process with waiting callers read the leader key every 150 ms and opened a watch each time.

The answer now says that the process leads, by a lease that is valid on its own clock, and loads. Its callers wait without reading the key; they watch it anyway, and read it as before when the leader does not answer or no longer leads.

--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -209,7 +209,8 @@
   if (reply.outcome() == schema::FLEET_NOT_LEADING ||
       reply.outcome() == schema::FLEET_OUTCOME_UNKNOWN) {
     call->may_have_arrived |= reply.outcome() == schema::FLEET_OUTCOME_UNKNOWN;
-    RecheckLeader(*call);
+    // The leader that loads holds the key.
+    if (!reply.loading()) RecheckLeader(*call);
     Retry(std::move(call), options_.retry);
     return;
   }
@@ -253,12 +254,11 @@
   schema::fleet_reply reply;
   if (leader == nullptr || !leader->Loaded()) {
     reply.set_outcome(schema::FLEET_NOT_LEADING);
+    reply.set_loading(leader != nullptr);
     done(reply);
     return;
   }
   fleet_core& core = leader->Core();
-  const core::monotonic_time now = core::Now();
-  const auto once_stored = [pending = pending_, &core, leader, &done,
   if (core.IsDamaged(JobOf(request))) {
     // Processes of earlier versions know this outcome and repeat the call.
     reply.set_outcome(schema::FLEET_OUTCOME_UNKNOWN);
@@ -266,6 +266,8 @@
     done(reply);
     return;
   }
+  const core::monotonic_time now = core::Now();
+  const auto once_stored = [pending = pending_, &core, leader, &done,
                             now](const std::string& id) {
     pending->Add(now);
     core.OnceStored(id, [pending, now, done](bool stored) {
--- a/tests/waxwingfront/fleet/fleet_node_test.cc
+++ b/tests/waxwingfront/fleet/fleet_node_test.cc
@@ -1,7 +1,9 @@
 #include "waxwingfront/fleet/fleet_node.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -158,5 +160,48 @@
   CHECK(store.Value(key) == process.node.Address());
 }
 
+TEST_CASE("processes with calls do not read the leader key while it loads",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  store.Put("manifest", "1");
+  fleet_process strong(loop, store, kStrong);
+  const auto range = strong.store.range;
+  bool blocked = true;
+  strong.store.range = [&](std::string_view prefix, std::string_view after,
+                           auto done) {
+    if (blocked && prefix == fleet::kJobPrefix) {
+      loop.After(milliseconds(1), [done] {
+        done(core::Failure(core::error_code::kStoreUnavailable, "slow"));
+      });
+      return;
+    }
+    range(prefix, after, done);
+  };
+  REQUIRE(RunUntil(loop, [&] { return strong.Leads(store); }));
+  fleet_process weak(loop, store, kWeak);
+  int reads = 0;
+  const auto get = weak.store.get;
+  weak.store.get = [&](std::string_view key, auto done) {
+    if (key == fleet::kLeaderKey) ++reads;
+    get(key, done);
+  };
+  REQUIRE(RunUntil(loop, [&] { return weak.node.Ready(); }));
+  const int before = reads;
+  schema::fleet_request request;
+  request.set_show("job");
+  std::optional<core::result<schema::fleet_reply>> reply;
+  weak.node.Call(request, core::Now() + milliseconds(5000),
+                 [&reply](core::result<schema::fleet_reply> got) {
+                   reply = std::move(got);
+                 });
+  RunFor(loop, milliseconds(600));
+  CHECK_FALSE(reply);
+  CHECK(reads == before);
+  blocked = false;
+  REQUIRE(RunUntil(loop, [&reply] { return reply.has_value(); }));
+  CHECK(*reply);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
--- a/tests/waxwingfront/fleet/job_gateway_test.cc
+++ b/tests/waxwingfront/fleet/job_gateway_test.cc
@@ -319,5 +319,27 @@
   CHECK(process.replies.size() == 1);
 }
 
+// Guards against reads of the leader key by all processes while a leader loads.
+TEST_CASE("a call to a leader that still loads does not look for another one",
+          "[fleet]") {
+  remote_leader remote;
+  int rechecks = 0;
+  remote.on_recheck = [&rechecks] { ++rechecks; };
+  bool loading = true;
+  remote.on_call = [&](const net::async_http_server::responder& respond) {
+    schema::fleet_reply reply;
+    reply.set_outcome(loading ? schema::FLEET_NOT_LEADING : schema::FLEET_OK);
+    reply.set_loading(loading);
+    respond({.status = 200, .body = reply.SerializeAsString()});
+  };
+  remote.Cancel(milliseconds(5000));
+  RunFor(remote.loop, milliseconds(400));
+  CHECK(remote.responders.size() > 3);
+  CHECK(rechecks == 0);
+  loading = false;
+  REQUIRE(RunUntil(remote.loop, [&remote] { return !remote.replies.empty(); }));
+  CHECK(remote.replies[0]);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
