--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -110,6 +110,10 @@
                 [this](const std::string& address,
                        const schema::fleet_standing& status,
                        core::monotonic_time sent) {
+                  if (status.newer_token() > 0) {
+                    election->OnAnnouncement(status.newer_token(),
+                                             status.newer_address());
+                  }
                   OnMemberStatus(
                       address,
                       {.strength = status.strength(), .ready = status.ready()},
@@ -136,6 +140,8 @@
             .on_leader_change =
                 [this](const std::string& address) {
                   log.Write("leader_known", {{"address", address}});
+                  // A leader that is lost soon announces itself to nobody.
+                  choice->OnLeading(address, core::Now());
                 },
             .boot_time_ms = BootTimeMs,
             .on_stage = StageHook(),
@@ -151,7 +157,7 @@
             .on_reserved =
                 [this](const std::string& successor) {
                   log.Write("leader_reserved", {{"address", successor}});
-                  choice->OnHandover(successor, core::Now());
+                  choice->OnOtherHandover(successor, core::Now());
                 },
             .on_claim = [this](core::milliseconds delay) { LogClaim(delay); },
         });
@@ -195,7 +201,7 @@
     election->OnAnnouncement(announcement.token(), announcement.address());
     // Only earlier versions announce hand-overs.
     if (!announcement.successor().empty()) {
-      choice->OnHandover(announcement.successor(), core::Now());
+      choice->OnOtherHandover(announcement.successor(), core::Now());
     } else if (announcement.address() == election->Leader()) {
       choice->OnLeading(announcement.address(), core::Now());
     }
@@ -203,6 +209,12 @@
     schema::fleet_standing status;
     status.set_strength(options.strength);
     status.set_ready(ReadyToLead());
+    // A leader that is cut off from the store learns it only this way.
+    if (!election->Leader().empty() &&
+        election->LatestToken() > announcement.token()) {
+      status.set_newer_token(election->LatestToken());
+      status.set_newer_address(election->Leader());
+    }
     return status.SerializeAsString();
   }
 
--- a/tests/waxwingfront/fleet/leader_choice_test.cc
+++ b/tests/waxwingfront/fleet/leader_choice_test.cc
@@ -284,5 +284,72 @@
   CHECK(ready(40'001));
 }
 
+TEST_CASE("after a successor that has led and left, claims go by strength",
+          "[fleet]") {
+  constexpr std::int64_t kWeakest = 69'000;
+  constexpr std::int64_t kStrongest = 500'000;
+  leader_choice weak = Choice(kWeakest, "weak");
+  leader_choice strong = Choice(kStrongest, "strong");
+  leader_choice named = Choice(kWeakest, "named");
+  for (leader_choice* choice : {&weak, &strong, &named}) {
+    choice->OnStrongest(kStrongest);
+    choice->OnOtherHandover("named", At(0));
+    choice->OnLeading("other", At(30));
+  }
+  CHECK(strong.ClaimDelay(kJitter, At(40)) > kJitter);
+  for (leader_choice* choice : {&weak, &strong, &named}) {
+    choice->OnLeading("named", At(40));
+  }
+  CHECK(strong.ClaimDelay(kJitter, At(800)) == kJitter);
+  CHECK(weak.ClaimDelay(kJitter, At(800)) > kJitter + milliseconds(300));
+  CHECK(named.ClaimDelay(kJitter, At(800)) > kJitter + milliseconds(300));
+}
+
+TEST_CASE("a hand-over of another leader that succeeded delays no other",
+          "[fleet]") {
+  leader_choice choice = Choice(100);
+  const auto ready = [&](std::int64_t now) {
+    choice.OnMemberStatus("strong", {.strength = 500, .ready = true}, At(now));
+    return choice.Successor(At(now)).has_value();
+  };
+  choice.OnOtherHandover("named", At(0));
+  CHECK_FALSE(ready(500));
+  choice.OnLeading("named", At(600));
+  CHECK(ready(700));
+  choice.OnHandover("named", At(10'000));
+  choice.OnLeading("named", At(10'100));
+  CHECK_FALSE(ready(12'999));
+  CHECK(ready(13'000));
+}
+
+TEST_CASE("strong processes that ask and never claim do not take turns",
+          "[fleet]") {
+  constexpr std::int64_t kTenMinutes = 600'000;
+  constexpr std::int64_t kPatience = 5000;
+  constexpr std::int64_t kStep = 100;
+  constexpr std::int64_t kProcesses = 6;
+  leader_choice choice = Choice(100);
+  std::vector<std::int64_t> handovers;
+  for (std::int64_t now = 0; now < kTenMinutes; now += kStep) {
+    for (std::int64_t i = 0; i < kProcesses; ++i) {
+      if ((now + i * kStep) % kPatience != 0) continue;
+      choice.OnRequest(std::to_string(i), 500, At(now));
+    }
+    const auto successor = choice.Successor(At(now));
+    if (!successor) continue;
+    choice.OnHandover(*successor, At(now));
+    handovers.push_back(now);
+  }
+  // One each 10 s, as for a single process that asks.
+  CHECK(handovers.size() <= 62);
+  CHECK(handovers.size() >= 55);
+  for (std::int64_t i = 0; i < kProcesses; ++i) {
+    choice.OnLeading(std::to_string(i), At(kTenMinutes));
+  }
+  choice.OnHandover("0", At(kTenMinutes));
+  choice.OnRequest("new", 900, At(kTenMinutes + 3000));
+  CHECK(choice.Successor(At(kTenMinutes + 3000)) == "new");
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
