--- a/bench/fleet_load.cc
+++ b/bench/fleet_load.cc
@@ -12,12 +12,6 @@
 
 }  // namespace
 
-double Draw(std::mt19937& random, double mean, double spread, double max) {
-  std::lognormal_distribution<double> distribution(
-      std::log(mean) - spread * spread / 2, spread);
-  return std::min(max, distribution(random));
-}
-
 const job_class& DrawClass(std::mt19937& random) {
   double total_share = 0.0;
   for (const job_class& profile : kClasses) total_share += profile.share;
--- a/bench/fleet_load.h
+++ b/bench/fleet_load.h
@@ -2,7 +2,9 @@
 #ifndef WAXWINGFRONT_BENCH_FLEET_LOAD_H_
 #define WAXWINGFRONT_BENCH_FLEET_LOAD_H_
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <random>
@@ -48,7 +50,13 @@
 
 // Draws from a lognormal distribution with the given mean, capped at `max`;
 // `spread` is the standard deviation of the logarithm.
-double Draw(std::mt19937& random, double mean, double spread, double max);
+template <std::uniform_random_bit_generator generator>
+double Draw(generator& random, double mean, double spread, double max) {
+  if (spread <= 0.0) return std::min(max, mean);
+  std::lognormal_distribution<double> values(
+      std::log(mean) - spread * spread / 2, spread);
+  return std::min(max, values(random));
+}
 
 // Draws the class of the next job.
 const job_class& DrawClass(std::mt19937& random);
