Fit the overload model to the bench's curve

Interference is heavy or light by pair of images, and waits count from the readiness of a step to the first runs of its tasks.

--- a/bench/overload_model/executor_model.cc
+++ b/bench/overload_model/executor_model.cc
@@ -28,14 +28,15 @@
       best_effort_images = profile.images;
     }
   }
-  std::bernoulli_distribution heavy(settings.serving.heavy_share);
-  values_.resize(static_cast<std::size_t>(serving_images));
-  for (std::vector<double>& row : values_) {
-    row.resize(static_cast<std::size_t>(best_effort_images));
-    for (double& value : row) {
-      value = heavy(random) ? settings.serving.heavy_pressure
-                            : settings.serving.light_pressure;
-    }
+  const serving_settings& serving = settings.serving;
+  const auto heavy_pairs = static_cast<std::size_t>(
+      std::llround(serving.heavy_share * best_effort_images));
+  for (int s = 0; s < serving_images; ++s) {
+    std::vector<double>& row = values_.emplace_back(
+        static_cast<std::size_t>(best_effort_images), serving.light_pressure);
+    std::fill_n(row.begin(), std::min(heavy_pairs, row.size()),
+                serving.heavy_pressure);
+    std::ranges::shuffle(row, random);
   }
 }
 
@@ -102,19 +103,20 @@
 }
 
 double executor_model::BestEffortShare(std::int64_t now_ms) const {
-  double idle = static_cast<double>(settings_.executors.cpu_millis);
   double wanted = 0.0;
   for (const run& task : runs_) {
     const auto cpu = static_cast<double>(task.Spec().cpu_millis());
     if (task.Spec().fills()) {
       wanted += cpu * task.pace / kFullPace;
     } else if (task.Spec().long_running()) {
-      idle -= cpu * OwnLoad(task, now_ms) * settings_.serving.use_at_full_load;
+      wanted += cpu * OwnLoad(task, now_ms);
     } else {
-      idle -= cpu;
+      wanted += cpu;
     }
   }
-  return wanted <= 0.0 ? 1.0 : std::clamp(idle / wanted, 0.0, 1.0);
+  const double overcommit = std::max(
+      0.0, wanted / static_cast<double>(settings_.executors.cpu_millis) - 1.0);
+  return 1.0 / (1.0 + settings_.executors.overcommit_slowdown * overcommit);
 }
 
 double executor_model::OwnLoad(const run& serving, std::int64_t now_ms) const {
--- a/bench/overload_model/executor_model.h
+++ b/bench/overload_model/executor_model.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
--- a/bench/overload_model/settings.cc
+++ b/bench/overload_model/settings.cc
@@ -68,22 +68,25 @@
       .executors = {.count = file.getInt("executors.count"),
                     .cpu_millis = file.getInt64("executors.cpu_millis"),
                     .memory_mib = file.getInt64("executors.memory_mib"),
+                    .overcommit_slowdown =
+                        file.getDouble("executors.overcommit_slowdown"),
                     .start_delay_ms = file.getInt64("executors.start_delay_ms"),
                     .report_pause_ms =
                         file.getInt64("executors.report_pause_ms"),
                     .report_wait_ms =
                         file.getInt64("executors.report_wait_ms")},
-      .serving =
-          {.base_ms = file.getDouble("interference.base_ms"),
-           .target_ms = file.getInt64("interference.target_ms"),
-           .load = file.getDouble("interference.load"),
-           .swing = file.getDouble("interference.swing"),
-           .swing_ms = file.getDouble("interference.swing_ms"),
-           .use_at_full_load = file.getDouble("interference.use_at_full_load"),
-           .smoothing_ms = file.getDouble("interference.smoothing_ms"),
-           .heavy_pressure = file.getDouble("interference.heavy_pressure"),
-           .light_pressure = file.getDouble("interference.light_pressure"),
-           .heavy_share = file.getDouble("interference.heavy_share")},
+      .serving = {.base_ms = file.getDouble("interference.base_ms"),
+                  .target_ms = file.getInt64("interference.target_ms"),
+                  .load = file.getDouble("interference.load"),
+                  .swing = file.getDouble("interference.swing"),
+                  .swing_ms = file.getDouble("interference.swing_ms"),
+
+                  .smoothing_ms = file.getDouble("interference.smoothing_ms"),
+                  .heavy_pressure =
+                      file.getDouble("interference.heavy_pressure"),
+                  .light_pressure =
+                      file.getDouble("interference.light_pressure"),
+                  .heavy_share = file.getDouble("interference.heavy_share")},
       .plan_period_ms = file.getInt64("leader.plan_period_ms"),
       .write_ms = file.getInt64("leader.write_ms"),
       .records_per_write =
--- a/bench/overload_model/settings.h
+++ b/bench/overload_model/settings.h
@@ -60,6 +60,9 @@
   int count = 48;
   std::int64_t cpu_millis = 32'000;
   std::int64_t memory_mib = 128'000;
+  // Part by which best-effort work takes longer for each capacity that tasks
+  // use beyond the first.
+  double overcommit_slowdown = 0.2;
   std::int64_t start_delay_ms = 10;
   // Minimum time between two reports, and maximum time without one.
   std::int64_t report_pause_ms = 100;
@@ -74,12 +77,10 @@
   double load = 0.42;
   double swing = 0.5;
   double swing_ms = 10'000.0;
-  // Share of its processor request that a serving task uses at full load.
-  double use_at_full_load = 1.0;
   // Time constant of tail latencies.
   double smoothing_ms = 700.0;
-  // Utilisation that one core of a best-effort image adds to a serving image
-  // which it disturbs heavily or lightly, and the share of heavy pairs.
+  // Utilisation that one core of a best-effort image adds to a serving image,
+  // and the share of the best-effort images that are heavy to a serving one.
   double heavy_pressure = 0.03;
   double light_pressure = 0.003;
   double heavy_share = 0.5;
--- a/bench/overload_model/simulation.cc
+++ b/bench/overload_model/simulation.cc
@@ -137,7 +137,7 @@
       const std::shared_ptr<modelled_job>& job = callers_.Job(order.task.job);
       executors_[indexes_.at(order.executor)].Start(order, job,
                                                     DrawFailure(*job, order));
-      job->steps.at(order.task.step).last_start_ms = now_;
+      if (order.run == 1) job->steps.at(order.task.step).last_start_ms = now_;
       core_.OnStartResponse(order, fleet::start_outcome::kAccepted, At(now_));
       return true;
     });
--- a/bench/overload_model/workload.h
+++ b/bench/overload_model/workload.h
@@ -29,7 +29,8 @@
   std::vector<modelled_task> tasks;
   std::size_t succeeded = 0;
   std::size_t running = 0;
-  // When its tasks could start first, and when the last of them started.
+  // When its tasks could start first, and when the last first run of one
+  // began.
   std::optional<std::int64_t> ready_ms;
   std::int64_t last_start_ms = 0;
 };
