--- a/bench/overload_model/executor_model.cc
+++ b/bench/overload_model/executor_model.cc
@@ -176,6 +176,7 @@
   }
   if (task.worked_ms < task.Task().work_ms) return false;
   task.Task().succeeded = true;
+  if (task.Spec().fills()) ++sums_.best_effort_runs_done;
   ++task.job->steps.at(task.task.step).succeeded;
   End(task, fleet::run_end::kDone);
   return true;
--- a/bench/overload_model/executor_model.h
+++ b/bench/overload_model/executor_model.h
@@ -32,6 +32,7 @@
   // Above the target because of best-effort tasks.
   double over_target_ms = 0.0;
   double best_effort_ms = 0.0;
+  int best_effort_runs_done = 0;
   // Weighted by the pace, and by the speed at this pace.
   double paced_ms = 0.0;
   double worked_ms = 0.0;
--- a/bench/overload_model/report.cc
+++ b/bench/overload_model/report.cc
@@ -49,6 +49,7 @@
       {"later_wait_s", MeanOf(jobs.later_wait_ms) / kMillisPerSecond, 2},
       {"waiting", run.waiting, 0},
       {"running", run.running, 0},
+      {"runs_done", static_cast<double>(sharing.best_effort_runs_done), 0},
       {"pace", sharing.paced_ms / best_effort, 3},
       {"speed", sharing.worked_ms / best_effort, 3},
       {"headroom", sharing.headroom / serving, 3},
--- a/bench/overload_model/result.h
+++ b/bench/overload_model/result.h
@@ -26,7 +26,7 @@
         boost::accumulators::tag::count, boost::accumulators::tag::mean,
         boost::accumulators::tag::tail_quantile<boost::accumulators::left>>>;
 
-// Returns an empty set that is exact up to a million samples.
+// Returns an empty set that is exact up to 100,000 samples.
 sample_set EmptySampleSet();
 
 // Returns 0 if there are no samples.
