--- a/bench/overload_model/callers.cc
+++ b/bench/overload_model/callers.cc
@@ -121,22 +121,25 @@
   if (step != nullptr && !step->ready_ms) step->ready_ms = now_ms;
 }
 
-void callers::ObserveEnds(std::int64_t now_ms) {
+void callers::ObserveEnds(fleet::moment at, std::int64_t now_ms) {
   std::erase_if(live_, [&](const job_pointer& job) {
     if (settings_.classes.at(job->class_index).kind == job_kind::kServing) {
       return false;
     }
     ObserveSteps(*job, now_ms);
+    const job_outcome now_ended = JudgeEnd(
+        static_cast<double>(now_ms - job->first_attempt_ms), job->objective_ms);
     const auto state = core_.StoredState(job->spec.id());
     const bool completed = state == schema::FLEET_COMPLETED;
     const bool failed = state == schema::FLEET_FAILED;
-    if (!completed && !failed) return false;
-    const job_outcome outcome =
-        failed && !job->doomed
-            ? job_outcome::kUseless
-            : JudgeEnd(static_cast<double>(now_ms - job->first_attempt_ms),
-                       job->objective_ms);
-    CountEnd(*job, outcome, now_ms);
+    if (!completed && !failed) {
+      if (!settings_.give_up || now_ended != job_outcome::kUseless) {
+        return false;
+      }
+      core_.Cancel(job->spec.id(), at);
+    }
+    CountEnd(*job, failed && !job->doomed ? job_outcome::kUseless : now_ended,
+             now_ms);
     return true;
   });
 }
--- a/bench/overload_model/callers.h
+++ b/bench/overload_model/callers.h
@@ -39,8 +39,8 @@
   void Arrive(std::int64_t now_ms, std::int64_t step_ms);
   // Submits and cancels the jobs that are due.
   void Act(fleet::moment at, std::int64_t now_ms);
-  // Records jobs that are shown as ended, and steps that are ready.
-  void ObserveEnds(std::int64_t now_ms);
+  // Records jobs that are shown as ended or given up, and steps that are ready.
+  void ObserveEnds(fleet::moment at, std::int64_t now_ms);
   // Ends the observation: jobs without an end are useless.
   std::vector<class_result> Finish();
 
--- a/bench/overload_model/settings.cc
+++ b/bench/overload_model/settings.cc
@@ -92,6 +92,7 @@
       .records_per_write =
           static_cast<std::size_t>(file.getUInt64("leader.records_per_write")),
       .return_spread = file.getDouble("callers.return_spread"),
+      .give_up = file.getBool("callers.give_up"),
       .warm_up_ms = file.getInt64("callers.warm_up_ms"),
       .finish_ms = file.getInt64("callers.finish_ms")};
   const Poco::StringTokenizer names(
--- a/bench/overload_model/settings.h
+++ b/bench/overload_model/settings.h
@@ -95,6 +95,8 @@
   std::size_t records_per_write = 120;
   // Callers return after Retry-After plus up to this share of it.
   double return_spread = 0.2;
+  // Callers cancel jobs that can no longer be useful.
+  bool give_up = false;
   // Time at load 1 before the measured time.
   std::int64_t warm_up_ms = 5000;
   // Time after the measured time in which jobs may still end.
--- a/bench/overload_model/simulation.cc
+++ b/bench/overload_model/simulation.cc
@@ -70,7 +70,7 @@
       if (now_ % settings_.plan_period_ms == 0) core_.Plan(At(now_));
       WriteRecords();
       Execute(core_.TakeOrders(At(now_)));
-      callers_.ObserveEnds(now_);
+      callers_.ObserveEnds(At(now_), now_);
       if (now_ >= measured_from && now_ < measured_until &&
           now_ % kSamplePeriodMs == 0) {
         Sample();
