Keep a job's records while a lost write could create them again

Cause: the first write of a job expects that it has no record. If it gets no response it is sent again, and only one of the two takes effect, as long as the record exists. Once the record was removed, the condition of the late one holds again.

Change: the records of a job that had a write without a response stay for 30 s after the next stored one, beside the retention. A new leader need not know of it, as late writes of its predecessor fail.

"A job is not removed while a lost write could create it again" failed before (it was removed after its retention of 2 s) and passes; a job whose writes all had responses goes as early as before.

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -387,10 +387,7 @@
 
 void fleet_core::DropOldJobs(moment at) {
   for (auto& [id, job] : state_.jobs) {
-    if (!job->retained_since || job->removing) continue;
-    if (job->stored_version < job->version) continue;
-    if (at.now - *job->retained_since < options_.retention) continue;
-    if (job->AnyActive()) continue;
+    if (!job->RetentionOver(options_.retention, at.now)) continue;
     job->removing = true;
     journal_.Remove(*job);
   }
--- a/src/waxwingfront/fleet/fleet_journal.cc
+++ b/src/waxwingfront/fleet/fleet_journal.cc
@@ -9,6 +9,8 @@
 // A batch with urgent changes does not wait to be fuller than one part in this
 // many, since callers wait for it.
 constexpr std::size_t kUrgentBatchDivisor = 3;
+// A write without a response takes effect within seconds or not at all.
+constexpr core::milliseconds kLateWriteBound{30'000};
 
 }  // namespace
 
@@ -112,6 +114,9 @@
     job->milestones.stored = at.now;
   }
   if (entry.wrote_progress) job->progress_revision = revision;
+  if (std::exchange(job->write_unanswered, false)) {
+    job->late_writes_until = at.now + kLateWriteBound;
+  }
   job->stored_version = entry.version;
   job->stored_state = entry.state;
   state_.store_backlog.OnBatchStored(*job);
@@ -136,11 +141,20 @@
       job->progress_revision = record.revision;
     }
   }
-  Unanswered(batch);
+  Retry(TakeBatch(batch));
 }
 
 void fleet_journal::Unanswered(std::uint64_t batch) {
-  for (const batch_entry& entry : TakeBatch(batch)) {
+  const batch_entries entries = TakeBatch(batch);
+  for (const batch_entry& entry : entries) {
+    job_state* const job = state_.FindJob(entry.id);
+    if (job != nullptr && !entry.removed) job->write_unanswered = true;
+  }
+  Retry(entries);
+}
+
+void fleet_journal::Retry(const batch_entries& entries) {
+  for (const batch_entry& entry : entries) {
     job_state* const job = state_.FindJob(entry.id);
     if (job == nullptr) continue;
     if (entry.removed && job->job_revision == 0) {
--- a/src/waxwingfront/fleet/fleet_journal.h
+++ b/src/waxwingfront/fleet/fleet_journal.h
@@ -41,7 +41,8 @@
 
 // Several batches may be in flight, each with different jobs. The changes of a
 // batch without a response are written again under the same expected revisions,
-// so that only one of the writes takes effect for each job.
+// so that only one of the writes takes effect for each job. That holds as long
+// as a record exists: it is not removed while such a write may still come.
 class fleet_journal {
  public:
   explicit fleet_journal(fleet_state& state) : state_(state) {}
@@ -92,6 +93,8 @@
   void WriteRemoval(const job_state& job, std::vector<record_write>& writes,
                     batch_entries& entries);
   batch_entries TakeBatch(std::uint64_t batch);
+  // Queues the changes of a batch again.
+  void Retry(const batch_entries& entries);
   void OnEntryStored(const batch_entry& entry, std::int64_t revision,
                      moment at);
 
--- a/src/waxwingfront/fleet/job_state.cc
+++ b/src/waxwingfront/fleet/job_state.cc
@@ -176,4 +176,11 @@
   }
 }
 
+bool job_state::RetentionOver(core::milliseconds retention,
+                              core::monotonic_time now) const {
+  return retained_since && !removing && stored_version >= version &&
+         now - *retained_since >= retention && now >= late_writes_until &&
+         !AnyActive();
+}
+
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -200,6 +200,9 @@
   bool FinalStatePending() const {
     return Final() && stored_state < schema::FLEET_COMPLETED;
   }
+  // True if its records may be removed `retention` after its end.
+  bool RetentionOver(core::milliseconds retention,
+                     core::monotonic_time now) const;
   // True if a task is known to have begun; a sent order is not sufficient.
   bool AnyBegun() const { return begun_; }
   void SetBegun() { begun_ = true; }
@@ -231,6 +234,11 @@
   std::optional<core::monotonic_time> retained_since;
   // Its records are being removed.
   bool removing = false;
+  // A write of its records had no response, and none was stored since.
+  bool write_unanswered = false;
+  // Until then, writes without a response may take effect, as far as the
+  // records are as the writes expect.
+  core::monotonic_time late_writes_until{};
   std::int64_t job_revision = 0;
   std::int64_t progress_revision = 0;
   // State in the store, the only one that is visible to callers.
--- a/tests/waxwingfront/fleet/fleet_journal_test.cc
+++ b/tests/waxwingfront/fleet/fleet_journal_test.cc
@@ -286,6 +286,31 @@
   CHECK_FALSE(core.StoredState("job").has_value());
 }
 
+TEST_CASE("a job is not removed while a lost write could create it again",
+          "[fleet]") {
+  fleet_fixture fixture({{}}, {.retention = core::milliseconds(2000)});
+  fleet::fleet_core& core = fixture.Core();
+  core.Submit(JobOf("job", 1, 1000), At(0));
+  const write_batch lost = core.Journal().NextBatch(kMaxRecords);
+  REQUIRE(lost.records.size() == 1);
+  SECTION("a write had no response") {
+    core.Journal().Unanswered(lost.number);
+    core.Cancel("job", At(10));
+    fixture.Store(20);
+    core.Tick(At(10'000));
+    CHECK(core.Journal().NextBatch(kMaxRecords).records.empty());
+    core.Tick(At(40'000));
+    CHECK(core.Journal().NextBatch(kMaxRecords).records.size() == 2);
+  }
+  SECTION("all had one") {
+    core.Journal().Stored(lost.number, 7, At(5));
+    core.Cancel("job", At(10));
+    fixture.Store(20);
+    core.Tick(At(10'000));
+    CHECK(core.Journal().NextBatch(kMaxRecords).records.size() == 2);
+  }
+}
+
 TEST_CASE("a removal whose response was lost is not repeated without records",
           "[fleet]") {
   fleet_fixture fixture;
