Tell a leader that is cut off who leads

A leader that is cut off from the store keeps its term, as it should, and answers its callers 503 until the next leader's announcement reaches it. That leader may not know of it.

A process that gets an announcement and knows of a leader with a larger token now names it in the answer. The leader that is cut off announces itself as before, learns of the next one from any member, steps down and passes its callers on.

Before, its callers got `no_owner` in "a leader that is cut off learns of the next one from the others"; now the next leader answers them.

Left: a leader that is cut off from all others as well, or that was elected and cut off before it read the members, hears of nobody; its metrics still say that it leads. A process that was deposed while it is cut off depends on announcements.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -110,10 +110,7 @@
                 [this](const std::string& address,
                        const schema::fleet_standing& status,
                        core::monotonic_time sent) {
-                  OnMemberStatus(
-                      address,
-                      {.strength = status.strength(), .ready = status.ready()},
-                      sent);
+                  OnMemberStatus(address, status, sent);
                 },
             .on_round =
                 [this](std::size_t members) {
@@ -136,12 +133,11 @@
             .on_leader_change =
                 [this](const std::string& address) {
                   log.Write("leader_known", {{"address", address}});
+                  choice->OnLeading(address, core::Now());
                 },
             .boot_time_ms = BootTimeMs,
             .on_stage = StageHook(),
             .random =
-                  // A leader that is lost soon announces itself to nobody.
-                  choice->OnLeading(address, core::Now());
                 [this](std::int64_t limit) {
                   return std::uniform_int_distribution<std::int64_t>(
                       0, limit - 1)(random);
@@ -179,9 +175,13 @@
     });
   }
 
-  void OnMemberStatus(const std::string& address, const member_status& status,
+  void OnMemberStatus(const std::string& address,
+                      const schema::fleet_standing& status,
                       core::monotonic_time sent) {
-    choice->OnMemberStatus(address, status, sent);
+    election->OnAnnouncement(status.newer_token(), status.newer_address());
+    choice->OnMemberStatus(
+        address, {.strength = status.strength(), .ready = status.ready()},
+        sent);
     HandOverTo(choice->Successor(core::Now()));
   }
 
@@ -205,6 +205,12 @@
     schema::fleet_standing status;
     status.set_strength(options.strength);
     status.set_ready(ReadyToLead());
+    // A leader that is cut off from the store learns it only this way.
+    if (!election->Leader().empty() &&
+        election->LatestToken() > announcement.token()) {
+      status.set_newer_token(election->LatestToken());
+      status.set_newer_address(election->Leader());
+    }
     return status.SerializeAsString();
   }
 
--- a/src/waxwingfront/fleet/leadership.cc
+++ b/src/waxwingfront/fleet/leadership.cc
@@ -338,6 +338,8 @@
 
 const std::string& leadership::Leader() const { return internal_->leader; }
 
+std::int64_t leadership::LatestToken() const { return internal_->latest_token; }
+
 std::int64_t leadership::LeaderStrength() const {
   return internal_->leader.empty() ? 0 : internal_->leader_strength;
 }
--- a/src/waxwingfront/fleet/leadership.h
+++ b/src/waxwingfront/fleet/leadership.h
@@ -85,6 +85,8 @@
   std::int64_t Token() const;
   // Internal address of the leader; empty if unknown.
   const std::string& Leader() const;
+  // Token of the latest known leader, or a larger one if nobody leads.
+  std::int64_t LatestToken() const;
   // Strength of the other process that leads; 0 if unknown.
   std::int64_t LeaderStrength() const;
 
--- a/tests/waxwingfront/fleet/fleet_node_test.cc
+++ b/tests/waxwingfront/fleet/fleet_node_test.cc
@@ -1,6 +1,7 @@
 #include "waxwingfront/fleet/fleet_node.h"
 
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -203,5 +204,51 @@
   CHECK(*reply);
 }
 
+TEST_CASE("a leader that is cut off learns of the next one from the others",
+          "[fleet]") {
+  net::event_loop loop;
+  fake_store store(loop);
+  store.Put("manifest", "1");
+  fleet_process strong(loop, store, kStrong);
+  bool cut = false;
+  MakeInterruptible(strong.store, loop, cut);
+  // Open watches hear nothing either.
+  const auto watch = strong.store.watch;
+  strong.store.watch = [&cut, watch](std::string_view prefix,
+                                     std::int64_t after, milliseconds wait,
+                                     auto done) {
+    watch(prefix, after, wait,
+          [&cut, done](const core::result<fleet::store_changes>& reply) {
+            if (!cut) return done(reply);
+            done(core::Failure(core::error_code::kStoreUnavailable, "cut off"));
+          });
+  };
+  REQUIRE(RunUntil(loop, [&] { return strong.Leads(store); }));
+  fleet_process weak(loop, store, kWeak);
+  REQUIRE(RunUntil(loop, [&] { return weak.node.Ready(); }));
+  // The leader has read the new member.
+  RunFor(loop, milliseconds(1000));
+  REQUIRE(strong.Leads(store));
+  cut = true;
+  // Calls that were made before have their responses.
+  RunFor(loop, milliseconds(50));
+  // The next leader does not announce itself to this one.
+  store.Remove(std::string(fleet::kMembersPrefix) + strong.node.Address());
+  store.EndLease(store.LeaseOf(std::string(fleet::kLeaderKey)));
+  REQUIRE(RunUntil(loop, [&] { return weak.Leads(store); }));
+  // The lease ends by the clock of the leader that is cut off.
+  RunFor(loop, milliseconds(2000));
+  schema::fleet_request request;
+  request.set_show("job");
+  std::optional<core::result<schema::fleet_reply>> reply;
+  strong.node.Call(request, core::Now() + milliseconds(4000),
+                   [&reply](core::result<schema::fleet_reply> got) {
+                     reply = std::move(got);
+                   });
+  REQUIRE(RunUntil(loop, [&reply] { return reply.has_value(); }));
+  REQUIRE(*reply);
+  CHECK((*reply)->outcome() == schema::FLEET_UNKNOWN_JOB);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
