--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -110,14 +110,7 @@
                 [this](const std::string& address,
                        const schema::fleet_standing& status,
                        core::monotonic_time sent) {
-                  if (status.newer_token() > 0) {
-                    election->OnAnnouncement(status.newer_token(),
-                                             status.newer_address());
-                  }
-                  OnMemberStatus(
-                      address,
-                      {.strength = status.strength(), .ready = status.ready()},
-                      sent);
+                  OnMemberStatus(address, status, sent);
                 },
             .on_round =
                 [this](std::size_t members) {
@@ -140,7 +133,6 @@
             .on_leader_change =
                 [this](const std::string& address) {
                   log.Write("leader_known", {{"address", address}});
-                  // A leader that is lost soon announces itself to nobody.
                   choice->OnLeading(address, core::Now());
                 },
             .boot_time_ms = BootTimeMs,
@@ -183,9 +175,13 @@
     });
   }
 
-  void OnMemberStatus(const std::string& address, const member_status& status,
+  void OnMemberStatus(const std::string& address,
+                      const schema::fleet_standing& status,
                       core::monotonic_time sent) {
-    choice->OnMemberStatus(address, status, sent);
+    election->OnAnnouncement(status.newer_token(), status.newer_address());
+    choice->OnMemberStatus(
+        address, {.strength = status.strength(), .ready = status.ready()},
+        sent);
     HandOverTo(choice->Successor(core::Now()));
   }
 
