Reject best-effort jobs while their kind stands still

From 25 s on 4,100 to 4,400 best-effort tasks run, 2,400 to 2,800 of them at a pace of 10 % or less (a line a second from a trial copy), and half of the jobs in progress are past their latest useful end.

Change: work_admission rejects a new best-effort job at once, with Retry-After 1 to 2 s, while its queue has stood short of room for 2 s, and while the standing tasks of its queue and image, and the first tasks of the jobs accepted in the last half second or so, are above 0.4 of the working ones. Jobs that are not best-effort, long-running and repeating jobs, known jobs and cancels are not rejected. The order of planning and placements are as before.

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "waxwingfront/fleet/job_queue.h"
-#include "waxwingfront/fleet/start_backlog.h"
 
 namespace waxwingfront::fleet {
 namespace {
@@ -30,6 +29,7 @@
       sharing_(state_),
       admission_(state_, options.admission),
       start_admission_({.link_mbps = options.starts.link_mbps}),
+      work_admission_(options.work),
       distance_(options.remote_factor),
       deadlines_(state_, leases_, options.deadlines),
       runs_(state_, options.runs,
@@ -56,6 +56,9 @@
   reserve_.on_change = [this](const reserve_summary& summary) {
     if (on_reserve_changed) on_reserve_changed(summary);
   };
+  runs_.on_task_done = [this](const task_state& task, moment at) {
+    CountDone(work_admission_, task, at.now);
+  };
   journal_.on_job_stored = [this](job_state& job, moment at) {
     runs_.OnJobStored(job, at);
   };
@@ -301,11 +304,6 @@
   return admission_.MayAdmit(figures) ? std::nullopt : std::optional(figures);
 }
 
-std::optional<start_refusal> fleet_core::AdmitStarts(
-    const schema::fleet_job& job, moment at) {
-  return fleet::AdmitStarts(start_admission_, state_, job, at);
-}
-
 void fleet_core::Tick(moment at) {
   admission_.Sample(at);
   runs_.Tick(at);
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -23,7 +23,10 @@
 #include "waxwingfront/fleet/sharing_policy.h"
 #include "waxwingfront/fleet/standing_admission.h"
 #include "waxwingfront/fleet/start_admission.h"
+#include "waxwingfront/fleet/start_backlog.h"
 #include "waxwingfront/fleet/start_queue.h"
+#include "waxwingfront/fleet/work_admission.h"
+#include "waxwingfront/fleet/work_load.h"
 
 namespace waxwingfront::fleet {
 
@@ -40,6 +43,7 @@
   run_tracker_options runs;
   standing_admission_options admission;
   start_queue_options starts;
+  work_admission_options work;
 };
 
 enum class submission { kNew, kDuplicate };
@@ -77,7 +81,19 @@
   // Returns why a new short job would be useless, see `start_admission`.
   // Otherwise the caller has to submit it.
   std::optional<start_refusal> AdmitStarts(const schema::fleet_job& job,
-                                           moment at);
+                                           moment at) {
+    return fleet::AdmitStarts(start_admission_, state_, job, at);
+  }
+  // Returns why a new best-effort job would stand still with the others of its
+  // kind, see `work_admission`. Otherwise the caller has to submit it.
+  std::optional<work_refusal> AdmitWork(const schema::fleet_job& job,
+                                        moment at) {
+    return fleet::AdmitWork(work_admission_, state_, job, at);
+  }
+  // Counts the short work of all live jobs, for metrics.
+  work_sample ShortWork(core::monotonic_time now) const {
+    return SampleWork(state_, work_scope::kAllShort, now);
+  }
   // Returns false if there is no such job.
   bool Cancel(const std::string& id, moment at);
   // Returns the stored state, or nothing if there is no such job.
@@ -176,6 +192,7 @@
   sharing_policy sharing_;
   standing_admission admission_;
   start_admission start_admission_;
+  work_admission work_admission_;
   locality distance_;
   // Entries have changed since the last round of planning.
   bool racks_changed_ = false;
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -67,6 +67,10 @@
              .on_link_full =
                  [this](const std::string& job, const start_refusal& refusal) {
                    LogLinkFull(log, job, refusal);
+                 },
+             .on_work_refused =
+                 [this](const std::string& job, const work_refusal& refusal) {
+                   LogWorkRefused(log, job, refusal);
                  }}),
         server(loop,
                {.address = options.internal_address,
--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -213,14 +213,19 @@
   return missing.has_value();
 }
 
-std::optional<core::milliseconds> job_gateway::RejectsForLink(
+std::optional<core::milliseconds> job_gateway::RejectsForLoad(
     fleet_core& core, const schema::fleet_job& job) const {
   if (core.HasJob(job.id())) return std::nullopt;
-  const std::optional<start_refusal> refusal =
-      core.AdmitStarts(job, hooks_.now());
-  if (!refusal) return std::nullopt;
-  if (hooks_.on_link_full) hooks_.on_link_full(job.id(), *refusal);
-  return refusal->retry_after;
+  const moment now = hooks_.now();
+  if (const auto refusal = core.AdmitWork(job, now)) {
+    if (hooks_.on_work_refused) hooks_.on_work_refused(job.id(), *refusal);
+    return refusal->retry_after;
+  }
+  if (const auto refusal = core.AdmitStarts(job, now)) {
+    if (hooks_.on_link_full) hooks_.on_link_full(job.id(), *refusal);
+    return refusal->retry_after;
+  }
+  return std::nullopt;
 }
 
 void job_gateway::Handle(const schema::fleet_request& request,
@@ -261,7 +266,7 @@
             static_cast<std::uint32_t>(options_.no_room_retry.count()));
         break;
       }
-      if (const auto retry_after = RejectsForLink(core, request.submit())) {
+      if (const auto retry_after = RejectsForLoad(core, request.submit())) {
         reply.set_outcome(schema::FLEET_OVERLOADED);
         reply.set_retry_after_ms(
             static_cast<std::uint32_t>(retry_after->count()));
--- a/src/waxwingfront/fleet/job_gateway.h
+++ b/src/waxwingfront/fleet/job_gateway.h
@@ -56,6 +56,9 @@
   // useless.
   std::function<void(const std::string& job, const start_refusal&)>
       on_link_full;
+  // The same for a best-effort job whose kind stands still.
+  std::function<void(const std::string& job, const work_refusal&)>
+      on_work_refused;
 };
 
 class job_gateway {
@@ -95,8 +98,8 @@
   bool RejectsForRoom(const fleet_core& core,
                       const schema::fleet_job& job) const;
   // Returns when the caller should return if the job is new and would be
-  // useless.
-  std::optional<core::milliseconds> RejectsForLink(
+  // useless, or would stand still with the others of its kind.
+  std::optional<core::milliseconds> RejectsForLoad(
       fleet_core& core, const schema::fleet_job& job) const;
 
   net::event_loop& loop_;
--- a/src/waxwingfront/fleet/rejection_log.cc
+++ b/src/waxwingfront/fleet/rejection_log.cc
@@ -27,4 +27,24 @@
              {"retry_after_ms", refusal.retry_after.count()}});
 }
 
+void LogWorkRefused(logging::event_log& log, const std::string& job,
+                    const work_refusal& refusal) {
+  constexpr double kPercent = 100.0;
+  const auto percent = [](double tasks) {
+    return static_cast<std::int64_t>(tasks * kPercent);
+  };
+  log.Write("work_refused",
+            {{"job", job},
+             {"queue", refusal.kind.queue},
+             {"image", refusal.kind.image},
+             {"jobs", static_cast<std::int64_t>(refusal.level.jobs)},
+             {"working_percent", percent(refusal.level.working)},
+             {"standing_percent", percent(refusal.level.standing)},
+             {"accepted_percent", percent(refusal.accepted_tasks)},
+             {"queue_working_percent", percent(refusal.queue_level.working)},
+             {"queue_standing_percent", percent(refusal.queue_level.standing)},
+             {"done_percent", percent(refusal.rate)},
+             {"retry_after_ms", refusal.retry_after.count()}});
+}
+
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/rejection_log.h
+++ b/src/waxwingfront/fleet/rejection_log.h
@@ -6,6 +6,7 @@
 
 #include "waxwingfront/fleet/standing_admission.h"
 #include "waxwingfront/fleet/start_admission.h"
+#include "waxwingfront/fleet/work_admission.h"
 #include "waxwingfront/logging/event_log.h"
 
 namespace waxwingfront::fleet {
@@ -14,6 +15,9 @@
                const standing_room& figures);
 void LogLinkFull(logging::event_log& log, const std::string& job,
                  const start_refusal& refusal);
+// Levels of tasks and the rate are in hundredths.
+void LogWorkRefused(logging::event_log& log, const std::string& job,
+                    const work_refusal& refusal);
 
 }  // namespace waxwingfront::fleet
 
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -298,6 +298,7 @@
     if (task.phase != task_phase::kSucceeded) {
       task.phase = task_phase::kSucceeded;
       ++job.StepOf(task).succeeded;
+      if (on_task_done) on_task_done(task, at);
     }
     if (job.AllSucceeded()) FinishJob(job, schema::FLEET_COMPLETED, at);
     return;
--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -52,6 +52,9 @@
   // Called with each run that has ended, for logs and estimates.
   std::function<void(const task_state&, run_outcome, moment)> on_run_ended;
 
+  // Called with each task that has succeeded.
+  std::function<void(const task_state&, moment)> on_task_done;
+
   // Called when the first task of a job that this leader accepted has begun.
   std::function<void(const job_state&)> on_job_begun;
 
--- a/tests/waxwingfront/fleet/job_gateway_test.cc
+++ b/tests/waxwingfront/fleet/job_gateway_test.cc
@@ -4,6 +4,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 #include "support/fake_store.h"
 #include "support/fleet_fixture.h"
 #include "support/loop_runner.h"
+#include "waxwingfront/fleet/record_keys.h"
 #include "waxwingfront/net/async_http_server.h"
 
 namespace waxwingfront::tests {
@@ -257,17 +259,26 @@
 
 // A process that leads, with a store that can be made unavailable.
 struct leading_process {
-  leading_process()
-      : leader(loop, store, executors, 7, core::Now(), {},
+  // Revision of the leader key.
+  static constexpr std::int64_t kToken = 2;
+
+  explicit leading_process(const fleet::fleet_leader_options& options = {})
+      : leader(loop, store, executors, kToken, core::Now(), options,
                {.may_order = [] { return true; },
                 .on_deposed = [](std::string_view) {},
                 .now = [] { return fleet::moment{.now = core::Now()}; }},
                log),
-        gateway(loop, client, {},
-                {.local = [this] { return &leader; },
-                 .leader = [] { return std::string(); },
-                 .recheck_leader = [] {},
-                 .now = [] { return fleet::moment{.now = core::Now()}; }}) {
+        gateway(
+            loop, client, {},
+            {.local = [this] { return &leader; },
+             .leader = [] { return std::string(); },
+             .recheck_leader = [] {},
+             .now = [] { return fleet::moment{.now = core::Now()}; },
+             .on_work_refused =
+                 [this](const std::string& job, const fleet::work_refusal&) {
+                   refused.push_back(job);
+                 }}) {
+    platform.Put(std::string(fleet::kLeaderKey), "leader");
     REQUIRE(RunUntil(loop, [this] { return leader.Loaded(); }));
   }
 
@@ -279,8 +290,11 @@
   }
 
   void Submit(const std::string& id, milliseconds time) {
+    Submit(JobOf(id, 1, 1000), time);
+  }
+  void Submit(const schema::fleet_job& job, milliseconds time) {
     schema::fleet_request request;
-    *request.mutable_submit() = JobOf(id, 1, 1000);
+    *request.mutable_submit() = job;
     Call(std::move(request), time);
   }
 
@@ -292,6 +306,7 @@
   logging::event_log log{{.descriptor = -1}};
   fleet::fleet_leader leader;
   std::vector<reply> replies;
+  std::vector<std::string> refused;
   fleet::job_gateway gateway;
 };
 
@@ -319,5 +334,42 @@
   CHECK(process.replies.size() == 1);
 }
 
+schema::fleet_job BestEffortJob(const std::string& id) {
+  schema::fleet_job job = JobOf(id, 1, 1000);
+  job.mutable_steps(0)->set_fills(true);
+  job.mutable_steps(0)->set_estimated_ms(60'000);
+  return job;
+}
+
+// Guards against callers of an overloaded queue that wait until they are late.
+TEST_CASE("a best-effort job that would stand still is rejected at once",
+          "[fleet]") {
+  fleet::fleet_leader_options options;
+  options.core.work.overload_time = milliseconds(0);
+  leading_process process(options);
+  // No executor has room for it.
+  process.Submit(BestEffortJob("first"), milliseconds(5000));
+  RunFor(process.loop, milliseconds(600));
+  REQUIRE(process.replies.size() == 1);
+  REQUIRE(process.replies[0]);
+  CHECK(process.replies[0]->outcome() == schema::FLEET_OK);
+  process.Submit(BestEffortJob("second"), milliseconds(5000));
+  REQUIRE(process.replies.size() == 2);
+  REQUIRE(process.replies[1]);
+  CHECK(process.replies[1]->outcome() == schema::FLEET_OVERLOADED);
+  CHECK(process.replies[1]->retry_after_ms() >= 1000);
+  CHECK(process.refused == std::vector<std::string>{"second"});
+  CHECK_FALSE(process.leader.Core().HasJob("second"));
+  // A job that was accepted before, and one that is not best-effort.
+  process.Submit(BestEffortJob("first"), milliseconds(5000));
+  process.Submit("ordinary", milliseconds(5000));
+  REQUIRE(RunUntil(process.loop,
+                   [&process] { return process.replies.size() == 4; }));
+  REQUIRE(process.replies[2]);
+  CHECK(process.replies[2]->outcome() == schema::FLEET_OK);
+  REQUIRE(process.replies[3]);
+  CHECK(process.replies[3]->outcome() == schema::FLEET_OK);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
