Show what becomes of short work

Change: the leader exports, by queue, jobs in progress, tasks waiting, running and standing, the mean pace, the time for which runs held executors by outcome of their job (on time, late, useless, failed, cancelled), jobs ended and rejected, and the estimated and the real time of completed jobs; and writes one line `work` a second while there is any.

--- a/bench/planning_round_bench.cc
+++ b/bench/planning_round_bench.cc
@@ -138,6 +138,22 @@
     ->ArgsProduct({{1, 150, 480, 950}, {30}})
     ->Unit(benchmark::kMicrosecond);
 
+// A sample of the short work in progress, at most five times a second.
+void SampleOfShortWork(benchmark::State& run) {
+  full_fleet fleet(static_cast<int>(run.range(0)),
+                   static_cast<std::uint32_t>(run.range(1)));
+  fleet.core.Plan(At(20));
+  std::int64_t at_ms = 20;
+  for (auto unused : run) {
+    at_ms += kRoundMs;
+    benchmark::DoNotOptimize(fleet.core.ShortWork(At(at_ms).now));
+  }
+}
+BENCHMARK(SampleOfShortWork)
+    ->ArgNames({"jobs", "tasks"})
+    ->ArgsProduct({{150, 950, 3000}, {30}})
+    ->Unit(benchmark::kMicrosecond);
+
 }  // namespace
 }  // namespace waxwingfront::fleet
 
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -64,8 +64,9 @@
                       }},
                  events) {
     core.Runs().on_run_ended = [this](const task_state& task,
-                                      run_outcome outcome, moment) {
+                                      run_outcome outcome, moment at) {
       decisions.RunEnded(task, outcome);
+      if (hooks.work != nullptr) hooks.work->RunEnded(task, at.now);
     };
     core.Runs().Restarts().on_stage = hooks.on_stage;
     core.Runs().on_job_begun = [this](const job_state& job) {
@@ -73,6 +74,7 @@
     };
     core.Runs().on_job_final = [this](const job_state& job) {
       decisions.JobFinal(job);
+      if (hooks.work != nullptr) hooks.work->JobFinal(job, hooks.now().now);
     };
     core.on_placed = [this](const task_state& task, moment) {
       decisions.Placed(task, core.Manifest().version);
@@ -118,6 +120,7 @@
       if (hooks.on_ready) hooks.on_ready();
       Tick();
       StoreSharing();
+      if (hooks.work != nullptr) ReportWork();
     }
     driver.HoldAll();
   }
@@ -133,6 +136,11 @@
     store.write(write, [](const store_write_reply&) {});
   }
 
+  void ReportWork() {
+    hooks.work->Report(core.ShortWork(hooks.now().now));
+    Later(options.work_period, [this] { ReportWork(); });
+  }
+
   void Tick() {
     core.Tick(hooks.now());
     recorder.Update();
--- a/src/waxwingfront/fleet/fleet_leader.h
+++ b/src/waxwingfront/fleet/fleet_leader.h
@@ -17,6 +17,7 @@
 #include "waxwingfront/fleet/fleet_core.h"
 #include "waxwingfront/fleet/lease_recorder.h"
 #include "waxwingfront/fleet/platform_services.h"
+#include "waxwingfront/fleet/work_monitor.h"
 #include "waxwingfront/fleet/write_pacer.h"
 #include "waxwingfront/logging/event_log.h"
 #include "waxwingfront/net/event_loop.h"
@@ -41,6 +42,9 @@
   // Time between two records of the interference estimates; a later leader
   // loses the updates of up to this time.
   core::milliseconds sharing_period{3000};
+  // Time between two reports of the short work in progress, each of which
+  // considers all live jobs.
+  core::milliseconds work_period{1000};
   // A transaction has at most 32 conditions and assignments: the leader key
   // takes one, each record two.
   std::size_t max_records = 15;
@@ -59,6 +63,8 @@
   std::function<void()> on_ready;
   // Optional.
   stage_hook on_stage;
+  // Optional; outlives the leader.
+  work_monitor* work = nullptr;
 };
 
 class fleet_leader {
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -51,6 +51,7 @@
                   [this] { return leader ? leader->Levels() : load_levels{}; },
               .leading = [this] { return leader != nullptr; }},
              metrics, log),
+        work(metrics, log),
         manifests(loop, store, options.manifest, log),
         leases(loop, store, options.leases),
         gateway(
@@ -70,7 +71,7 @@
                  },
              .on_work_refused =
                  [this](const std::string& job, const work_refusal& refusal) {
-                   LogWorkRefused(log, job, refusal);
+                   work.Refused(job, refusal);
                  }}),
         server(loop,
                {.address = options.internal_address,
@@ -240,7 +241,8 @@
                 },
             .suspended = SuspendedTime,
             .on_ready = [this] { OnReady(); },
-            .on_stage = StageHook()},
+            .on_stage = StageHook(),
+            .work = &work},
         log);
     if (manifests.Current()) leader->SetManifest(*manifests.Current());
   }
@@ -330,6 +332,7 @@
   std::mt19937_64 random;
   metrics::registry metrics;
   load_monitor load;
+  work_monitor work;
   manifest_follower manifests;
   lease_observer leases;
   std::optional<leader_choice> choice;
--- a/src/waxwingfront/fleet/job_state.cc
+++ b/src/waxwingfront/fleet/job_state.cc
@@ -25,6 +25,11 @@
   }
 }
 
+core::milliseconds task_state::RunTime(core::monotonic_time now) const {
+  return HasBegun() ? std::chrono::floor<core::milliseconds>(now - confirmed)
+                    : core::milliseconds(0);
+}
+
 core::resources task_state::Needs() const {
   const schema::fleet_step& spec = Spec();
   return {.processor_milli = spec.fills() ? 0 : spec.cpu_millis(),
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -112,6 +112,8 @@
   bool IsInterrupted() const { return Spec().long_running() && run > 0; }
   // True if the newest run is known to have begun.
   bool HasBegun() const { return confirmed >= placed_at; }
+  // Returns for how long the newest run has held its executor.
+  core::milliseconds RunTime(core::monotonic_time now) const;
   const schema::fleet_step& Spec() const { return *spec; }
   task_ref Ref() const;
   core::resources Needs() const;
@@ -231,6 +233,9 @@
   std::optional<core::monotonic_time> retained_since;
   // Its records are being removed.
   bool removing = false;
+  // Time that its ended runs of short tasks have held executors, as far as this
+  // leader saw them.
+  core::milliseconds executor_time{0};
   std::int64_t job_revision = 0;
   std::int64_t progress_revision = 0;
   // State in the store, the only one that is visible to callers.
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -285,6 +285,7 @@
   executor_state* const executor = state_.FindExecutor(task.executor);
   if (executor != nullptr) UpdateHealth(*executor, task, outcome, at);
   if (ReportedByExecutor(outcome)) MarkBegun(job, at);
+  if (!task.Spec().long_running()) job.executor_time += task.RunTime(at.now);
   if (on_run_ended) on_run_ended(task, outcome, at);
   state_.Release(task, at.now);
   task.end_seen = true;
