Read a page again before a job is given up for an unreadable row

Cause: a row that could not be read once cost its job for the whole term of the leader, which acknowledged the job's ends and stored none. A later leader that reads the record runs the tasks again. And a row whose key is outside the prefix ended the process, and each of its successors.

Change: a page with unreadable rows is read again up to four times, with the pauses of unreadable pages, before their jobs are given up; keys outside the prefixes are logged only.

"A row that can be read soon costs no job" and "a row of another prefix is passed over" failed before (the job was damaged; basic_string::_M_create out of the event loop). The test of a row that stays unreadable now sees its page read five times.

--- a/src/waxwingfront/fleet/fleet_loader.cc
+++ b/src/waxwingfront/fleet/fleet_loader.cc
@@ -10,6 +10,12 @@
 #include "waxwingfront/fleet/record_keys.h"
 
 namespace waxwingfront::fleet {
+namespace {
+
+// How often a page is read again because rows of it cannot be read.
+constexpr int kMaxDamagedReads = 4;
+
+}  // namespace
 
 struct fleet_loader::internal : std::enable_shared_from_this<internal> {
   using records = std::map<std::string, store_item>;
@@ -33,17 +39,17 @@
                 [self = shared_from_this(), prefix, after, &into,
                  next](const core::result<store_page>& page) {
                   if (self->closed) return;
-                  if (!page) {
+                  if (const auto cause = self->WhyRepeat(page)) {
                     const std::string_view from =
                         after.empty() ? prefix : std::string_view(after);
-                    self->loop.After(
-                        self->repeats.OnFailure(from, page.error()),
-                        [self, prefix, after, &into, next] {
-                          if (self->closed) return;
-                          self->Read(prefix, after, into, next);
-                        });
+                    self->loop.After(self->repeats.OnFailure(from, *cause),
+                                     [self, prefix, after, &into, next] {
+                                       if (self->closed) return;
+                                       self->Read(prefix, after, into, next);
+                                     });
                     return;
                   }
+                  self->damaged_reads = 0;
                   self->repeats.OnSuccess();
                   for (const unreadable_item& item : page->unreadable) {
                     self->OnDamaged(item.key, item.cause);
@@ -59,6 +65,18 @@
                 });
   }
 
+  // Returns why the page has to be read again. Rows that cannot be read may be
+  // readable the next time; their jobs are given up for this leader's term.
+  std::optional<core::error> WhyRepeat(const core::result<store_page>& page) {
+    if (!page) return page.error();
+    if (page->unreadable.empty() || damaged_reads == kMaxDamagedReads) {
+      return std::nullopt;
+    }
+    ++damaged_reads;
+    return core::error{.code = core::error_code::kProtocol,
+                       .detail = page->unreadable.front().cause};
+  }
+
   void ReadProgress() {
     Read(kProgressPrefix, "", progress, &internal::Restore);
   }
@@ -99,6 +117,9 @@
   // The job is refused instead of forgotten, since it may have been accepted.
   void OnDamaged(const std::string& key, std::string_view cause) {
     log.Write("record_damaged", {{"key", key}, {"cause", cause}});
+    if (!key.starts_with(kJobPrefix) && !key.starts_with(kProgressPrefix)) {
+      return;
+    }
     core.MarkDamaged(ToRecordRevision(key, 0).id);
   }
 
@@ -144,6 +165,8 @@
   logging::event_log& log;
   records jobs;
   records progress;
+  // Reads of the present page with rows that cannot be read.
+  int damaged_reads = 0;
   bool loaded = false;
   bool sharing_read = false;
   bool closed = false;
