Count only work that any executor may run as standing still

Cause: each failed search was taken for want of room, also that of tasks which wait for a label, the rack of their data or a limit per executor, so that jobs were rejected while executors were free. A pace that is unknown, as after a takeover or a pace order that failed, counted as none.

Change: tasks with such restrictions and gangs do not stand; an unknown pace counts as the full one; tasks that a new leader has not seen yet count as working.

--- a/src/waxwingfront/fleet/work_load.cc
+++ b/src/waxwingfront/fleet/work_load.cc
@@ -11,11 +11,17 @@
 // Time for which a ready task is expected to wait for its placement.
 constexpr core::milliseconds kMinWait{250};
 
+// True if any executor with room may run tasks of the step.
+bool IsUnrestricted(const schema::fleet_step& step) {
+  return step.required_label().empty() && step.data_rack().empty() &&
+         step.max_per_executor() == 0 && !step.gang();
+}
+
 // True if no executor has had room for the task. One that waits for the
 // leader's link, or for a round of planning, has had no search.
 bool WaitsForRoom(const step_state& step, const task_state& task,
                   core::monotonic_time now) {
-  return step.last_failed_search.round != 0 &&
+  return step.last_failed_search.round != 0 && IsUnrestricted(task.Spec()) &&
          now - std::max(task.waiting_since, *step.ready_since) >= kMinWait;
 }
 
@@ -23,12 +29,17 @@
              work_level& level) {
   for (const task_state& task : step.tasks) {
     if (task.phase == task_phase::kRunning) {
-      const double pace =
-          static_cast<double>(std::max(0, task.pace_percent)) / kFullPace;
+      const int percent =
+          task.pace_percent == kUnknownPace ? kFullPace : task.pace_percent;
+      const double pace = static_cast<double>(percent) / kFullPace;
       ++level.running;
       level.working += pace;
       if (useful) level.standing += 1.0 - pace;
-    } else if (task.phase == task_phase::kWaiting) {
+    } else if (task.phase == task_phase::kOrphaned) {
+      // A new leader does not know yet how it runs.
+      ++level.running;
+      level.working += 1.0;
+    } else if (task.phase == task_phase::kWaiting && step.ready_since) {
       ++level.waiting;
       if (useful && WaitsForRoom(step, task, now)) level.standing += 1.0;
     }
@@ -67,7 +78,7 @@
           FeasibilityOf(ComputeDeadlines(*job, k, queue), now) !=
           deadline_feasibility::kInfeasible;
       for (const step_state& step : job->Occurrences()[k].steps) {
-        if (step.ready_since && !step.Done()) AddStep(step, useful, now, level);
+        if (!step.Done()) AddStep(step, useful, now, level);
       }
     }
   }
--- a/tests/waxwingfront/fleet/work_load_test.cc
+++ b/tests/waxwingfront/fleet/work_load_test.cc
@@ -121,5 +121,49 @@
   CHECK(HeavyWork(fleet.fixture, 310'000).standing == 0.0);
 }
 
+// Guards against refusals while executors are free.
+TEST_CASE("tasks that may run on few executors do not reject others",
+          "[fleet]") {
+  fleet::fleet_options options;
+  options.remote_factor = 2.0;
+  fleet_fixture fixture({{}}, options);
+  for (int i = 0; i < 10; ++i) {
+    fixture.AddExecutor("e" + std::to_string(i), 100'000);
+  }
+  fixture.Core().Submit(BestEffortJob("work", kTasksPerExecutor), At(0));
+  schema::fleet_job odd = BestEffortJob("odd", 3 * kTasksPerExecutor);
+  SECTION("for want of a label") {
+    odd.mutable_steps(0)->set_required_label("none");
+  }
+  SECTION("while they wait for the rack of their data") {
+    fixture.AddExecutor("r", 100'000);
+    fleet::executor_info info = fixture.Core().FindExecutor("r")->info;
+    info.rack = "rack";
+    fixture.Core().SetExecutor(info);
+    odd.mutable_steps(0)->set_data_rack("rack");
+  }
+  fixture.Core().Submit(odd, At(0));
+  Observe(fixture, kLongMs);
+  CHECK(HeavyWork(fixture, kLongMs).waiting > 0);
+  CHECK(HeavyWork(fixture, kLongMs).standing == 0.0);
+  CHECK_FALSE(fixture.Core().AdmitWork(BestEffortJob("new", 1), At(kLongMs)));
+}
+
+// Guards against refusals by a new leader, and after pace orders that failed.
+TEST_CASE("tasks whose pace is unknown do not stand", "[fleet]") {
+  fleet_fixture fixture;
+  fixture.AddExecutor("e", 100'000);
+  fixture.Core().Submit(BestEffortJob("first", kTasksPerExecutor), At(0));
+  fixture.StepAccepted(10);
+  for (std::uint32_t i = 0; i < kTasksPerExecutor; ++i) {
+    fixture.Core().Runs().OnPaceFailed({.executor = "e",
+                                        .task = {.job = "first", .index = i},
+                                        .run = 1,
+                                        .percent = 100});
+  }
+  CHECK(HeavyWork(fixture, 200).working == kTasksPerExecutor);
+  CHECK(HeavyWork(fixture, 200).standing == 0.0);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
