--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -242,14 +242,14 @@
     fleet_core& core, const schema::fleet_job& job) const {
   if (core.HasJob(job.id())) return std::nullopt;
   const moment now = hooks_.now();
-  if (const auto refusal = core.AdmitWork(job, now)) {
-    if (hooks_.on_work_refused) hooks_.on_work_refused(job.id(), *refusal);
-    return refusal->retry_after;
-  }
   if (const auto refusal = core.AdmitStarts(job, now)) {
     if (hooks_.on_link_full) hooks_.on_link_full(job.id(), *refusal);
     return refusal->retry_after;
   }
+  if (const auto refusal = core.AdmitWork(job, now)) {
+    if (hooks_.on_work_refused) hooks_.on_work_refused(job.id(), *refusal);
+    return refusal->retry_after;
+  }
   return std::nullopt;
 }
 
