Check in the soak that no task starts after its job was completed

An end whose executor's lease lapsed before anybody took note of it does not forbid another start, but the job's completion does: a start over a second after it was shown, with no disruption near, is a task that runs twice. The soak did not check that, which mattered less while every acknowledged end counted.

"A start after a job was shown as completed breaks a promise" fails without the check.

--- a/tests/soak/job_book.cc
+++ b/tests/soak/job_book.cc
@@ -11,6 +11,9 @@
 constexpr int kTooMany = 429;
 constexpr int kUnavailable = 503;
 
+// Starts that were sent before a job was shown as completed may still arrive.
+constexpr milliseconds kCompletedSlack{1000};
+
 bool IsSuccess(int status) { return status >= kOk && status < 300; }
 
 std::string JobOf(const std::string& task) {
@@ -104,6 +107,7 @@
     log_.Breach("MIXED", about + "shown as completed with tasks not done");
   }
   if (completed && !job.shown_ended) job.shown_ended = now;
+  if (completed && !job.shown_completed) job.shown_completed = now;
   if (body.find("\"failed\"") != std::string_view::npos && !cancelled) {
     if (!job.shown_ended) job.shown_ended = now;
     const bool has_cause =
@@ -137,6 +141,10 @@
   const bool sent_again = end && job.last_sent > *end + bounds_.status;
   if (task.done_seen && at > *task.done_seen && !sent_again) {
     log_.Breach("TWICE", about + "starts after an acknowledged end");
+  } else if (job.shown_completed && !sent_again &&
+             at > *job.shown_completed + kCompletedSlack &&
+             !is_disturbed(bounds_.contact)) {
+    log_.Breach("TWICE", about + "starts after its job was completed");
   }
   task.last_begun = std::max(task.last_begun.value_or(at), at);
   task.missed = false;
--- a/tests/soak/job_book.h
+++ b/tests/soak/job_book.h
@@ -102,6 +102,7 @@
     std::optional<milliseconds> cancel_sent;
     std::optional<milliseconds> cancelled;
     std::optional<milliseconds> shown_ended;
+    std::optional<milliseconds> shown_completed;
     std::map<std::string, task_state> task_states;
   };
 
--- a/tests/waxwingfront/soak/job_book_test.cc
+++ b/tests/waxwingfront/soak/job_book_test.cc
@@ -95,5 +95,24 @@
   }
 }
 
+// Guards against the gap that a lapse of the lease leaves otherwise.
+TEST_CASE("a start after a job was shown as completed breaks a promise",
+          "[soak]") {
+  book_scene scene(soak::job_kind::kPlain);
+  for (const std::string& task : {kFirst, kSecond}) {
+    scene.Ran("begun", task, 1, "a", 10);
+    scene.Ran("done", task, 1, "a", 20);
+    scene.Ran("seen_after_lapse", task, 1, "a", 40);
+  }
+  scene.book.Shown(kJob, 200, R"({"state":"completed"})", milliseconds(50),
+                   "a");
+  REQUIRE(scene.Breaches() == 0);
+  scene.Ran("begun", kFirst, 2, "b", 500);
+  scene.Ran("failed", kFirst, 2, "b", 600);
+  CHECK(scene.Breaches() == 0);
+  scene.Ran("begun", kFirst, 3, "c", 60'000);
+  CHECK(scene.Breaches() == 1);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
