--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "waxwingfront/core/unix_time.h"
+#include "waxwingfront/fleet/choice_log.h"
 #include "waxwingfront/fleet/rejection_log.h"
 #include "waxwingfront/fleet/types.h"
 #include "waxwingfront/net/http_status.h"
@@ -119,7 +120,7 @@
                 },
             .on_round =
                 [this](std::size_t members) {
-                  LogSearch(members);
+                  LogSearch(log, *choice, members);
                   HandOverTo(choice->SuccessorOnRequest(core::Now()));
                 }});
     announcer->Register(options.strength);
@@ -156,7 +157,10 @@
                   log.Write("leader_reserved", {{"address", successor}});
                   choice->OnOtherHandover(successor, core::Now());
                 },
-            .on_claim = [this](core::milliseconds delay) { LogClaim(delay); },
+            .on_claim =
+                [this](core::milliseconds delay) {
+                  LogClaim(log, *choice, options.strength, delay);
+                },
         });
     candidacy = std::make_unique<leader_candidacy>(
         loop, store, server.Address(), options.strength, options.candidacy,
@@ -301,27 +305,6 @@
     };
   }
 
-  void LogClaim(core::milliseconds delay) {
-    log.Write("leader_claims",
-              {{"delay_ms", delay.count()},
-               {"strength", options.strength},
-               {"strongest", choice->StrongestKnown()}},
-              logging::line_priority::kUrgent);
-  }
-
-  // Shows why a weak leader has not handed over.
-  void LogSearch(std::size_t members) {
-    if (!choice->IsWeak()) return;
-    const core::monotonic_time now = core::Now();
-    const status_counts counts = choice->CountStatuses(now);
-    log.Write("successor_missing",
-              {{"members", static_cast<std::int64_t>(members)},
-               {"answered", counts.recent},
-               {"ready", counts.ready},
-               {"strongest_ready", choice->StrongestReady(now)}},
-              logging::line_priority::kUrgent);
-  }
-
   void FlushLog() {
     log.Flush();
     loop.After(options.log_flush, [this] { FlushLog(); });
