--- a/bench/overload_model/callers.cc
+++ b/bench/overload_model/callers.cc
@@ -80,10 +80,10 @@
 std::optional<core::milliseconds> callers::Refusal(const schema::fleet_job& job,
                                                    fleet::moment at) {
   if (core_.MissingRoom(job)) return fleet::job_gateway_options{}.no_room_retry;
-  if (const auto refusal = core_.AdmitWork(job, at)) {
+  if (const auto refusal = core_.AdmitStarts(job, at)) {
     return refusal->retry_after;
   }
-  if (const auto refusal = core_.AdmitStarts(job, at)) {
+  if (const auto refusal = core_.AdmitWork(job, at)) {
     return refusal->retry_after;
   }
   return std::nullopt;
