--- a/bench/overload_model/callers.cc
+++ b/bench/overload_model/callers.cc
@@ -19,7 +19,7 @@
 }  // namespace
 
 job_outcome JudgeEnd(double elapsed_ms, double objective_ms) {
-  if (elapsed_ms <= objective_ms) return job_outcome::kInAim;
+  if (elapsed_ms <= objective_ms) return job_outcome::kOnTime;
   return elapsed_ms <= kLateFactor * objective_ms ? job_outcome::kLate
                                                   : job_outcome::kUseless;
 }
@@ -159,9 +159,9 @@
   if (outcome == job_outcome::kCancelled) return;
   ++result.asked;
   result.worth_owed += profile.worth;
-  if (outcome == job_outcome::kInAim) result.worth += profile.worth;
+  if (outcome == job_outcome::kOnTime) result.worth += profile.worth;
   if (outcome == job_outcome::kLate) result.worth += profile.late_worth;
-  if (outcome == job_outcome::kInAim || outcome == job_outcome::kLate) {
+  if (outcome == job_outcome::kOnTime || outcome == job_outcome::kLate) {
     result.served_ms(static_cast<double>(now_ms - job.first_attempt_ms));
   }
   for (const modelled_step& step : job.steps) {
--- a/bench/overload_model/plot.cc
+++ b/bench/overload_model/plot.cc
@@ -17,7 +17,7 @@
 constexpr std::array<std::string_view, 4> kColours{"#0b6e99", "#c0392b",
                                                    "#2e8b57", "#8e44ad"};
 
-// Jobs in aim by load, for each class.
+// Jobs on time by load, for each class.
 using curves = std::map<std::string, std::map<double, double>>;
 
 curves ToCurves(std::span<const load_result> results) {
@@ -27,7 +27,7 @@
     ++runs[result.load];
     for (const class_result& jobs : result.classes) {
       if (jobs.asked == 0) continue;
-      sums[jobs.name][result.load] += jobs.Ended(job_outcome::kInAim);
+      sums[jobs.name][result.load] += jobs.Ended(job_outcome::kOnTime);
     }
   }
   for (auto& [name, curve] : sums) {
@@ -76,7 +76,7 @@
               std::to_string(load), "#333", out);
   }
   WriteText(kMargin, kMargin / 2,
-            "Jobs in aim, relative to the best load, over the load", "#333",
+            "Jobs on time, relative to the best load, over the load", "#333",
             out);
 }
 
--- a/bench/overload_model/plot.h
+++ b/bench/overload_model/plot.h
@@ -9,7 +9,7 @@
 
 namespace waxwingfront::overload_model {
 
-// Writes an SVG document: jobs in aim of each class over the load, relative to
+// Writes an SVG document: jobs on time of each class over the load, relative to
 // the class's best load; means over the seeds.
 void WritePlot(std::span<const load_result> results, std::ostream& out);
 
--- a/bench/overload_model/report.cc
+++ b/bench/overload_model/report.cc
@@ -33,7 +33,7 @@
   const double serving = std::max(1.0, sharing.serving_ms);
   return {
       {"asked", static_cast<double>(jobs.asked), 0},
-      {"in_aim", ended(job_outcome::kInAim), 0},
+      {"on_time", ended(job_outcome::kOnTime), 0},
       {"late", ended(job_outcome::kLate), 0},
       {"refused", ended(job_outcome::kRefused), 0},
       {"failed", ended(job_outcome::kUseless), 0},
@@ -41,7 +41,7 @@
       {"half_s", QuantileOf(jobs.served_ms, 0.5) / kMillisPerSecond, 1},
       {"p90_s", QuantileOf(jobs.served_ms, 0.9) / kMillisPerSecond, 1},
       {"worth", jobs.worth / std::max(1e-9, jobs.worth_owed), 3},
-      {"core_s_in_aim", core_s(job_outcome::kInAim), 0},
+      {"core_s_on_time", core_s(job_outcome::kOnTime), 0},
       {"core_s_late", core_s(job_outcome::kLate), 0},
       {"core_s_failed", core_s(job_outcome::kUseless), 0},
       {"core_s_cancelled", core_s(job_outcome::kCancelled), 0},
--- a/bench/overload_model/result.h
+++ b/bench/overload_model/result.h
@@ -17,7 +17,7 @@
 
 namespace waxwingfront::overload_model {
 
-enum class job_outcome { kInAim, kLate, kUseless, kCancelled, kRefused };
+enum class job_outcome { kOnTime, kLate, kUseless, kCancelled, kRefused };
 inline constexpr std::size_t kOutcomes = 5;
 
 using sample_set = boost::accumulators::accumulator_set<
--- a/bench/overload_model/settings.h
+++ b/bench/overload_model/settings.h
@@ -30,7 +30,7 @@
   // `target_duration_ms`.
   double stretch = 1.0;
   std::int64_t target_duration_ms = 0;
-  // Benefit of a job in aim and of a late one.
+  // Benefit of a job on time and of a late one.
   double worth = 1.0;
   double late_worth = 0.0;
   // How often a caller comes back after a refusal.
--- a/tests/bench/overload_model_test.cc
+++ b/tests/bench/overload_model_test.cc
@@ -52,7 +52,7 @@
 
 }  // namespace
 
-TEST_CASE("all jobs of the overload model end in aim without overload",
+TEST_CASE("all jobs of the overload model end on time without overload",
           "[overload]") {
   const model_settings settings{.executors = {.count = 10},
                                 .classes = {BestEffortClass()}};
@@ -60,7 +60,7 @@
       Simulate(settings, {.load = 1.0, .seed = 1, .measured_ms = 10'000});
   const class_result& jobs = result.classes.front();
   REQUIRE(jobs.asked > 0);
-  CHECK(jobs.Ended(job_outcome::kInAim) == jobs.asked);
+  CHECK(jobs.Ended(job_outcome::kOnTime) == jobs.asked);
   CHECK(jobs.refusals == 0);
 }
 
@@ -86,7 +86,7 @@
 
 TEST_CASE("the overload model judges jobs by their first attempt",
           "[overload]") {
-  CHECK(JudgeEnd(1000.0, 1000.0) == job_outcome::kInAim);
+  CHECK(JudgeEnd(1000.0, 1000.0) == job_outcome::kOnTime);
   CHECK(JudgeEnd(1001.0, 1000.0) == job_outcome::kLate);
   CHECK(JudgeEnd(3000.0, 1000.0) == job_outcome::kLate);
   CHECK(JudgeEnd(3001.0, 1000.0) == job_outcome::kUseless);
