Count the jobs that a round of planning examines

What a round costs before its first visit grows with the live jobs that it looks at to order them, and no public function gave their number. Simulations that charge for work need it, so that a planner that examines fewer jobs is cheaper there, too. No change of behaviour.

--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -168,6 +168,7 @@
   // entries are too old.
   bool Plan(moment at, const std::function<bool()>& should_stop = {});
   std::uint64_t Evaluations() const { return planner_.Evaluations(); }
+  std::uint64_t ExaminedJobs() const { return planner_.ExaminedJobs(); }
   // Returns the orders to be sent now. Further starts become available when
   // those sent before get their responses, and at `NextStarts`.
   orders TakeOrders(moment at);
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -46,6 +46,7 @@
   if (!sweep_began_) sweep_began_ = at.now;
   const bool resumes = incomplete_rounds_ > 0;
   if (!resumes) useless_pass_ = round_;
+  examined_jobs_ += state_.live.size();
   QueueWaitingJobs(state_, sweep_, round_, resumes, at.now, queue_);
   const bool all = PlanQueue(at, should_stop);
   // Jobs may be freed before the next round.
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -53,6 +53,9 @@
   // were evaluated.
   std::uint64_t Evaluations() const { return evaluations_; }
 
+  // Returns how many times a job was examined to order the visits of a round.
+  std::uint64_t ExaminedJobs() const { return examined_jobs_; }
+
  private:
   // Constraints that the placements of a job's tasks have in common.
   struct placement_scope {
@@ -133,6 +136,7 @@
   // Round in which the current pass over the useless jobs began.
   std::uint64_t useless_pass_ = 0;
   std::uint64_t evaluations_ = 0;
+  std::uint64_t examined_jobs_ = 0;
   // Executors that changed between the previous round and this one.
   std::vector<executor_state*> changed_;
   std::map<std::string_view, core::resources> most_free_;
