Divide a process's processor time by kind of work

Cause: `load` and the metrics tell how long planning takes on the wall clock and how much processor time the whole process uses.

Change: `processor_stages` charges the CPU time of the event loop's thread (CLOCK_THREAD_CPUTIME_ID) to 17 stages. A stage that begins within another one takes its time off the outer one, so that the stages add up to the thread's time. `load` has microseconds and a count for each stage of the last second; `waxwingfront_processor_microseconds_total{stage}` and `waxwingfront_processor_entries_total{stage}` have the same for every process. The registry's counters are whole numbers, hence microseconds. Sockets and HTTP have no stage and are in `other`.

--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -19,6 +19,7 @@
 #include "waxwingfront/fleet/load_monitor.h"
 #include "waxwingfront/fleet/order_deadlines.h"
 #include "waxwingfront/fleet/planner.h"
+#include "waxwingfront/fleet/processor_stages.h"
 #include "waxwingfront/fleet/rebalancer.h"
 #include "waxwingfront/fleet/run_tracker.h"
 #include "waxwingfront/fleet/sharing_policy.h"
@@ -149,6 +150,13 @@
   fleet_journal& Journal() { return journal_; }
   rebalancer& Rebalancer() { return rebalancer_; }
 
+  // Measures parts of `Plan` with `stages`, which outlive the core; null for
+  // none.
+  void MeasureProcessor(processor_stages* stages) {
+    processor_ = stages;
+    planner_.processor = stages;
+  }
+
   // Called with each placed task, for logging.
   std::function<void(const task_state&, moment)> on_placed;
 
@@ -195,6 +203,7 @@
   step_permits* FindPermits(const step_ref& step);
 
   fleet_options options_;
+  processor_stages* processor_ = nullptr;
   fleet_state state_;
   sharing_policy sharing_;
   standing_admission admission_;
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -63,6 +63,7 @@
                         ScheduleRound();
                       }},
                  events) {
+    core.MeasureProcessor(hooks.processor);
     core.Runs().on_run_ended = [this](const task_state& task,
                                       run_outcome outcome, moment at) {
       decisions.RunEnded(task, outcome);
@@ -128,6 +129,8 @@
   void StoreSharing() {
     Later(options.sharing_period, [this] { StoreSharing(); });
     if (!hooks.may_order() || !loader.SharingRead()) return;
+    const processor_scope writing(hooks.processor,
+                                  processor_stage::kStoreWrite);
     store_write write;
     write.expect.push_back({.key = std::string(kLeaderKey), .revision = token});
     write.put.push_back({.key = std::string(kSharingKey),
@@ -137,11 +140,13 @@
   }
 
   void ReportWork() {
+    const processor_scope scope(hooks.processor, processor_stage::kTick);
     hooks.work->Report(core.ShortWork(hooks.now().now));
     Later(options.work_period, [this] { ReportWork(); });
   }
 
   void Tick() {
+    const processor_scope scope(hooks.processor, processor_stage::kTick);
     core.Tick(hooks.now());
     recorder.Update();
     driver.HoldAll();
@@ -163,6 +168,7 @@
   }
 
   void PlanAndSend() {
+    const processor_scope round(hooks.processor, processor_stage::kRound);
     if (hooks.may_order()) {
       const core::monotonic_time began = core::Now();
       const auto out_of_time = [until = began + options.plan_budget] {
@@ -187,6 +193,9 @@
     bool all_sent = false;
     while (!all_sent) {
       const orders decided = core.TakeOrders(hooks.now());
+      const processor_scope sending(
+          decided.starts.empty() ? nullptr : hooks.processor,
+          processor_stage::kStarts);
       all_sent = driver.Send(decided);
       advice.Send(decided.advice);
     }
@@ -219,6 +228,8 @@
         ScheduleWrite(*start, now);
         return;
       }
+      const processor_scope writing(hooks.processor,
+                                    processor_stage::kStoreWrite);
       const write_batch batch = core.Journal().NextBatch(options.max_records);
       if (batch.records.empty()) return;
       pacer.Started(now);
--- a/src/waxwingfront/fleet/fleet_leader.h
+++ b/src/waxwingfront/fleet/fleet_leader.h
@@ -17,6 +17,7 @@
 #include "waxwingfront/fleet/fleet_core.h"
 #include "waxwingfront/fleet/lease_recorder.h"
 #include "waxwingfront/fleet/platform_services.h"
+#include "waxwingfront/fleet/processor_stages.h"
 #include "waxwingfront/fleet/work_monitor.h"
 #include "waxwingfront/fleet/write_pacer.h"
 #include "waxwingfront/logging/event_log.h"
@@ -63,8 +64,9 @@
   std::function<void()> on_ready;
   // Optional.
   stage_hook on_stage;
-  // Optional; outlives the leader.
+  // Both are optional and outlive the leader.
   work_monitor* work = nullptr;
+  processor_stages* processor = nullptr;
 };
 
 class fleet_leader {
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -50,7 +50,8 @@
         load(loop, client, options.load,
              {.levels =
                   [this] { return leader ? leader->Levels() : load_levels{}; },
-              .leading = [this] { return leader != nullptr; }},
+              .leading = [this] { return leader != nullptr; },
+              .processor = options.processor},
              metrics, log),
         work(metrics, log),
         manifests(loop, store, options.manifest, log),
@@ -254,7 +255,8 @@
             .suspended = SuspendedTime,
             .on_ready = [this] { OnReady(); },
             .on_stage = StageHook(),
-            .work = &work},
+            .work = &work,
+            .processor = options.processor},
         log);
     if (manifests.Current()) leader->SetManifest(*manifests.Current());
   }
@@ -274,6 +276,8 @@
 
   void OnCall(net::server_request request,
               net::async_http_server::responder respond) {
+    const processor_scope reading(options.processor,
+                                  processor_stage::kProcesses);
     if (request.target == kMetricsPath) {
       respond({.body = metrics.Text()});
       return;
@@ -293,10 +297,12 @@
       respond({.status = net::kHttpBadRequest});
       return;
     }
-    gateway.Handle(
-        call, [respond = std::move(respond)](const schema::fleet_reply& reply) {
-          respond({.body = reply.SerializeAsString()});
-        });
+    gateway.Handle(call, [processor = options.processor,
+                          respond = std::move(respond)](
+                             const schema::fleet_reply& reply) {
+      const processor_scope answering(processor, processor_stage::kProcesses);
+      respond({.body = reply.SerializeAsString()});
+    });
   }
 
   stage_hook StageHook() {
--- a/src/waxwingfront/fleet/fleet_node.h
+++ b/src/waxwingfront/fleet/fleet_node.h
@@ -22,6 +22,7 @@
 #include "waxwingfront/fleet/load_monitor.h"
 #include "waxwingfront/fleet/manifest_follower.h"
 #include "waxwingfront/fleet/platform_services.h"
+#include "waxwingfront/fleet/processor_stages.h"
 #include "waxwingfront/logging/event_log.h"
 #include "waxwingfront/metrics/registry.h"
 #include "waxwingfront/net/async_http_client.h"
@@ -48,6 +49,8 @@
   job_gateway_options gateway;
   load_monitor_options load;
   core::milliseconds log_flush{200};
+  // Optional; outlives the node.
+  processor_stages* processor = nullptr;
 };
 
 class fleet_node {
--- a/src/waxwingfront/fleet/load_monitor.cc
+++ b/src/waxwingfront/fleet/load_monitor.cc
@@ -4,6 +4,9 @@
 #include <ctime>
 #include <string_view>
 #include <utility>
+#include <vector>
+
+#include "waxwingfront/fleet/processor_report.h"
 
 namespace waxwingfront::fleet {
 namespace {
@@ -44,7 +47,8 @@
         client(http),
         options(chosen),
         hooks(std::move(callbacks)),
-        log(events) {
+        log(events),
+        processor(metrics) {
     for (std::size_t i = 0; i < kLoadStages; ++i) {
       histograms[i] = &metrics.Histogram(kStageMetrics[i]);
     }
@@ -80,6 +84,7 @@
   void Report() {
     const net::client_totals calls = client.Totals();
     const std::int64_t processor_ms = ProcessorMs();
+    if (hooks.processor != nullptr) processor.Update(*hooks.processor);
     if (hooks.leading()) Write(calls, processor_ms);
     totals = {};
     last_calls = calls;
@@ -95,32 +100,33 @@
     const auto kb = [](std::uint64_t now, std::uint64_t before) {
       return static_cast<std::int64_t>((now - before) / kBytesPerKb);
     };
-    log.Write(
-        "load",
-        {{"lag_ms", Ms(Total(load_stage::kLoopLag).longest)},
-         {"processor_ms", processor_ms - last_processor_ms},
-         {"plans", Total(load_stage::kPlanning).count},
-         {"planning_ms", Ms(Total(load_stage::kPlanning).sum)},
-         {"planning_longest_ms", Ms(Total(load_stage::kPlanning).longest)},
-         {"writes", Total(load_stage::kStoreWrite).count},
-         {"write_longest_ms", Ms(Total(load_stage::kStoreWrite).longest)},
-         {"renewal_longest_ms", Ms(Total(load_stage::kRenewal).longest)},
-         {"holds", Total(load_stage::kHold).count},
-         {"hold_longest_ms", Ms(Total(load_stage::kHold).longest)},
-         {"starts", Total(load_stage::kStart).count},
-         {"start_longest_ms", Ms(Total(load_stage::kStart).longest)},
-         {"starts_waiting", number(levels.starts.waiting)},
-         {"start_backlog_kb", kb(levels.starts.backlog_bytes, 0)},
-         {"starts_in_flight_kb", kb(levels.starts.bytes_in_flight, 0)},
-         {"unstored_jobs", number(levels.unpersisted_jobs)},
-         {"live_jobs", number(levels.live_jobs)},
-         {"executors", number(levels.executors)},
-         {"out_of_contact", number(levels.executors_out_of_contact)},
-         {"calls_in_flight", number(calls.in_flight)},
-         {"calls_failed", number(calls.failed - last_calls.failed)},
-         {"connections", number(calls.connections - last_calls.connections)},
-         {"sent_kb", kb(calls.sent_bytes, last_calls.sent_bytes)},
-         {"received_kb", kb(calls.received_bytes, last_calls.received_bytes)}});
+    std::vector<logging::event_field> fields = {
+        {"lag_ms", Ms(Total(load_stage::kLoopLag).longest)},
+        {"processor_ms", processor_ms - last_processor_ms},
+        {"plans", Total(load_stage::kPlanning).count},
+        {"planning_ms", Ms(Total(load_stage::kPlanning).sum)},
+        {"planning_longest_ms", Ms(Total(load_stage::kPlanning).longest)},
+        {"writes", Total(load_stage::kStoreWrite).count},
+        {"write_longest_ms", Ms(Total(load_stage::kStoreWrite).longest)},
+        {"renewal_longest_ms", Ms(Total(load_stage::kRenewal).longest)},
+        {"holds", Total(load_stage::kHold).count},
+        {"hold_longest_ms", Ms(Total(load_stage::kHold).longest)},
+        {"starts", Total(load_stage::kStart).count},
+        {"start_longest_ms", Ms(Total(load_stage::kStart).longest)},
+        {"starts_waiting", number(levels.starts.waiting)},
+        {"start_backlog_kb", kb(levels.starts.backlog_bytes, 0)},
+        {"starts_in_flight_kb", kb(levels.starts.bytes_in_flight, 0)},
+        {"unstored_jobs", number(levels.unpersisted_jobs)},
+        {"live_jobs", number(levels.live_jobs)},
+        {"executors", number(levels.executors)},
+        {"out_of_contact", number(levels.executors_out_of_contact)},
+        {"calls_in_flight", number(calls.in_flight)},
+        {"calls_failed", number(calls.failed - last_calls.failed)},
+        {"connections", number(calls.connections - last_calls.connections)},
+        {"sent_kb", kb(calls.sent_bytes, last_calls.sent_bytes)},
+        {"received_kb", kb(calls.received_bytes, last_calls.received_bytes)}};
+    if (hooks.processor != nullptr) processor.AddTo(fields);
+    log.Write("load", fields);
   }
 
   net::event_loop& loop;
@@ -128,6 +134,7 @@
   load_monitor_options options;
   load_monitor_hooks hooks;
   logging::event_log& log;
+  processor_report processor;
   std::array<metrics::histogram*, kLoadStages> histograms{};
   std::array<stage_totals, kLoadStages> totals{};
   net::client_totals last_calls;
--- a/src/waxwingfront/fleet/load_monitor.h
+++ b/src/waxwingfront/fleet/load_monitor.h
@@ -11,6 +11,7 @@
 
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/fleet/load_stage.h"
+#include "waxwingfront/fleet/processor_stages.h"
 #include "waxwingfront/fleet/start_queue.h"
 #include "waxwingfront/logging/event_log.h"
 #include "waxwingfront/metrics/registry.h"
@@ -40,6 +41,8 @@
   std::function<load_levels()> levels;
   // True if the line is written: followers are idle.
   std::function<bool()> leading;
+  // Optional; outlives the monitor.
+  processor_stages* processor = nullptr;
 };
 
 class load_monitor {
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -55,6 +55,7 @@
 }
 
 bool planner::PlanQueue(moment at, const std::function<bool()>& should_stop) {
+  const processor_scope visits(processor, processor_stage::kVisits);
   // Rounds after one that was not completed begin with other kinds of jobs, so
   // that no kind starves another.
   const bool overdue_first = incomplete_rounds_ % 2 == 0;
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -14,6 +14,7 @@
 #include "waxwingfront/fleet/locality.h"
 #include "waxwingfront/fleet/placement.h"
 #include "waxwingfront/fleet/planning_order.h"
+#include "waxwingfront/fleet/processor_stages.h"
 #include "waxwingfront/fleet/step_candidates.h"
 
 namespace waxwingfront::fleet {
@@ -27,6 +28,9 @@
         epoch_(std::move(epoch)),
         distance_(distance) {}
 
+  // Optional; outlives the planner.
+  processor_stages* processor = nullptr;
+
   // Called with each placed task.
   std::function<void(const task_state&, moment)> on_placed;
 
--- a/src/waxwingfront/logging/event_log.cc
+++ b/src/waxwingfront/logging/event_log.cc
@@ -6,15 +6,43 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <climits>
 
 #include "waxwingfront/core/unix_time.h"
 
 namespace waxwingfront::logging {
+namespace {
+
+// Calls the hooks around a piece of work.
+class measured_work {
+ public:
+  explicit measured_work(const event_log& log) : log_(log) {
+    if (log_.on_work_begin) log_.on_work_begin();
+  }
+  measured_work(const measured_work&) = delete;
+  measured_work& operator=(const measured_work&) = delete;
+  ~measured_work() {
+    if (log_.on_work_end) log_.on_work_end();
+  }
+
+ private:
+  const event_log& log_;
+};
+
+}  // namespace
+
 void event_log::Write(std::string_view event,
                       std::initializer_list<event_field> fields,
                       line_priority priority) {
+  Write(event, std::span(fields.begin(), fields.size()), priority);
+}
+
+void event_log::Write(std::string_view event,
+                      std::span<const event_field> fields,
+                      line_priority priority) {
   constexpr std::int64_t kMsPerSecond = 1000;
+  const measured_work work(*this);
   if (on_event) on_event(event);
   event_usage& used = UsageOf(event);
   const std::int64_t second = core::UnixMs() / kMsPerSecond;
@@ -53,7 +81,7 @@
 }
 
 void event_log::Append(std::string_view event,
-                       std::initializer_list<event_field> fields) {
+                       std::span<const event_field> fields) {
   rapidjson::StringBuffer text;
   rapidjson::Writer<rapidjson::StringBuffer> writer(text);
   const auto add_string = [&writer](std::string_view content) {
@@ -85,9 +113,10 @@
   for (auto& [event, used] : usage_) {
     if (used.dropped == 0) continue;
     if (buffer_.size() >= options_.max_buffer_bytes) return;
-    Append("log_dropped", {{"of", event},
-                           {"lines", used.dropped},
-                           {"urgent", used.dropped_urgent}});
+    const std::array<event_field, 3> fields{{{"of", event},
+                                             {"lines", used.dropped},
+                                             {"urgent", used.dropped_urgent}}};
+    Append("log_dropped", fields);
     used.dropped = 0;
     used.dropped_urgent = 0;
   }
@@ -95,6 +124,7 @@
 }
 
 void event_log::Flush() {
+  const measured_work work(*this);
   if (drops_pending_) ReportDrops();
   std::size_t written = 0;
   while (written < buffer_.size()) {
--- a/src/waxwingfront/logging/event_log.h
+++ b/src/waxwingfront/logging/event_log.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <initializer_list>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -52,11 +53,18 @@
   // to maintain counters.
   std::function<void(std::string_view event)> on_event;
 
+  // Called before and after each line or flush, to measure what it takes.
+  // Optional.
+  std::function<void()> on_work_begin;
+  std::function<void()> on_work_end;
+
   // Sets the node name that each line carries.
   void SetNode(std::string_view name) { node_ = name; }
 
   void Write(std::string_view event, std::initializer_list<event_field> fields,
              line_priority priority = line_priority::kOrdinary);
+  void Write(std::string_view event, std::span<const event_field> fields,
+             line_priority priority = line_priority::kOrdinary);
 
   // Writes as many buffered lines as the reader accepts without blocking. Must
   // be called several times per second.
@@ -77,8 +85,7 @@
   event_usage& UsageOf(std::string_view event);
   bool Admit(event_usage& used, bool urgent) const;
   void ReportDrops();
-  void Append(std::string_view event,
-              std::initializer_list<event_field> fields);
+  void Append(std::string_view event, std::span<const event_field> fields);
 
   event_log_options options_;
   std::string node_;
--- a/tests/waxwingfront/fleet/load_monitor_test.cc
+++ b/tests/waxwingfront/fleet/load_monitor_test.cc
@@ -2,10 +2,12 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <thread>
 
 #include "support/loop_runner.h"
+#include "support/pipe_pair.h"
 #include "waxwingfront/core/clock.h"
 
 namespace waxwingfront::tests {
@@ -17,7 +19,9 @@
   net::event_loop loop;
   net::async_http_client client{loop, {}};
   metrics::registry metrics;
-  logging::event_log log{{.descriptor = -1}};
+  const pipe_pair output;
+  logging::event_log log{{.descriptor = output.ends[1]}};
+  fleet::processor_stages processor;
   int lines = 0;
   bool leading = true;
   fleet::load_monitor monitor{
@@ -29,7 +33,8 @@
              ++lines;
              return fleet::load_levels{};
            },
-       .leading = [this] { return leading; }},
+       .leading = [this] { return leading; },
+       .processor = &processor},
       metrics,
       log};
 };
@@ -76,5 +81,38 @@
   CHECK(sent.maximum == Approx(0.7));
 }
 
+TEST_CASE("a leader's load line has each processor stage", "[fleet]") {
+  monitored_process process;
+  process.monitor.Start();
+  {
+    const fleet::processor_scope scope(&process.processor,
+                                       fleet::processor_stage::kTick);
+  }
+  REQUIRE(RunUntil(process.loop, [&process] { return process.lines > 0; }));
+  process.log.Flush();
+  const std::string text = process.output.Read();
+  CHECK(text.find(R"("processor_tick_count":1)") != std::string::npos);
+  for (std::size_t i = 0; i < fleet::kProcessorStages; ++i) {
+    const std::string name(
+        fleet::StageName(static_cast<fleet::processor_stage>(i)));
+    CHECK(text.find("\"processor_" + name + "_us\":") != std::string::npos);
+  }
+}
+
+TEST_CASE("a follower's processor stages are exported as metrics", "[fleet]") {
+  monitored_process process;
+  process.leading = false;
+  process.monitor.Start();
+  {
+    const fleet::processor_scope scope(&process.processor,
+                                       fleet::processor_stage::kTick);
+  }
+  CHECK(RunUntil(process.loop, [&process] {
+    return process.metrics.Text().find(
+               "waxwingfront_processor_entries_total{stage=\"tick\"} 1") !=
+           std::string::npos;
+  }));
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
--- a/tests/waxwingfront/logging/event_log_test.cc
+++ b/tests/waxwingfront/logging/event_log_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "support/pipe_pair.h"
 
@@ -150,5 +151,34 @@
   CHECK(text.size() <= 3'000 + kLongestLine);
 }
 
+TEST_CASE("fields in a container are written like listed ones", "[logging]") {
+  const pipe_pair stream;
+  logging::event_log log({.descriptor = stream.ends[1]});
+  const std::vector<logging::event_field> fields = {{"job", "a"},
+                                                    {"waiting", 12}};
+  log.Write("job_refused", fields);
+  log.Flush();
+  CHECK(stream.Read().find(R"("job":"a","waiting":12})") != std::string::npos);
+}
+
+TEST_CASE("each line and flush is within the hooks for its work", "[logging]") {
+  const pipe_pair stream;
+  logging::event_log log(
+      {.max_lines_per_second = 1, .descriptor = stream.ends[1]});
+  int begun = 0;
+  int ended = 0;
+  log.on_work_begin = [&] {
+    CHECK(begun == ended);
+    ++begun;
+  };
+  log.on_work_end = [&] { ++ended; };
+  // The second line is over the limit.
+  log.Write("event", {});
+  log.Write("event", {});
+  log.Flush();
+  CHECK(begun == 3);
+  CHECK(ended == 3);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
