--- a/bench/cost_table.h
+++ b/bench/cost_table.h
@@ -23,10 +23,25 @@
     ++entry.calls;
   }
 
+  std::int64_t Calls(const std::string& name) const {
+    return costs_.at(name).calls;
+  }
+
+  double MicrosPerCall(const std::string& name) const {
+    const cost& entry = costs_.at(name);
+    return entry.seconds * kMicrosPerSecond / static_cast<double>(entry.calls);
+  }
+
+  // Returns the CPU time of all calls.
+  double AllMicros() const {
+    double seconds = 0.0;
+    for (const auto& [name, entry] : costs_) seconds += entry.seconds;
+    return seconds * kMicrosPerSecond;
+  }
+
   // Prints the CPU time per call and per task start, and the mean number of
   // cores in use over the simulated `seconds`.
   void Print(std::int64_t starts, double seconds) const {
-    constexpr double kMicrosPerSecond = 1e6;
     std::cout << "entry point    calls        us/call    us/start   cores\n"
               << std::fixed;
     double all_seconds = 0.0;
@@ -44,6 +59,8 @@
   }
 
  private:
+  static constexpr double kMicrosPerSecond = 1e6;
+
   struct cost {
     std::int64_t calls = 0;
     double seconds = 0.0;
