Read a response that arrives in a second hold-up of the event loop

Cause: the step timeout of a call was extended once if the event loop was late or data waited unread in the socket. If the loop stood still beyond the extended deadline as well, the call failed although its response had arrived: the client took its own lateness for the peer's silence.

Change: a step that the next iteration of the loop ends (a connection that is established, data to be read) does not time out, extended or not. Sending is extended once as before, since a socket may be ready for a part of a request.

--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -293,10 +293,13 @@
     }
     // Time in which the event loop was busy and could neither send nor read
     // does not count against the call, nor does data that has arrived unread.
-    // The deadline is extended only once, because the call must stay bounded.
+    // The deadline is extended only once, because the call must stay bounded,
+    // unless the next iteration of the loop ends the step. Sending may go on.
     const auto lateness =
         std::chrono::ceil<core::milliseconds>(now - link.step_deadline);
-    if (!link.extended && (lateness > kTimerTolerance || IsSocketReady(link))) {
+    const bool ready = IsSocketReady(link);
+    if ((!link.extended && (lateness > kTimerTolerance || ready)) ||
+        (ready && link.stage != call_stage::kWriting)) {
       link.extended = true;
       link.step_deadline =
           now + std::clamp(lateness, kTimerTolerance, link.timeout);
