Do not name a process as successor whose store has been silent for 1.5 s

Cause: a process said that it was ready to lead while the last answer to its watch of the leader key was at most 2.5 s old.

Change: a process that is ready has also heard from the store through its watches of the manifest or the leases within 1.5 s, the longest wait of the manifest's watch and the slack of 0.5 s. The store answers that watch each second although nothing changes, and the watch of the leases each 0.5 s while a leader writes them. No further calls to the store.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -1,5 +1,6 @@
 #include "waxwingfront/fleet/fleet_node.h"
 
+#include <algorithm>
 #include <ctime>
 #include <optional>
 #include <random>
@@ -224,7 +225,15 @@
   }
 
   bool ReadyToLead() const {
-    return election->EligibleToLead() && manifests.Current().has_value();
+    return election->EligibleToLead() && StoreAnswers() && manifests.Current();
+  }
+
+  // One of these watches is answered at least every `watch_timeout`, although
+  // nothing changes.
+  bool StoreAnswers() const {
+    const auto last = std::max(manifests.LastResponse(), leases.LastResponse());
+    return last && core::Now() - *last <= options.manifest.watch_timeout +
+                                              options.leadership.watch_slack;
   }
 
   std::optional<bool> UnderWeakLeader() const {
--- a/src/waxwingfront/fleet/lease_observer.cc
+++ b/src/waxwingfront/fleet/lease_observer.cc
@@ -17,6 +17,7 @@
         self->Later(&internal::Read);
         return;
       }
+      self->last_response = core::Now();
       self->See(page->items.front().revision);
       self->watched = page->at;
       self->Watch();
@@ -36,6 +37,7 @@
       Later(&internal::Watch);
       return;
     }
+    last_response = core::Now();
     if (update->compacted) {
       Read();
       return;
@@ -66,6 +68,7 @@
   std::int64_t watched = 0;
   std::int64_t revision = 0;
   core::monotonic_time seen{};
+  std::optional<core::monotonic_time> last_response;
 };
 
 lease_observer::lease_observer(net::event_loop& loop,
@@ -83,4 +86,8 @@
   return internal_->seen;
 }
 
+std::optional<core::monotonic_time> lease_observer::LastResponse() const {
+  return internal_->last_response;
+}
+
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/lease_observer.h
+++ b/src/waxwingfront/fleet/lease_observer.h
@@ -33,6 +33,9 @@
   // `revision` is not the latest that was seen.
   std::optional<core::monotonic_time> FirstSeen(std::int64_t revision) const;
 
+  // Time of the store's last response; empty before the first.
+  std::optional<core::monotonic_time> LastResponse() const;
+
  private:
   struct internal;
   std::shared_ptr<internal> internal_;
--- a/src/waxwingfront/fleet/manifest_follower.cc
+++ b/src/waxwingfront/fleet/manifest_follower.cc
@@ -18,7 +18,7 @@
         self->Later(&internal::Read);
         return;
       }
-      self->OnStoreRegained();
+      self->OnStoreResponse();
       const store_item& item = page->items.front();
       if (item.revision != 0) self->Apply(item.value, item.revision);
       self->watched_revision = page->at;
@@ -40,7 +40,7 @@
       Later(&internal::Read);
       return;
     }
-    OnStoreRegained();
+    OnStoreResponse();
     if (update->compacted) {
       Read();
       return;
@@ -76,7 +76,8 @@
     log.Write("store_lost", {{"for", "manifest"}, {"cause", cause.detail}});
   }
 
-  void OnStoreRegained() {
+  void OnStoreResponse() {
+    last_response = core::Now();
     if (!lost) return;
     lost = false;
     log.Write("store_regained", {{"for", "manifest"}});
@@ -95,6 +96,7 @@
   manifest_follower* owner = nullptr;
   std::optional<manifest> current;
   std::int64_t watched_revision = 0;
+  std::optional<core::monotonic_time> last_response;
   bool lost = false;
   bool closed = false;
 };
@@ -115,4 +117,8 @@
   return internal_->current;
 }
 
+std::optional<core::monotonic_time> manifest_follower::LastResponse() const {
+  return internal_->last_response;
+}
+
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/manifest_follower.h
+++ b/src/waxwingfront/fleet/manifest_follower.h
@@ -37,6 +37,9 @@
   // Empty until the store has been read once. Versions never decrease.
   const std::optional<manifest>& Current() const;
 
+  // Time of the store's last response; empty before the first.
+  std::optional<core::monotonic_time> LastResponse() const;
+
  private:
   struct internal;
   std::shared_ptr<internal> internal_;
--- a/tests/support/fleet_process.h
+++ b/tests/support/fleet_process.h
@@ -42,14 +42,16 @@
     return options;
   }
 
-  std::int64_t Elections() {
+  // Returns how often this process has logged `event`.
+  std::int64_t Events(const std::string& event) {
     const std::string text = node.Metrics().Text();
     const std::string line =
-        "waxwingfront_events_total{event=\"leader_elected\"} ";
+        "waxwingfront_events_total{event=\"" + event + "\"} ";
     const std::size_t at = text.find(line);
     return at == std::string::npos ? 0
                                    : std::stoll(text.substr(at + line.size()));
   }
+  std::int64_t Elections() { return Events("leader_elected"); }
 
   bool Leads(fake_store& shared) const {
     const std::string leader = shared.Value(std::string(fleet::kLeaderKey));
