List the executors again after a change that cannot be read

Cause: the store sends changes from a revision on, and a response with one change that cannot be read is not readable as a whole. The watch was repeated from the same revision, so a damaged entry kept a leader from confirming the entries, and so from placing, for its whole term.

Change: after such a response the executors are listed again, where only the damaged entry is left out and logged, and watched from the list's revision on. A list costs one read of a page for each few hundred executors.

The test of placing failed without the change (the watch began at revision 1 again, nothing could be placed). The test of the pace failed without the change as well (no list), and in a trial in which each list reset the delay (9 lists in a second, 3 allowed).

--- a/src/waxwingfront/fleet/executor_registry.cc
+++ b/src/waxwingfront/fleet/executor_registry.cc
@@ -30,7 +30,8 @@
         options(chosen),
         hooks(std::move(callbacks)),
         log(events),
-        repeats(chosen.retry, events) {}
+        list_repeats(chosen.retry, events),
+        watch_repeats(chosen.retry, events) {}
 
   void List(const std::string& after, std::int64_t first_revision,
             std::vector<std::string> seen) {
@@ -51,13 +52,13 @@
     if (!page) {
       const std::string_view from =
           after.empty() ? store.executors_prefix : after;
-      RunAfter(repeats.OnFailure(from, page.error()),
+      RunAfter(list_repeats.OnFailure(from, page.error()),
                [this, after, first_revision, seen] {
                  List(after, first_revision, seen);
                });
       return;
     }
-    repeats.OnSuccess();
+    list_repeats.OnSuccess();
     // Those that were known are missing from `seen`, as with malformed entries.
     for (const unreadable_item& item : page->unreadable) {
       LogIgnored(item.key, item.cause);
@@ -134,11 +135,22 @@
   void OnChanges(std::int64_t after, core::monotonic_time sent,
                  const core::result<store_changes>& response) {
     if (!response) {
-      RunAfter(repeats.OnFailure(store.executors_prefix, response.error()),
-               [this, after] { Watch(after); });
+      // The store would send a change that cannot be read again, whereas in a
+      // list it hides one entry only.
+      const bool unreadable =
+          response.error().code == core::error_code::kProtocol;
+      RunAfter(
+          watch_repeats.OnFailure(store.executors_prefix, response.error()),
+          [this, after, unreadable] {
+            if (unreadable) {
+              List("", 0, {});
+            } else {
+              Watch(after);
+            }
+          });
       return;
     }
-    repeats.OnSuccess();
+    watch_repeats.OnSuccess();
     if (response->compacted) {
       List("", 0, {});
       return;
@@ -167,7 +179,9 @@
   executor_registry_options options;
   executor_registry_hooks hooks;
   logging::event_log& log;
-  read_retry repeats;
+  read_retry list_repeats;
+  // Lists in between do not reset it: they take longer than a watch.
+  read_retry watch_repeats;
   bool closed = false;
   // When the list that is being read was requested.
   core::monotonic_time list_requested_at{};
