Count the lateness of an HTTP client's timer from when it was to fire

Cause: the timer of a call's step timeout stays armed for an earlier deadline when a step is completed. If the event loop stood still from before that time until shortly after the present deadline, the lateness was measured from the present deadline, at most 20 ms, and taken for none: the call failed although the loop had been busy for most of the timeout, which is not to be counted.

Change: the lateness counts from the time for which the timer was armed. It extends the deadline once, by at most one timeout, as before.

--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -280,13 +280,15 @@
       if (link == nullptr || link->watched_deadline != key) continue;
       link->watched_deadline.reset();
       if (link->stage == call_stage::kIdle) continue;
-      if (link->step_deadline <= now) OnStepDeadline(*link, now);
+      if (link->step_deadline <= now) OnStepDeadline(*link, now, key);
       if (link->stage != call_stage::kIdle) WatchDeadline(link);
     }
     ArmTimer();
   }
 
-  void OnStepDeadline(connection& link, core::monotonic_time now) {
+  // `due` is when the timer was to fire: since then the event loop was busy.
+  void OnStepDeadline(connection& link, core::monotonic_time now,
+                      core::monotonic_time due) {
     if (!link.done) {
       Fail(link, {});
       return;
@@ -295,8 +297,7 @@
     // does not count against the call, nor does data that has arrived unread.
     // The deadline is extended only once, because the call must stay bounded,
     // unless the next iteration of the loop ends the step. Sending may go on.
-    const auto lateness =
-        std::chrono::ceil<core::milliseconds>(now - link.step_deadline);
+    const auto lateness = std::chrono::ceil<core::milliseconds>(now - due);
     const bool ready = IsSocketReady(link);
     if ((!link.extended && (lateness > kTimerTolerance || ready)) ||
         (ready && link.stage != call_stage::kWriting)) {
