Place interrupted tasks where capacity is reserved for them

What callers saw: on a small machine that leads, a long-running task whose run has ended is not at work for 10 s and more, with room for it (LOST).

Cause: an interrupted task was placed only when its job was visited. Visits are few on a machine whose processor is full, take turns with all other jobs, and compare all executors for each task, though the reserve has already decided where each task goes. The reserve, in turn, took a task that is held back for 0.3 s, to be placed together with others, for one that no executor takes, and passed it over until its next renewal, up to 1.6 s later.

Change: a round begins with the interrupted tasks for whose steps executors have capacity reserved, 50 at most, and places them there without comparing others. That is independent of the time a round has left; the visit that each round makes in any case follows, so that no kind of job starves another. The reserve uses the costs as they are once a task is no longer held back.

--- a/src/waxwingfront/fleet/capacity_reserve.cc
+++ b/src/waxwingfront/fleet/capacity_reserve.cc
@@ -66,10 +66,11 @@
   return std::nullopt;
 }
 
-void capacity_reserve::Update(core::monotonic_time now) {
+std::vector<interrupted_task> capacity_reserve::Update(
+    core::monotonic_time now) {
   std::vector<interrupted_task> found = FindInterruptedTasks(
       state_, options_.expiry, now, now + options_.max_lead);
-  if (found.empty() && interrupted_.empty()) return;
+  if (found.empty() && interrupted_.empty()) return found;
   const auto leased =
       std::ranges::count_if(found, [now](const interrupted_task& what) {
         return what.restartable_at > now;
@@ -79,10 +80,10 @@
   const auto period =
       options_.refresh_period * (1 + found.size() / kTasksPerPeriod);
   if (!found.empty() && !fewer_leased && now - updated_at_ < period) {
-    return;
+    return found;
   }
   updated_at_ = now;
-  interrupted_ = std::move(found);
+  interrupted_ = found;
   std::ranges::sort(interrupted_, [now](const auto& left, const auto& right) {
     return ReservedBefore(left, right, now);
   });
@@ -90,6 +91,7 @@
       std::exchange(summary_, {.interrupted = interrupted_.size()});
   Apply(AssignAll(now));
   if (on_change && summary_ != before) on_change(summary_);
+  return found;
 }
 
 std::vector<capacity_reserve::outlook> capacity_reserve::AssignAll(
@@ -190,9 +192,10 @@
           .count();
   result.wait = *wait;
   // Capacity stands idle while a task waits for more of it.
-  result.penalty = wait_ms + std::max(0.0, wait_ms - left_ms) +
-                   kMillisPerCost * (cost_(executor, task, now) +
-                                     HealthCost(executor, task, now));
+  result.penalty =
+      wait_ms + std::max(0.0, wait_ms - left_ms) +
+      kMillisPerCost * (cost_(executor, task, now + options_.held_back) +
+                        HealthCost(executor, task, now));
   if (executor.ReservedFor(task.spec) > assigned) {
     result.penalty -= kKeepAdvantageMs;
   }
--- a/src/waxwingfront/fleet/capacity_reserve.h
+++ b/src/waxwingfront/fleet/capacity_reserve.h
@@ -34,6 +34,9 @@
   // Reservations are renewed this often, and at once when fewer tasks are
   // about to lose their lease than before.
   core::milliseconds refresh_period{200};
+  // Costs are those after this time, for which a task that has just begun to
+  // wait is held back so that it is placed together with others.
+  core::milliseconds held_back = kBatchingWindow;
   lease_expiry_options expiry;
 };
 
@@ -60,8 +63,9 @@
   std::function<void(const reserve_summary&)> on_change;
 
   // Sets the reservations of all executors. Must be called at the start of each
-  // planning round.
-  void Update(core::monotonic_time now);
+  // planning round. Returns the interrupted tasks, in an order that depends on
+  // the state only.
+  std::vector<interrupted_task> Update(core::monotonic_time now);
 
  private:
   // An executor's capacity over time, if no further task starts there.
@@ -100,6 +104,7 @@
   fleet_state& state_;
   placement_cost cost_;
   capacity_reserve_options options_;
+  // Tasks of the latest assignment, which may no longer exist.
   std::vector<interrupted_task> interrupted_;
   // Number of interrupted tasks whose lease has not lapsed.
   std::ptrdiff_t leased_ = 0;
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -97,8 +97,8 @@
   if (std::exchange(racks_changed_, false)) {
     distance_.SetRacks(state_.executors);
   }
-  reserve_.Update(at.now);
-  const bool all = planner_.Plan(at, should_stop);
+  const std::vector<interrupted_task> interrupted = reserve_.Update(at.now);
+  const bool all = planner_.Plan(interrupted, at, should_stop);
   start_admission_.Observe(state_.starts.IsFull(), at.now);
   rebalancer_.Run(at);
   return all;
--- a/src/waxwingfront/fleet/interrupted_tasks.h
+++ b/src/waxwingfront/fleet/interrupted_tasks.h
@@ -12,7 +12,7 @@
 
 // A long-running task that has run before.
 struct interrupted_task {
-  const task_state* task = nullptr;
+  task_state* task = nullptr;
   // When its next run may be placed: already if it waits, else once the lease
   // of its silent executor has lapsed.
   core::monotonic_time restartable_at;
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "waxwingfront/fleet/reserved_placement.h"
+
 namespace waxwingfront::fleet {
 namespace {
 
@@ -23,6 +25,9 @@
 constexpr std::uint64_t kMaxIdleVisits = 20;
 // Of this many incomplete rounds one begins with a useless job.
 constexpr std::uint64_t kRoundsPerUselessTurn = 4;
+// Maximum number of interrupted tasks that a round places on reserved capacity,
+// so that tasks which keep failing leave time for other jobs.
+constexpr int kMaxReservedPlacements = 50;
 
 }  // namespace
 
@@ -38,8 +43,10 @@
   }
 }
 
-bool planner::Plan(moment at, const std::function<bool()>& should_stop) {
+bool planner::Plan(std::span<const interrupted_task> interrupted, moment at,
+                   const std::function<bool()>& should_stop) {
   BeginRound(at.now);
+  PlaceReserved(interrupted, at);
   std::erase_if(state_.live, [](const job_state* job) {
     return job->Final() && !job->AnyActive();
   });
@@ -55,6 +62,24 @@
   return all;
 }
 
+void planner::PlaceReserved(std::span<const interrupted_task> interrupted,
+                            moment at) {
+  int placed = 0;
+  ForEachReserved(
+      state_, interrupted, at, [&](task_state& task, executor_state& executor) {
+        const placement_scope scope{.service = state_.ServiceOf(*task.job),
+                                    .advised = false,
+                                    .most_free = {}};
+        if (std::isinf(CostAt(executor, task, scope, at.now))) {
+          return reserved_outcome::kNotPlaced;
+        }
+        BeginWait(task.job->StepOf(task), at.now);
+        Place(task, executor, task.run + 1, at);
+        return ++placed < kMaxReservedPlacements ? reserved_outcome::kPlaced
+                                                 : reserved_outcome::kStop;
+      });
+}
+
 bool planner::PlanQueue(moment at, const std::function<bool()>& should_stop) {
   // Rounds after one that was not completed begin with other kinds of jobs, so
   // that no kind starves another.
--- a/src/waxwingfront/fleet/planner.h
+++ b/src/waxwingfront/fleet/planner.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "waxwingfront/fleet/fleet_state.h"
+#include "waxwingfront/fleet/interrupted_tasks.h"
 #include "waxwingfront/fleet/locality.h"
 #include "waxwingfront/fleet/placement.h"
 #include "waxwingfront/fleet/planning_order.h"
@@ -35,8 +36,9 @@
       on_waiting;
 
   // Places all waiting tasks that are ready and fit: ordered by queue priority,
-  // then jobs that can still be on time, then by earliest deadline. Interrupted
-  // long-running tasks that have waited long come before all of them. A task
+  // then jobs that can still be on time, then by earliest deadline. Tasks among
+  // `interrupted` whose reserved capacity is free come before all of them, a
+  // limited number in each round; then those that have waited long. A task
   // that fits nowhere delays only the other tasks of its step. The tasks of a
   // gang are placed all together or not at all. Tasks of advised queues are
   // placed only on executors that the adviser permits; missing advice is
@@ -47,7 +49,8 @@
   // jobs that wait with short tasks only are passed over, and the next round
   // begins with the most urgent ones again. Returns true if all other jobs were
   // visited.
-  bool Plan(moment at, const std::function<bool()>& should_stop);
+  bool Plan(std::span<const interrupted_task> interrupted, moment at,
+            const std::function<bool()>& should_stop);
 
   // Returns how many times the feasibility and cost of a task on an executor
   // were evaluated.
@@ -68,6 +71,9 @@
   // Determines which executors have changed since the previous round, and how
   // much capacity is free.
   void BeginRound(core::monotonic_time now);
+  // Places interrupted tasks on executors that have capacity reserved for their
+  // steps, without comparing executors.
+  void PlaceReserved(std::span<const interrupted_task> interrupted, moment at);
   bool PlanQueue(moment at, const std::function<bool()>& should_stop);
   // These return false if they stop before they have visited all jobs.
   bool PlanOverdue(std::span<const ranked_job> jobs, moment at,
--- a/tests/waxwingfront/fleet/planner_work_test.cc
+++ b/tests/waxwingfront/fleet/planner_work_test.cc
@@ -57,7 +57,7 @@
   void Round(std::int64_t at_ms) {
     const fleet::moment at = At(at_ms);
     for (std::int64_t changes = Draw(5); changes > 0; --changes) Change(at);
-    planner_.Plan(at, {});
+    planner_.Plan({}, at, {});
     CheckWaiting(at);
   }
 
