--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -186,6 +186,11 @@
   }
 
  private:
+  // Returns the interrupted tasks.
+  std::vector<interrupted_task> UpdateReserve(core::monotonic_time now) {
+    const processor_scope scope(processor_, processor_stage::kReserve);
+    return reserve_.Update(now);
+  }
   // Takes back a start that was not sent: the executor's next report makes it
   // available again.
   void ReturnToPlaced(const start_order& order, moment at);
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -1,13 +1,12 @@
 #include "waxwingfront/fleet/fleet_node.h"
 
 #include <algorithm>
-#include <ctime>
 #include <optional>
 #include <random>
 #include <utility>
 
-#include "waxwingfront/core/unix_time.h"
 #include "waxwingfront/fleet/choice_log.h"
+#include "waxwingfront/fleet/node_clocks.h"
 #include "waxwingfront/fleet/rejection_log.h"
 #include "waxwingfront/fleet/types.h"
 #include "waxwingfront/net/http_status.h"
@@ -17,23 +16,6 @@
 
 constexpr std::string_view kMetricsPath = "/metrics";
 
-std::int64_t BootTimeMs() {
-  constexpr std::int64_t kMsPerSecond = 1000;
-  constexpr std::int64_t kNsPerMs = 1'000'000;
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return time.tv_sec * kMsPerSecond + time.tv_nsec / kNsPerMs;
-}
-
-// Returns for how long the machine has been suspended since it started.
-core::milliseconds SuspendedTime() {
-  const auto running = std::chrono::duration_cast<core::milliseconds>(
-      core::Now().time_since_epoch());
-  return core::milliseconds(BootTimeMs()) - running;
-}
-
-moment ReadClocks() { return {.now = core::Now(), .unix_ms = core::UnixMs()}; }
-
 }  // namespace
 
 struct fleet_node::internal {
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -9,12 +9,11 @@
 #include <utility>
 #include <vector>
 
+#include "waxwingfront/fleet/reserved_placement.h"
+
 namespace waxwingfront::fleet {
 namespace {
 
-// Maximum number of executors in one advice request, since each lengthens the
-// response. The platform expects 30 for each step.
-constexpr std::size_t kMaxAdvisedExecutors = 30;
 // A sweep that takes longer is one that new jobs keep extending. Every second
 // round then goes to the jobs that were visited longest ago.
 constexpr core::milliseconds kLongSweep{1000};
@@ -23,6 +22,9 @@
 constexpr std::uint64_t kMaxIdleVisits = 20;
 // Of this many incomplete rounds one begins with a useless job.
 constexpr std::uint64_t kRoundsPerUselessTurn = 4;
+// Maximum number of interrupted tasks that a round places on reserved capacity,
+// so that tasks which keep failing leave time for other jobs.
+constexpr int kMaxReservedPlacements = 50;
 
 }  // namespace
 
@@ -38,8 +40,10 @@
   }
 }
 
-bool planner::Plan(moment at, const std::function<bool()>& should_stop) {
+bool planner::Plan(std::span<const interrupted_task> interrupted, moment at,
+                   const std::function<bool()>& should_stop) {
   BeginRound(at.now);
+  PlaceReserved(interrupted, at);
   std::erase_if(state_.live, [](const job_state* job) {
     return job->Final() && !job->AnyActive();
   });
@@ -55,6 +59,25 @@
   return all;
 }
 
+void planner::PlaceReserved(std::span<const interrupted_task> interrupted,
+                            moment at) {
+  const processor_scope visits(processor, processor_stage::kVisits);
+  int placed = 0;
+  ForEachReserved(
+      state_, interrupted, at, [&](task_state& task, executor_state& executor) {
+        const placement_scope scope{.service = state_.ServiceOf(*task.job),
+                                    .advised = false,
+                                    .most_free = {}};
+        if (std::isinf(CostAt(executor, task, scope, at.now))) {
+          return reserved_outcome::kNotPlaced;
+        }
+        BeginWait(task.job->StepOf(task), at.now);
+        Place(task, executor, task.run + 1, at);
+        return ++placed < kMaxReservedPlacements ? reserved_outcome::kPlaced
+                                                 : reserved_outcome::kStop;
+      });
+}
+
 bool planner::PlanQueue(moment at, const std::function<bool()>& should_stop) {
   const processor_scope visits(processor, processor_stage::kVisits);
   // Rounds after one that was not completed begin with other kinds of jobs, so
@@ -364,8 +387,8 @@
   if (!scope.advised || !step.permits.MayRequest(at.now)) return;
   if (!scope.most_free.Holds(waiting.Needs())) return;
   compared_ = true;
-  std::vector<std::string> executors = ExecutorsToAdvise(
-      state_, waiting, scope.service, at.now, cost_, kMaxAdvisedExecutors);
+  std::vector<std::string> executors =
+      ExecutorsToAdvise(state_, waiting, scope.service, at.now, cost_);
   if (executors.empty()) return;
   state_.outgoing.advice.push_back({.step = {.job = waiting.job->Id(),
                                              .occurrence = waiting.occurrence,
