Test slow store responses with a store on the caller's event loop

Cause: the test's store ran in a thread of its own and slept for 60 ms between two parts; the caller gives up after 120 ms without one. Beside load the thread slept for longer than that.

Change: the store answers from the caller's event loop, with the same body, the same ten parts and pauses and the same checks. What delays the loop delays the store's pauses and the caller's time-out alike, so that only a caller that does not restart its time-out with each part fails.

--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -1,15 +1,14 @@
 #include "platform/store_client.h"
 
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/StreamSocket.h>
-
 #include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <thread>
 #include <utility>
 #include <vector>
 
@@ -21,48 +20,64 @@
 
 using core::milliseconds;
 
-// A store that sends its response to one call in parts, as over a slow link.
+// A store that sends its response to one call in parts, as over a slow link. It
+// shares the caller's event loop, so that whatever delays the loop delays its
+// pauses and the caller's timeout alike.
 class slow_link_store {
  public:
-  slow_link_store() : socket_(Poco::Net::SocketAddress("127.0.0.1", 0)) {
-    address = socket_.address().toString();
-    thread_ = std::thread([this] { Respond(); });
+  explicit slow_link_store(net::event_loop& loop)
+      : loop_(loop),
+        listener_(loop.Context(), {boost::asio::ip::address_v4::loopback(), 0}),
+        caller_(loop.Context()) {
+    address = "127.0.0.1:" + std::to_string(listener_.local_endpoint().port());
+    listener_.async_accept(caller_,
+                           [this](const boost::system::error_code& failure) {
+                             if (!failure) Receive();
+                           });
   }
-  slow_link_store(const slow_link_store&) = delete;
-  slow_link_store& operator=(const slow_link_store&) = delete;
-  ~slow_link_store() { thread_.join(); }
 
   std::string address;
 
  private:
-  void Respond() {
-    constexpr milliseconds kPause{60};
-    constexpr std::size_t kParts = 10;
-    const std::string body = R"({"at":7,"key":"k","value":"","revision":3})";
-    Poco::Net::StreamSocket caller = socket_.acceptConnection();
-    std::array<char, 4096> request{};
-    caller.receiveBytes(request.data(), static_cast<int>(request.size()));
-    Send(caller, "HTTP/1.1 200 OK\r\nContent-Length: " +
-                     std::to_string(body.size()) + "\r\n\r\n");
-    const std::size_t part = body.size() / kParts + 1;
-    for (std::size_t at = 0; at < body.size(); at += part) {
-      std::this_thread::sleep_for(kPause);
-      Send(caller, body.substr(at, part));
-    }
+  static constexpr milliseconds kPause{60};
+  static constexpr std::size_t kParts = 10;
+  static constexpr std::string_view kBody =
+      R"({"at":7,"key":"k","value":"","revision":3})";
+
+  void Receive() {
+    caller_.async_read_some(
+        boost::asio::buffer(request_),
+        [this](const boost::system::error_code& failure, std::size_t) {
+          if (failure) return;
+          Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+               std::to_string(kBody.size()) + "\r\n\r\n");
+          SendBodyAfter(0);
+        });
+  }
+
+  // Sends the body from `position` on.
+  void SendBodyAfter(std::size_t position) {
+    loop_.After(kPause, [this, position] {
+      constexpr std::size_t kPart = kBody.size() / kParts + 1;
+      Send(kBody.substr(position, kPart));
+      if (position + kPart < kBody.size()) SendBodyAfter(position + kPart);
+    });
   }
 
-  static void Send(Poco::Net::StreamSocket& caller, const std::string& text) {
-    caller.sendBytes(text.data(), static_cast<int>(text.size()));
+  void Send(std::string_view text) {
+    boost::asio::write(caller_, boost::asio::buffer(text));
   }
 
-  Poco::Net::ServerSocket socket_;
-  std::thread thread_;
+  net::event_loop& loop_;
+  boost::asio::ip::tcp::acceptor listener_;
+  boost::asio::ip::tcp::socket caller_;
+  std::array<char, 4096> request_{};
 };
 
 TEST_CASE("a slow store response that makes progress does not time out",
           "[platform]") {
-  slow_link_store store;
   net::event_loop loop;
+  slow_link_store store(loop);
   net::async_http_client client(loop, {});
   const fleet::store_services services =
       platform::MakeStoreServices(store.address, client);
