Let no task of a step keep the others from its reserved capacity

Cause: only the first interrupted task of a step, by index, was offered each reservation. If it had just ended, and so was held back to be placed with others, or avoided an unhealthy executor after a failure, no other task of its step was placed on reserved capacity in that round.

Change: the task that has waited longest is offered first, and if it is not placed, the one among those that have failed.

Evidence: "a task that has just ended does not keep others from reserved room" and "a task that avoids unhealthy executors does not keep others from reserved room" failed (no task placed) and pass.

--- a/src/waxwingfront/fleet/reserved_placement.cc
+++ b/src/waxwingfront/fleet/reserved_placement.cc
@@ -26,6 +26,9 @@
     if (!MayUseReserved(state, *one.task, at)) continue;
     waiting[one.task->spec].push_back(one.task);
   }
+  for (auto& [step, tasks] : waiting) {
+    std::ranges::stable_sort(tasks, {}, &task_state::waiting_since);
+  }
   return waiting;
 }
 
@@ -46,14 +49,21 @@
       const auto step = waiting.find(reservation.step);
       if (step == waiting.end()) continue;
       std::vector<task_state*>& tasks = step->second;
-      const auto next =
-          std::ranges::find_if(tasks, [&name = id](const task_state* task) {
-            return task->failed_on != name;
-          });
-      if (next == tasks.end()) continue;
-      const reserved_outcome outcome = try_place(**next, executor);
-      if (outcome == reserved_outcome::kStop) return;
-      if (outcome == reserved_outcome::kPlaced) tasks.erase(next);
+      // A task that has failed is more selective, and one that has waited
+      // longer is less so.
+      for (const bool failed : {false, true}) {
+        const auto next = std::ranges::find_if(
+            tasks, [failed, &name = id](const task_state* task) {
+              return task->failed_on.empty() != failed &&
+                     task->failed_on != name;
+            });
+        if (next == tasks.end()) continue;
+        const reserved_outcome outcome = try_place(**next, executor);
+        if (outcome == reserved_outcome::kStop) return;
+        if (outcome == reserved_outcome::kNotPlaced) continue;
+        tasks.erase(next);
+        break;
+      }
     }
   }
 }
--- /dev/null
+++ b/tests/waxwingfront/fleet/reserved_task_choice_test.cc
@@ -0,0 +1,96 @@
+#include <catch2/catch.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "support/fleet_fixture.h"
+#include "waxwingfront/fleet/capacity_reserve.h"
+#include "waxwingfront/fleet/placement.h"
+#include "waxwingfront/fleet/reserved_placement.h"
+
+namespace waxwingfront::tests {
+namespace {
+
+constexpr std::int64_t kNowMs = 10'000;
+
+// Executors with room for a long-running job, whose tasks are interrupted.
+class interrupted_job {
+ public:
+  explicit interrupted_job(std::uint32_t tasks) {
+    state_.current_manifest = ManifestOf({{}});
+    schema::fleet_job job = JobOf("lasting", tasks, 1000);
+    job.mutable_steps(0)->set_long_running(true);
+    job_ = &state_.AddJob(std::make_unique<fleet::job_state>(job, At(0).now));
+    job_->ForEachTask([](fleet::task_state& task) { task.run = 1; });
+  }
+
+  fleet::executor_state& AddExecutor(const std::string& id) {
+    fleet::executor_state& executor = state_.executors[id];
+    executor.info = {.id = id,
+                     .service = "s",
+                     .capacity = {.processor_milli = 8000, .memory_mib = 1000}};
+    executor.registered = true;
+    executor.reached = true;
+    executor.in_contact = true;
+    return executor;
+  }
+
+  fleet::task_state& Task(std::size_t index) {
+    return job_->Occurrences()[0].steps[0].tasks[index];
+  }
+
+  // Renews the reservations and returns the interrupted tasks.
+  auto Reserve() { return reserve_.Update(At(kNowMs).now); }
+
+  // Returns the index of the first task that a reservation is used for.
+  std::optional<std::uint32_t> PlaceFirst() {
+    std::optional<std::uint32_t> placed;
+    const auto try_place = [&placed](const fleet::task_state& task,
+                                     const fleet::executor_state& executor) {
+      const auto now = At(kNowMs).now;
+      if (now - task.waiting_since < fleet::kBatchingWindow ||
+          !fleet::MayHost(executor, task, "s", now)) {
+        return fleet::reserved_outcome::kNotPlaced;
+      }
+      placed = task.index;
+      return fleet::reserved_outcome::kStop;
+    };
+    fleet::ForEachReserved(state_, Reserve(), At(kNowMs), try_place);
+    return placed;
+  }
+
+ private:
+  fleet::fleet_state state_;
+  fleet::job_state* job_ = nullptr;
+  fleet::capacity_reserve reserve_{
+      state_,
+      [](const fleet::executor_state&, const fleet::task_state&,
+         core::monotonic_time) { return 0.0; },
+      {}};
+};
+
+TEST_CASE("a task that has just ended does not keep others from reserved room",
+          "[fleet][overload]") {
+  interrupted_job job(2);
+  job.AddExecutor("a");
+  job.Task(0).waiting_since = At(kNowMs - 50).now;
+  CHECK(job.PlaceFirst() == 1);
+}
+
+TEST_CASE(
+    "a task that avoids unhealthy executors does not keep others from "
+    "reserved room",
+    "[fleet][overload]") {
+  interrupted_job job(3);
+  // The first task is placed elsewhere after the reservations were made.
+  job.AddExecutor("a").unhealthy_until = At(2 * kNowMs).now;
+  job.Task(1).failed_on = "b";
+  job.Reserve();
+  job.Task(0).SetPhase(fleet::task_phase::kPlaced);
+  CHECK(job.PlaceFirst() == 2);
+}
+
+}  // namespace
+}  // namespace waxwingfront::tests
