Reserve capacity where a task has not just failed

Cause: the reserve did not know that a task avoids the executor on which it has failed, so that it could reserve capacity only there, where the task is not placed before its job is visited. If the first task of a step had failed and only unhealthy executors had room, the other tasks of the step got no reservation, though they accept such executors.

Change: an executor on which the task has just failed costs more, as for the planner, and tasks that have failed come after the others of their step.

Evidence: "no capacity is reserved where the task has just failed" and "a task that avoids unhealthy executors leaves them to be reserved" failed (1 and 0 reservations there instead of 0 and 1) and pass.

--- a/src/waxwingfront/fleet/capacity_reserve.cc
+++ b/src/waxwingfront/fleet/capacity_reserve.cc
@@ -40,7 +40,8 @@
 }
 
 // Orders tasks that can be placed now before others, then large tasks, which
-// fit into fewer gaps, before small ones; tasks of one step are adjacent.
+// fit into fewer gaps, before small ones; tasks of one step are adjacent, those
+// first that accept more executors.
 bool ReservedBefore(const interrupted_task& left, const interrupted_task& right,
                     core::monotonic_time now) {
   const auto rank = [now](const interrupted_task& what) {
@@ -48,7 +49,8 @@
     const core::resources needs = task.Needs();
     return std::tuple(what.restartable_at > now, -needs.processor_milli,
                       -needs.memory_mib, std::string_view(task.job->Id()),
-                      task.step, what.restartable_at, task.index);
+                      task.step, what.restartable_at, !task.failed_on.empty(),
+                      task.index);
   };
   return rank(left) < rank(right);
 }
@@ -199,6 +201,7 @@
   if (executor.ReservedFor(task.spec) > assigned) {
     result.penalty -= kKeepAdvantageMs;
   }
+  if (task.failed_on == id) result.penalty += kMillisPerCost * kFailedHereCost;
   return result;
 }
 
--- a/tests/waxwingfront/fleet/reserved_task_choice_test.cc
+++ b/tests/waxwingfront/fleet/reserved_task_choice_test.cc
@@ -92,5 +92,26 @@
   CHECK(job.PlaceFirst() == 2);
 }
 
+TEST_CASE("no capacity is reserved where the task has just failed",
+          "[fleet][overload]") {
+  interrupted_job job(1);
+  const fleet::executor_state& failed = job.AddExecutor("a");
+  const fleet::executor_state& other = job.AddExecutor("b");
+  job.Task(0).failed_on = "a";
+  job.Reserve();
+  CHECK(failed.Reservations().empty());
+  CHECK(other.Reservations().size() == 1);
+}
+
+TEST_CASE("a task that avoids unhealthy executors leaves them to be reserved",
+          "[fleet][overload]") {
+  interrupted_job job(2);
+  fleet::executor_state& unhealthy = job.AddExecutor("a");
+  unhealthy.unhealthy_until = At(2 * kNowMs).now;
+  job.Task(0).failed_on = "b";
+  job.Reserve();
+  CHECK(unhealthy.ReservedFor(job.Task(1).spec) > 0);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
