--- a/src/waxwingfront/fleet/reserved_placement.h
+++ b/src/waxwingfront/fleet/reserved_placement.h
@@ -17,10 +17,12 @@
   kStop,
 };
 
-// Calls `try_place` for each executor with capacity reserved for a step and one
-// of the step's interrupted tasks that wait, until it returns `kStop`. A placed
-// task is not offered again. Leaves out an executor on which the task has just
-// failed, gangs, and tasks that need a permit for their executor.
+// Calls `try_place` for each executor with capacity reserved for a step, and
+// the step's interrupted task that has waited longest; if that one is not
+// placed, again for one that has failed before. Ends when `try_place` returns
+// `kStop`. A placed task is not offered again. Leaves out an executor on which
+// the task has just failed, gangs, and tasks that need a permit for their
+// executor.
 void ForEachReserved(
     fleet_state& state, std::span<const interrupted_task> interrupted,
     moment at,
