--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,8 +4,8 @@
 cd "$(dirname "$0")/.."
 out=target/review-2
 mkdir -p "$out"
-common=(http text store executor adviser site case_tools)
-cases=(case_schedules case_advice case_best_effort case_cancel)
+common=(http text store executor adviser site proxy gate case_tools)
+cases=(case_schedules case_advice case_best_effort case_revoked)
 pids=()
 for part in "${common[@]}" "${cases[@]}"; do
   c++ -std=c++20 -O1 -Wall -Wextra -I. -pthread -c "review/standin-2/$part.cc" -o "$out/$part.o" &
--- a/review/standin-2/http.cc
+++ b/review/standin-2/http.cc
@@ -190,6 +190,12 @@
   close(socket);
 }
 
+int Listen(std::uint16_t port, std::uint16_t* bound) {
+  return OpenSocket(port, true, bound);
+}
+
+int Connect(std::uint16_t port) { return OpenSocket(port, false, nullptr); }
+
 http_response Call(const http_call& call) {
   const int fd = OpenSocket(call.port, false, nullptr);
   if (fd < 0) return {.status = 0, .body = {}};
--- a/review/standin-2/http.h
+++ b/review/standin-2/http.h
@@ -57,6 +57,10 @@
 // Returns status 0 if there was no whole answer in time.
 http_response Call(const http_call& call);
 
+// Return a socket, or -1.
+int Listen(std::uint16_t port, std::uint16_t* bound);
+int Connect(std::uint16_t port);
+
 // Returns a port that nobody listens on.
 std::uint16_t FreePort();
 
--- a/review/standin-2/site.cc
+++ b/review/standin-2/site.cc
@@ -72,6 +72,8 @@
     nodes_[i].front = FreePort();
     nodes_[i].readiness = FreePort();
     nodes_[i].internal = FreePort();
+    nodes_[i].known = nodes_[i].internal;
+    nodes_[i].store = options_.store_address;
     nodes_[i].settings_path = folder_ + "/" + std::to_string(i) + ".conf";
     std::ofstream(nodes_[i].settings_path) << Settings(i);
   }
@@ -113,13 +115,19 @@
          "bounds.restore_ms=100\nbounds.notice_ms=4500\n"
          "bounds.lease_ms=3000\nbounds.pace_ms=100\nbounds.harm_ms=4000\n"
          "orders=call\nadvice=" +
-         options_.adviser_address +
-         "\nplatform.address=" + options_.store_address +
+         options_.adviser_address + "\nplatform.address=" + one.store +
          "\nplatform.form=kv\nplatform.writes_per_s=400\n"
          "platform.reads_per_s=2000\nplatform.history_s=20\n"
          "platform.value_bytes=1048576\nplatform.min_ttl_ms=1000\n";
 }
 
+void site::SetWays(std::size_t node, const std::string& store,
+                   std::uint16_t known_port) {
+  nodes_[node].store = store;
+  nodes_[node].known = known_port;
+  std::ofstream(nodes_[node].settings_path) << Settings(node);
+}
+
 void site::Start(std::size_t node) {
   node_state& one = nodes_[node];
   const std::string output = folder_ + "/" + std::to_string(node) + ".log";
@@ -180,7 +188,7 @@
 std::size_t site::Leader(store& platform) const {
   const std::string value = platform.Get("wf/leader");
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    if (value.starts_with("127.0.0.1:" + std::to_string(nodes_[i].internal) +
+    if (value.starts_with("127.0.0.1:" + std::to_string(nodes_[i].known) +
                           " ")) {
       return i;
     }
--- a/review/standin-2/site.h
+++ b/review/standin-2/site.h
@@ -53,6 +53,13 @@
   void Thaw(std::size_t node);
   std::uint16_t FrontPort(std::size_t node) const { return nodes_[node].front; }
   std::size_t Size() const { return nodes_.size(); }
+  std::uint16_t InternalPort(std::size_t node) const {
+    return nodes_[node].internal;
+  }
+  // To be called before the first start: the process reaches the store at this
+  // address, and others know it by this port.
+  void SetWays(std::size_t node, const std::string& store,
+               std::uint16_t known_port);
   // Waits until all processes are ready.
   bool AwaitReady(std::chrono::milliseconds time) const;
   // Returns the process that leads, by its key in the store.
@@ -70,6 +77,8 @@
     std::uint16_t front = 0;
     std::uint16_t readiness = 0;
     std::uint16_t internal = 0;
+    std::uint16_t known = 0;
+    std::string store;
     std::string settings_path;
     pid_t pid = 0;
     int own_ends = 0;
--- a/review/standin-2/store.cc
+++ b/review/standin-2/store.cc
@@ -77,6 +77,12 @@
   Erase(key);
 }
 
+void store::Revoke(const std::string& key) {
+  const std::scoped_lock lock(mutex_);
+  const auto found = items_.find(key);
+  if (found != items_.end()) EndLease(found->second.lease);
+}
+
 std::string store::Get(const std::string& key) {
   const std::scoped_lock lock(mutex_);
   const auto found = items_.find(key);
--- a/review/standin-2/store.h
+++ b/review/standin-2/store.h
@@ -24,6 +24,8 @@
   // encoded.
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
+  // Ends the lease of an item, whose holder isn't told.
+  void Revoke(const std::string& key);
   // Returns the decoded value, empty if there is none.
   std::string Get(const std::string& key);
 
