--- a/review/standin-2/http.cc
+++ b/review/standin-2/http.cc
@@ -14,6 +14,7 @@
 #include <cstdlib>
 #include <optional>
 #include <random>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -229,11 +230,14 @@
   constexpr int kFirst = 15'000;
   constexpr int kLast = 30'000;
   static std::mt19937 random{std::random_device{}()};
+  static std::set<int> drawn;
   std::uniform_int_distribution<int> draw(kFirst, kLast);
   while (true) {
+    const int candidate = draw(random);
+    if (!drawn.insert(candidate).second) continue;
     std::uint16_t port = 0;
     const int fd =
-        OpenSocket(static_cast<std::uint16_t>(draw(random)), true, &port);
+        OpenSocket(static_cast<std::uint16_t>(candidate), true, &port);
     if (fd < 0) continue;
     close(fd);
     return port;
