--- a/review/standin-2/case_revoked.cc
+++ b/review/standin-2/case_revoked.cc
@@ -101,6 +101,5 @@
 
 int main(int argc, char** argv) {
   namespace review = waxwingfront::review_2;
-  if (argc != 2) return review::kNotRun;
-  review::EndCase(review::Play(argv[1], review::TroubleWanted()));
+  review::RunCase(argc, argv, review::Play);
 }
--- a/review/standin-2/case_tools.cc
+++ b/review/standin-2/case_tools.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdlib>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
@@ -182,11 +181,6 @@
   return text.str();
 }
 
-bool TroubleWanted() {
-  const char* const text = std::getenv("TROUBLE");
-  return text == nullptr || std::string(text) != "0";
-}
-
 void SleepMs(std::int64_t time_ms) {
   std::this_thread::sleep_for(milliseconds(time_ms));
 }
@@ -196,7 +190,15 @@
   std::cout << summary << "\n";
 }
 
-void EndCase(int outcome) {
+void RunCase(int argc, char** argv,
+             const std::function<int(const std::string&, bool)>& play) {
+  const std::string mode = argc == 3 ? argv[2] : "";
+  int outcome = kNotRun;
+  if (mode == "trouble" || mode == "calm") {
+    outcome = play(argv[1], mode == "trouble");
+  } else {
+    std::cerr << "usage: " << argv[0] << " FOLDER trouble|calm\n";
+  }
   std::cout.flush();
   _exit(outcome);
 }
--- a/review/standin-2/case_tools.h
+++ b/review/standin-2/case_tools.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -107,13 +108,15 @@
 };
 
 std::string JobId(int number);
-// False if the case is to run without its disruption.
-bool TroubleWanted();
 void SleepMs(std::int64_t time_ms);
 // Prints and records the summary.
 void Summarize(record& log, const std::string& summary);
-// Ends this process without destroying the stand-ins.
-[[noreturn]] void EndCase(int outcome);
+// Runs a case as `PROGRAM FOLDER trouble` or `PROGRAM FOLDER calm`: `play` gets
+// the folder of the record and whether the disruption is wanted. Ends this
+// process with the outcome, without destroying the stand-ins.
+[[noreturn]] void RunCase(
+    int argc, char** argv,
+    const std::function<int(const std::string&, bool)>& play);
 
 }  // namespace waxwingfront::review_2
 
