--- a/review/standin-2/case_best_effort.cc
+++ b/review/standin-2/case_best_effort.cc
@@ -17,13 +17,14 @@
 constexpr int kServingJob = 1000;
 constexpr int kSettledMs = 6000;
 constexpr int kAfterLossMs = 8000;
-constexpr int kJobs = 4;
+constexpr int kJobsBefore = 4;
+constexpr int kJobsAfter = 8;
 constexpr std::int64_t kLongestMs = 30'000;
 constexpr int kTasks = 4;
 constexpr std::int64_t kTaskCpu = 7000;
 // Capacity for a job twice over.
 constexpr std::int64_t kRoom = 8;
-constexpr int kPauseMs = 1000;
+constexpr int kPauseMs = 1500;
 constexpr int kFinishMs = 14'000;
 constexpr int kAskMs = 10'000;
 constexpr int kSampleMs = 200;
@@ -49,10 +50,10 @@
          R"("checkpointing":true,"image":"batch"}]})";
 }
 
-// Returns the accepted ones of `kJobs` jobs.
-std::vector<int> HandInJobs(case_site& all, int first) {
+// Returns the accepted ones of `count` jobs.
+std::vector<int> HandInJobs(case_site& all, int first, int count) {
   std::vector<int> accepted;
-  for (int i = first; i < first + kJobs; ++i) {
+  for (int i = first; i < first + count; ++i) {
     if (all.HandIn(i, BestEffortJob()) == 200) accepted.push_back(i);
     SleepMs(kPauseMs);
   }
@@ -81,13 +82,13 @@
     if (one->Running() == 0) without_serving.push_back(one);
   }
   if (without_serving.size() != kExecutors - kServingTasks) return kNotRun;
-  if (!AwaitDone(log, all, HandInJobs(all, 0))) return kNotRun;
+  if (!AwaitDone(log, all, HandInJobs(all, 0, kJobsBefore))) return kNotRun;
   if (trouble) {
     log.Write(without_serving.front()->Id() + " is lost for good");
     without_serving.front()->Crash();
   }
   SleepMs(kAfterLossMs);
-  const std::vector<int> accepted = HandInJobs(all, kJobs);
+  const std::vector<int> accepted = HandInJobs(all, kJobsBefore, kJobsAfter);
   SleepMs(kFinishMs);
   const std::int64_t from_ms = log.NowMs();
   bool has_room = true;
