Exceed a leader's memory with fewer repetitions

Case 7 hands in 40 jobs of the site's largest size within 4 s, as many as its largest burst, with 250 repetitions each instead of 20 jobs of half the size with 1000.

--- a/review/standin-2/case_schedules.cc
+++ b/review/standin-2/case_schedules.cc
@@ -1,4 +1,4 @@
-// Jobs that repeat for weeks are handed in at once, beside ordinary jobs. The
+// Jobs that repeat for days are handed in at once, beside ordinary jobs. The
 // rules are broken if two processes or more end by themselves three times, for
 // want of memory, or if an accepted job gets no answer in the end.
 #include <algorithm>
@@ -14,15 +14,15 @@
 namespace waxwingfront::review_2 {
 namespace {
 
-// Within the site's sizes, which are up to 4 steps of up to 36 tasks.
-constexpr int kSteps = 2;
+// The site's largest: 4 steps of 36 tasks.
+constexpr int kSteps = 4;
 constexpr int kWidth = 36;
-// Each hour, for six weeks; without trouble as often as in the site file.
-constexpr int kManyTimes = 1000;
+// Each hour, for ten days; without trouble as often as in the site file.
+constexpr int kManyTimes = 250;
 constexpr int kFewTimes = 6;
 constexpr std::int64_t kHourMs = 3'600'000;
-constexpr int kScheduledJobs = 20;
-constexpr std::int64_t kScheduledPauseMs = 200;
+constexpr int kScheduledJobs = 40;
+constexpr std::int64_t kScheduledPauseMs = 100;
 constexpr int kFirstScheduled = 1000;
 
 constexpr int kOrdinaryJobs = 40;
