--- a/tests/waxwingfront/fleet/capacity_reserve_work_test.cc
+++ b/tests/waxwingfront/fleet/capacity_reserve_work_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -63,5 +64,38 @@
   CHECK(EvaluationsFor(800) <= 2 * EvaluationsFor(50));
 }
 
+// Guards against renewals that become rare with the number of interrupted
+// tasks, so that tasks which join hundreds of others wait for seconds.
+TEST_CASE("many newly interrupted tasks get reservations at once",
+          "[fleet][reserve]") {
+  constexpr int kBefore = 100;
+  constexpr int kAfter = 140;
+  constexpr std::int64_t kRoundMs = 20;
+  constexpr std::int64_t kMaxWaitMs = 400;
+  fleet::fleet_state state;
+  state.current_manifest = ManifestOf({{}});
+  for (int i = 0; i < kExecutors; ++i) AddExecutor(state, std::to_string(i));
+  for (int i = 0; i < kBefore; ++i) {
+    AddInterrupted(state, "before" + std::to_string(i));
+  }
+  fleet::capacity_reserve reserve(
+      state,
+      [](const fleet::executor_state&, const fleet::task_state&,
+         core::monotonic_time) { return 0.0; },
+      {});
+  reserve.Update(At(0).now);
+  for (int i = 0; i < kAfter; ++i) {
+    AddInterrupted(state, "after" + std::to_string(i));
+  }
+  for (std::int64_t now = kRoundMs; now <= kMaxWaitMs; now += kRoundMs) {
+    reserve.Update(At(now).now);
+  }
+  std::size_t reserved = 0;
+  for (const auto& [id, executor] : state.executors) {
+    reserved += executor.Reservations().size();
+  }
+  CHECK(reserved == kBefore + kAfter);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
