Renew the reserve early when a quarter of the interrupted tasks has no place

Callers saw long-running tasks stand still beside free room after a change of leader: with 800 interrupted tasks, those that had joined since the last renewal got their reservations 3.5 s later, since renewals become less frequent with the number of tasks. The period now depends on how many of them have a place already, so that the cost of a renewal still follows what it gives.

--- a/src/waxwingfront/fleet/capacity_reserve.cc
+++ b/src/waxwingfront/fleet/capacity_reserve.cc
@@ -79,8 +79,12 @@
       });
   // Executors that are back in contact need no reservations elsewhere.
   const bool fewer_leased = leased < std::exchange(leased_, leased);
-  const auto period =
-      options_.refresh_period * (1 + found.size() / kTasksPerPeriod);
+  // The cost of a renewal grows with the tasks. One that gives a quarter of
+  // them their first reservation is worth it at once.
+  const auto periods = 4 * CountAssigned() < 3 * found.size()
+                           ? 1
+                           : 1 + found.size() / kTasksPerPeriod;
+  const auto period = options_.refresh_period * periods;
   if (!found.empty() && !fewer_leased && now - updated_at_ < period) {
     return found;
   }
@@ -96,6 +100,14 @@
   return found;
 }
 
+std::size_t capacity_reserve::CountAssigned() const {
+  std::size_t assigned = summary_.without_executor;
+  for (const auto& [id, executor] : state_.executors) {
+    assigned += executor.Reservations().size();
+  }
+  return assigned;
+}
+
 std::vector<capacity_reserve::outlook> capacity_reserve::AssignAll(
     core::monotonic_time now) {
   std::vector<outlook> outlooks;
--- a/src/waxwingfront/fleet/capacity_reserve.h
+++ b/src/waxwingfront/fleet/capacity_reserve.h
@@ -31,8 +31,9 @@
   core::milliseconds max_lead{5000};
   // Added to the expected time until the capacity is free.
   core::milliseconds lead_margin{1000};
-  // Reservations are renewed this often, and at once when fewer tasks are
-  // about to lose their lease than before.
+  // Reservations are renewed at most this often, less often for many tasks that
+  // have them, and at once when fewer tasks are about to lose their lease than
+  // before.
   core::milliseconds refresh_period{200};
   // Costs are those after this time, for which a task that has just begun to
   // wait is held back so that it is placed together with others.
@@ -90,6 +91,9 @@
     double penalty = std::numeric_limits<double>::infinity();
   };
 
+  // Returns how many tasks of the latest assignment still have a reservation,
+  // or had no executor.
+  std::size_t CountAssigned() const;
   // Assigns executors to all interrupted tasks.
   std::vector<outlook> AssignAll(core::monotonic_time now);
   void Apply(std::vector<outlook> outlooks);
