Lead on while a process ends until another is ready

Callers saw long-running tasks lost around restarts of all machines that can lead: a leader gave up leadership as soon as it got SIGTERM, although it lives on for 3 s and more for its callers and the only other process was ending too. Nobody led for 5 s, and the leases of all runs lapsed. It now leads until it is about to end, and beyond that until a process has reported since that it is ready; processes that are ending report that they are not.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -8,6 +8,7 @@
 #include "waxwingfront/fleet/choice_log.h"
 #include "waxwingfront/fleet/node_clocks.h"
 #include "waxwingfront/fleet/rejection_log.h"
+#include "waxwingfront/fleet/standing.h"
 #include "waxwingfront/fleet/types.h"
 #include "waxwingfront/net/http_status.h"
 
@@ -159,11 +160,7 @@
                 }});
     candidacy->Start();
     announcer->ReadStrongest([this](std::optional<std::int64_t> strength) {
-      if (strength) {
-        choice->OnStrongest(*strength);
-      } else {
-        choice->OnStrengthsUnknown();
-      }
+      choice->OnRegistered(strength);
       if (!std::exchange(election_started, true)) election->Start();
     });
   }
@@ -172,6 +169,10 @@
                       const schema::fleet_standing& status,
                       core::monotonic_time sent) {
     election->OnAnnouncement(status.newer_token(), status.newer_address());
+    // An earlier status may be that of a process which is ending by now.
+    if (resigns_from && sent >= *resigns_from && status.ready()) {
+      return election->Resign();
+    }
     choice->OnMemberStatus(
         address, {.strength = status.strength(), .ready = status.ready()},
         sent);
@@ -195,20 +196,23 @@
       choice->OnLeading(announcement.address(), core::Now());
     }
     choice->OnStrongest(announcement.strongest());
-    schema::fleet_standing status;
-    status.set_strength(options.strength);
-    status.set_ready(ReadyToLead());
-    // A leader that is cut off from the store learns it only this way.
-    if (!election->Leader().empty() &&
-        election->LatestToken() > announcement.token()) {
-      status.set_newer_token(election->LatestToken());
-      status.set_newer_address(election->Leader());
-    }
-    return status.SerializeAsString();
+    return StandingOf(*election, options.strength, ReadyToLead(),
+                      announcement.token())
+        .SerializeAsString();
+  }
+
+  // Without a leader the leases of all runs lapse.
+  void ResignToSuccessor(core::milliseconds delay) {
+    if (resigns_from || !election) return;
+    resigns_from = core::Now() + delay;
+    if (!election->Leading()) return election->Resign();
+    log.Write("leader_awaits_successor", {{"token", election->Token()}});
+    loop.After(delay, [this] { announcer->AnnounceNow(); });
   }
 
   bool ReadyToLead() const {
-    return election->EligibleToLead() && StoreAnswers() && manifests.Current();
+    return !resigns_from && election->EligibleToLead() && StoreAnswers() &&
+           manifests.Current();
   }
 
   // One of these watches is answered at least every `watch_timeout`, although
@@ -263,6 +267,7 @@
     leader.reset();
     announcer->Stop();
     candidacy->OnDeposed();
+    if (resigns_from) election->Resign();
   }
 
   void OnCall(net::server_request request,
@@ -328,6 +333,8 @@
   std::unique_ptr<leader_candidacy> candidacy;
   std::unique_ptr<leadership> election;
   bool election_started = false;
+  // From when on this process gives up leadership to one that is ready.
+  std::optional<core::monotonic_time> resigns_from;
   std::unique_ptr<fleet_leader> leader;
   job_gateway gateway;
   net::async_http_server server;
@@ -376,6 +383,12 @@
   internal_->gateway.Call(std::move(request), deadline, std::move(done));
 }
 
+void fleet_node::ResignToSuccessor(core::milliseconds delay) {
+  internal_->ResignToSuccessor(delay);
+}
+
+bool fleet_node::Leads() const { return internal_->leader != nullptr; }
+
 void fleet_node::Resign() {
   if (internal_->election) internal_->election->Resign();
 }
--- a/src/waxwingfront/fleet/fleet_node.h
+++ b/src/waxwingfront/fleet/fleet_node.h
@@ -80,8 +80,13 @@
   void Call(schema::fleet_request request, core::monotonic_time deadline,
             job_gateway::callback done);
 
-  // Gives up leadership; requests are still served until the process ends.
+  // Does not become the leader any more. A leader gives up leadership once
+  // another process is ready to lead after `delay`, at the latest in `Resign`.
+  // Requests are still served until the process ends.
+  void ResignToSuccessor(core::milliseconds delay);
+  // Gives up leadership at once.
   void Resign();
+  bool Leads() const;
 
   metrics::registry& Metrics();
   logging::event_log& Log();
--- a/src/waxwingfront/fleet/leader_announcer.cc
+++ b/src/waxwingfront/fleet/leader_announcer.cc
@@ -127,6 +127,13 @@
   void Announce(int current) {
     if (closed || generation != current) return;
     announcing = true;
+    AnnounceOnce(current);
+    loop.After(options.period, [self = shared_from_this(), current] {
+      self->Announce(current);
+    });
+  }
+
+  void AnnounceOnce(int current) {
     schema::fleet_leadership announcement;
     announcement.set_token(token);
     announcement.set_address(address);
@@ -147,9 +154,6 @@
                }
              });
     }
-    loop.After(options.period, [self = shared_from_this(), current] {
-      self->Announce(current);
-    });
   }
 
   void PostTo(const std::string& member, const std::string& body,
@@ -203,6 +207,13 @@
   internal_->Refresh(++internal_->generation);
 }
 
-void leader_announcer::Stop() { ++internal_->generation; }
+void leader_announcer::Stop() {
+  ++internal_->generation;
+  internal_->announcing = false;
+}
+
+void leader_announcer::AnnounceNow() {
+  if (internal_->announcing) internal_->AnnounceOnce(internal_->generation);
+}
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/leader_announcer.h
+++ b/src/waxwingfront/fleet/leader_announcer.h
@@ -70,6 +70,9 @@
   // Announces this process as the leader until `Stop`.
   void Start(std::int64_t token);
   void Stop();
+  // Announces it once more, ahead of the next period; does nothing after
+  // `Stop`.
+  void AnnounceNow();
 
  private:
   struct internal;
--- a/src/waxwingfront/fleet/leader_choice.cc
+++ b/src/waxwingfront/fleet/leader_choice.cc
@@ -25,6 +25,11 @@
   strengths_unknown_ = false;
 }
 
+void leader_choice::OnRegistered(std::optional<std::int64_t> strength) {
+  if (!strength) return OnStrengthsUnknown();
+  OnStrongest(*strength);
+}
+
 void leader_choice::OnMemberStatus(const std::string& address,
                                    const member_status& status,
                                    core::monotonic_time sent) {
--- a/src/waxwingfront/fleet/leader_choice.h
+++ b/src/waxwingfront/fleet/leader_choice.h
@@ -77,6 +77,9 @@
   void OnStrongest(std::int64_t strength);
   // The strengths of other processes could not be read yet.
   void OnStrengthsUnknown() { strengths_unknown_ = true; }
+  // Handles the largest strength that other processes have registered; empty if
+  // it could not be read yet.
+  void OnRegistered(std::optional<std::int64_t> strength);
   // Handles the status that a process returned to an announcement which this
   // process sent at `sent`.
   void OnMemberStatus(const std::string& address, const member_status& status,
