Count new connections that a server resets

The HTTP client counts connections that were reset before their first response. `load` shows them for the last second, and the metrics address has the totals of connections opened and of those reset.

--- a/src/waxwingfront/fleet/load_monitor.cc
+++ b/src/waxwingfront/fleet/load_monitor.cc
@@ -48,6 +48,8 @@
         options(chosen),
         hooks(std::move(callbacks)),
         log(events),
+        connections(metrics.Counter("waxwingfront_connections_opened_total")),
+        resets(metrics.Counter("waxwingfront_connections_reset_total")),
         processor(metrics) {
     for (std::size_t i = 0; i < kLoadStages; ++i) {
       histograms[i] = &metrics.Histogram(kStageMetrics[i]);
@@ -85,6 +87,8 @@
     const net::client_totals calls = client.Totals();
     const std::int64_t processor_ms = ProcessorMs();
     if (hooks.processor != nullptr) processor.Update(*hooks.processor);
+    connections.Add(calls.connections - last_calls.connections);
+    resets.Add(calls.resets - last_calls.resets);
     if (hooks.leading()) Write(calls, processor_ms);
     totals = {};
     last_calls = calls;
@@ -123,6 +127,7 @@
         {"calls_in_flight", number(calls.in_flight)},
         {"calls_failed", number(calls.failed - last_calls.failed)},
         {"connections", number(calls.connections - last_calls.connections)},
+        {"connection_resets", number(calls.resets - last_calls.resets)},
         {"sent_kb", kb(calls.sent_bytes, last_calls.sent_bytes)},
         {"received_kb", kb(calls.received_bytes, last_calls.received_bytes)}};
     if (hooks.processor != nullptr) processor.AddTo(fields);
@@ -134,6 +139,8 @@
   load_monitor_options options;
   load_monitor_hooks hooks;
   logging::event_log& log;
+  metrics::counter& connections;
+  metrics::counter& resets;
   processor_report processor;
   std::array<metrics::histogram*, kLoadStages> histograms{};
   std::array<stage_totals, kLoadStages> totals{};
--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -46,6 +46,8 @@
   std::optional<http::response_parser<http::string_body>> parser;
   std::string address;
   core::monotonic_time idle_since;
+  // The server has responded on this connection.
+  bool has_responded = false;
 
   call_stage stage = call_stage::kIdle;
   // Null once the call has succeeded or failed.
@@ -145,7 +147,7 @@
                           const failure_code& error, std::size_t sent) {
                         self->totals.sent_bytes += sent;
                         if (error) {
-                          self->Fail(*link, error.message());
+                          self->Fail(*link, error);
                           return;
                         }
                         self->OnProgress(*link);
@@ -171,7 +173,7 @@
                               const failure_code& error, std::size_t received) {
                             self->totals.received_bytes += received;
                             if (error) {
-                              self->Fail(*link, error.message());
+                              self->Fail(*link, error);
                             } else if (link->parser->is_done()) {
                               self->Finish(link);
                             } else {
@@ -186,6 +188,7 @@
     http_reply reply{.status = static_cast<int>(response.result_int()),
                      .body = std::move(response.body())};
     link->stage = call_stage::kIdle;
+    link->has_responded = true;
     const callback done = std::exchange(link->done, nullptr);
     const auto on_late_response =
         std::exchange(link->on_late_response, nullptr);
@@ -218,6 +221,13 @@
     link.socket.close(ignored);
   }
 
+  void Fail(connection& link, const failure_code& error) {
+    const bool reset = error == asio::error::connection_reset ||
+                       error == asio::error::broken_pipe;
+    if (reset && !link.has_responded) ++totals.resets;
+    Fail(link, error.message());
+  }
+
   // Closes the connection and reports its call as failed.
   void Fail(connection& link, const std::string& cause) {
     Close(link);
@@ -290,7 +300,7 @@
   void OnStepDeadline(connection& link, core::monotonic_time now,
                       core::monotonic_time due) {
     if (!link.done) {
-      Fail(link, {});
+      Fail(link, std::string());
       return;
     }
     // Time in which the event loop was busy and could neither send nor read
--- a/src/waxwingfront/net/async_http_client.h
+++ b/src/waxwingfront/net/async_http_client.h
@@ -51,6 +51,8 @@
   std::size_t idle = 0;
   std::uint64_t failed = 0;
   std::uint64_t connections = 0;
+  // Connections that a server reset before its first response on them.
+  std::uint64_t resets = 0;
   std::uint64_t sent_bytes = 0;
   std::uint64_t received_bytes = 0;
 };
--- a/tests/waxwingfront/fleet/load_monitor_test.cc
+++ b/tests/waxwingfront/fleet/load_monitor_test.cc
@@ -1,5 +1,6 @@
 #include "waxwingfront/fleet/load_monitor.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <cstddef>
@@ -59,6 +60,35 @@
   CHECK(RunUntil(process.loop, [&process] { return process.lines > 0; }));
 }
 
+TEST_CASE("connections that a server resets are counted", "[fleet]") {
+  monitored_process process;
+  process.monitor.Start();
+  boost::asio::ip::tcp::acceptor full(
+      process.loop.Context(),
+      {boost::asio::ip::address_v4::loopback(), boost::asio::ip::port_type{0}});
+  full.async_accept([](const boost::system::error_code& error,
+                       boost::asio::ip::tcp::socket peer) {
+    if (!error) peer.set_option(boost::asio::socket_base::linger(true, 0));
+  });
+  bool failed = false;
+  process.client.Send(
+      {.address = "127.0.0.1:" + std::to_string(full.local_endpoint().port()),
+       .method = "GET",
+       .target = "/"},
+      [&failed](const core::result<net::http_reply>& reply) {
+        failed = !reply;
+      });
+  REQUIRE(RunUntil(process.loop, [&failed] { return failed; }));
+  CHECK(process.client.Totals().resets == 1);
+  CHECK(RunUntil(process.loop, [&process] {
+    return process.metrics.Counter("waxwingfront_connections_reset_total")
+               .Value() == 1;
+  }));
+  process.log.Flush();
+  CHECK(process.output.Read().find(R"("connection_resets":1)") !=
+        std::string::npos);
+}
+
 TEST_CASE("stage durations are exported as metrics", "[fleet]") {
   monitored_process process;
   process.monitor.Observe(fleet::load_stage::kStoreWrite, milliseconds(40));
