Limit a leader's connections to an executor by a share of what it accepts

A machine that is gone closes none of its connections. Each leader kept up to 8 idle ones to each executor and any number in use, and an executor has 64 until it ends. `max_connections` of the manifest was not read.

A leader now uses `max_connections` / 25 connections to an executor, two at least: one stays free for holds, orders take turns on the others, stops and paces before starts. After a reset of a new connection the leader opens none for 2 s while it has one. Two connections survive 31 losses with 64.

--- a/src/waxwingfront/fleet/types.h
+++ b/src/waxwingfront/fleet/types.h
@@ -53,6 +53,8 @@
   bool enforces_capacity = true;
   // The service's machines are powered off.
   bool spare = false;
+  // Connections that each executor accepts; 0 if unknown.
+  std::size_t max_connections = 0;
 };
 
 // One version of the operators' desired configuration.
--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -1,9 +1,6 @@
 #include "waxwingfront/net/async_http_client.h"
 
-#include <poll.h>
-
 #include <algorithm>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -12,8 +9,10 @@
 #include <utility>
 #include <vector>
 
+#include "waxwingfront/net/detail/client_connection.h"
+#include "waxwingfront/net/detail/connection_pool.h"
 #include "waxwingfront/net/detail/ipv4_endpoint.h"
-#include "waxwingfront/net/detail/socket_readiness.h"
+#include "waxwingfront/net/detail/waiting_calls.h"
 
 namespace waxwingfront::net {
 namespace {
@@ -21,83 +20,39 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
+using detail::call_stage;
+using connection = detail::client_connection;
 using failure_code = boost::system::error_code;
 
 // Larger responses are rejected. The largest expected one is a page of the
 // store.
 constexpr std::uint64_t kMaxResponseBytes = 8ULL * 1024 * 1024;
-// Bytes read from a socket at once. The small size holds a usual response; the
-// large one keeps the number of reads of a large response low, since each read
-// takes an iteration of the event loop.
-constexpr std::size_t kSmallReadBytes = 4UL * 1024;
-constexpr std::size_t kLargeReadBytes = 64UL * 1024;
 // A timer that fires later than this shows that the event loop was busy.
 constexpr core::milliseconds kTimerTolerance{20};
 
-enum class call_stage { kIdle, kConnecting, kWriting, kReading };
-
-// A connection and the call that it carries.
-struct connection {
-  explicit connection(asio::io_context& context) : socket(context) {}
-
-  asio::ip::tcp::socket socket;
-  beast::flat_buffer buffer;
-  http::request<http::string_body> request;
-  std::optional<http::response_parser<http::string_body>> parser;
-  std::string address;
-  core::monotonic_time idle_since;
-  // The server has responded on this connection.
-  bool has_responded = false;
-
-  call_stage stage = call_stage::kIdle;
-  // Null once the call has succeeded or failed.
-  async_http_client::callback done;
-  std::function<void(http_reply)> on_late_response;
-  core::milliseconds timeout{0};
-  core::milliseconds late_response_timeout{0};
-  // The call fails at `step_deadline` if it makes no progress until then, and
-  // at `call_deadline` regardless of progress.
-  core::monotonic_time step_deadline;
-  core::monotonic_time call_deadline;
-  // True if the event loop was late for `step_deadline`, which was extended.
-  bool extended = false;
-  // Key of the entry in `deadlines` for this connection.
-  std::optional<core::monotonic_time> watched_deadline;
-};
-
-// True if the socket is ready for the step that the call waits for.
-bool IsSocketReady(connection& link) {
-  const bool reads = link.stage == call_stage::kReading;
-  return detail::IsReady(link.socket.native_handle(), reads ? POLLIN : POLLOUT);
-}
-
 }  // namespace
 
 struct async_http_client::internal
     : std::enable_shared_from_this<async_http_client::internal> {
-  using connection_ptr = std::shared_ptr<connection>;
+  using connection_ptr = detail::client_connection_ptr;
+
+  struct limited_address {
+    std::size_t max_connections = 0;
+    // The server resets new connections, presumably until then.
+    core::monotonic_time full_until{};
+    detail::waiting_calls calls;
+  };
 
   internal(event_loop& event_loop, async_http_client_options client_options)
       : loop(event_loop),
         options(client_options),
+        pool({.max_idle_per_address = client_options.max_idle_per_address,
+              .max_idle_time = client_options.max_idle_time}),
         timer(event_loop.Context()),
         idle_timer(event_loop.Context()) {}
 
-  connection_ptr TakeIdle(const std::string& address) {
-    std::vector<connection_ptr>& list = idle[address];
-    while (!list.empty()) {
-      connection_ptr link = std::move(list.back());
-      list.pop_back();
-      if (core::Now() - link->idle_since < options.max_idle_time) return link;
-    }
-    return nullptr;
-  }
-
   void KeepIdle(connection_ptr link) {
-    std::vector<connection_ptr>& list = idle[link->address];
-    if (list.size() >= options.max_idle_per_address) return;
-    link->idle_since = core::Now();
-    list.push_back(std::move(link));
+    pool.KeepIdle(std::move(link), core::Now());
     if (!idle_sweep_armed) ArmIdleSweep();
   }
 
@@ -112,15 +67,80 @@
 
   // Servers that no call goes to any more may be gone for good.
   void CloseOutdatedIdle() {
-    const core::monotonic_time now = core::Now();
-    for (auto& [address, list] : idle) {
-      std::erase_if(list, [&](const connection_ptr& link) {
-        return now - link->idle_since >= options.max_idle_time;
+    pool.CloseOutdated(core::Now());
+    std::erase_if(limited,
+                  [](const auto& entry) { return entry.second.calls.Empty(); });
+    idle_sweep_armed = false;
+    if (pool.HasIdle()) ArmIdleSweep();
+  }
+
+  void SendWaiting(const std::string& address) {
+    while (true) {
+      const auto found = limited.find(address);
+      if (found == limited.end()) return;
+      auto next = found->second.calls.Take(MaxConnections(address));
+      if (!next) return;
+      --totals.waiting;
+      if (core::Now() - next->since <= next->call.timeout) {
+        Begin(std::move(next->call), std::move(next->done));
+        continue;
+      }
+      found->second.calls.OnEnd(next->call.turn);
+      loop.Post([done = std::move(next->done), address] {
+        done(core::Failure(core::error_code::kUnreachable,
+                           address + ": no connection became free in time"));
       });
     }
-    std::erase_if(idle, [](const auto& entry) { return entry.second.empty(); });
-    idle_sweep_armed = false;
-    if (!idle.empty()) ArmIdleSweep();
+  }
+
+  // Returns how many connections calls to the limited address may use.
+  std::size_t MaxConnections(const std::string& address) {
+    const limited_address& at = limited[address];
+    if (core::Now() >= at.full_until) return at.max_connections;
+    return std::clamp<std::size_t>(pool.CountOpen(address), 1,
+                                   at.max_connections);
+  }
+
+  // The call on the connection has succeeded or failed.
+  void EndTurn(connection& link) {
+    if (const auto turn = std::exchange(link.turn, std::nullopt)) {
+      limited[link.address].calls.OnEnd(*turn);
+    }
+  }
+
+  // Sends the call on an idle connection, or on a new one.
+  void Begin(http_call call, callback done) {
+    const bool is_limited = call.max_connections > 0;
+    connection_ptr link = pool.TakeIdle(call.address);
+    const bool connected = link != nullptr;
+    if (!connected) {
+      link = std::make_shared<connection>(loop.Context());
+      link->address = call.address;
+    }
+    link->turn = is_limited ? std::optional(call.turn) : std::nullopt;
+    link->SetRequest(call);
+    if (connected) {
+      BeginCall(link, call, std::move(done));
+      Write(link);
+      return;
+    }
+    const auto endpoint = detail::ParseEndpoint(call.address);
+    if (!endpoint) {
+      loop.Post([self = shared_from_this(), link, done = std::move(done)] {
+        self->EndTurn(*link);
+        done(core::Failure(core::error_code::kUnreachable,
+                           "'" + link->address + "' is not an address"));
+      });
+      return;
+    }
+    if (is_limited) {
+      while (pool.CountOpen(call.address) >= MaxConnections(call.address) &&
+             pool.CloseUnanswered(call.address)) {
+      }
+    }
+    BeginCall(link, call, std::move(done));
+    Open(link, *endpoint);
+    if (is_limited) pool.Track(link);
   }
 
   void Open(const connection_ptr& link,
@@ -159,15 +179,8 @@
                       });
   }
 
-  static std::size_t ReadBytes(const connection& link) {
-    const bool large = link.parser->is_header_done() &&
-                       link.parser->content_length().value_or(kLargeReadBytes) >
-                           kSmallReadBytes;
-    return large ? kLargeReadBytes : kSmallReadBytes;
-  }
-
   void Read(const connection_ptr& link) {
-    link->buffer.reserve(ReadBytes(*link));
+    link->buffer.reserve(link->ReadBytes());
     http::async_read_some(link->socket, link->buffer, *link->parser,
                           [self = shared_from_this(), link](
                               const failure_code& error, std::size_t received) {
@@ -188,14 +201,17 @@
     http_reply reply{.status = static_cast<int>(response.result_int()),
                      .body = std::move(response.body())};
     link->stage = call_stage::kIdle;
-    link->has_responded = true;
     const callback done = std::exchange(link->done, nullptr);
     const auto on_late_response =
         std::exchange(link->on_late_response, nullptr);
+    link->has_responded = true;
+    // `done` may use the connection for another call.
+    EndTurn(*link);
     if (response.keep_alive()) KeepIdle(link);
     if (done) {
       --totals.in_flight;
       done(std::move(reply));
+      SendWaiting(link->address);
     } else if (on_late_response) {
       on_late_response(std::move(reply));
     }
@@ -206,13 +222,16 @@
   void Abandon(connection& link, const std::string& cause) {
     const callback done = std::exchange(link.done, nullptr);
     if (!done) return;
-    idle.erase(link.address);
+    // A server that has no room for another connection serves those it has.
+    if (!link.was_rejected) pool.CloseIdle(link.address);
     --totals.in_flight;
     ++totals.failed;
+    EndTurn(link);
     done(core::Failure(link.stage == call_stage::kConnecting
                            ? core::error_code::kUnreachable
                            : core::error_code::kOutcomeUnknown,
                        link.address + ": " + cause));
+    SendWaiting(std::string(link.address));
   }
 
   void Close(connection& link) {
@@ -224,7 +243,13 @@
   void Fail(connection& link, const failure_code& error) {
     const bool reset = error == asio::error::connection_reset ||
                        error == asio::error::broken_pipe;
-    if (reset && !link.has_responded) ++totals.resets;
+    link.was_rejected = reset && !link.has_responded;
+    if (link.was_rejected) {
+      ++totals.resets;
+      if (const auto at = limited.find(link.address); at != limited.end()) {
+        at->second.full_until = core::Now() + options.full_time;
+      }
+    }
     Fail(link, error.message());
   }
 
@@ -308,7 +333,7 @@
     // The deadline is extended only once, because the call must stay bounded,
     // unless the next iteration of the loop ends the step. Sending may go on.
     const auto lateness = std::chrono::ceil<core::milliseconds>(now - due);
-    const bool ready = IsSocketReady(link);
+    const bool ready = link.IsSocketReady();
     if ((!link.extended && (lateness > kTimerTolerance || ready)) ||
         (ready && link.stage != call_stage::kWriting)) {
       link.extended = true;
@@ -330,7 +355,8 @@
 
   event_loop& loop;
   async_http_client_options options;
-  std::map<std::string, std::vector<connection_ptr>> idle;
+  detail::connection_pool pool;
+  std::map<std::string, limited_address> limited;
   std::multimap<core::monotonic_time, std::weak_ptr<connection>> deadlines;
   asio::steady_timer timer;
   // Time at which the timer fires.
@@ -348,48 +374,22 @@
 
 client_totals async_http_client::Totals() const {
   client_totals totals = internal_->totals;
-  for (const auto& [address, list] : internal_->idle) {
-    totals.idle += list.size();
-  }
+  totals.idle = internal_->pool.CountIdle();
   return totals;
 }
 
 void async_http_client::Send(http_call call, callback done) {
-  internal::connection_ptr link = internal_->TakeIdle(call.address);
-  const bool connected = link != nullptr;
-  if (!connected) {
-    link = std::make_shared<connection>(internal_->loop.Context());
-    link->address = call.address;
-  }
-  link->request = {};
-  link->request.method_string(call.method);
-  link->request.target(call.target);
-  link->request.version(11);
-  link->request.set(http::field::host,
-                    call.host.empty() ? call.address : call.host);
-  for (const auto& [name, value] : call.headers) {
-    link->request.set(name, value);
-  }
-  if (!call.body.empty()) {
-    link->request.set(http::field::content_type, "application/json");
-  }
-  link->request.body() = std::move(call.body);
-  link->request.prepare_payload();
-  const auto endpoint =
-      connected ? std::nullopt : detail::ParseEndpoint(call.address);
-  if (!connected && !endpoint) {
-    internal_->loop.Post([done = std::move(done), address = call.address] {
-      done(core::Failure(core::error_code::kUnreachable,
-                         "'" + address + "' is not an address"));
-    });
+  if (call.max_connections == 0) {
+    internal_->Begin(std::move(call), std::move(done));
     return;
   }
-  internal_->BeginCall(link, call, std::move(done));
-  if (connected) {
-    internal_->Write(link);
-  } else {
-    internal_->Open(link, *endpoint);
-  }
+  const std::string address = call.address;
+  internal::limited_address& at = internal_->limited[address];
+  at.max_connections = call.max_connections;
+  at.calls.Add(
+      {.call = std::move(call), .done = std::move(done), .since = core::Now()});
+  ++internal_->totals.waiting;
+  internal_->SendWaiting(address);
 }
 
 }  // namespace waxwingfront::net
--- a/src/waxwingfront/net/async_http_client.h
+++ b/src/waxwingfront/net/async_http_client.h
@@ -14,6 +14,14 @@
 
 namespace waxwingfront::net {
 
+// Order in which calls to an address get its limited connections.
+enum class call_turn {
+  // Also gets the last connection, which the others leave free for it.
+  kReserved,
+  kUrgent,
+  kOrdinary,
+};
+
 struct http_call {
   // IPv4 address and port.
   std::string address;
@@ -33,6 +41,12 @@
   // `on_late_response`. Ignored without `on_late_response`.
   core::milliseconds late_response_timeout{0};
   std::function<void(http_reply)> on_late_response = nullptr;
+  // Maximum number of connections to the address, at least 2; 0 for no limit.
+  // Connections that are idle or wait for a late response are closed when a
+  // call needs one. The call waits for a connection for `timeout`, which starts
+  // anew when it has got one. All calls to an address have the same limit.
+  std::size_t max_connections = 0;
+  call_turn turn = call_turn::kOrdinary;
 };
 
 struct async_http_client_options {
@@ -41,6 +55,9 @@
   // A connection that was idle for longer is not reused, because the server may
   // be about to close it, and closed after at most twice this time.
   core::milliseconds max_idle_time{10'000};
+  // For this time after a server has reset a new connection, the client opens
+  // no other one to the address while it has one, if the address is limited.
+  core::milliseconds full_time{2'000};
 };
 
 // Counters of a client since its creation.
@@ -53,6 +70,8 @@
   std::uint64_t connections = 0;
   // Connections that a server reset before its first response on them.
   std::uint64_t resets = 0;
+  // Calls that wait for a connection.
+  std::size_t waiting = 0;
   std::uint64_t sent_bytes = 0;
   std::uint64_t received_bytes = 0;
 };
--- a/tests/waxwingfront/fleet/load_monitor_test.cc
+++ b/tests/waxwingfront/fleet/load_monitor_test.cc
@@ -64,8 +64,8 @@
   monitored_process process;
   process.monitor.Start();
   boost::asio::ip::tcp::acceptor full(
-      process.loop.Context(),
-      {boost::asio::ip::address_v4::loopback(), boost::asio::ip::port_type{0}});
+      process.loop.Context(), boost::asio::ip::tcp::endpoint(
+                                  boost::asio::ip::address_v4::loopback(), 0));
   full.async_accept([](const boost::system::error_code& error,
                        boost::asio::ip::tcp::socket peer) {
     if (!error) peer.set_option(boost::asio::socket_base::linger(true, 0));
