Ask the store before a job is denied

What callers saw: a cancel was answered 410 by a process that no longer led.

Cause: a leader spoke for the site as long as its lease was valid by its own clock. The store may have taken the key away since; a leader that is cut off does not learn that. Changes were safe, as each transaction expects the key; "no such job" and counts are answered without one.

Change: leadership_check reads the leader key and compares its revision with the token. A changed key deposes the leader at once. Without an answer the reply is that of a process that does not lead. The request is handled anew after the read.

Ruled out: reading the job's record (a read for each request, nothing for counts), longer leases (the store tells nobody of a key that it takes away), a record of each cancelled id (a write for each invented id).

The cut of the store moves from fleet_node_test to tests/support, to be used by two tests.

--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -1,6 +1,7 @@
 #include "waxwingfront/fleet/fleet_node.h"
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 #include <random>
 #include <utility>
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr std::string_view kMetricsPath = "/metrics";
+constexpr std::string_view kKeyChanged = "the leader key was read as changed";
 
 }  // namespace
 
@@ -39,21 +41,27 @@
         work(metrics, log),
         manifests(loop, store, options.manifest, log),
         leases(loop, store, options.leases),
+        check(loop, store, options.leadership_check,
+              {.token = [this] { return leader ? election->Token() : 0; },
+               .on_lost = [this] { election->OnSuperseded(kKeyChanged); },
+               .on_failure =
+                   [this](std::string_view cause) {
+                     log.Write("leadership_unconfirmed", {{"cause", cause}});
+                   },
+               .boot_time_ms = BootTimeMs}),
         gateway(
             loop, client, options.gateway,
             {.local =
                  [this] { return HoldsValidLease() ? leader.get() : nullptr; },
              .leader = [this] { return RemoteLeader(); },
              .recheck_leader = [this] { election->RecheckLeader(); },
+             .confirm_leadership =
+                 [this](auto done) { check.Confirm(std::move(done)); },
+             .confirm_recent_leadership =
+                 [this](auto done) { check.ConfirmRecent(std::move(done)); },
              .now = ReadClocks,
-             .on_no_room =
-                 [this](const std::string& job, const standing_room& figures) {
-                   LogNoRoom(log, job, figures);
-                 },
-             .on_link_full =
-                 [this](const std::string& job, const start_refusal& refusal) {
-                   LogLinkFull(log, job, refusal);
-                 },
+             .on_no_room = std::bind_front(LogNoRoom, std::ref(log)),
+             .on_link_full = std::bind_front(LogLinkFull, std::ref(log)),
              .on_work_refused =
                  [this](const std::string& job, const work_refusal& refusal) {
                    work.Refused(job, refusal);
@@ -79,7 +87,7 @@
   }
 
   // True if this process leads and its lease is valid. A leader that cannot
-  // renew its lease may have been replaced and serves no requests.
+  // renew its lease serves no requests. One that can may have been replaced.
   bool HoldsValidLease() const { return leader && election->MayOrder(); }
 
   std::string RemoteLeader() const {
@@ -329,6 +337,7 @@
   std::unique_ptr<leadership> election;
   bool election_started = false;
   std::unique_ptr<fleet_leader> leader;
+  leadership_check check;
   job_gateway gateway;
   net::async_http_server server;
 };
--- a/src/waxwingfront/fleet/fleet_node.h
+++ b/src/waxwingfront/fleet/fleet_node.h
@@ -18,6 +18,7 @@
 #include "waxwingfront/fleet/leader_candidacy.h"
 #include "waxwingfront/fleet/leader_choice.h"
 #include "waxwingfront/fleet/leadership.h"
+#include "waxwingfront/fleet/leadership_check.h"
 #include "waxwingfront/fleet/lease_observer.h"
 #include "waxwingfront/fleet/load_monitor.h"
 #include "waxwingfront/fleet/manifest_follower.h"
@@ -41,6 +42,7 @@
   // `fleet_node` sets `address` and `strength`.
   leader_choice_options choice;
   leadership_options leadership;
+  leadership_check_options leadership_check;
   leader_announcer_options announcer;
   leader_candidacy_options candidacy;
   manifest_follower_options manifest;
--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -253,8 +253,21 @@
   return std::nullopt;
 }
 
-void job_gateway::Handle(const schema::fleet_request& request,
-                         std::function<void(schema::fleet_reply)> done) {
+leadership_check::callback job_gateway::OnceConfirmed(
+    const schema::fleet_request& request, reply_callback done) {
+  return [this, request, done = std::move(done)](bool leads) {
+    if (leads) {
+      Answer(request, done, true);
+      return;
+    }
+    schema::fleet_reply reply;
+    reply.set_outcome(schema::FLEET_NOT_LEADING);
+    done(reply);
+  };
+}
+
+void job_gateway::Answer(const schema::fleet_request& request,
+                         reply_callback done, bool confirmed) {
   fleet_leader* const leader = hooks_.local();
   schema::fleet_reply reply;
   if (leader == nullptr || !leader->Loaded()) {
@@ -313,17 +326,30 @@
         once_stored(request.cancel());
         return;
       }
+      if (!confirmed) {
+        hooks_.confirm_leadership(OnceConfirmed(request, std::move(done)));
+        return;
+      }
       reply.set_outcome(schema::FLEET_UNKNOWN_JOB);
       break;
     case schema::fleet_request::kShow:
       if (const auto state = core.StoredState(request.show())) {
         reply.set_outcome(schema::FLEET_OK);
         reply.set_state(*state);
-      } else {
-        reply.set_outcome(schema::FLEET_UNKNOWN_JOB);
+        break;
+      }
+      if (!confirmed) {
+        hooks_.confirm_leadership(OnceConfirmed(request, std::move(done)));
+        return;
       }
+      reply.set_outcome(schema::FLEET_UNKNOWN_JOB);
       break;
     case schema::fleet_request::kCountWaiting:
+      if (!confirmed) {
+        hooks_.confirm_recent_leadership(
+            OnceConfirmed(request, std::move(done)));
+        return;
+      }
       reply.set_outcome(schema::FLEET_OK);
       reply.set_waiting(core.CountUnstartedJobs(request.count_waiting()));
       break;
--- a/src/waxwingfront/fleet/job_gateway.h
+++ b/src/waxwingfront/fleet/job_gateway.h
@@ -7,10 +7,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/core/error.h"
 #include "waxwingfront/fleet/fleet_leader.h"
+#include "waxwingfront/fleet/leadership_check.h"
 #include "waxwingfront/fleet/pending_calls.h"
 #include "waxwingfront/net/async_http_client.h"
 #include "waxwingfront/net/event_loop.h"
@@ -49,6 +51,10 @@
   std::function<std::string()> leader;
   // Called when a call to the leader has failed.
   std::function<void()> recheck_leader;
+  // Asks the store whether this process still leads, see `leadership_check`:
+  // now, or up to `max_age` ago.
+  std::function<void(leadership_check::callback)> confirm_leadership;
+  std::function<void(leadership_check::callback)> confirm_recent_leadership;
   std::function<moment()> now;
   // Called when this process, as the leader, rejects a job without room.
   std::function<void(const std::string& job, const standing_room&)> on_no_room;
@@ -78,13 +84,27 @@
   void Call(schema::fleet_request request, core::monotonic_time deadline,
             callback done);
 
-  // Handles a call as the leader if this process leads.
-  void Handle(const schema::fleet_request& request,
-              std::function<void(schema::fleet_reply)> done);
+  using reply_callback = std::function<void(schema::fleet_reply)>;
+
+  // Handles a call as the leader if this process leads. What a later leader
+  // could contradict, that there is no such job and how many wait, is answered
+  // once the store has confirmed that this process leads. A job's state is
+  // answered from memory, since it was stored and later leaders continue it.
+  void Handle(const schema::fleet_request& request, reply_callback done) {
+    Answer(request, std::move(done), false);
+  }
 
  private:
   struct call_state;
 
+  // Handles a call. `confirmed` says whether the store has confirmed since it
+  // arrived that this process leads.
+  void Answer(const schema::fleet_request& request, reply_callback done,
+              bool confirmed);
+  // Returns the continuation of a call that waits for the confirmation.
+  leadership_check::callback OnceConfirmed(const schema::fleet_request& request,
+                                           reply_callback done);
+
   void Try(std::shared_ptr<call_state> call);
   void TryRemote(std::shared_ptr<call_state> call, const std::string& address);
   void Retry(std::shared_ptr<call_state> call, core::milliseconds delay);
--- a/tests/waxwingfront/fleet/fleet_node_test.cc
+++ b/tests/waxwingfront/fleet/fleet_node_test.cc
@@ -5,9 +5,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <utility>
 
+#include "support/cut_store.h"
 #include "support/fake_store.h"
 #include "support/fleet_process.h"
 #include "support/loop_runner.h"
@@ -19,33 +19,6 @@
 
 using core::milliseconds;
 
-// Lets the calls of `services` fail while `cut` is true.
-void MakeInterruptible(fleet::store_services& services, net::event_loop& loop,
-                       const bool& cut) {
-  const auto unless_cut = [&loop, &cut]<typename Call, typename Reply>(
-                              Call call, Reply failure) {
-    return [&loop, &cut, call = std::move(call),
-            failure = std::move(failure)](auto&&... arguments) {
-      if (!cut) return call(std::forward<decltype(arguments)>(arguments)...);
-      auto done = std::get<sizeof...(arguments) - 1>(std::tie(arguments...));
-      loop.Post([done = std::move(done), failure] { done(failure); });
-    };
-  };
-  const auto unavailable =
-      core::Failure(core::error_code::kStoreUnavailable, "cut off");
-  services.get =
-      unless_cut(services.get, core::result<fleet::store_page>(unavailable));
-  services.range =
-      unless_cut(services.range, core::result<fleet::store_page>(unavailable));
-  services.watch = unless_cut(services.watch,
-                              core::result<fleet::store_changes>(unavailable));
-  services.write = unless_cut(services.write, fleet::store_write_reply{});
-  services.grant_lease = unless_cut(
-      services.grant_lease, core::result<fleet::store_lease>(unavailable));
-  services.renew_lease =
-      unless_cut(services.renew_lease, fleet::lease_status::kUnknown);
-}
-
 TEST_CASE("a weak leader hands leadership over to a stronger process",
           "[fleet]") {
   net::event_loop loop;
@@ -212,17 +185,7 @@
   fleet_process strong(loop, store, kStrong);
   bool cut = false;
   MakeInterruptible(strong.store, loop, cut);
-  // Open watches hear nothing either.
-  const auto watch = strong.store.watch;
-  strong.store.watch = [&cut, watch](std::string_view prefix,
-                                     std::int64_t after, milliseconds wait,
-                                     auto done) {
-    watch(prefix, after, wait,
-          [&cut, done](const core::result<fleet::store_changes>& reply) {
-            if (!cut) return done(reply);
-            done(core::Failure(core::error_code::kStoreUnavailable, "cut off"));
-          });
-  };
+  SilenceOpenWatches(strong.store, cut);
   REQUIRE(RunUntil(loop, [&] { return strong.Leads(store); }));
   fleet_process weak(loop, store, kWeak);
   REQUIRE(RunUntil(loop, [&] { return weak.node.Ready(); }));
--- a/tests/waxwingfront/fleet/job_gateway_test.cc
+++ b/tests/waxwingfront/fleet/job_gateway_test.cc
@@ -273,6 +273,8 @@
             {.local = [this] { return &leader; },
              .leader = [] { return std::string(); },
              .recheck_leader = [] {},
+             .confirm_leadership = [](const auto& done) { done(true); },
+             .confirm_recent_leadership = [](const auto& done) { done(true); },
              .now = [] { return fleet::moment{.now = core::Now()}; },
              .on_work_refused =
                  [this](const std::string& job, const fleet::work_refusal&) {
