Make the state of occurrences near their due time, and bound what jobs cost

Cause: job_state made the state of each task of each occurrence on acceptance and on loading. Steps, tasks of a step and occurrences were bounded, their product and the sum over all jobs were not.

Change: - An occurrence has state from 1 s before its due time until all its tasks have succeeded; ended jobs keep none. Due occurrences of one job beyond the first get state while all costs stay under half of the bound. - Progress records name the occurrences that are over (done_occurrences). For processes of the version before, jobs of up to 4,096 tasks in all list each done task as well. Records of the version before load. - One occurrence may have 8,192 tasks (400 with the reason). All jobs may be charged with 0.6 of limits.memory_mb, each with its record and one occurrence (503 with a Retry-After of 5 s, job_without_memory in the log). - Records beyond the bounds load without states and run as memory allows, earliest due first (occurrences_without_memory in the log). - Loading holds one page of progress at a time.

Evidence: job_memory_test.

Not built: a test that limits the memory of real processes.

--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -26,6 +26,7 @@
 fleet_core::fleet_core(fleet_options options)
     : options_(options),
       state_{.starts = start_queue(options.starts)},
+      memory_(state_, options.memory),
       sharing_(state_),
       admission_(state_, options.admission),
       start_admission_({.link_mbps = options.starts.link_mbps}),
@@ -83,6 +84,7 @@
 }
 
 bool fleet_core::Plan(moment at, const std::function<bool()>& should_stop) {
+  memory_.Update(at);
   for (const std::string& id : std::exchange(unplanned_, {})) {
     job_state* const job = state_.FindJob(id);
     if (job == nullptr) continue;
@@ -113,7 +115,8 @@
                          std::int64_t progress_revision, moment at) {
   const auto age = core::milliseconds(
       std::max<std::int64_t>(0, at.unix_ms - job.accepted_unix_ms()));
-  auto restored = std::make_unique<job_state>(std::move(job), at.now - age);
+  auto restored = std::make_unique<job_state>(std::move(job), at.now - age,
+                                              occurrence_creation::kDeferred);
   restored->job_revision = job_revision;
   restored->progress_revision = progress_revision;
   if (progress) restored->Restore(*progress);
@@ -123,7 +126,7 @@
     if (task.Phase() != task_phase::kOrphaned) return;
     EnsureExecutor(task.executor).Add(task);
   });
-  state_.AddJob(std::move(restored));
+  memory_.OnAdded(state_.AddJob(std::move(restored)), at);
 }
 
 void fleet_core::FinishRestore(moment claimed,
@@ -186,8 +189,10 @@
   // Processes of earlier versions do not record the settings.
   const queue_spec* const queue = state_.FindQueue(job.queue());
   if (!job.has_queue_settings() && queue != nullptr) SetQueue(*queue, job);
-  state_.MarkChanged(
-      state_.AddJob(std::make_unique<job_state>(std::move(job), at.now)));
+  job_state& added =
+      state_.AddJob(std::make_unique<job_state>(std::move(job), at.now));
+  memory_.OnAdded(added, at);
+  state_.MarkChanged(added);
   unplanned_.push_back(id);
   return submission::kNew;
 }
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -15,6 +15,7 @@
 #include "waxwingfront/fleet/capacity_reserve.h"
 #include "waxwingfront/fleet/fleet_journal.h"
 #include "waxwingfront/fleet/fleet_state.h"
+#include "waxwingfront/fleet/job_memory.h"
 #include "waxwingfront/fleet/lease_ledger.h"
 #include "waxwingfront/fleet/load_monitor.h"
 #include "waxwingfront/fleet/order_deadlines.h"
@@ -46,6 +47,7 @@
   standing_admission_options admission;
   start_queue_options starts;
   work_admission_options work;
+  job_memory_options memory;
 };
 
 enum class submission { kNew, kDuplicate };
@@ -98,6 +100,14 @@
                                         moment at) {
     return fleet::AdmitWork(work_admission_, state_, job, at);
   }
+  // Returns why a new job would cost too much memory, see `job_memory`.
+  // Otherwise the caller may submit it.
+  std::optional<memory_refusal> AdmitMemory(
+      const schema::fleet_job& job) const {
+    return memory_.Admit(job);
+  }
+  // Number of jobs with a due occurrence that waits for memory.
+  std::size_t JobsWithoutMemory() const { return memory_.Withheld(); }
   // Counts the short work of all live jobs, for metrics.
   work_sample ShortWork(core::monotonic_time now) const {
     return SampleWork(state_, work_scope::kAllShort, now);
@@ -211,6 +221,7 @@
   fleet_options options_;
   processor_stages* processor_ = nullptr;
   fleet_state state_;
+  job_memory memory_;
   sharing_policy sharing_;
   standing_admission admission_;
   start_admission start_admission_;
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -148,12 +148,20 @@
   void Tick() {
     const processor_scope scope(hooks.processor, processor_stage::kTick);
     core.Tick(hooks.now());
+    LogWithheld();
     recorder.Update();
     driver.HoldAll();
     ScheduleRound();
     Later(options.tick, [this] { Tick(); });
   }
 
+  void LogWithheld() {
+    const std::size_t jobs = core.JobsWithoutMemory();
+    if (std::exchange(withheld, jobs) == jobs) return;
+    log.Write("occurrences_without_memory",
+              {{"jobs", static_cast<std::int64_t>(jobs)}});
+  }
+
   // Changes that arrive before the next round share it.
   void ScheduleRound() {
     if (!loaded || round_scheduled) return;
@@ -341,6 +349,8 @@
   bool loaded = false;
   bool closed = false;
   bool deposed = false;
+  // Jobs with an occurrence that waited for memory at the last tick.
+  std::size_t withheld = 0;
   bool round_scheduled = false;
   bool store_lost = false;
   std::optional<core::monotonic_time> scheduled_write;
--- a/src/waxwingfront/fleet/fleet_loader.cc
+++ b/src/waxwingfront/fleet/fleet_loader.cc
@@ -1,6 +1,7 @@
 #include "waxwingfront/fleet/fleet_loader.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,8 +19,6 @@
 }  // namespace
 
 struct fleet_loader::internal : std::enable_shared_from_this<internal> {
-  using records = std::map<std::string, store_item>;
-
   internal(net::event_loop& event_loop, const store_services& services,
            fleet_core& fleet, core::milliseconds retry_time,
            fleet_loader_hooks callbacks, logging::event_log& events)
@@ -31,21 +30,22 @@
         hooks(std::move(callbacks)),
         log(events) {}
 
-  // Reads all records with `prefix` after the key `after` into `into`, then
+  // Calls `take` with each record with `prefix` after the key `after`, then
   // calls `next`.
-  void Read(std::string_view prefix, const std::string& after, records& into,
+  void Read(std::string_view prefix, const std::string& after,
+            void (internal::*take)(const store_item&),
             void (internal::*next)()) {
     store.range(prefix, after,
-                [self = shared_from_this(), prefix, after, &into,
+                [self = shared_from_this(), prefix, after, take,
                  next](const core::result<store_page>& page) {
                   if (self->closed) return;
                   if (const auto cause = self->WhyRepeat(page)) {
                     const std::string_view from =
                         after.empty() ? prefix : std::string_view(after);
                     self->loop.After(self->repeats.OnFailure(from, *cause),
-                                     [self, prefix, after, &into, next] {
+                                     [self, prefix, after, take, next] {
                                        if (self->closed) return;
-                                       self->Read(prefix, after, into, next);
+                                       self->Read(prefix, after, take, next);
                                      });
                     return;
                   }
@@ -55,10 +55,10 @@
                     self->OnDamaged(item.key, item.cause);
                   }
                   for (const store_item& item : page->items) {
-                    into[item.key] = item;
+                    (*self.*take)(item);
                   }
                   if (page->has_more) {
-                    self->Read(prefix, page->LastKey(), into, next);
+                    self->Read(prefix, page->LastKey(), take, next);
                   } else {
                     (*self.*next)();
                   }
@@ -77,21 +77,32 @@
                        .detail = page->unreadable.front().cause};
   }
 
+  void TakeJob(const store_item& item) { jobs[item.key] = item; }
+
   void ReadProgress() {
-    Read(kProgressPrefix, "", progress, &internal::Restore);
+    found_jobs = jobs.size();
+    Read(kProgressPrefix, "", &internal::TakeProgress, &internal::RestoreRest);
   }
 
-  void Restore() {
-    const moment at = hooks.now();
-    for (const auto& [key, item] : jobs) RestoreJob(key, item, at);
-    log.Write("jobs_loaded",
-              {{"jobs", static_cast<std::int64_t>(jobs.size())}});
-    jobs.clear();
-    progress.clear();
+  // Restores the job at once: the progress of all jobs may be larger than what
+  // they need in memory.
+  void TakeProgress(const store_item& item) {
+    const std::string id = ToRecordRevision(item.key, 0).id;
+    auto job = jobs.extract(RecordKey(record_kind::kJob, id));
+    if (!job.empty()) RestoreJob(job.key(), job.mapped(), &item);
+  }
+
+  void RestoreRest() {
+    while (!jobs.empty()) {
+      const auto job = jobs.extract(jobs.begin());
+      RestoreJob(job.key(), job.mapped(), nullptr);
+    }
+    log.Write("jobs_loaded", {{"jobs", static_cast<std::int64_t>(found_jobs)}});
     ReadSharing();
   }
 
-  void RestoreJob(const std::string& key, const store_item& item, moment at) {
+  void RestoreJob(const std::string& key, const store_item& item,
+                  const store_item* progress) {
     schema::fleet_job job;
     if (!job.ParseFromString(item.value) ||
         key != RecordKey(record_kind::kJob, job.id()) || job.steps().empty()) {
@@ -101,17 +112,16 @@
     if (core.IsDamaged(job.id())) return;
     std::optional<schema::fleet_progress> progress_record;
     std::int64_t revision = 0;
-    const auto found =
-        progress.find(RecordKey(record_kind::kProgress, job.id()));
-    if (found != progress.end()) {
-      revision = found->second.revision;
+    if (progress != nullptr) {
+      revision = progress->revision;
       progress_record.emplace();
-      if (!progress_record->ParseFromString(found->second.value)) {
-        OnDamaged(found->first, "not the progress of a job");
+      if (!progress_record->ParseFromString(progress->value)) {
+        OnDamaged(progress->key, "not the progress of a job");
         return;
       }
     }
-    core.Restore(std::move(job), item.revision, progress_record, revision, at);
+    core.Restore(std::move(job), item.revision, progress_record, revision,
+                 hooks.now());
   }
 
   // The job is refused instead of forgotten, since it may have been accepted.
@@ -163,8 +173,9 @@
   read_retry repeats;
   fleet_loader_hooks hooks;
   logging::event_log& log;
-  records jobs;
-  records progress;
+  // Jobs that were read and wait for their progress, by key.
+  std::map<std::string, store_item> jobs;
+  std::size_t found_jobs = 0;
   // Reads of the present page with rows that cannot be read.
   int damaged_reads = 0;
   bool loaded = false;
@@ -181,7 +192,7 @@
 fleet_loader::~fleet_loader() { internal_->closed = true; }
 
 void fleet_loader::Start() {
-  internal_->Read(kJobPrefix, "", internal_->jobs, &internal::ReadProgress);
+  internal_->Read(kJobPrefix, "", &internal::TakeJob, &internal::ReadProgress);
 }
 
 bool fleet_loader::SharingRead() const { return internal_->sharing_read; }
--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -57,6 +57,10 @@
              .on_work_refused =
                  [this](const std::string& job, const work_refusal& refusal) {
                    work.Refused(job, refusal);
+                 },
+             .on_memory_full =
+                 [this](const std::string& job, const memory_refusal& refusal) {
+                   LogMemoryFull(log, job, refusal);
                  }}),
         server(loop,
                {.address = options.internal_address,
--- a/src/waxwingfront/fleet/fleet_state.cc
+++ b/src/waxwingfront/fleet/fleet_state.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "waxwingfront/fleet/job_cost.h"
+
 namespace waxwingfront::fleet {
 
 const queue_spec* fleet_state::FindQueue(std::string_view name) const {
@@ -34,6 +36,7 @@
 job_state& fleet_state::AddJob(std::unique_ptr<job_state> job) {
   job_state& added = *job;
   if (!added.Final() || added.AnyActive()) live.push_back(&added);
+  record_cost += RecordCost(added.Spec());
   jobs[added.Id()] = std::move(job);
   return added;
 }
@@ -42,6 +45,7 @@
   job_state* const job = FindJob(id);
   if (job == nullptr) return;
   std::erase(live, job);
+  record_cost -= RecordCost(job->Spec());
   store_backlog.Remove(*job);
   for (auto& [name, executor] : executors) {
     if (executor.reserved_for == job) executor.reserved_for = nullptr;
@@ -59,7 +63,7 @@
   return std::ranges::any_of(live, [](const job_state* job) {
     return !job->Final() && job->WaitingLongRunning() > 0 &&
            job->Spec().steps(0).long_running() &&
-           job->Occurrences().front().steps.front().waiting > 0;
+           job->Occurrences().begin()->second.steps.front().waiting > 0;
   });
 }
 
--- a/src/waxwingfront/fleet/fleet_state.h
+++ b/src/waxwingfront/fleet/fleet_state.h
@@ -2,6 +2,7 @@
 #ifndef WAXWINGFRONT_FLEET_FLEET_STATE_H_
 #define WAXWINGFRONT_FLEET_FLEET_STATE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -33,6 +34,8 @@
   std::map<std::string, executor_state, std::less<>> executors;
   // Jobs that may have tasks to place or to stop, unordered.
   std::vector<job_state*> live;
+  // Sum of `RecordCost` over all jobs, in bytes.
+  std::size_t record_cost = 0;
   store_queue store_backlog;
   start_queue starts;
   // All other orders.
--- a/src/waxwingfront/fleet/interrupted_tasks.cc
+++ b/src/waxwingfront/fleet/interrupted_tasks.cc
@@ -7,7 +7,7 @@
 
 void AddWaiting(job_state& job, core::monotonic_time now,
                 std::vector<interrupted_task>& found) {
-  for (occurrence_state& occurrence : job.Occurrences()) {
+  for (auto& [number, occurrence] : job.Occurrences()) {
     for (step_state& step : occurrence.steps) {
       if (step.waiting == 0) continue;
       for (task_state& task : step.tasks) {
--- a/src/waxwingfront/fleet/job_gateway.cc
+++ b/src/waxwingfront/fleet/job_gateway.cc
@@ -241,6 +241,10 @@
 std::optional<core::milliseconds> job_gateway::RejectsForLoad(
     fleet_core& core, const schema::fleet_job& job) const {
   if (core.HasJob(job.id())) return std::nullopt;
+  if (const auto refusal = core.AdmitMemory(job)) {
+    if (hooks_.on_memory_full) hooks_.on_memory_full(job.id(), *refusal);
+    return refusal->retry_after;
+  }
   const moment now = hooks_.now();
   if (const auto refusal = core.AdmitStarts(job, now)) {
     if (hooks_.on_link_full) hooks_.on_link_full(job.id(), *refusal);
--- a/src/waxwingfront/fleet/job_gateway.h
+++ b/src/waxwingfront/fleet/job_gateway.h
@@ -59,6 +59,9 @@
   // The same for a best-effort job whose kind stands still.
   std::function<void(const std::string& job, const work_refusal&)>
       on_work_refused;
+  // The same for a job that would cost too much memory.
+  std::function<void(const std::string& job, const memory_refusal&)>
+      on_memory_full;
 };
 
 class job_gateway {
@@ -98,7 +101,8 @@
   bool RejectsForRoom(const fleet_core& core,
                       const schema::fleet_job& job) const;
   // Returns when the caller should return if the job is new and would be
-  // useless, or would stand still with the others of its kind.
+  // useless, would stand still with the others of its kind, or would cost too
+  // much memory.
   std::optional<core::milliseconds> RejectsForLoad(
       fleet_core& core, const schema::fleet_job& job) const;
 
--- a/src/waxwingfront/fleet/job_state.cc
+++ b/src/waxwingfront/fleet/job_state.cc
@@ -3,9 +3,18 @@
 #include <algorithm>
 #include <utility>
 
+#include "waxwingfront/fleet/job_cost.h"
 #include "waxwingfront/fleet/job_queue.h"
 
 namespace waxwingfront::fleet {
+namespace {
+
+// Processes of versions that do not know `done_occurrences` take a job over
+// with the tasks that are listed as done. Longer lists of them would fill the
+// store.
+constexpr std::size_t kMaxListedTasks = 4096;
+
+}  // namespace
 
 task_ref task_state::Ref() const {
   return {
@@ -42,31 +51,91 @@
           .accelerators = spec.accelerators()};
 }
 
-job_state::job_state(schema::fleet_job spec, core::monotonic_time accepted)
+job_state::job_state(schema::fleet_job spec, core::monotonic_time accepted,
+                     occurrence_creation first)
     : spec_(std::move(spec)),
       queue_(RecordedQueue(spec_)),
-      accepted_(accepted) {
-  occurrences_.resize(std::max<std::uint32_t>(1, spec_.repetitions()));
-  for (std::uint32_t k = 0; k < occurrences_.size(); ++k) {
-    std::vector<step_state>& steps = occurrences_[k].steps;
-    steps.resize(spec_.steps_size());
-    for (std::uint32_t s = 0; s < steps.size(); ++s) {
-      steps[s].tasks.resize(spec_.steps(static_cast<int>(s)).task_count());
-      for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
-        task_state& task = steps[s].tasks[i];
-        task.job = this;
-        task.spec = &spec_.steps(static_cast<int>(s));
-        task.occurrence = k;
-        task.step = s;
-        task.index = i;
-        task.waiting_since = accepted;
-        task.interrupted_since = accepted;
-        CountWaiting(task, true);
+      accepted_(accepted),
+      over_(std::max<std::uint32_t>(1, spec_.repetitions())),
+      tasks_per_occurrence_(TasksOf(spec_)) {
+  const bool runs_once = spec_.repetitions() == 0;
+  if (runs_once && first == occurrence_creation::kImmediate) MakeOccurrence(0);
+}
+
+std::optional<std::uint32_t> job_state::NextOccurrence() const {
+  if (Final() || next_ == OccurrenceCount()) return std::nullopt;
+  return next_;
+}
+
+void job_state::MakeOccurrence(std::uint32_t occurrence) {
+  if (over_[occurrence]) return;
+  const auto [made, added] = occurrences_.try_emplace(occurrence);
+  if (!added) return;
+  std::vector<step_state>& steps = made->second.steps;
+  steps.resize(spec_.steps_size());
+  for (std::uint32_t s = 0; s < steps.size(); ++s) {
+    steps[s].tasks.resize(spec_.steps(static_cast<int>(s)).task_count());
+    for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
+      task_state& task = steps[s].tasks[i];
+      task.job = this;
+      task.spec = &spec_.steps(static_cast<int>(s));
+      task.occurrence = occurrence;
+      task.step = s;
+      task.index = i;
+      task.waiting_since = accepted_;
+      task.interrupted_since = accepted_;
+      CountWaiting(task, true);
+    }
+  }
+  PassMade();
+}
+
+void job_state::PassMade() {
+  while (next_ < OccurrenceCount() &&
+         (over_[next_] || occurrences_.contains(next_))) {
+    ++next_;
+  }
+}
+
+void job_state::SetOver(std::uint32_t occurrence) {
+  if (over_[occurrence]) return;
+  over_[occurrence] = true;
+  ++over_count_;
+  PassMade();
+}
+
+void job_state::FreeEndedOccurrences() {
+  const bool all = Final() && !AnyActive();
+  for (auto one = occurrences_.begin(); one != occurrences_.end();) {
+    const auto& [number, state] = *one;
+    const bool done = std::ranges::all_of(state.steps, &step_state::Done);
+    if (!done && !all) {
+      ++one;
+      continue;
+    }
+    if (done) SetOver(number);
+    for (const step_state& step : state.steps) {
+      for (const task_state& task : step.tasks) {
+        if (task.Phase() == task_phase::kWaiting) CountWaiting(task, false);
       }
     }
+    one = occurrences_.erase(one);
   }
 }
 
+bool job_state::IsOver(std::uint32_t occurrence) const {
+  if (over_[occurrence]) return true;
+  const auto found = occurrences_.find(occurrence);
+  return found != occurrences_.end() &&
+         std::ranges::all_of(found->second.steps, &step_state::Done);
+}
+
+std::uint32_t job_state::FirstIncomplete() const {
+  std::uint32_t first = 0;
+  while (first + 1 < OccurrenceCount() && IsOver(first)) ++first;
+  return first;
+}
+
 void job_state::SetState(schema::fleet_job_state state,
                          std::int64_t now_unix_ms) {
   state_ = state;
@@ -74,8 +143,9 @@
 }
 
 task_state* job_state::Find(const task_ref& ref) {
-  if (ref.occurrence >= occurrences_.size()) return nullptr;
-  std::vector<step_state>& steps = occurrences_[ref.occurrence].steps;
+  const auto found = occurrences_.find(ref.occurrence);
+  if (found == occurrences_.end()) return nullptr;
+  std::vector<step_state>& steps = found->second.steps;
   if (ref.step >= steps.size()) return nullptr;
   std::vector<task_state>& tasks = steps[ref.step].tasks;
   return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
@@ -97,7 +167,9 @@
   if (spec_.repetitions() > 0 && now_unix_ms < DueUnixMs(occurrence)) {
     return false;
   }
-  const std::vector<step_state>& steps = occurrences_[occurrence].steps;
+  const auto found = occurrences_.find(occurrence);
+  if (found == occurrences_.end()) return false;
+  const std::vector<step_state>& steps = found->second.steps;
   return std::ranges::all_of(spec_.steps(static_cast<int>(step)).after(),
                              [&steps](std::uint32_t before) {
                                return before < steps.size() &&
@@ -107,8 +179,8 @@
 
 bool job_state::AnyReadyTaskWaits(std::int64_t now_unix_ms) const {
   if (waiting_ == 0) return false;
-  for (std::uint32_t k = 0; k < occurrences_.size(); ++k) {
-    const std::vector<step_state>& steps = occurrences_[k].steps;
+  for (const auto& [k, occurrence] : occurrences_) {
+    const std::vector<step_state>& steps = occurrence.steps;
     for (std::uint32_t s = 0; s < steps.size(); ++s) {
       if (steps[s].waiting > 0 && StepReady(k, s, now_unix_ms)) return true;
     }
@@ -116,12 +188,21 @@
   return false;
 }
 
-const path_lengths& job_state::CriticalPath(std::uint32_t occurrence) const {
-  const occurrence_state& one = occurrences_[occurrence];
-  if (one.critical_path) return *one.critical_path;
-  std::vector<path_lengths> until(one.steps.size());
+path_lengths job_state::CriticalPath(std::uint32_t occurrence) const {
+  const auto found = occurrences_.find(occurrence);
+  if (found == occurrences_.end()) {
+    return ComputePath(nullptr, over_[occurrence]);
+  }
+  const occurrence_state& one = found->second;
+  if (!one.critical_path) one.critical_path = ComputePath(&one, false);
+  return *one.critical_path;
+}
+
+path_lengths job_state::ComputePath(const occurrence_state* one,
+                                    bool over) const {
+  std::vector<path_lengths> until(spec_.steps_size());
   path_lengths critical;
-  for (std::size_t s = 0; s < one.steps.size(); ++s) {
+  for (std::size_t s = 0; s < until.size(); ++s) {
     const schema::fleet_step& spec = spec_.steps(static_cast<int>(s));
     for (const std::uint32_t before : spec.after()) {
       until[s].total = std::max(until[s].total, until[before].total);
@@ -130,12 +211,12 @@
     }
     const core::milliseconds time(spec.estimated_ms());
     until[s].total += time;
-    if (!one.steps[s].Done()) until[s].remaining += time;
+    const bool done = one == nullptr ? over : one->steps[s].Done();
+    if (!done) until[s].remaining += time;
     critical.total = std::max(critical.total, until[s].total);
     critical.remaining = std::max(critical.remaining, until[s].remaining);
   }
-  one.critical_path = critical;
-  return *one.critical_path;
+  return critical;
 }
 
 void job_state::CountPhase(const task_state& task, task_phase from,
@@ -146,7 +227,7 @@
   if (succeeded == (from == task_phase::kSucceeded)) return;
   step_state& step = StepOf(task);
   succeeded ? ++step.succeeded : --step.succeeded;
-  occurrences_[task.occurrence].critical_path.reset();
+  occurrences_.find(task.occurrence)->second.critical_path.reset();
 }
 
 void job_state::CountWaiting(const task_state& task, bool waits) {
@@ -157,13 +238,15 @@
 }
 
 bool job_state::AllSucceeded() const {
-  return std::ranges::all_of(occurrences_, [](const occurrence_state& one) {
-    return std::ranges::all_of(one.steps, &step_state::Done);
-  });
+  const auto done =
+      std::ranges::count_if(occurrences_, [](const auto& occurrence) {
+        return std::ranges::all_of(occurrence.second.steps, &step_state::Done);
+      });
+  return over_count_ + static_cast<std::size_t>(done) == over_.size();
 }
 
 bool job_state::AnyActive() const {
-  for (const occurrence_state& occurrence : occurrences_) {
+  for (const auto& [number, occurrence] : occurrences_) {
     for (const step_state& step : occurrence.steps) {
       if (std::ranges::any_of(step.tasks, &task_state::Active)) return true;
     }
@@ -172,7 +255,7 @@
 }
 
 void job_state::ForEachTask(const std::function<void(task_state&)>& visit) {
-  for (occurrence_state& occurrence : occurrences_) {
+  for (auto& [number, occurrence] : occurrences_) {
     for (step_state& step : occurrence.steps) {
       for (task_state& task : step.tasks) visit(task);
     }
@@ -183,58 +266,106 @@
   schema::fleet_progress record;
   record.set_state(state_);
   record.set_ended_unix_ms(ended_unix_ms_);
-  for (const occurrence_state& occurrence : occurrences_) {
-    for (const step_state& step : occurrence.steps) {
-      for (const task_state& task : step.tasks) {
-        if (task.run == 0) continue;
-        // A final job's record needs only runs that may still be active.
-        if (Final() && !task.Active()) continue;
-        schema::fleet_task& entry = *record.add_tasks();
-        entry.set_occurrence(task.occurrence);
-        entry.set_step(task.step);
-        entry.set_index(task.index);
-        entry.set_run(task.run);
-        entry.set_failures(task.failures);
-        if (task.index == 0) entry.set_failed_run(step.failed_run);
-        if (task.Phase() == task_phase::kSucceeded) {
-          entry.set_succeeded(true);
-          continue;
-        }
-        entry.set_checkpoint(task.checkpoint);
-        if (!task.Active()) continue;
-        entry.set_active(true);
-        entry.set_executor(task.executor);
-        entry.set_executor_born_ms(task.executor_born_ms);
-      }
+  // No leader starts a final job again.
+  const bool list_done =
+      !Final() && tasks_per_occurrence_ * over_.size() <= kMaxListedTasks;
+  for (std::uint32_t k = 0; k < OccurrenceCount(); ++k) {
+    if (over_[k]) {
+      if (!Final()) record.add_done_occurrences(k);
+      if (list_done) ListDone(k, record);
+      continue;
     }
+    const auto found = occurrences_.find(k);
+    if (found != occurrences_.end()) ListTasks(found->second, record);
   }
   return record;
 }
 
+void job_state::ListDone(std::uint32_t occurrence,
+                         schema::fleet_progress& record) const {
+  for (int s = 0; s < spec_.steps_size(); ++s) {
+    for (std::uint32_t i = 0; i < spec_.steps(s).task_count(); ++i) {
+      schema::fleet_task& entry = *record.add_tasks();
+      entry.set_occurrence(occurrence);
+      entry.set_step(static_cast<std::uint32_t>(s));
+      entry.set_index(i);
+      entry.set_run(1);
+      entry.set_succeeded(true);
+    }
+  }
+}
+
+void job_state::ListTasks(const occurrence_state& occurrence,
+                          schema::fleet_progress& record) const {
+  for (const step_state& step : occurrence.steps) {
+    for (const task_state& task : step.tasks) {
+      if (task.run == 0) continue;
+      // A final job's record needs only runs that may still be active.
+      if (Final() && !task.Active()) continue;
+      schema::fleet_task& entry = *record.add_tasks();
+      entry.set_occurrence(task.occurrence);
+      entry.set_step(task.step);
+      entry.set_index(task.index);
+      entry.set_run(task.run);
+      entry.set_failures(task.failures);
+      if (task.index == 0) entry.set_failed_run(step.failed_run);
+      if (task.Phase() == task_phase::kSucceeded) {
+        entry.set_succeeded(true);
+        continue;
+      }
+      entry.set_checkpoint(task.checkpoint);
+      if (!task.Active()) continue;
+      entry.set_active(true);
+      entry.set_executor(task.executor);
+      entry.set_executor_born_ms(task.executor_born_ms);
+    }
+  }
+}
+
 void job_state::Restore(const schema::fleet_progress& record) {
   state_ = record.state();
   stored_state = record.state();
   ended_unix_ms_ = record.ended_unix_ms();
+  for (const std::uint32_t done : record.done_occurrences()) {
+    if (done < OccurrenceCount()) SetOver(done);
+  }
+  // Earlier versions list each task that is done.
+  std::map<std::uint32_t, std::size_t> succeeded;
   for (const schema::fleet_task& entry : record.tasks()) {
-    task_state* const task = Find({.job = Id(),
-                                   .occurrence = entry.occurrence(),
-                                   .step = entry.step(),
-                                   .index = entry.index()});
-    if (task == nullptr) continue;
-    task->run = entry.run();
-    task->failures = entry.failures();
-    if (task->index == 0) StepOf(*task).failed_run = entry.failed_run();
-    task->checkpoint = entry.checkpoint();
-    begun_ |= entry.succeeded() || entry.failures() > 0 ||
-              !entry.checkpoint().empty();
-    if (entry.succeeded()) {
-      task->SetPhase(task_phase::kSucceeded);
-    } else if (entry.active()) {
-      task->SetPhase(task_phase::kOrphaned);
-      task->executor = entry.executor();
-      task->executor_born_ms = entry.executor_born_ms();
+    if (entry.succeeded()) ++succeeded[entry.occurrence()];
+  }
+  for (const auto& [occurrence, tasks] : succeeded) {
+    if (occurrence < OccurrenceCount() && tasks == tasks_per_occurrence_) {
+      SetOver(occurrence);
     }
   }
+  begun_ |= over_count_ > 0;
+  for (const schema::fleet_task& entry : record.tasks()) {
+    const bool runs_on = !Final() || entry.active();
+    if (runs_on && entry.occurrence() < OccurrenceCount()) RestoreTask(entry);
+  }
+}
+
+void job_state::RestoreTask(const schema::fleet_task& entry) {
+  MakeOccurrence(entry.occurrence());
+  task_state* const task = Find({.job = Id(),
+                                 .occurrence = entry.occurrence(),
+                                 .step = entry.step(),
+                                 .index = entry.index()});
+  if (task == nullptr) return;
+  task->run = entry.run();
+  task->failures = entry.failures();
+  if (task->index == 0) StepOf(*task).failed_run = entry.failed_run();
+  task->checkpoint = entry.checkpoint();
+  begun_ |=
+      entry.succeeded() || entry.failures() > 0 || !entry.checkpoint().empty();
+  if (entry.succeeded()) {
+    task->SetPhase(task_phase::kSucceeded);
+  } else if (entry.active()) {
+    task->SetPhase(task_phase::kOrphaned);
+    task->executor = entry.executor();
+    task->executor_born_ms = entry.executor_born_ms();
+  }
 }
 
 bool job_state::RetentionOver(core::milliseconds retention,
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -175,9 +176,17 @@
   std::optional<core::monotonic_time> begun;
 };
 
+// When a job that runs once gets the state of its tasks.
+enum class occurrence_creation {
+  kImmediate,
+  // By `job_state::MakeOccurrence`, as every occurrence of a repeating job.
+  kDeferred,
+};
+
 class job_state {
  public:
-  job_state(schema::fleet_job spec, core::monotonic_time accepted);
+  job_state(schema::fleet_job spec, core::monotonic_time accepted,
+            occurrence_creation first = occurrence_creation::kImmediate);
   job_state(const job_state&) = delete;
   job_state& operator=(const job_state&) = delete;
 
@@ -194,28 +203,51 @@
   bool Final() const { return state_ >= schema::FLEET_COMPLETED; }
   void SetState(schema::fleet_job_state state, std::int64_t now_unix_ms);
 
-  std::vector<occurrence_state>& Occurrences() { return occurrences_; }
-  const std::vector<occurrence_state>& Occurrences() const {
-    return occurrences_;
+  // Number of occurrences, most of which have no state: they are not due yet,
+  // or they are over.
+  std::uint32_t OccurrenceCount() const {
+    return static_cast<std::uint32_t>(over_.size());
   }
+  using occurrence_states = std::map<std::uint32_t, occurrence_state>;
+  // Occurrences with state, by number.
+  occurrence_states& Occurrences() { return occurrences_; }
+  const occurrence_states& Occurrences() const { return occurrences_; }
+  // Returns the first occurrence that has had no state yet; empty if all have,
+  // or if the job is final.
+  std::optional<std::uint32_t> NextOccurrence() const;
+  // Makes the state of an occurrence that is not over, if it has none.
+  void MakeOccurrence(std::uint32_t occurrence);
+  // Frees the states of occurrences that are over, and of all if the job is
+  // final and no task is active. References to their tasks become invalid.
+  void FreeEndedOccurrences();
+  // True if all tasks of the occurrence have succeeded.
+  bool IsOver(std::uint32_t occurrence) const;
+  // Returns the earliest occurrence that is not over, or the last one if all
+  // are.
+  std::uint32_t FirstIncomplete() const;
+  // Number of tasks of one occurrence.
+  std::size_t TasksPerOccurrence() const { return tasks_per_occurrence_; }
+  // The step's occurrence has state.
   step_state& StepOf(const task_state& task) {
-    return occurrences_[task.occurrence].steps[task.step];
+    return occurrences_.find(task.occurrence)->second.steps[task.step];
   }
+  // Returns null if there is no such task or it has no state.
   task_state* Find(const task_ref& ref);
 
   // Returns when the occurrence is due to start: at acceptance, or at its
   // scheduled time.
   core::monotonic_time DueStart(std::uint32_t occurrence) const;
+  std::int64_t DueUnixMs(std::uint32_t occurrence) const;
   // True if all steps that `step` depends on are done and the occurrence is
   // due.
   bool StepReady(std::uint32_t occurrence, std::uint32_t step,
                  std::int64_t now_unix_ms) const;
   // True if a step that is ready has a waiting task.
   bool AnyReadyTaskWaits(std::int64_t now_unix_ms) const;
-  // Number of waiting tasks, and of those that are long-running.
+  // Number of waiting tasks with state, and of those that are long-running.
   std::size_t WaitingTasks() const { return waiting_; }
   std::size_t WaitingLongRunning() const { return waiting_long_running_; }
-  const path_lengths& CriticalPath(std::uint32_t occurrence) const;
+  path_lengths CriticalPath(std::uint32_t occurrence) const;
   // True if all tasks of the job have succeeded.
   bool AllSucceeded() const;
   bool AnyActive() const;
@@ -231,7 +263,7 @@
   bool AnyBegun() const { return begun_; }
   void SetBegun() { begun_ = true; }
 
-  // Calls `visit` with each task.
+  // Calls `visit` with each task that has state.
   void ForEachTask(const std::function<void(task_state&)>& visit);
 
   schema::fleet_progress ToRecord() const;
@@ -286,9 +318,18 @@
  private:
   friend struct task_state;
 
-  std::int64_t DueUnixMs(std::uint32_t occurrence) const;
   void CountPhase(const task_state& task, task_phase from, task_phase to);
   void CountWaiting(const task_state& task, bool waits);
+  // Returns the critical path of an occurrence; `one` is null if it has no
+  // state.
+  path_lengths ComputePath(const occurrence_state* one, bool over) const;
+  void SetOver(std::uint32_t occurrence);
+  // Moves `next_` past occurrences that are over or have state.
+  void PassMade();
+  void ListDone(std::uint32_t occurrence, schema::fleet_progress& record) const;
+  void ListTasks(const occurrence_state& occurrence,
+                 schema::fleet_progress& record) const;
+  void RestoreTask(const schema::fleet_task& entry);
 
   schema::fleet_job spec_;
   std::optional<queue_spec> queue_;
@@ -296,7 +337,13 @@
   schema::fleet_job_state state_ = schema::FLEET_QUEUED;
   std::int64_t ended_unix_ms_ = 0;
   bool begun_ = false;
-  std::vector<occurrence_state> occurrences_;
+  occurrence_states occurrences_;
+  // Occurrences that are over and have no state.
+  std::vector<bool> over_;
+  std::uint32_t over_count_ = 0;
+  // All occurrences before this one are over or have state.
+  std::uint32_t next_ = 0;
+  std::size_t tasks_per_occurrence_;
   std::size_t waiting_ = 0;
   std::size_t waiting_long_running_ = 0;
 };
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -153,9 +153,8 @@
   const placement_scope scope{.service = service,
                               .advised = state_.IsAdvised(job),
                               .most_free = most_free_[service]};
-  std::vector<occurrence_state>& occurrences = job.Occurrences();
-  for (std::uint32_t k = 0; k < occurrences.size(); ++k) {
-    std::vector<step_state>& steps = occurrences[k].steps;
+  for (auto& [k, occurrence] : job.Occurrences()) {
+    std::vector<step_state>& steps = occurrence.steps;
     for (std::uint32_t s = 0; s < steps.size(); ++s) {
       if (steps[s].Done() || !job.StepReady(k, s, at.unix_ms)) continue;
       PlanStep(steps[s], scope, at);
--- a/src/waxwingfront/fleet/planning_order.cc
+++ b/src/waxwingfront/fleet/planning_order.cc
@@ -9,7 +9,8 @@
 
 // True if the job's first step is ready and a task of it has waited long.
 bool AnyWaitsLong(const job_state& job, core::monotonic_time now) {
-  const step_state& step = job.Occurrences().front().steps.front();
+  if (job.Occurrences().empty()) return false;
+  const step_state& step = job.Occurrences().begin()->second.steps.front();
   return step.waiting > 0 && step.ready_since &&
          std::ranges::any_of(step.tasks, [now](const task_state& task) {
            return WaitsLong(task, now);
@@ -18,7 +19,7 @@
 
 bool AnyInterruptedWaitsLong(const job_state& job, core::monotonic_time now) {
   if (job.WaitingLongRunning() == 0) return false;
-  for (const occurrence_state& occurrence : job.Occurrences()) {
+  for (const auto& [number, occurrence] : job.Occurrences()) {
     for (const step_state& step : occurrence.steps) {
       if (step.waiting == 0) continue;
       for (const task_state& task : step.tasks) {
@@ -32,22 +33,13 @@
   return false;
 }
 
-// Returns the earliest incomplete occurrence, or the last one if none is.
-std::uint32_t FirstIncomplete(const job_state& job) {
-  const std::vector<occurrence_state>& all = job.Occurrences();
-  for (std::uint32_t k = 0; k + 1 < all.size(); ++k) {
-    if (!std::ranges::all_of(all[k].steps, &step_state::Done)) return k;
-  }
-  return static_cast<std::uint32_t>(all.size()) - 1;
-}
-
 ranked_job Rank(const fleet_state& state, job_state& job, std::uint64_t sweep,
                 core::monotonic_time now) {
   const queue_spec* const spec = state.QueueOf(job);
-  const std::uint32_t occurrence = FirstIncomplete(job);
+  const std::uint32_t occurrence = job.FirstIncomplete();
   const job_deadlines deadlines = ComputeDeadlines(job, occurrence, spec);
   const deadline_feasibility feasibility = FeasibilityOf(deadlines, now);
-  const bool is_last = occurrence + 1 == job.Occurrences().size();
+  const bool is_last = occurrence + 1 == job.OccurrenceCount();
   const schema::fleet_step& first = job.Spec().steps(0);
   const bool is_long_running = first.long_running();
   return {.visited = job.planned_sweep == sweep,
--- a/src/waxwingfront/fleet/rejection_log.cc
+++ b/src/waxwingfront/fleet/rejection_log.cc
@@ -27,6 +27,16 @@
              {"retry_after_ms", refusal.retry_after.count()}});
 }
 
+void LogMemoryFull(logging::event_log& log, const std::string& job,
+                   const memory_refusal& refusal) {
+  log.Write("job_without_memory",
+            {{"job", job},
+             {"needed_bytes", static_cast<std::int64_t>(refusal.needed)},
+             {"committed_bytes", static_cast<std::int64_t>(refusal.committed)},
+             {"limit_bytes", static_cast<std::int64_t>(refusal.limit)},
+             {"retry_after_ms", refusal.retry_after.count()}});
+}
+
 void LogWorkRefused(logging::event_log& log, const std::string& job,
                     const work_refusal& refusal) {
   constexpr double kPercent = 100.0;
--- a/src/waxwingfront/fleet/rejection_log.h
+++ b/src/waxwingfront/fleet/rejection_log.h
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "waxwingfront/fleet/job_memory.h"
 #include "waxwingfront/fleet/standing_admission.h"
 #include "waxwingfront/fleet/start_admission.h"
 #include "waxwingfront/fleet/work_admission.h"
@@ -15,6 +16,8 @@
                const standing_room& figures);
 void LogLinkFull(logging::event_log& log, const std::string& job,
                  const start_refusal& refusal);
+void LogMemoryFull(logging::event_log& log, const std::string& job,
+                   const memory_refusal& refusal);
 // Levels of tasks and the rate are in hundredths.
 void LogWorkRefused(logging::event_log& log, const std::string& job,
                     const work_refusal& refusal);
--- a/src/waxwingfront/fleet/standing_admission.cc
+++ b/src/waxwingfront/fleet/standing_admission.cc
@@ -79,11 +79,11 @@
 void ForEachShortTask(const job_state& job, const queue_spec* queue,
                       const core::resources& largest, moment at,
                       const std::function<void(const task_state&)>& visit) {
-  for (std::uint32_t k = 0; k < job.Occurrences().size(); ++k) {
+  for (const auto& [k, occurrence] : job.Occurrences()) {
     const bool useful =
         FeasibilityOf(ComputeDeadlines(job, k, queue), at.now) !=
         deadline_feasibility::kInfeasible;
-    const std::vector<step_state>& steps = job.Occurrences()[k].steps;
+    const std::vector<step_state>& steps = occurrence.steps;
     for (std::uint32_t s = 0; s < steps.size(); ++s) {
       const std::vector<task_state>& tasks = steps[s].tasks;
       if (!IsShort(tasks.front().Spec()) || steps[s].Done()) continue;
--- a/src/waxwingfront/fleet/start_backlog.cc
+++ b/src/waxwingfront/fleet/start_backlog.cc
@@ -46,13 +46,12 @@
 }
 
 void AddPending(const job_state& job, std::uint32_t occurrence,
-                const queue_spec* queue, moment at,
-                std::vector<pending_starts>& pending) {
+                const std::vector<step_state>& steps, const queue_spec* queue,
+                moment at, std::vector<pending_starts>& pending) {
   const job_deadlines deadlines = ComputeDeadlines(job, occurrence, queue);
   if (FeasibilityOf(deadlines, at.now) == deadline_feasibility::kInfeasible) {
     return;
   }
-  const std::vector<step_state>& steps = job.Occurrences()[occurrence].steps;
   const std::vector<core::milliseconds> until_end =
       TimesToEnd(job.Spec(), steps);
   std::vector<core::monotonic_time> done(steps.size(), at.now);
@@ -84,9 +83,9 @@
   for (const job_state* const job : state.live) {
     if (job->Final()) continue;
     const queue_spec* const queue = state.QueueOf(*job);
-    for (std::uint32_t k = 0; k < job->Occurrences().size(); ++k) {
+    for (const auto& [k, occurrence] : job->Occurrences()) {
       if (job->DueStart(k) > at.now) break;
-      AddPending(*job, k, queue, at, pending);
+      AddPending(*job, k, occurrence.steps, queue, at, pending);
     }
   }
   return pending;
@@ -116,7 +115,8 @@
       .latest_useful =
           deadlines.latest_useful_end - deadlines.remaining_critical_path,
       .earliest = at.now};
-  const std::vector<step_state>& steps = state.Occurrences().front().steps;
+  const std::vector<step_state>& steps =
+      state.Occurrences().begin()->second.steps;
   for (std::size_t s = 0; s < steps.size(); ++s) {
     if (!job.steps(static_cast<int>(s)).after().empty()) continue;
     first.bytes += PendingBytes(steps[s]);
--- a/src/waxwingfront/fleet/work_load.cc
+++ b/src/waxwingfront/fleet/work_load.cc
@@ -72,12 +72,12 @@
     work_level& level = sample[*kind];
     ++level.jobs;
     const queue_spec* const queue = state.QueueOf(*job);
-    for (std::uint32_t k = 0; k < job->Occurrences().size(); ++k) {
+    for (const auto& [k, occurrence] : job->Occurrences()) {
       if (job->DueStart(k) > now) break;
       const bool useful =
           FeasibilityOf(ComputeDeadlines(*job, k, queue), now) !=
           deadline_feasibility::kInfeasible;
-      for (const step_state& step : job->Occurrences()[k].steps) {
+      for (const step_state& step : occurrence.steps) {
         if (!step.Done()) AddStep(step, useful, now, level);
       }
     }
--- a/src/waxwingfront/fleet/work_monitor.cc
+++ b/src/waxwingfront/fleet/work_monitor.cc
@@ -30,7 +30,8 @@
 
 // Returns the time that the job needs on its own, by the estimates.
 core::milliseconds EstimatedTime(const job_state& job) {
-  const job_state fresh(job.Spec(), job.Accepted());
+  const job_state fresh(job.Spec(), job.Accepted(),
+                        occurrence_creation::kDeferred);
   return ComputeDeadlines(fresh, 0, job.QueueAtAcceptance())
       .remaining_critical_path;
 }
@@ -84,7 +85,7 @@
 job_outcome OutcomeOf(const job_state& job, core::monotonic_time now) {
   if (job.State() == schema::FLEET_CANCELLED) return job_outcome::kCancelled;
   if (job.State() != schema::FLEET_COMPLETED) return job_outcome::kFailed;
-  const auto last = static_cast<std::uint32_t>(job.Occurrences().size() - 1);
+  const std::uint32_t last = job.OccurrenceCount() - 1;
   const job_deadlines deadlines =
       ComputeDeadlines(job, last, job.QueueAtAcceptance());
   if (now <= deadlines.due) return job_outcome::kOnTime;
--- a/tests/platform/entries_test.cc
+++ b/tests/platform/entries_test.cc
@@ -214,6 +214,19 @@
   CHECK(job.error().detail.starts_with("steps[1]." + field));
 }
 
+// Guards against a job whose state exceeds a leader's memory though each number
+// is in its range.
+TEST_CASE("a submission with too many tasks in all is rejected with the reason",
+          "[platform]") {
+  const std::string step = R"({"count":4096})";
+  CHECK(ReadJob(R"({"steps":[)" + step + "," + step + R"(]})"));
+  const auto job =
+      ReadJob(R"({"steps":[)" + step + "," + step + R"(,{"count":1}]})");
+  REQUIRE_FALSE(job);
+  CHECK(job.error().code == core::error_code::kInvalidRequest);
+  CHECK(job.error().detail == "steps have more than 8192 tasks in all");
+}
+
 TEST_CASE("occurrences beyond the range of the clock are rejected",
           "[platform]") {
   const std::string times = GENERATE(
--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -28,6 +28,7 @@
     "bounds.grace_s=6\nbounds.max_hold_ms=10000\n"
     "bounds.drain_ms=3000\nplatform.min_ttl_ms=1000\n"
     "limits.cpu_share=0.1\nlimits.cores=2\nlimits.link_mbps=10.0\n"
+    "limits.memory_mb=260\n"
     "platform.writes_per_s=1200.0\n"
     "a_field_of_tomorrow=1\n";
 
@@ -43,6 +44,7 @@
   CHECK(settings->drain_bound == core::milliseconds(3000));
   CHECK(settings->machine.cores == Approx(0.2));
   CHECK(settings->machine.link_mbps == 10.0);
+  CHECK(settings->memory_mb == 260);
   CHECK(settings->store_writes_per_s == 1200.0);
 }
 
