--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -57,20 +57,14 @@
              .leader = [this] { return RemoteLeader(); },
              .recheck_leader = [this] { election->RecheckLeader(); },
              .confirm_leadership =
-                 [this](auto done) { check.Confirm(std::move(done)); },
+                 std::bind_front(&leadership_check::Confirm, &check),
              .confirm_recent_leadership =
-                 [this](auto done) { check.ConfirmRecent(std::move(done)); },
+                 std::bind_front(&leadership_check::ConfirmRecent, &check),
              .now = ReadClocks,
              .on_no_room = std::bind_front(LogNoRoom, std::ref(log)),
              .on_link_full = std::bind_front(LogLinkFull, std::ref(log)),
-             .on_work_refused =
-                 [this](const std::string& job, const work_refusal& refusal) {
-                   work.Refused(job, refusal);
-                 },
-             .on_memory_full =
-                 [this](const std::string& job, const memory_refusal& refusal) {
-                   LogMemoryFull(log, job, refusal);
-                 }}),
+             .on_work_refused = std::bind_front(&work_monitor::Refused, &work),
+             .on_memory_full = std::bind_front(LogMemoryFull, std::ref(log))}),
         server(loop,
                {.address = options.internal_address,
                 .more_addresses = options.more_internal_addresses,
@@ -110,11 +104,7 @@
         leader_announcer_hooks{
             .strongest = [this] { return choice->StrongestReady(core::Now()); },
             .on_member_status =
-                [this](const std::string& address,
-                       const schema::fleet_standing& status,
-                       core::monotonic_time sent) {
-                  OnMemberStatus(address, status, sent);
-                },
+                std::bind_front(&internal::OnMemberStatus, this),
             .on_round =
                 [this](std::size_t members) {
                   LogSearch(log, *choice, members);
@@ -128,16 +118,10 @@
     election = std::make_unique<leadership>(
         loop, store, std::move(election_options),
         leadership_hooks{
-            .on_elected =
-                [this](std::int64_t token, core::monotonic_time claimed) {
-                  OnElected(token, claimed);
-                },
-            .on_deposed = [this](std::string_view why) { OnDeposed(why); },
+            .on_elected = std::bind_front(&internal::OnElected, this),
+            .on_deposed = std::bind_front(&internal::OnDeposed, this),
             .on_leader_change =
-                [this](const std::string& address) {
-                  log.Write("leader_known", {{"address", address}});
-                  choice->OnLeading(address, core::Now());
-                },
+                std::bind_front(&internal::OnLeaderChange, this),
             .boot_time_ms = BootTimeMs,
             .on_stage = StageHook(),
             .random =
@@ -191,6 +175,11 @@
     HandOverTo(choice->Successor(core::Now()));
   }
 
+  void OnLeaderChange(const std::string& address) {
+    log.Write("leader_known", {{"address", address}});
+    choice->OnLeading(address, core::Now());
+  }
+
   void HandOverTo(const std::optional<std::string>& successor) {
     if (!successor || !election->Leading()) return;
     log.Write("leader_hands_over",
