Send as many calls for advice as the adviser can answer in time

Cause: the adviser handles one call of a process at a time, but 16 were sent at once, and each ticket's validity counted from the sending of its call. With calls of 180 ms a ticket of 3 s was void when it came; its step was asked for again at once, so that the adviser was always busy with calls of no use. The fixed time-out of 3 s gave up longer calls in the same way.

Change: advice_pacer derives the calls on their way and their time-outs from decision_ms, per_worker_ms and valid_ms of the manifest and from the calls not answered yet. Validity counts from the earliest begin of a call's handling, which is not before the end of the one before it. step_advice asks for the first step in the order of starts when a call can be sent, on the executors as they are then, for none that cannot start, and for a gang only if it fits as a whole. Replies whose tickets are all void are logged and counted (permits_void) and their step waits. A start needs 100 ms of its ticket's validity when it is sent instead of the 400 ms that its placement needed.

Tests: advice_burst_test plays the case in simulated time and a property over advisers and bursts; advice_pacer_test, and cases in step_permits_test, advice_driver_test and entries_test. step_permits::RecordReply takes the time of the reply, so its two existing calls pass it; the checks are unchanged. executor_client_test states the time-out of its call, which was fixed before.

The new tests were not run on the code before the change.

--- a/src/waxwingfront/fleet/decision_log.cc
+++ b/src/waxwingfront/fleet/decision_log.cc
@@ -112,4 +112,12 @@
              PriorityOf(task));
 }
 
+void decision_log::PermitsVoid(const advice_request& request) {
+  log_.Write("permits_void",
+             {{"job", request.step.job},
+              {"step", std::int64_t{request.step.step}},
+              {"asked", static_cast<std::int64_t>(request.executors.size())},
+              {"valid_ms", std::int64_t{request.figures.valid.count()}}});
+}
+
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/decision_log.h
+++ b/src/waxwingfront/fleet/decision_log.h
@@ -27,6 +27,8 @@
   // The start waits for its executor to respond to another hold.
   void StartDelayed(const start_order& order, moment at);
   void RunEnded(const task_state& task, run_outcome outcome);
+  // All permits of the reply were void when it came.
+  void PermitsVoid(const advice_request& request);
 
  private:
   logging::event_log& log_;
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -38,7 +38,8 @@
       journal_(state_),
       reserve_(state_, PlacementCost(), {.expiry = options.runs.expiry}),
       planner_(state_, PlacementCost(), PlacementEpoch(), distance_),
-      rebalancer_(state_, {}, PlacementCost()) {
+      rebalancer_(state_, {}, PlacementCost()),
+      advice_(state_, PlacementCost()) {
   planner_.on_placed = [this](const task_state& task, moment at) {
     if (task.Spec().long_running()) sharing_.OnServingPlaced(task);
     if (start_admission_.IsCongested(at.now)) {
@@ -344,33 +345,6 @@
   if (held != nullptr) sharing_.OnReport(*held, at.now);
 }
 
-step_permits* fleet_core::FindPermits(const step_ref& step) {
-  task_state* const task = state_.FindTask(
-      {.job = step.job, .occurrence = step.occurrence, .step = step.step});
-  return task == nullptr ? nullptr : &task->job->StepOf(*task).permits;
-}
-
-void fleet_core::OnAdviceSent(const advice_request& request,
-                              core::monotonic_time now) {
-  step_permits* const permits = FindPermits(request.step);
-  if (permits != nullptr) permits->RecordSent(now);
-}
-
-void fleet_core::OnAdvice(const advice_request& request,
-                          const std::optional<advice_reply>& reply, moment at) {
-  step_permits* const permits = FindPermits(request.step);
-  if (permits == nullptr) return;
-  if (reply) {
-    permits->RecordReply(*reply);
-    // Permits may expire before the sweep has visited all other jobs.
-    if (!reply->permits.empty()) {
-      state_.FindJob(request.step.job)->planned_sweep = 0;
-    }
-  } else {
-    permits->RecordFailure(at.now);
-  }
-}
-
 void fleet_core::OnStartResponse(const start_order& order,
                                  start_outcome outcome, moment at) {
   state_.starts.OnResponse(order, outcome, at.now);
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -27,6 +27,7 @@
 #include "waxwingfront/fleet/start_admission.h"
 #include "waxwingfront/fleet/start_backlog.h"
 #include "waxwingfront/fleet/start_queue.h"
+#include "waxwingfront/fleet/step_advice.h"
 #include "waxwingfront/fleet/work_admission.h"
 #include "waxwingfront/fleet/work_load.h"
 
@@ -140,11 +141,12 @@
               core::monotonic_time sent, moment at);
   void OnStartResponse(const start_order& order, start_outcome outcome,
                        moment at);
-  // Records that the request was sent now; its permits are valid from then on.
-  void OnAdviceSent(const advice_request& request, core::monotonic_time now);
-  // Handles the adviser's reply; empty if the request failed.
+  // See `step_advice::OnReply`.
   void OnAdvice(const advice_request& request,
-                const std::optional<advice_reply>& reply, moment at);
+                const std::optional<advice_reply>& reply, moment at) {
+    advice_.OnReply(request, reply, at);
+  }
+  step_advice& Advice() { return advice_; }
   const order_deadlines& Deadlines() const { return deadlines_; }
   run_tracker& Runs() { return runs_; }
   fleet_journal& Journal() { return journal_; }
@@ -205,8 +207,6 @@
   // Removes deregistered executors that cannot have active runs.
   void DropUnused();
   executor_state& EnsureExecutor(const std::string& id);
-  // Returns null if the step's job is gone.
-  step_permits* FindPermits(const step_ref& step);
 
   fleet_options options_;
   processor_stages* processor_ = nullptr;
@@ -225,6 +225,7 @@
   capacity_reserve reserve_;
   planner planner_;
   rebalancer rebalancer_;
+  step_advice advice_;
   // Bounds on the leases that earlier leaders gave.
   lease_lapses inherited_;
   core::monotonic_time restored_at_{};
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -90,6 +90,9 @@
     core.on_reserve_changed = [this](const reserve_summary& summary) {
       decisions.ReserveChanged(summary);
     };
+    core.Advice().on_void = [this](const advice_request& request, moment) {
+      decisions.PermitsVoid(request);
+    };
     core.Rebalancer().on_move = [this](const task_state& task, moment) {
       decisions.Moved(task);
     };
--- a/src/waxwingfront/fleet/fleet_leader.h
+++ b/src/waxwingfront/fleet/fleet_leader.h
@@ -28,7 +28,7 @@
 struct fleet_leader_options {
   fleet_options core;
   executor_driver_options driver;
-  advice_driver_options advice;
+  advice_pacer_options advice;
   write_pacer_options writes;
   // Minimum time between two rounds of planning; costs no latency, since starts
   // wait for a transaction anyway.
--- a/src/waxwingfront/fleet/placement.cc
+++ b/src/waxwingfront/fleet/placement.cc
@@ -13,10 +13,6 @@
 // gaps.
 constexpr std::size_t kExecutorsPerReservation = 30;
 
-// Maximum number of executors in one advice request, since each lengthens the
-// response. The platform expects 30 for each step.
-constexpr std::size_t kMaxAdvisedExecutors = 30;
-
 // Higher than any load cost, and so is the difference.
 constexpr double kUnprovenCost = 10.0;
 constexpr double kRecentFailureCost = 20.0;
@@ -181,33 +177,6 @@
   return suspect ? kUnprovenCost : 0.0;
 }
 
-std::vector<std::string> ExecutorsToAdvise(const fleet_state& state,
-                                           const task_state& task,
-                                           std::string_view service,
-                                           core::monotonic_time now,
-                                           const placement_cost& cost) {
-  const step_permits& permits = task.job->StepOf(task).permits;
-  std::vector<std::pair<double, std::string>> ranked;
-  for (const auto& [id, executor] : state.executors) {
-    if (executor.info.service != service || !executor.MayStart(task, now) ||
-        permits.IsRefused(id) || !Fits(executor, task) ||
-        !permits.Ticket(id, now).empty()) {
-      continue;
-    }
-    const double here = cost(executor, task, now);
-    if (!std::isinf(here)) ranked.emplace_back(here, id);
-  }
-  const std::size_t count = std::min(ranked.size(), kMaxAdvisedExecutors);
-  std::partial_sort(ranked.begin(),
-                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
-                    ranked.end());
-  std::vector<std::string> executors;
-  for (std::size_t i = 0; i < count; ++i) {
-    executors.push_back(std::move(ranked[i].second));
-  }
-  return executors;
-}
-
 executor_state* ChooseExecutor(fleet_state& state, const task_state& task,
                                std::string_view service,
                                core::monotonic_time now,
--- a/src/waxwingfront/fleet/placement.h
+++ b/src/waxwingfront/fleet/placement.h
@@ -88,15 +88,6 @@
 double HealthCost(const executor_state& executor, const task_state& task,
                   core::monotonic_time now);
 
-// Returns the cheapest executors of `service` on which the task fits and for
-// which it needs a permit that was neither given nor refused, as many as one
-// advice request may have.
-std::vector<std::string> ExecutorsToAdvise(const fleet_state& state,
-                                           const task_state& task,
-                                           std::string_view service,
-                                           core::monotonic_time now,
-                                           const placement_cost& cost);
-
 // Added to the cost of an executor on which the task has just failed; higher
 // than any load cost.
 inline constexpr double kFailedHereCost = 100.0;
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "waxwingfront/fleet/reserved_placement.h"
+#include "waxwingfront/fleet/step_advice.h"
 
 namespace waxwingfront::fleet {
 namespace {
@@ -366,6 +367,7 @@
   executor.UseReservation(task);
   executor.Add(task);
   state_.starts.OnPlaced(task);
+  job.StepOf(task).permits.RecordPlacement();
   if (on_placed) on_placed(task, at);
 }
 
@@ -387,14 +389,11 @@
   if (!scope.advised || !step.permits.MayRequest(at.now)) return;
   if (!scope.most_free.Holds(waiting.Needs())) return;
   compared_ = true;
-  std::vector<std::string> executors =
-      ExecutorsToAdvise(state_, waiting, scope.service, at.now, cost_);
-  if (executors.empty()) return;
-  state_.outgoing.advice.push_back({.step = {.job = waiting.job->Id(),
-                                             .occurrence = waiting.occurrence,
-                                             .step = waiting.step},
-                                    .executors = executors});
-  step.permits.RecordRequest(std::move(executors), at.now);
+  advice_request request =
+      AdviceRequestFor(state_, waiting, scope.service, at.now, cost_);
+  if (request.executors.empty()) return;
+  step.permits.RecordRequest(request.executors, at.now);
+  state_.outgoing.advice.push_back(std::move(request));
 }
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -11,6 +11,9 @@
 // Executors report at most this many ends at once.
 constexpr std::size_t kMaxEndsPerReport = 500;
 
+// Minimum remaining validity of a ticket for sending a start.
+constexpr core::milliseconds kMinTicketValidity{100};
+
 // Any member's checkpoint is valid for the whole gang, whose members must all
 // start from the same one.
 void RecordCheckpoint(task_state& task, const std::string& checkpoint) {
@@ -245,8 +248,8 @@
     return;
   }
   executor_state* const executor = state_.FindExecutor(task.executor);
-  const std::string_view permit =
-      job.StepOf(task).permits.Ticket(task.executor, at.now);
+  const std::string_view permit = job.StepOf(task).permits.Ticket(
+      task.executor, at.now, kMinTicketValidity);
   if (job.Final() || executor == nullptr || !executor->MayStart(task, at.now) ||
       (state_.IsAdvised(job) && permit.empty())) {
     EndRun(task, run_outcome::kNotStarted, at);
--- a/src/waxwingfront/fleet/step_permits.cc
+++ b/src/waxwingfront/fleet/step_permits.cc
@@ -1,16 +1,16 @@
 #include "waxwingfront/fleet/step_permits.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace waxwingfront::fleet {
 namespace {
 
-// Minimum remaining validity of a ticket: a start waits until its record is
-// stored and takes some milliseconds to arrive.
-constexpr core::milliseconds kTicketMargin{400};
-// Delay after a request without a response; the adviser responds within some
-// tens of milliseconds and rejects calls when it is busy.
-constexpr core::milliseconds kRetryDelay{150};
+// Delay after a call without usable permits, doubled with each further one.
+constexpr core::milliseconds kMinRetryDelay{150};
+constexpr core::milliseconds kMaxRetryDelay{1200};
+// Time that a response takes to arrive.
+constexpr core::milliseconds kResponseDelay{100};
 
 }  // namespace
 
@@ -25,27 +25,53 @@
   requested_ = std::move(executors);
 }
 
-void step_permits::RecordReply(const advice_reply& reply) {
+void step_permits::Withdraw() {
   in_flight_ = false;
-  const core::monotonic_time until = requested_at_ + reply.valid;
+  requested_.clear();
+}
+
+bool step_permits::RecordReply(const advice_reply& reply,
+                               core::monotonic_time now) {
+  core::monotonic_time from = reply.valid_from.value_or(requested_at_);
+  // The adviser may be slower than stated. Executors reject what is void.
+  if (last_were_void_) from = std::max(from, now - kResponseDelay);
+  const core::monotonic_time until = from + reply.valid;
   for (const std::string& executor : requested_) refused_.insert(executor);
   for (const advice_reply::permit& row : reply.permits) {
     refused_.erase(row.executor);
     permits_[row.executor] = {.ticket = row.ticket, .until = until};
   }
-  requested_.clear();
+  Withdraw();
+  if (reply.permits.empty()) return true;
+  ++unused_calls_;
+  last_were_void_ = now + kTicketMargin >= until;
+  if (last_were_void_) {
+    Delay(now);
+  } else {
+    failures_ = 0;
+  }
+  return !last_were_void_;
 }
 
 void step_permits::RecordFailure(core::monotonic_time now) {
-  in_flight_ = false;
-  not_before_ = now + kRetryDelay;
-  requested_.clear();
+  Withdraw();
+  ++unused_calls_;
+  Delay(now);
+}
+
+void step_permits::Delay(core::monotonic_time now) {
+  constexpr int kMaxDoublings = 8;
+  not_before_ =
+      now + std::min(kMinRetryDelay * (1 << std::min(failures_, kMaxDoublings)),
+                     kMaxRetryDelay);
+  ++failures_;
 }
 
 std::string_view step_permits::Ticket(std::string_view executor,
-                                      core::monotonic_time now) const {
+                                      core::monotonic_time now,
+                                      core::milliseconds margin) const {
   const auto found = permits_.find(executor);
-  if (found == permits_.end() || now + kTicketMargin >= found->second.until) {
+  if (found == permits_.end() || now + margin >= found->second.until) {
     return {};
   }
   return found->second.ticket;
@@ -53,7 +79,9 @@
 
 void step_permits::RemoveTicket(std::string_view executor) {
   const auto found = permits_.find(executor);
-  if (found != permits_.end()) permits_.erase(found);
+  if (found == permits_.end()) return;
+  permits_.erase(found);
+  ++unused_calls_;
 }
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/types.h
+++ b/src/waxwingfront/fleet/types.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,15 @@
   friend auto operator<=>(const task_ref&, const task_ref&) = default;
 };
 
+// What the manifest states of the adviser for a queue.
+struct advice_figures {
+  // A call takes `decision` and `per_executor` for each executor named.
+  core::milliseconds decision{200};
+  core::milliseconds per_executor{5};
+  // How long a ticket is valid.
+  core::milliseconds valid{3000};
+};
+
 // Operator configuration of one queue.
 struct queue_spec {
   std::string name;
@@ -44,6 +54,7 @@
   // An external adviser decides which executors may run a step of the queue's
   // jobs.
   bool advised = false;
+  advice_figures advice = {};
 };
 
 struct service_spec {
@@ -157,6 +168,9 @@
 struct advice_request {
   step_ref step;
   std::vector<std::string> executors;
+  advice_figures figures = {};
+  // How long to wait for the response.
+  core::milliseconds timeout{0};
 };
 
 struct advice_reply {
@@ -165,8 +179,10 @@
     std::string ticket;
   };
   std::vector<permit> permits;
-  // Counted from the time of the request.
+  // How long each ticket is valid; 0 if the adviser does not state it.
   core::milliseconds valid{0};
+  // Since when; from the time of the request if empty.
+  std::optional<core::monotonic_time> valid_from = {};
 };
 
 struct orders {
--- a/tests/platform/entries_test.cc
+++ b/tests/platform/entries_test.cc
@@ -159,6 +159,32 @@
   CHECK(manifest->limits.max_body_bytes == 2000);
 }
 
+TEST_CASE("a queue's advice is parsed, and has defaults", "[platform]") {
+  const auto read = [](const std::string& advice) {
+    return ReadManifest(
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+        R"("service":"s")" +
+        advice + "}]}");
+  };
+  const auto stated = read(
+      R"(,"advice":{"decision_ms":150,"per_worker_ms":3,"valid_ms":2500})");
+  REQUIRE(stated);
+  CHECK(stated->queues[0].advised);
+  CHECK(stated->queues[0].advice.decision == core::milliseconds(150));
+  CHECK(stated->queues[0].advice.per_executor == core::milliseconds(3));
+  CHECK(stated->queues[0].advice.valid == core::milliseconds(2500));
+  const auto omitted = read(R"(,"advice":{})");
+  REQUIRE(omitted);
+  CHECK(omitted->queues[0].advised);
+  CHECK(omitted->queues[0].advice.valid == core::milliseconds(3000));
+  const auto without = read("");
+  REQUIRE(without);
+  CHECK_FALSE(without->queues[0].advised);
+  const auto wrong = read(R"(,"advice":{"decision_ms":-1})");
+  REQUIRE_FALSE(wrong);
+  CHECK(wrong.error().detail.starts_with("routes[0].advice.decision_ms"));
+}
+
 TEST_CASE("a manifest with missing or mistyped fields is rejected",
           "[platform]") {
   CHECK_FALSE(ReadManifest("{}"));
--- a/tests/platform/executor_client_test.cc
+++ b/tests/platform/executor_client_test.cc
@@ -68,7 +68,9 @@
 
   core::error_code AdviceError() {
     std::optional<core::result<fleet::advice_reply>> got;
-    services.advise({.step = {.job = "j"}, .executors = {"e"}},
+    services.advise({.step = {.job = "j"},
+                     .executors = {"e"},
+                     .timeout = core::milliseconds(3000)},
                     [&got](core::result<fleet::advice_reply> reply) {
                       got = std::move(reply);
                     });
--- a/tests/support/fleet_fixture.cc
+++ b/tests/support/fleet_fixture.cc
@@ -31,7 +31,8 @@
          .max_attempts = queue.max_attempts,
          .stretch = queue.stretch,
          .target_duration = core::milliseconds(queue.target_duration_ms),
-         .advised = queue.advised});
+         .advised = queue.advised,
+         .advice = queue.advice});
   }
   return result;
 }
--- a/tests/support/fleet_fixture.h
+++ b/tests/support/fleet_fixture.h
@@ -21,6 +21,7 @@
   double stretch = 2.0;
   std::int64_t target_duration_ms = 1000;
   bool advised = false;
+  fleet::advice_figures advice = {};
 };
 
 fleet::manifest ManifestOf(const std::vector<queue_options>& queues);
--- a/tests/waxwingfront/fleet/advice_driver_test.cc
+++ b/tests/waxwingfront/fleet/advice_driver_test.cc
@@ -64,6 +64,55 @@
   CHECK(decided.starts[0].task.job == adviser.requests[1].step.job);
 }
 
+TEST_CASE("advice is requested in the order in which steps would start",
+          "[fleet]") {
+  fleet_fixture fixture({{.name = "low", .priority = 1, .advised = true},
+                         {.name = "high", .priority = 0, .advised = true}});
+  fixture.AddExecutor("a", 8000);
+  std::int64_t now_ms = 10;
+  slow_adviser adviser;
+  logging::event_log log({.descriptor = -1});
+  fleet::advice_driver driver(
+      adviser.services, fixture.Core(), {.max_in_flight = 1},
+      {.on_progress = [] {}, .now = [&now_ms] { return At(now_ms); }}, log);
+  fixture.Core().Submit(JobOf("first", 1, 1000, "low"), At(0));
+  driver.Send(fixture.Step(now_ms).advice);
+  fixture.Core().Submit(JobOf("second", 1, 1000, "low"), At(11));
+  fixture.Core().Submit(JobOf("cancelled", 1, 1000, "high"), At(11));
+  driver.Send(fixture.Step(20).advice);
+  fixture.Core().Submit(JobOf("urgent", 1, 1000, "high"), At(21));
+  driver.Send(fixture.Step(30).advice);
+  fixture.Core().Cancel("cancelled", At(40));
+  REQUIRE(adviser.requests.size() == 1);
+  now_ms = 50;
+  for (int i = 0; i < 3; ++i) adviser.PermitNext(core::milliseconds(3000));
+  REQUIRE(adviser.requests.size() == 3);
+  CHECK(adviser.requests[0].step.job == "first");
+  CHECK(adviser.requests[1].step.job == "urgent");
+  CHECK(adviser.requests[2].step.job == "second");
+}
+
+// Guards against advice that was asked for in vain: room may have gone while
+// the request waited.
+TEST_CASE("a step that cannot start any more is not asked for", "[fleet]") {
+  fleet_fixture fixture({{.name = "advised", .advised = true}, {}});
+  fixture.AddExecutor("a", 8000);
+  std::int64_t now_ms = 10;
+  slow_adviser adviser;
+  logging::event_log log({.descriptor = -1});
+  fleet::advice_driver driver(
+      adviser.services, fixture.Core(), {.max_in_flight = 1},
+      {.on_progress = [] {}, .now = [&now_ms] { return At(now_ms); }}, log);
+  fixture.Core().Submit(JobOf("first", 1, 1000, "advised"), At(0));
+  fixture.Core().Submit(JobOf("second", 1, 1000, "advised"), At(0));
+  driver.Send(fixture.Step(now_ms).advice);
+  fixture.Core().Submit(JobOf("other", 1, 7500), At(20));
+  REQUIRE(fixture.StepAccepted(30).starts.size() == 1);
+  now_ms = 40;
+  adviser.PermitNext(core::milliseconds(3000));
+  CHECK(adviser.requests.size() == 1);
+}
+
 // Guards against permits that have expired at each visit of their job.
 TEST_CASE("a job with new permits does not wait for visits of other jobs",
           "[fleet]") {
--- a/tests/waxwingfront/fleet/step_permits_test.cc
+++ b/tests/waxwingfront/fleet/step_permits_test.cc
@@ -18,7 +18,7 @@
   fleet::step_permits permits;
   permits.RecordRequest({"a", "b"}, At(0).now);
   CHECK_FALSE(permits.MayRequest(At(10).now));
-  permits.RecordReply(Permit("a"));
+  permits.RecordReply(Permit("a"), At(10).now);
   CHECK(permits.MayRequest(At(10).now));
   CHECK(permits.Ticket("a", At(100).now) == "t");
   CHECK(permits.Ticket("a", At(2990).now).empty());
@@ -27,6 +27,36 @@
   CHECK_FALSE(permits.IsRefused("a"));
 }
 
+// Guards against steps that are requested without end while their tickets come
+// too late.
+TEST_CASE("a step is not requested again at once when its tickets come void",
+          "[fleet]") {
+  fleet::step_permits permits;
+  permits.RecordRequest({"a"}, At(0).now);
+  CHECK_FALSE(permits.RecordReply(Permit("a"), At(2900).now));
+  CHECK(permits.Ticket("a", At(2900).now).empty());
+  CHECK_FALSE(permits.MayRequest(At(2910).now));
+  CHECK(permits.MayRequest(At(3100).now));
+  CHECK(permits.UnusedCalls() == 1);
+  SECTION("and the next ones are tried, whatever their call took") {
+    permits.RecordRequest({"a"}, At(3100).now);
+    CHECK(permits.RecordReply(Permit("a"), At(6000).now));
+    CHECK(permits.Ticket("a", At(6000).now) == "t");
+    permits.RecordPlacement();
+    CHECK(permits.UnusedCalls() == 0);
+  }
+}
+
+TEST_CASE("a ticket counts from the time that its reply states", "[fleet]") {
+  fleet::step_permits permits;
+  permits.RecordRequest({"a"}, At(0).now);
+  fleet::advice_reply reply = Permit("a");
+  reply.valid_from = At(2000).now;
+  CHECK(permits.RecordReply(reply, At(2900).now));
+  CHECK(permits.Ticket("a", At(4500).now) == "t");
+  CHECK(permits.Ticket("a", At(4700).now).empty());
+}
+
 TEST_CASE("a failed advice request is retried only after a delay", "[fleet]") {
   fleet::step_permits permits;
   permits.RecordRequest({"a"}, At(0).now);
@@ -104,5 +134,33 @@
   CHECK(fixture.Step(1000).advice.size() == 1);
 }
 
+// Guards against advice that is spent on gangs without room.
+TEST_CASE("no advice is requested for a gang that does not fit as a whole",
+          "[fleet]") {
+  fleet_fixture fixture(std::vector<queue_options>{{.advised = true}});
+  fixture.AddExecutor("a", 8000);
+  schema::fleet_job gang = JobOf("gang", 3, 4000);
+  gang.mutable_steps(0)->set_gang(true);
+  fixture.Core().Submit(gang, At(0));
+  CHECK(fixture.Step(10).advice.empty());
+  fixture.AddExecutor("b", 8000);
+  const fleet::orders asked = fixture.Step(20);
+  REQUIRE(asked.advice.size() == 1);
+  CHECK(asked.advice[0].executors.size() == 2);
+}
+
+TEST_CASE("a wide gang is advised on at once", "[fleet]") {
+  fleet_fixture fixture(std::vector<queue_options>{{.advised = true}});
+  for (int i = 0; i < 200; ++i) {
+    fixture.AddExecutor("e" + std::to_string(i), 8000);
+  }
+  schema::fleet_job gang = JobOf("gang", 40, 8000);
+  gang.mutable_steps(0)->set_gang(true);
+  fixture.Core().Submit(gang, At(0));
+  const fleet::orders asked = fixture.Step(10);
+  REQUIRE(asked.advice.size() == 1);
+  CHECK(asked.advice[0].executors.size() == 80);
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
