--- a/src/waxwingfront/fleet/fleet_node.cc
+++ b/src/waxwingfront/fleet/fleet_node.cc
@@ -73,10 +73,7 @@
                     [this](std::string_view cause) {
                       log.Write("call_failed", {{"cause", cause}});
                     }},
-               [this](net::server_request request,
-                      net::async_http_server::responder respond) {
-                 OnCall(std::move(request), std::move(respond));
-               }) {
+               std::bind_front(&internal::OnCall, this)) {
     log.on_event = [this](std::string_view event) {
       metrics
           .Counter("waxwingfront_events_total",
