Compare waiting requests for advice only when one can be sent

Cause: the driver ranked all waiting requests at each look, many times a second, also while the adviser was busy. Read, not measured.

Change: advice_pacer::HasRoom, which MaySend implies, is asked first.

--- a/src/waxwingfront/fleet/advice_driver.cc
+++ b/src/waxwingfront/fleet/advice_driver.cc
@@ -20,6 +20,8 @@
   void Pump() {
     while (!waiting.empty()) {
       const moment at = hooks.now();
+      // Saves comparing the requests while none can be sent.
+      if (!pacer.HasRoom(at.now)) return;
       const auto next = First(at.now);
       if (!pacer.MaySend(*next, at.now)) return;
       advice_request request = std::move(*next);
--- a/src/waxwingfront/fleet/advice_pacer.cc
+++ b/src/waxwingfront/fleet/advice_pacer.cc
@@ -9,15 +9,19 @@
   return request.figures.decision + executors * request.figures.per_executor;
 }
 
-bool advice_pacer::MaySend(const advice_request& request,
-                           core::monotonic_time now) const {
+bool advice_pacer::HasRoom(core::monotonic_time now) const {
   if (now < paused_until_) return false;
   if (pending_.empty()) return true;
   if (failures_ > 0 || pending_.size() >= options_.max_in_flight) return false;
-  const bool keeps_busy =
-      pending_.size() < 2 || outstanding_ < options_.max_ahead;
-  return keeps_busy && outstanding_ + ServiceTime(request) <=
-                           request.figures.valid - options_.validity_margin;
+  return pending_.size() < 2 || outstanding_ < options_.max_ahead;
+}
+
+bool advice_pacer::MaySend(const advice_request& request,
+                           core::monotonic_time now) const {
+  if (!HasRoom(now)) return false;
+  return pending_.empty() ||
+         outstanding_ + ServiceTime(request) <=
+             request.figures.valid - options_.validity_margin;
 }
 
 advice_pacer::sent_call advice_pacer::Sent(const advice_request& request,
--- a/src/waxwingfront/fleet/advice_pacer.h
+++ b/src/waxwingfront/fleet/advice_pacer.h
@@ -39,6 +39,8 @@
   // Returns how long the adviser takes for a call.
   static core::milliseconds ServiceTime(const advice_request& request);
 
+  // True if any call may be sent now.
+  bool HasRoom(core::monotonic_time now) const;
   // True if the call may be sent now: its tickets would still be usable if they
   // were issued when it is sent.
   bool MaySend(const advice_request& request, core::monotonic_time now) const;
