Check a start again when it gets its connection

A start that waits for one of the two connections to its executor was sent without another look at the leader's lease and at the executor's last hold, up to 1.5 s after they had been checked, also after its leader was deposed (rules 6 and 10 of docs/platform.md).

The HTTP client asks `may_send` when a call's turn comes, and fails the call as not sent otherwise. With it, from the same review: the wait for a connection no longer counts as response time; on an executor that resets connections only those that can carry a call count, and none is closed for a new one; a call to an invalid address wakes those behind it.

"a call that may no longer be sent when its turn comes is not sent" fails without the check, since all three calls are sent in turn.

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "waxwingfront/fleet/start_log.h"
+
 namespace waxwingfront::fleet {
 
 struct executor_driver::internal : std::enable_shared_from_this<internal> {
@@ -255,11 +257,19 @@
     const auto deadline_ms = core.Deadlines().ForStart(order, at.now);
     core.Runs().Restarts().OnSendDecided(order, at.now);
     if (!deadline_ms || !hooks.may_order()) {
-      LogHeldBack(order, start_outcome::kNotSent, at);
+      LogHeldBack(log, order, start_outcome::kNotSent, at.now);
       core.OnStartResponse(order, start_outcome::kNotSent, at);
       return false;
     }
-    executors.start(executor->info.address, order, token, *deadline_ms,
+    start_order call = order;
+    call.may_send = [self = shared_from_this(),
+                     current = start_order{.executor = order.executor,
+                                           .task = order.task,
+                                           .run = order.run}] {
+      return !self->closed && self->hooks.may_order() &&
+             self->core.Deadlines().MayStart(current, self->hooks.now().now);
+    };
+    executors.start(executor->info.address, call, token, *deadline_ms,
                     [self = shared_from_this(), order,
                      sent = at.now](start_outcome outcome) {
                       if (self->closed) return;
@@ -270,38 +280,9 @@
     return true;
   }
 
-  static logging::line_priority PriorityOf(const start_order& order) {
-    return order.long_running ? logging::line_priority::kUrgent
-                              : logging::line_priority::kOrdinary;
-  }
-
-  void LogHeldBack(const start_order& order, start_outcome outcome, moment at) {
-    const auto waited = std::chrono::duration_cast<core::milliseconds>(
-        at.now - order.placed_at);
-    log.Write("start_held_back",
-              {{"job", order.task.job},
-               {"step", std::int64_t{order.task.step}},
-               {"task", std::int64_t{order.task.index}},
-               {"run", std::int64_t{order.run}},
-               {"executor", order.executor},
-               {"outcome", OutcomeName(outcome)},
-               {"waited_ms", std::int64_t{waited.count()}}},
-              PriorityOf(order));
-  }
-
-  void LogNotConfirmed(const start_order& order, start_outcome outcome) {
-    log.Write("start_not_confirmed",
-              {{"job", order.task.job},
-               {"step", std::int64_t{order.task.step}},
-               {"task", std::int64_t{order.task.index}},
-               {"run", std::int64_t{order.run}},
-               {"executor", order.executor},
-               {"outcome", OutcomeName(outcome)}},
-              PriorityOf(order));
-  }
-
   void OnStart(const start_order& order, start_outcome outcome) {
-    if (outcome != start_outcome::kAccepted) LogNotConfirmed(order, outcome);
+    if (outcome != start_outcome::kAccepted)
+      LogNotConfirmed(log, order, outcome);
     core.OnStartResponse(order, outcome, hooks.now());
     if (outcome == start_outcome::kFenced) return hooks.on_fenced();
     hooks.on_progress();
--- a/src/waxwingfront/fleet/order_deadlines.cc
+++ b/src/waxwingfront/fleet/order_deadlines.cc
@@ -58,13 +58,18 @@
          !executor->HeldRecently(now);
 }
 
+bool order_deadlines::MayStart(const start_order& order,
+                               core::monotonic_time now) const {
+  const executor_state* const executor = ExecutorOf(order);
+  return executor != nullptr && executor->registered &&
+         !executor->info.draining && executor->HeldRecently(now) &&
+         executor->MatchesEntry();
+}
+
 std::optional<std::int64_t> order_deadlines::ForStart(
     const start_order& order, core::monotonic_time now) const {
+  if (!MayStart(order, now)) return std::nullopt;
   executor_state* const executor = ExecutorOf(order);
-  if (executor == nullptr || !executor->registered || executor->info.draining ||
-      !executor->HeldRecently(now) || !executor->MatchesEntry()) {
-    return std::nullopt;
-  }
   const core::milliseconds validity =
       std::min(StartValidity(now), LongestLease(*executor, now));
   if (validity < kMinStartValidity) return std::nullopt;
--- a/src/waxwingfront/fleet/order_deadlines.h
+++ b/src/waxwingfront/fleet/order_deadlines.h
@@ -40,6 +40,9 @@
   std::optional<std::int64_t> ForStart(const start_order& order,
                                        core::monotonic_time now) const;
 
+  // True if the start is still current and its executor may get it now, see
+  // `ForStart`.
+  bool MayStart(const start_order& order, core::monotonic_time now) const;
   // True if the start only waits for its executor to respond to a hold. Any
   // hold in flight will respond or fail.
   bool AwaitsHold(const start_order& order, core::monotonic_time now) const;
--- a/src/waxwingfront/fleet/types.h
+++ b/src/waxwingfront/fleet/types.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -143,6 +144,9 @@
   core::monotonic_time placed_at{};
   // Identifies the order in `start_queue`; 0 until it is taken from there.
   std::uint64_t number = 0;
+  // Checked when the start leaves the process, after it has waited for a
+  // connection; empty if it may always leave.
+  std::function<bool()> may_send = nullptr;
 };
 
 struct stop_order {
--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -81,7 +81,8 @@
       auto next = found->second.calls.Take(MaxConnections(address));
       if (!next) return;
       --totals.waiting;
-      if (core::Now() - next->since <= next->call.timeout) {
+      const bool in_time = core::Now() - next->since <= next->call.timeout;
+      if (in_time && (!next->call.may_send || next->call.may_send())) {
         Begin(std::move(next->call), std::move(next->done));
         continue;
       }
@@ -97,7 +98,7 @@
   std::size_t MaxConnections(const std::string& address) {
     const limited_address& at = limited[address];
     if (core::Now() >= at.full_until) return at.max_connections;
-    return std::clamp<std::size_t>(pool.CountOpen(address), 1,
+    return std::clamp<std::size_t>(pool.CountUsable(address), 1,
                                    at.max_connections);
   }
 
@@ -130,11 +131,12 @@
         self->EndTurn(*link);
         done(core::Failure(core::error_code::kUnreachable,
                            "'" + link->address + "' is not an address"));
+        self->SendWaiting(link->address);
       });
       return;
     }
     if (is_limited) {
-      while (pool.CountOpen(call.address) >= MaxConnections(call.address) &&
+      while (pool.CountOpen(call.address) >= call.max_connections &&
              pool.CloseUnanswered(call.address)) {
       }
     }
@@ -199,7 +201,8 @@
   void Finish(const connection_ptr& link) {
     http::response<http::string_body> response = link->parser->release();
     http_reply reply{.status = static_cast<int>(response.result_int()),
-                     .body = std::move(response.body())};
+                     .body = std::move(response.body()),
+                     .begun = link->begun};
     link->stage = call_stage::kIdle;
     const callback done = std::exchange(link->done, nullptr);
     const auto on_late_response =
@@ -271,6 +274,7 @@
   void BeginCall(const connection_ptr& link, http_call& call, callback done) {
     const core::monotonic_time now = core::Now();
     ++totals.in_flight;
+    link->begun = now;
     link->done = std::move(done);
     link->on_late_response = std::move(call.on_late_response);
     link->timeout = call.timeout;
--- a/src/waxwingfront/net/async_http_client.h
+++ b/src/waxwingfront/net/async_http_client.h
@@ -42,11 +42,15 @@
   core::milliseconds late_response_timeout{0};
   std::function<void(http_reply)> on_late_response = nullptr;
   // Maximum number of connections to the address, at least 2; 0 for no limit.
-  // Connections that are idle or wait for a late response are closed when a
-  // call needs one. The call waits for a connection for `timeout`, which starts
-  // anew when it has got one. All calls to an address have the same limit.
+  // Connections that wait for a late response are closed when a call needs one.
+  // A call fails as unreachable if it has waited for longer than `timeout` when
+  // its turn comes, which the total time limit of a call before it bounds;
+  // `timeout` then starts anew. All calls to an address have the same limit.
   std::size_t max_connections = 0;
   call_turn turn = call_turn::kOrdinary;
+  // Checked when the call's turn comes; it fails as unreachable if this returns
+  // false. Optional, for limited addresses.
+  std::function<bool()> may_send = nullptr;
 };
 
 struct async_http_client_options {
--- a/src/waxwingfront/net/detail/client_connection.h
+++ b/src/waxwingfront/net/detail/client_connection.h
@@ -39,6 +39,7 @@
       parser;
   std::string address;
   core::monotonic_time idle_since;
+  core::monotonic_time begun;
   // The server has responded on this connection.
   bool has_responded = false;
   // The server reset the connection before its first response.
--- a/src/waxwingfront/net/detail/connection_pool.cc
+++ b/src/waxwingfront/net/detail/connection_pool.cc
@@ -1,5 +1,6 @@
 #include "waxwingfront/net/detail/connection_pool.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace waxwingfront::net::detail {
@@ -10,6 +11,11 @@
   return link == nullptr || !link->socket.is_open();
 }
 
+// True if only a late response may arrive.
+bool IsUnanswered(const client_connection& link) {
+  return !link.done && link.stage != call_stage::kIdle;
+}
+
 }  // namespace
 
 client_connection_ptr connection_pool::TakeIdle(const std::string& address) {
@@ -61,13 +67,23 @@
   return found->second.size();
 }
 
+std::size_t connection_pool::CountUsable(const std::string& address) const {
+  const auto found = open_.find(address);
+  if (found == open_.end()) return 0;
+  return static_cast<std::size_t>(
+      std::ranges::count_if(found->second, [](const auto& tracked) {
+        const auto link = tracked.lock();
+        return link != nullptr && link->socket.is_open() &&
+               !IsUnanswered(*link);
+      }));
+}
+
 bool connection_pool::CloseUnanswered(const std::string& address) {
   const auto found = open_.find(address);
   if (found == open_.end()) return false;
   for (const auto& tracked : found->second) {
     const auto link = tracked.lock();
-    if (link == nullptr || !link->socket.is_open() || link->done ||
-        link->stage == call_stage::kIdle) {
+    if (link == nullptr || !link->socket.is_open() || !IsUnanswered(*link)) {
       continue;
     }
     link->on_late_response = nullptr;
--- a/src/waxwingfront/net/detail/connection_pool.h
+++ b/src/waxwingfront/net/detail/connection_pool.h
@@ -40,6 +40,8 @@
   // Returns the number of open connections to the address that were tracked,
   // whether idle or not.
   std::size_t CountOpen(const std::string& address);
+  // Returns how many of these are idle or carry a call that may succeed.
+  std::size_t CountUsable(const std::string& address) const;
   // Closes the oldest connection to the address on which only a late response
   // may arrive. Returns false if there is none.
   bool CloseUnanswered(const std::string& address);
--- a/src/waxwingfront/net/http_client.h
+++ b/src/waxwingfront/net/http_client.h
@@ -17,6 +17,9 @@
 struct http_reply {
   int status = 0;
   std::string body;
+  // When the call got its connection or began to open one. Set by
+  // `async_http_client` only.
+  core::monotonic_time begun{};
 };
 
 // Names and values of request headers.
--- a/tests/waxwingfront/net/connection_limit_test.cc
+++ b/tests/waxwingfront/net/connection_limit_test.cc
@@ -224,6 +224,32 @@
   CHECK(server.Connections() == 2);
 }
 
+TEST_CASE("a call that may no longer be sent when its turn comes is not sent",
+          "[net]") {
+  net::event_loop loop;
+  limited_server server(loop, 64);
+  server.silent = true;
+  net::async_http_client client(loop, {});
+  bool leads = true;
+  std::vector<std::optional<core::error_code>> outcomes;
+  for (int i = 0; i < 3; ++i) {
+    net::http_call start = CallTo(server, "/start");
+    start.may_send = [&leads] { return leads; };
+    client.Send(std::move(start),
+                [&outcomes](const core::result<net::http_reply>& reply) {
+                  outcomes.push_back(reply ? std::nullopt
+                                           : std::optional(reply.error().code));
+                });
+  }
+  REQUIRE(RunUntil(loop, [&server] { return server.Unanswered() == 1; }));
+  leads = false;
+  server.AnswerAll();
+  REQUIRE(RunUntil(loop, [&outcomes] { return outcomes.size() == 3; }));
+  CHECK(server.Targets().size() == 1);
+  CHECK(outcomes[1] == core::error_code::kUnreachable);
+  CHECK(outcomes[2] == core::error_code::kUnreachable);
+}
+
 TEST_CASE("a server that resets new connections is called on the one it has",
           "[net]") {
   net::event_loop loop;
