Count a reset that arrives while the connection is being opened

A server that resets a connection at once may do so before the client has noticed that it was established. Such a reset was neither counted nor taken as a sign that the server has no connection left; found by reading.

"connections that a server resets are counted" had failed since it was written (resets 0, expected 1), because its server closed the connection in order: the socket's destructor turns the option off that makes closing a reset.

--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -152,7 +152,7 @@
     link->socket.async_connect(
         endpoint, [self = shared_from_this(), link](const failure_code& error) {
           if (error) {
-            self->Fail(*link, error.message());
+            self->Fail(*link, error);
             return;
           }
           failure_code ignored;
--- a/tests/waxwingfront/fleet/load_monitor_test.cc
+++ b/tests/waxwingfront/fleet/load_monitor_test.cc
@@ -68,7 +68,10 @@
                                   boost::asio::ip::address_v4::loopback(), 0));
   full.async_accept([](const boost::system::error_code& error,
                        boost::asio::ip::tcp::socket peer) {
-    if (!error) peer.set_option(boost::asio::socket_base::linger(true, 0));
+    if (error) return;
+    // Closing then resets the connection; the destructor would not.
+    peer.set_option(boost::asio::socket_base::linger(true, 0));
+    peer.close();
   });
   bool failed = false;
   process.client.Send(
