--- a/tests/waxwingfront/net/connection_limit_test.cc
+++ b/tests/waxwingfront/net/connection_limit_test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -99,11 +100,11 @@
   }
 
   static void Answer(connection& to) {
-    static const std::string kBody = R"({"clock_ms":1,"born":1})";
+    constexpr std::string_view kBody = R"({"clock_ms":1,"born":1})";
     boost::asio::write(
-        to.socket,
-        boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
-                            std::to_string(kBody.size()) + "\r\n\r\n" + kBody));
+        to.socket, boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                       std::to_string(kBody.size()) +
+                                       "\r\n\r\n" + std::string(kBody)));
   }
 
   std::size_t max_connections_;
