Tell what executors are used for beside a task that waits

Cause: of a long-running task that waits, the log said on how many executors it had no room, but not what their capacity was committed to. When a draining executor leaves was not read at all.

Change: `executor_room` lines, for one waiting long-running task a second: the three available executors with the largest gaps and one that may not get tasks, each with what runs, starts, ends, is short or reserved there. The entry's `remaining_ms` is read, logged with `executor_registered`, and `task_moved` says how long its executor stays.

--- a/src/waxwingfront/fleet/decision_log.cc
+++ b/src/waxwingfront/fleet/decision_log.cc
@@ -10,6 +10,9 @@
                                     : logging::line_priority::kOrdinary;
 }
 
+// Minimum time between two tasks whose executors are described.
+constexpr core::milliseconds kRoomPeriod{1000};
+
 }  // namespace
 
 void decision_log::Placed(const task_state& task,
@@ -45,6 +48,40 @@
       PriorityOf(task));
 }
 
+bool decision_log::RoomDue(const task_state& task, moment at) const {
+  return task.Spec().long_running() && at.now - room_logged_ >= kRoomPeriod;
+}
+
+void decision_log::Room(const task_state& task,
+                        std::span<const executor_room> gaps, moment at) {
+  room_logged_ = at.now;
+  const core::resources needs = task.Needs();
+  for (const executor_room& gap : gaps) {
+    log_.Write("executor_room",
+               {{"job", task.job->Id()},
+                {"step", std::int64_t{task.step}},
+                {"task", std::int64_t{task.index}},
+                {"executor", gap.executor->info.id},
+                {"available", std::int64_t{gap.available ? 1 : 0}},
+                {"draining", std::int64_t{gap.executor->info.draining ? 1 : 0}},
+                {"cpu_needed", needs.processor_milli},
+                {"cpu_free", gap.free.processor_milli},
+                {"cpu_long_running", gap.long_running.processor_milli},
+                {"cpu_starting", gap.starting.processor_milli},
+                {"cpu_ending", gap.ending.processor_milli},
+                {"cpu_short", gap.short_tasks.processor_milli},
+                {"cpu_reserved", gap.reserved.processor_milli},
+                {"memory_needed", needs.memory_mib},
+                {"memory_free", gap.free.memory_mib},
+                {"memory_long_running", gap.long_running.memory_mib},
+                {"memory_starting", gap.starting.memory_mib},
+                {"memory_ending", gap.ending.memory_mib},
+                {"memory_short", gap.short_tasks.memory_mib},
+                {"memory_reserved", gap.reserved.memory_mib}},
+               PriorityOf(task));
+  }
+}
+
 void decision_log::ReserveChanged(const reserve_summary& summary) {
   log_.Write("capacity_reserved",
              {{"interrupted", static_cast<std::int64_t>(summary.interrupted)},
@@ -76,13 +113,14 @@
                            {"took_ms", std::int64_t{took.count()}}});
 }
 
-void decision_log::Moved(const task_state& task) {
+void decision_log::Moved(const task_state& task, core::milliseconds stays) {
   log_.Write("task_moved", {{"job", task.job->Id()},
                             {"step", std::int64_t{task.step}},
                             {"task", std::int64_t{task.index}},
                             {"run", std::int64_t{task.run}},
                             {"executor", task.executor},
-                            {"pace", std::int64_t{task.pace_percent}}});
+                            {"pace", std::int64_t{task.pace_percent}},
+                            {"stays_ms", std::int64_t{stays.count()}}});
 }
 
 void decision_log::StartDelayed(const start_order& order, moment at) {
--- a/src/waxwingfront/fleet/decision_log.h
+++ b/src/waxwingfront/fleet/decision_log.h
@@ -3,8 +3,11 @@
 #define WAXWINGFRONT_FLEET_DECISION_LOG_H_
 
 #include <cstdint>
+#include <span>
 
+#include "waxwingfront/core/clock.h"
 #include "waxwingfront/fleet/capacity_reserve.h"
+#include "waxwingfront/fleet/executor_room.h"
 #include "waxwingfront/fleet/fleet_state.h"
 #include "waxwingfront/fleet/placement.h"
 #include "waxwingfront/fleet/run_outcome.h"
@@ -19,11 +22,19 @@
   void Placed(const task_state& task, std::int64_t manifest_version);
   void Waiting(const task_state& task, const placement_rejections& rejections,
                moment at);
+  // True if `Room` may write now: lines for one task at a time, since they tell
+  // about the service more than about the task.
+  bool RoomDue(const task_state& task, moment at) const;
+  // What the executors on which a waiting long-running task comes closest to
+  // fitting are used for.
+  void Room(const task_state& task, std::span<const executor_room> gaps,
+            moment at);
   void ReserveChanged(const reserve_summary& summary);
   // Logs the times from acceptance to each milestone of the job's first task.
   void JobBegun(const job_state& job);
   void JobFinal(const job_state& job);
-  void Moved(const task_state& task);
+  // `stays` is how long its executor certainly stays if it drains.
+  void Moved(const task_state& task, core::milliseconds stays);
   // The start waits for its executor to respond to another hold.
   void StartDelayed(const start_order& order, moment at);
   void RunEnded(const task_state& task, run_outcome outcome);
@@ -32,6 +43,7 @@
 
  private:
   logging::event_log& log_;
+  core::monotonic_time room_logged_{};
 };
 
 }  // namespace waxwingfront::fleet
--- a/src/waxwingfront/fleet/executor_registry.cc
+++ b/src/waxwingfront/fleet/executor_registry.cc
@@ -105,7 +105,8 @@
                 {{"executor", id},
                  {"address", info->address},
                  {"service", info->service},
-                 {"draining", std::int64_t{info->draining ? 1 : 0}}});
+                 {"draining", std::int64_t{info->draining ? 1 : 0}},
+                 {"leaves_at_ms", info->leaves_at_ms}});
     }
     core.SetExecutor(std::move(*info));
     return id;
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -309,6 +309,14 @@
   return admission_.MayAdmit(figures) ? std::nullopt : std::optional(figures);
 }
 
+std::vector<executor_room> fleet_core::GapsFor(const task_state& task,
+                                               core::monotonic_time now) const {
+  constexpr std::size_t kAvailable = 3;
+  constexpr std::size_t kUnavailable = 1;
+  return LargestGaps(state_, task, state_.ServiceOf(*task.job), now,
+                     {.available = kAvailable, .unavailable = kUnavailable});
+}
+
 void fleet_core::Tick(moment at) {
   admission_.Sample(at);
   runs_.Tick(at);
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "waxwingfront/fleet/capacity_reserve.h"
+#include "waxwingfront/fleet/executor_room.h"
 #include "waxwingfront/fleet/fleet_journal.h"
 #include "waxwingfront/fleet/fleet_state.h"
 #include "waxwingfront/fleet/job_memory.h"
@@ -179,6 +180,11 @@
   std::function<void(const task_state&, const placement_rejections&, moment)>
       on_waiting;
 
+  // Returns the executors on which a waiting task comes closest to fitting, and
+  // one more that may not get tasks.
+  std::vector<executor_room> GapsFor(const task_state& task,
+                                     core::monotonic_time now) const;
+
   // See `capacity_reserve::on_change`.
   std::function<void(const reserve_summary&)> on_reserve_changed;
 
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -84,17 +84,22 @@
     core.on_start_delayed = [this](const start_order& order, moment at) {
       decisions.StartDelayed(order, at);
     };
-    core.on_waiting =
-        [this](const task_state& task, const placement_rejections& rejections,
-               moment at) { decisions.Waiting(task, rejections, at); };
+    core.on_waiting = [this](const task_state& task,
+                             const placement_rejections& rejections,
+                             moment at) {
+      decisions.Waiting(task, rejections, at);
+      if (!decisions.RoomDue(task, at)) return;
+      decisions.Room(task, core.GapsFor(task, at.now), at);
+    };
     core.on_reserve_changed = [this](const reserve_summary& summary) {
       decisions.ReserveChanged(summary);
     };
     core.Advice().on_void = [this](const advice_request& request, moment) {
       decisions.PermitsVoid(request);
     };
-    core.Rebalancer().on_move = [this](const task_state& task, moment) {
-      decisions.Moved(task);
+    core.Rebalancer().on_move = [this](const task_state& task, moment at) {
+      const executor_state* const executor = core.FindExecutor(task.executor);
+      decisions.Moved(task, executor->StaysFor(at.now));
     };
   }
 
--- a/src/waxwingfront/fleet/types.h
+++ b/src/waxwingfront/fleet/types.h
@@ -87,6 +87,9 @@
   std::string zone;
   std::string service;
   bool draining = false;
+  // Earliest time at which a draining executor leaves, on its own clock in
+  // milliseconds; 0 if unknown.
+  std::int64_t leaves_at_ms = 0;
   core::resources capacity;
   std::vector<std::string> labels;
   // The label that names the rack.
--- a/tests/platform/entries_test.cc
+++ b/tests/platform/entries_test.cc
@@ -34,6 +34,19 @@
   CHECK_FALSE(info->draining);
 }
 
+TEST_CASE("an entry tells when a draining executor leaves at the earliest",
+          "[platform]") {
+  const std::string draining =
+      Replaced(Replaced(kEntry, R"("ready")", R"("draining")"),
+               R"("sequence":4)", R"("remaining_ms":7000,"sequence":4)");
+  const auto info = ReadExecutor("servers/i-7", draining);
+  REQUIRE(info);
+  CHECK(info->leaves_at_ms == 482113 + 7000);
+  const auto ready = ReadExecutor("servers/i-7", kEntry);
+  REQUIRE(ready);
+  CHECK(ready->leaves_at_ms == 0);
+}
+
 TEST_CASE("a malformed entry or one of another writer is rejected",
           "[platform]") {
   const std::string broken =
