Let long-running tasks run on draining executors until they have a place

Cause: every long-running task was stopped within 0.3 s of the `draining` entry, whether or not another executor could take it, although the executor stays for 7.5 to 9.4 s. The traces show no room: the processors of all available executors are committed to long-running tasks. Class: work is given up before its successor has a place.

Ruled out, by `executor_room` and the reserve's counts: tasks that are not placed although an executor has room; short tasks in the gaps; runs whose end is not confirmed (nothing starting or ending); memory.

Change: tasks on draining executors get reservations while they run, after those that wait, those first whose executor leaves first. As many of a step are stopped as have a reserved place that is free and on an available executor. What has none runs on until 1.5 s before the executor may leave, so that its end is known.

--- a/src/waxwingfront/fleet/capacity_reserve.cc
+++ b/src/waxwingfront/fleet/capacity_reserve.cc
@@ -39,18 +39,19 @@
       static_cast<std::int64_t>(remaining_ms * kFullPace / pace));
 }
 
-// Orders tasks that can be placed now before others, then large tasks, which
-// fit into fewer gaps, before small ones; tasks of one step are adjacent, those
-// first that accept more executors.
+// Orders tasks that can be placed now before others; then those whose draining
+// executor leaves first; then large tasks, which fit into fewer gaps, before
+// small ones. Tasks of one step are adjacent among each of these, those first
+// that accept more executors.
 bool ReservedBefore(const interrupted_task& left, const interrupted_task& right,
                     core::monotonic_time now) {
   const auto rank = [now](const interrupted_task& what) {
     const task_state& task = *what.task;
     const core::resources needs = task.Needs();
-    return std::tuple(what.restartable_at > now, -needs.processor_milli,
-                      -needs.memory_mib, std::string_view(task.job->Id()),
-                      task.step, what.restartable_at, !task.failed_on.empty(),
-                      task.index);
+    return std::tuple(what.restartable_at > now, what.stays,
+                      -needs.processor_milli, -needs.memory_mib,
+                      std::string_view(task.job->Id()), task.step,
+                      what.restartable_at, !task.failed_on.empty(), task.index);
   };
   return rank(left) < rank(right);
 }
@@ -75,13 +76,13 @@
   if (found.empty() && interrupted_.empty()) return found;
   const auto leased =
       std::ranges::count_if(found, [now](const interrupted_task& what) {
-        return what.restartable_at > now;
+        return what.restartable_at > now && !what.leaving;
       });
   // Executors that are back in contact need no reservations elsewhere.
   const bool fewer_leased = leased < std::exchange(leased_, leased);
   // The cost of a renewal grows with the tasks. One that gives a quarter of
   // them their first reservation is worth it at once.
-  const auto periods = 4 * CountAssigned() < 3 * found.size()
+  const auto periods = 4 * CountAssigned(now) < 3 * found.size()
                            ? 1
                            : 1 + found.size() / kTasksPerPeriod;
   const auto period = options_.refresh_period * periods;
@@ -95,15 +96,17 @@
   });
   const reserve_summary before =
       std::exchange(summary_, {.interrupted = interrupted_.size()});
+  summary_.leaving = static_cast<std::size_t>(
+      std::ranges::count_if(interrupted_, &interrupted_task::leaving));
   Apply(AssignAll(now));
   if (on_change && summary_ != before) on_change(summary_);
   return found;
 }
 
-std::size_t capacity_reserve::CountAssigned() const {
+std::size_t capacity_reserve::CountAssigned(core::monotonic_time now) const {
   std::size_t assigned = summary_.without_executor;
   for (const auto& [id, executor] : state_.executors) {
-    assigned += executor.Reservations().size();
+    if (executor.Available(now)) assigned += executor.Reservations().size();
   }
   return assigned;
 }
--- a/src/waxwingfront/fleet/capacity_reserve.h
+++ b/src/waxwingfront/fleet/capacity_reserve.h
@@ -45,6 +45,8 @@
 struct reserve_summary {
   // Those that may be placed within the longest lead.
   std::size_t interrupted = 0;
+  // Those that still run, on draining executors.
+  std::size_t leaving = 0;
   // Those with capacity that is reserved from short tasks, too.
   std::size_t reserved = 0;
   // Those that no executor would take now, even without its short tasks.
@@ -91,9 +93,9 @@
     double penalty = std::numeric_limits<double>::infinity();
   };
 
-  // Returns how many tasks of the latest assignment still have a reservation,
-  // or had no executor.
-  std::size_t CountAssigned() const;
+  // Returns how many tasks of the latest assignment still have a reservation on
+  // an available executor, or had no executor.
+  std::size_t CountAssigned(core::monotonic_time now) const;
   // Assigns executors to all interrupted tasks.
   std::vector<outlook> AssignAll(core::monotonic_time now);
   void Apply(std::vector<outlook> outlooks);
--- a/src/waxwingfront/fleet/decision_log.cc
+++ b/src/waxwingfront/fleet/decision_log.cc
@@ -85,6 +85,7 @@
 void decision_log::ReserveChanged(const reserve_summary& summary) {
   log_.Write("capacity_reserved",
              {{"interrupted", static_cast<std::int64_t>(summary.interrupted)},
+              {"leaving", static_cast<std::int64_t>(summary.leaving)},
               {"reserved", static_cast<std::int64_t>(summary.reserved)},
               {"without_executor",
                static_cast<std::int64_t>(summary.without_executor)}});
--- a/src/waxwingfront/fleet/interrupted_tasks.cc
+++ b/src/waxwingfront/fleet/interrupted_tasks.cc
@@ -5,6 +5,28 @@
 namespace waxwingfront::fleet {
 namespace {
 
+// Expected time from the stop of a run to its end.
+constexpr core::milliseconds kStopTime{500};
+
+bool MayStillRun(const task_state& task) {
+  return task.Spec().long_running() && !task.job->Final() &&
+         (task.Phase() == task_phase::kRunning ||
+          task.Phase() == task_phase::kStopping);
+}
+
+void AddLeaving(const executor_state& executor, core::monotonic_time now,
+                std::vector<interrupted_task>& found) {
+  const auto stays =
+      std::chrono::duration_cast<std::chrono::seconds>(executor.StaysFor(now));
+  for (task_state* const task : executor.active) {
+    if (!MayStillRun(*task)) continue;
+    found.push_back({.task = task,
+                     .restartable_at = now + kStopTime,
+                     .leaving = true,
+                     .stays = stays});
+  }
+}
+
 void AddWaiting(job_state& job, core::monotonic_time now,
                 std::vector<interrupted_task>& found) {
   for (auto& [number, occurrence] : job.Occurrences()) {
@@ -30,7 +52,11 @@
     AddWaiting(*job, now, found);
   }
   for (const auto& [id, executor] : state.executors) {
-    if (executor.long_running_count == 0 || executor.in_contact) continue;
+    if (executor.long_running_count == 0) continue;
+    if (executor.in_contact) {
+      if (executor.info.draining) AddLeaving(executor, now, found);
+      continue;
+    }
     const core::monotonic_time over =
         std::max(now, RunsOverIfSilent(executor, options));
     if (over > until) continue;
--- a/src/waxwingfront/fleet/interrupted_tasks.h
+++ b/src/waxwingfront/fleet/interrupted_tasks.h
@@ -1,7 +1,8 @@
-// Finds long-running tasks that need a new run on another executor.
+// Finds long-running tasks that need or will need a run on another executor.
 #ifndef WAXWINGFRONT_FLEET_INTERRUPTED_TASKS_H_
 #define WAXWINGFRONT_FLEET_INTERRUPTED_TASKS_H_
 
+#include <chrono>
 #include <vector>
 
 #include "waxwingfront/core/clock.h"
@@ -14,8 +15,13 @@
 struct interrupted_task {
   task_state* task = nullptr;
   // When its next run may be placed: already if it waits, else once the lease
-  // of its silent executor has lapsed.
+  // of its silent executor has lapsed or its present run could have been
+  // stopped.
   core::monotonic_time restartable_at;
+  // It runs on a draining executor, which stays for this long at least, rounded
+  // down.
+  bool leaving = false;
+  std::chrono::seconds stays{0};
 
   friend bool operator==(const interrupted_task&,
                          const interrupted_task&) = default;
@@ -23,7 +29,7 @@
 
 // Returns the interrupted tasks whose next run may be placed before `until`, in
 // an order that depends on the state only. A task on an executor that is in
-// contact is not interrupted.
+// contact counts only if that drains.
 std::vector<interrupted_task> FindInterruptedTasks(
     const fleet_state& state, const lease_expiry_options& options,
     core::monotonic_time now, core::monotonic_time until);
--- a/src/waxwingfront/fleet/rebalancer.cc
+++ b/src/waxwingfront/fleet/rebalancer.cc
@@ -1,16 +1,56 @@
 #include "waxwingfront/fleet/rebalancer.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <map>
 #include <vector>
 
 namespace waxwingfront::fleet {
+namespace {
+
+// Returns for each step how many reservations have free capacity, without those
+// for tasks that wait or are being stopped already.
+std::map<const schema::fleet_step*, std::int64_t> CountFreePlaces(
+    const fleet_state& state, core::monotonic_time now) {
+  std::map<const schema::fleet_step*, std::int64_t> places;
+  for (const auto& [id, executor] : state.executors) {
+    if (executor.Available(now)) {
+      core::resources sum;
+      for (const capacity_reservation& reservation : executor.Reservations()) {
+        sum += reservation.amount;
+        if (executor.Free().Holds(sum)) ++places[reservation.step];
+      }
+    }
+    if (!executor.info.draining) continue;
+    for (const task_state* const task : executor.active) {
+      if (task->Phase() == task_phase::kStopping) --places[task->spec];
+    }
+  }
+  for (const job_state* const job : state.live) {
+    if (job->Final() || job->WaitingLongRunning() == 0) continue;
+    for (const auto& [number, occurrence] : job->Occurrences()) {
+      for (const step_state& step : occurrence.steps) {
+        const auto found = places.find(step.tasks.front().spec);
+        if (found == places.end()) continue;
+        found->second -=
+            std::ranges::count_if(step.tasks, [](const task_state& task) {
+              return task.Phase() == task_phase::kWaiting &&
+                     task.IsInterrupted();
+            });
+      }
+    }
+  }
+  return places;
+}
+
+}  // namespace
 
 void rebalancer::Run(moment at) {
   if (at.now < next_) return;
   next_ = at.now + options_.period;
+  Evacuate(at);
   std::vector<task_state*> slow;
   for (auto& [id, executor] : state_.executors) {
-    if (executor.info.draining) Evacuate(executor, at);
     for (task_state* const task : executor.active) {
       if (MayMove(*task, at)) slow.push_back(task);
     }
@@ -36,14 +76,31 @@
   }
 }
 
-void rebalancer::Evacuate(executor_state& executor, moment at) {
-  const std::vector<task_state*> active = executor.active;
-  for (task_state* const task : active) {
-    if (!task->Spec().long_running() || task->Phase() != task_phase::kRunning) {
-      continue;
+void rebalancer::Evacuate(moment at) {
+  std::vector<executor_state*> draining;
+  for (auto& [id, executor] : state_.executors) {
+    if (executor.info.draining && executor.long_running_count > 0) {
+      draining.push_back(&executor);
+    }
+  }
+  if (draining.empty()) return;
+  std::ranges::stable_sort(draining, {}, [at](const executor_state* executor) {
+    return executor->StaysFor(at.now);
+  });
+  std::map<const schema::fleet_step*, std::int64_t> places =
+      CountFreePlaces(state_, at.now);
+  for (executor_state* const executor : draining) {
+    const bool leaves = executor->StaysFor(at.now) <= options_.stop_lead;
+    const std::vector<task_state*> active = executor->active;
+    for (task_state* const task : active) {
+      if (!task->Spec().long_running() ||
+          task->Phase() != task_phase::kRunning) {
+        continue;
+      }
+      if (--places[task->spec] < 0 && !leaves) continue;
+      if (on_move) on_move(*task, at);
+      state_.Stop(*task, at.now);
     }
-    if (on_move) on_move(*task, at);
-    state_.Stop(*task, at.now);
   }
 }
 
