Give room first to tasks that have stood still longest

What became free later went to larger tasks, which the reserve takes first, and to jobs in the order of their class, among them tasks that had waited for 0.4 to 3 s. Class: an order by size or kind without a bound on the wait.

Change: in the reserve, tasks that have stood still for 5 s come before larger ones. Of the overdue jobs in a round, those visited equally long ago come in the order of their longest standstill.

Tests: reserved_task_choice_test, two new cases, both failed before.

--- a/src/waxwingfront/fleet/capacity_reserve.cc
+++ b/src/waxwingfront/fleet/capacity_reserve.cc
@@ -19,6 +19,8 @@
 // Shortest expected rest of a run, as a share of its time so far, since
 // estimates are often too low.
 constexpr double kMinRemainingShare = 0.25;
+// A task that has stood still for this long comes before larger ones.
+constexpr core::milliseconds kLongStandstill{5000};
 // Paces below this percentage are expected to rise.
 constexpr int kMinExpectedPace = 10;
 
@@ -39,16 +41,18 @@
       static_cast<std::int64_t>(remaining_ms * kFullPace / pace));
 }
 
-// Orders tasks that can be placed now before others; then those whose draining
-// executor leaves first; then large tasks, which fit into fewer gaps, before
-// small ones. Tasks of one step are adjacent among each of these, those first
-// that accept more executors.
+// Orders tasks that can be placed now before others; then those that have stood
+// still for long and those whose draining executor leaves first; then large
+// tasks, which fit into fewer gaps, before small ones. Tasks of one step are
+// adjacent among each of these, those first that accept more executors.
 bool ReservedBefore(const interrupted_task& left, const interrupted_task& right,
                     core::monotonic_time now) {
   const auto rank = [now](const interrupted_task& what) {
     const task_state& task = *what.task;
     const core::resources needs = task.Needs();
-    return std::tuple(what.restartable_at > now, what.stays,
+    const bool overdue = what.restartable_at <= now &&
+                         now - task.interrupted_since >= kLongStandstill;
+    return std::tuple(what.restartable_at > now, !overdue, what.stays,
                       -needs.processor_milli, -needs.memory_mib,
                       std::string_view(task.job->Id()), task.step,
                       what.restartable_at, !task.failed_on.empty(), task.index);
--- a/src/waxwingfront/fleet/planning_order.cc
+++ b/src/waxwingfront/fleet/planning_order.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <tuple>
 
 namespace waxwingfront::fleet {
@@ -17,20 +18,24 @@
          });
 }
 
-bool AnyInterruptedWaitsLong(const job_state& job, core::monotonic_time now) {
-  if (job.WaitingLongRunning() == 0) return false;
+// Returns since when the job's interrupted task has stood still that has done
+// so longest; nothing if none has for `kLongWait`.
+std::optional<core::monotonic_time> LongestStandstill(
+    const job_state& job, core::monotonic_time now) {
+  std::optional<core::monotonic_time> since;
+  if (job.WaitingLongRunning() == 0) return since;
   for (const auto& [number, occurrence] : job.Occurrences()) {
     for (const step_state& step : occurrence.steps) {
       if (step.waiting == 0) continue;
       for (const task_state& task : step.tasks) {
         if (task.Phase() == task_phase::kWaiting && task.IsInterrupted() &&
             now - task.interrupted_since >= kLongWait) {
-          return true;
+          since = std::min(since.value_or(now), task.interrupted_since);
         }
       }
     }
   }
-  return false;
+  return since;
 }
 
 ranked_job Rank(const fleet_state& state, job_state& job, std::uint64_t sweep,
@@ -79,8 +84,9 @@
   for (job_state* const job : state.live) {
     if (job->Final() || !job->AnyReadyTaskWaits(at.unix_ms)) continue;
     if (job->planned_round == 0) job->planned_round = round;
-    const ranked_job ranked = Rank(state, *job, sweep, at.now);
-    if (AnyInterruptedWaitsLong(*job, at.now)) {
+    ranked_job ranked = Rank(state, *job, sweep, at.now);
+    if (const auto since = LongestStandstill(*job, at.now)) {
+      ranked.standing_since = *since;
       queue.overdue.push_back(ranked);
     } else if (separate_useless && ranked.useless) {
       queue.useless.push_back(ranked);
@@ -88,7 +94,7 @@
       queue.others.push_back(ranked);
     }
   }
-  std::stable_sort(queue.overdue.begin(), queue.overdue.end());
+  std::ranges::stable_sort(queue.overdue, {}, &ranked_job::standing_since);
   std::stable_sort(queue.others.begin(), queue.others.end());
   SortByLastVisit(queue.overdue);
   std::stable_sort(queue.useless.begin(), queue.useless.end(),
--- a/src/waxwingfront/fleet/planning_order.h
+++ b/src/waxwingfront/fleet/planning_order.h
@@ -43,6 +43,9 @@
   // Round that visited it last, or the first one that saw it waiting.
   std::uint64_t last_visit;
   job_state* job;
+  // Of an overdue job: since when its task has stood still that has done so
+  // longest.
+  core::monotonic_time standing_since{};
 
   friend bool operator<(const ranked_job& left, const ranked_job& right) {
     return std::tie(left.visited, left.priority, left.within_wait_limit,
@@ -59,7 +62,8 @@
 
 struct planning_queue {
   // Jobs with a long-running task that ran before and has stood still for
-  // `kLongWait`, those first that were visited longest ago.
+  // `kLongWait`, those first that were visited longest ago, then those with the
+  // longest standstill.
   std::vector<ranked_job> overdue;
   // All others, in the order in which the sweep visits them.
   std::vector<ranked_job> others;
--- a/tests/waxwingfront/fleet/reserved_task_choice_test.cc
+++ b/tests/waxwingfront/fleet/reserved_task_choice_test.cc
@@ -4,10 +4,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "support/fleet_fixture.h"
 #include "waxwingfront/fleet/capacity_reserve.h"
 #include "waxwingfront/fleet/placement.h"
+#include "waxwingfront/fleet/planning_order.h"
 #include "waxwingfront/fleet/reserved_placement.h"
 
 namespace waxwingfront::tests {
@@ -37,10 +39,32 @@
     return executor;
   }
 
+  // Adds another interrupted job with one task.
+  fleet::task_state& AddJob(const std::string& id, std::int64_t cpu_millis) {
+    schema::fleet_job spec = JobOf(id, 1, cpu_millis);
+    spec.mutable_steps(0)->set_long_running(true);
+    fleet::task_state& task =
+        *state_.AddJob(std::make_unique<fleet::job_state>(spec, At(0).now))
+             .Find({.job = id});
+    task.run = 1;
+    return task;
+  }
+
   fleet::task_state& Task(std::size_t index) {
     return job_->Occurrences()[0].steps[0].tasks[index];
   }
 
+  // Returns the jobs that a round visits first, in this order.
+  std::vector<std::string> Overdue() {
+    fleet::planning_queue queue;
+    fleet::QueueWaitingJobs(state_, 1, 1, false, At(kNowMs), queue);
+    std::vector<std::string> ids;
+    for (const fleet::ranked_job& one : queue.overdue) {
+      ids.push_back(one.job->Id());
+    }
+    return ids;
+  }
+
   // Renews the reservations and returns the interrupted tasks.
   auto Reserve() { return reserve_.Update(At(kNowMs).now); }
 
@@ -113,5 +137,30 @@
   CHECK(unhealthy.ReservedFor(job.Task(1).spec) > 0);
 }
 
+// Guards against a task that stands still for good because larger ones always
+// come first.
+TEST_CASE("a task that has stood still for long gets room before larger ones",
+          "[fleet][overload]") {
+  interrupted_job job(1);
+  const fleet::executor_state& executor = job.AddExecutor("a");
+  constexpr std::int64_t kLargeCpu = 7500;
+  fleet::task_state& large = job.AddJob("large", kLargeCpu);
+  large.interrupted_since = At(kNowMs - 1000).now;
+  job.Task(0).interrupted_since = At(kNowMs - 6000).now;
+  job.Reserve();
+  REQUIRE(executor.Reservations().size() == 1);
+  CHECK(executor.Reservations().front().step == job.Task(0).spec);
+}
+
+TEST_CASE(
+    "of overdue jobs the one with the longest standstill is visited first",
+    "[fleet][overload]") {
+  interrupted_job job(1);
+  constexpr std::int64_t kLargeCpu = 7500;
+  job.AddJob("large", kLargeCpu).interrupted_since = At(kNowMs - 3000).now;
+  job.Task(0).interrupted_since = At(kNowMs - 6000).now;
+  CHECK(job.Overdue() == std::vector<std::string>{"lasting", "large"});
+}
+
 }  // namespace
 }  // namespace waxwingfront::tests
