--- a/src/waxwingfront/fleet/interrupted_tasks.h
+++ b/src/waxwingfront/fleet/interrupted_tasks.h
@@ -1,4 +1,5 @@
-// Finds long-running tasks that need or will need a run on another executor.
+// Finds long-running tasks that need, or will soon need, a run on another
+// executor.
 #ifndef WAXWINGFRONT_FLEET_INTERRUPTED_TASKS_H_
 #define WAXWINGFRONT_FLEET_INTERRUPTED_TASKS_H_
 
--- a/src/waxwingfront/fleet/planning_order.cc
+++ b/src/waxwingfront/fleet/planning_order.cc
@@ -18,8 +18,8 @@
          });
 }
 
-// Returns since when the job's interrupted task has stood still that has done
-// so longest; nothing if none has for `kLongWait`.
+// Returns when the first of the job's interrupted tasks came to a standstill;
+// nothing if none has stood still for `kLongWait`.
 std::optional<core::monotonic_time> LongestStandstill(
     const job_state& job, core::monotonic_time now) {
   std::optional<core::monotonic_time> since;
--- a/src/waxwingfront/fleet/planning_order.h
+++ b/src/waxwingfront/fleet/planning_order.h
@@ -43,8 +43,8 @@
   // Round that visited it last, or the first one that saw it waiting.
   std::uint64_t last_visit;
   job_state* job;
-  // Of an overdue job: since when its task has stood still that has done so
-  // longest.
+  // Of an overdue job: when the first of its interrupted tasks came to a
+  // standstill.
   core::monotonic_time standing_since{};
 
   friend bool operator<(const ranked_job& left, const ranked_job& right) {
