Tell why a start was not sent to its executor

Starts that end `unreachable` could mean a connection that could not be opened, one that did not become free in time, or an order that was withdrawn when its turn came. The client now tells them apart: `unreachable`, `connections_busy` and `not_sent` in the log, with the time that it took, and `calls_waiting`, `calls_expired` and `connections_idle` in `load` (waxwingfront_calls_expired_total).

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -274,16 +274,19 @@
                      sent = at.now](start_outcome outcome) {
                       if (self->closed) return;
                       self->ReportStage(load_stage::kStart, sent);
-                      self->OnStart(order, outcome);
+                      self->OnStart(order, outcome, sent);
                     });
     Pump(order.executor);
     return true;
   }
 
-  void OnStart(const start_order& order, start_outcome outcome) {
-    if (outcome != start_outcome::kAccepted)
-      LogNotConfirmed(log, order, outcome);
-    core.OnStartResponse(order, outcome, hooks.now());
+  void OnStart(const start_order& order, start_outcome outcome,
+               core::monotonic_time sent) {
+    const moment at = hooks.now();
+    if (outcome != start_outcome::kAccepted) {
+      LogNotConfirmed(log, order, outcome, sent, at.now);
+    }
+    core.OnStartResponse(order, outcome, at);
     if (outcome == start_outcome::kFenced) return hooks.on_fenced();
     hooks.on_progress();
   }
--- a/src/waxwingfront/fleet/load_monitor.cc
+++ b/src/waxwingfront/fleet/load_monitor.cc
@@ -50,6 +50,7 @@
         log(events),
         connections(metrics.Counter("waxwingfront_connections_opened_total")),
         resets(metrics.Counter("waxwingfront_connections_reset_total")),
+        expired(metrics.Counter("waxwingfront_calls_expired_total")),
         processor(metrics) {
     for (std::size_t i = 0; i < kLoadStages; ++i) {
       histograms[i] = &metrics.Histogram(kStageMetrics[i]);
@@ -89,6 +90,7 @@
     if (hooks.processor != nullptr) processor.Update(*hooks.processor);
     connections.Add(calls.connections - last_calls.connections);
     resets.Add(calls.resets - last_calls.resets);
+    expired.Add(calls.expired - last_calls.expired);
     if (hooks.leading()) Write(calls, processor_ms);
     totals = {};
     last_calls = calls;
@@ -126,7 +128,10 @@
         {"out_of_contact", number(levels.executors_out_of_contact)},
         {"calls_in_flight", number(calls.in_flight)},
         {"calls_failed", number(calls.failed - last_calls.failed)},
+        {"calls_waiting", number(calls.waiting)},
+        {"calls_expired", number(calls.expired - last_calls.expired)},
         {"connections", number(calls.connections - last_calls.connections)},
+        {"connections_idle", number(calls.idle)},
         {"connection_resets", number(calls.resets - last_calls.resets)},
         {"sent_kb", kb(calls.sent_bytes, last_calls.sent_bytes)},
         {"received_kb", kb(calls.received_bytes, last_calls.received_bytes)}};
@@ -141,6 +146,7 @@
   logging::event_log& log;
   metrics::counter& connections;
   metrics::counter& resets;
+  metrics::counter& expired;
   processor_report processor;
   std::array<metrics::histogram*, kLoadStages> histograms{};
   std::array<stage_totals, kLoadStages> totals{};
--- a/src/waxwingfront/fleet/run_outcome.cc
+++ b/src/waxwingfront/fleet/run_outcome.cc
@@ -4,6 +4,7 @@
 
 bool SentByExecutor(start_outcome outcome) {
   return outcome != start_outcome::kUnreachable &&
+         outcome != start_outcome::kConnectionsBusy &&
          outcome != start_outcome::kUnknown &&
          outcome != start_outcome::kNotSent;
 }
@@ -81,6 +82,8 @@
       return "malformed";
     case start_outcome::kUnreachable:
       return "unreachable";
+    case start_outcome::kConnectionsBusy:
+      return "connections_busy";
     case start_outcome::kUnknown:
       return "no_response";
     case start_outcome::kUnclear:
--- a/src/waxwingfront/fleet/start_log.cc
+++ b/src/waxwingfront/fleet/start_log.cc
@@ -31,14 +31,17 @@
 }
 
 void LogNotConfirmed(logging::event_log& log, const start_order& order,
-                     start_outcome outcome) {
+                     start_outcome outcome, core::monotonic_time sent,
+                     core::monotonic_time now) {
+  const auto took = std::chrono::duration_cast<core::milliseconds>(now - sent);
   log.Write("start_not_confirmed",
             {{"job", order.task.job},
              {"step", std::int64_t{order.task.step}},
              {"task", std::int64_t{order.task.index}},
              {"run", std::int64_t{order.run}},
              {"executor", order.executor},
-             {"outcome", OutcomeName(outcome)}},
+             {"outcome", OutcomeName(outcome)},
+             {"took_ms", std::int64_t{took.count()}}},
             PriorityOf(order));
 }
 
--- a/src/waxwingfront/fleet/start_log.h
+++ b/src/waxwingfront/fleet/start_log.h
@@ -12,7 +12,8 @@
                  start_outcome outcome, core::monotonic_time now);
 
 void LogNotConfirmed(logging::event_log& log, const start_order& order,
-                     start_outcome outcome);
+                     start_outcome outcome, core::monotonic_time sent,
+                     core::monotonic_time now);
 
 }  // namespace waxwingfront::fleet
 
--- a/src/waxwingfront/fleet/types.h
+++ b/src/waxwingfront/fleet/types.h
@@ -213,8 +213,11 @@
   // The adviser's permit is missing or expired.
   kNotPermitted,
   kMalformed,
-  // The connection failed before anything was sent.
+  // No connection could be opened, and nothing was sent.
   kUnreachable,
+  // The leader's connections to the executor were in use for too long, and
+  // nothing was sent.
+  kConnectionsBusy,
   // No response; the order may still be executed.
   kUnknown,
   // A response that leaves open whether the order was or will be executed.
--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -87,8 +87,12 @@
         continue;
       }
       found->second.calls.OnEnd(next->call.turn);
-      loop.Post([done = std::move(next->done), address] {
-        done(core::Failure(core::error_code::kUnreachable,
+      if (!in_time) ++totals.expired;
+      loop.Post([done = std::move(next->done), address, in_time] {
+        done(in_time ? core::Failure(core::error_code::kNotRun,
+                                     address + ": the call was withdrawn")
+                     : core::Failure(
+                           core::error_code::kOverloaded,
                            address + ": no connection became free in time"));
       });
     }
@@ -157,7 +161,7 @@
           }
           failure_code ignored;
           link->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-          self->OnProgress(*link);
+          link->RestartStep(core::Now());
           self->Write(link);
         });
   }
@@ -172,7 +176,7 @@
                           self->Fail(*link, error);
                           return;
                         }
-                        self->OnProgress(*link);
+                        link->RestartStep(core::Now());
                         link->stage = call_stage::kReading;
                         link->parser.emplace();
                         link->parser->body_limit(kMaxResponseBytes);
@@ -192,7 +196,7 @@
                             } else if (link->parser->is_done()) {
                               self->Finish(link);
                             } else {
-                              self->OnProgress(*link);
+                              link->RestartStep(core::Now());
                               self->Read(link);
                             }
                           });
@@ -263,28 +267,9 @@
     link.stage = call_stage::kIdle;
   }
 
-  // Restarts the step timeout after the call has completed a step.
-  void OnProgress(connection& link) const {
-    if (!link.done) return;
-    link.extended = false;
-    link.step_deadline =
-        std::min(core::Now() + link.timeout, link.call_deadline);
-  }
-
   void BeginCall(const connection_ptr& link, http_call& call, callback done) {
-    const core::monotonic_time now = core::Now();
     ++totals.in_flight;
-    link->begun = now;
-    link->done = std::move(done);
-    link->on_late_response = std::move(call.on_late_response);
-    link->timeout = call.timeout;
-    link->late_response_timeout = call.late_response_timeout;
-    link->call_deadline =
-        now + (call.total_timeout > core::milliseconds(0)
-                   ? std::max(call.timeout, call.total_timeout)
-                   : 2 * call.timeout);
-    link->step_deadline = now + call.timeout;
-    link->extended = false;
+    link->Begin(call, std::move(done), core::Now());
     WatchDeadline(link);
   }
 
--- a/src/waxwingfront/net/async_http_client.h
+++ b/src/waxwingfront/net/async_http_client.h
@@ -43,12 +43,12 @@
   std::function<void(http_reply)> on_late_response = nullptr;
   // Maximum number of connections to the address, at least 2; 0 for no limit.
   // Connections that wait for a late response are closed when a call needs one.
-  // A call fails as unreachable if it has waited for longer than `timeout` when
+  // A call fails as overloaded if it has waited for longer than `timeout` when
   // its turn comes, which the total time limit of a call before it bounds;
   // `timeout` then starts anew. All calls to an address have the same limit.
   std::size_t max_connections = 0;
   call_turn turn = call_turn::kOrdinary;
-  // Checked when the call's turn comes; it fails as unreachable if this returns
+  // Checked when the call's turn comes; it fails as not run if this returns
   // false. Optional, for limited addresses.
   std::function<bool()> may_send = nullptr;
 };
@@ -76,6 +76,8 @@
   std::uint64_t resets = 0;
   // Calls that wait for a connection.
   std::size_t waiting = 0;
+  // Calls that have waited for a connection for too long and were not sent.
+  std::uint64_t expired = 0;
   std::uint64_t sent_bytes = 0;
   std::uint64_t received_bytes = 0;
 };
@@ -90,8 +92,9 @@
   ~async_http_client();
 
   // Sends one request. `done` is called once, from the event loop: with
-  // `kUnreachable` if no connection could be established, so that nothing was
-  // sent, and with `kOutcomeUnknown` if no complete response was received. A
+  // `kUnreachable` if no connection could be established, with `kOverloaded` or
+  // `kNotRun` if a limited address had none for it, so that nothing was sent,
+  // and with `kOutcomeUnknown` if no complete response was received. A
   // call without a response closes the idle connections to its address, which
   // may be dead as well.
   void Send(http_call call, callback done);
--- a/src/waxwingfront/net/detail/client_connection.cc
+++ b/src/waxwingfront/net/detail/client_connection.cc
@@ -2,6 +2,7 @@
 
 #include <poll.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "waxwingfront/net/detail/socket_readiness.h"
@@ -33,6 +34,27 @@
   request.prepare_payload();
 }
 
+void client_connection::Begin(http_call& call,
+                              std::function<void(core::result<http_reply>)> end,
+                              core::monotonic_time now) {
+  begun = now;
+  done = std::move(end);
+  on_late_response = std::move(call.on_late_response);
+  timeout = call.timeout;
+  late_response_timeout = call.late_response_timeout;
+  call_deadline = now + (call.total_timeout > core::milliseconds(0)
+                             ? std::max(call.timeout, call.total_timeout)
+                             : 2 * call.timeout);
+  step_deadline = now + call.timeout;
+  extended = false;
+}
+
+void client_connection::RestartStep(core::monotonic_time now) {
+  if (!done) return;
+  extended = false;
+  step_deadline = std::min(now + timeout, call_deadline);
+}
+
 std::size_t client_connection::ReadBytes() const {
   const bool large =
       parser->is_header_done() &&
--- a/src/waxwingfront/net/detail/client_connection.h
+++ b/src/waxwingfront/net/detail/client_connection.h
@@ -26,6 +26,11 @@
 
   // Makes `call` the request, of which it takes the body.
   void SetRequest(http_call& call);
+  // Begins a call at `now`, whose callbacks it takes.
+  void Begin(http_call& call, std::function<void(core::result<http_reply>)> end,
+             core::monotonic_time now);
+  // Restarts the step timeout after the call has completed a step.
+  void RestartStep(core::monotonic_time now);
   // Returns how many bytes to read from the socket at once.
   std::size_t ReadBytes() const;
   // True if the socket is ready for the step that the call waits for.
