Send an executor its next start when it has answered the one before

Cause: a leader has two connections to an executor, one for orders. With an event loop that is 0.25 s late, each order takes up to two turns of it. Starts behind others on the same connection waited in the HTTP client, in the order in which they came, and failed after the time-out of a response, 0.4 to 1.5 s, without having been sent. Each used up a run and a record, and kept all tasks from its executor for 2 s. Class: the observer's own lateness is taken for the peer's, and work is ordered faster than it can be carried out.

Change: start_queue gives an executor as many starts at once as the leader has connections for orders to it. The others wait there, those of interrupted tasks first, and are checked and get their deadline when they are sent. A start that the leader was too late to send goes out after the executor's next report, with the same run, and nothing is held against the executor.

--- a/src/waxwingfront/fleet/executor_connections.h
+++ b/src/waxwingfront/fleet/executor_connections.h
@@ -16,6 +16,11 @@
 // accepts.
 std::size_t ConnectionsPerExecutor(const std::optional<manifest>& current);
 
+// Returns how many orders the leader may send to one executor at once: one for
+// each connection that is not for holds. Nothing if no service states how many
+// connections its executors accept.
+std::optional<std::size_t> OrdersAtOnce(const manifest& current);
+
 }  // namespace waxwingfront::fleet
 
 #endif  // WAXWINGFRONT_FLEET_EXECUTOR_CONNECTIONS_H_
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "waxwingfront/fleet/executor_connections.h"
 #include "waxwingfront/fleet/job_queue.h"
 
 namespace waxwingfront::fleet {
@@ -109,6 +110,7 @@
 void fleet_core::SetManifest(manifest update) {
   if (update.version < state_.current_manifest.version) return;
   state_.current_manifest = std::move(update);
+  state_.starts.SetMaxPerExecutor(OrdersAtOnce(state_.current_manifest));
 }
 
 void fleet_core::Restore(schema::fleet_job job, std::int64_t job_revision,
@@ -351,6 +353,18 @@
   if (on_start_delayed) on_start_delayed(order, at);
 }
 
+bool fleet_core::MayBeSentAgain(const start_order& order, start_outcome outcome,
+                                core::monotonic_time now) {
+  const bool delayed_here =
+      outcome == start_outcome::kConnectionsBusy ||
+      (outcome == start_outcome::kNotSent && deadlines_.AwaitsHold(order, now));
+  if (!delayed_here) return false;
+  const task_state* const task = state_.FindTask(order.task);
+  return task != nullptr && task->run == order.run &&
+         task->executor == order.executor &&
+         task->Phase() == task_phase::kStarting;
+}
+
 void fleet_core::OnHold(std::string_view executor, const hold_report& report,
                         core::monotonic_time sent, moment at) {
   runs_.OnHold(executor, report, sent, at);
@@ -361,6 +375,10 @@
 void fleet_core::OnStartResponse(const start_order& order,
                                  start_outcome outcome, moment at) {
   state_.starts.OnResponse(order, outcome, at.now);
+  if (MayBeSentAgain(order, outcome, at.now)) {
+    state_.FindTask(order.task)->SetPhase(task_phase::kPlaced);
+    return;
+  }
   runs_.OnStartResponse(order, outcome, at);
   executor_state* const executor = state_.FindExecutor(order.executor);
   const bool accepted = outcome == start_outcome::kAccepted;
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -212,6 +212,10 @@
   // Takes back a start that was not sent: the executor's next report makes it
   // available again.
   void ReturnToPlaced(const start_order& order, moment at);
+  // True if the leader was too slow to send the start, so that nothing speaks
+  // against its executor.
+  bool MayBeSentAgain(const start_order& order, start_outcome outcome,
+                      core::monotonic_time now);
   placement_cost PlacementCost();
   placement_epoch PlacementEpoch();
   // True while the first holds to executors with runs have no outcome yet.
--- a/src/waxwingfront/fleet/load_monitor.cc
+++ b/src/waxwingfront/fleet/load_monitor.cc
@@ -120,6 +120,7 @@
         {"starts", Total(load_stage::kStart).count},
         {"start_longest_ms", Ms(Total(load_stage::kStart).longest)},
         {"starts_waiting", number(levels.starts.waiting)},
+        {"starts_behind_others", number(levels.starts.behind_others)},
         {"start_backlog_kb", kb(levels.starts.backlog_bytes, 0)},
         {"starts_in_flight_kb", kb(levels.starts.bytes_in_flight, 0)},
         {"unstored_jobs", number(levels.unpersisted_jobs)},
--- a/src/waxwingfront/fleet/start_queue.cc
+++ b/src/waxwingfront/fleet/start_queue.cc
@@ -44,7 +44,10 @@
 }
 
 void start_queue::Add(start_order order) {
-  std::deque<start_order>& waiting = lanes_[UrgencyOf(order)].waiting;
+  Insert(lanes_[UrgencyOf(order)].waiting, std::move(order));
+}
+
+void start_queue::Insert(std::deque<start_order>& waiting, start_order order) {
   const auto place =
       std::upper_bound(waiting.rbegin(), waiting.rend(), order.placed_at,
                        [](core::monotonic_time at, const start_order& other) {
@@ -80,7 +83,14 @@
     }
     start_order order = std::move(from.waiting.front());
     from.waiting.pop_front();
+    executor_starts& others = by_executor_[order.executor];
+    if (max_per_executor_ && others.unanswered >= *max_per_executor_) {
+      Insert(others.behind, std::move(order));
+      continue;
+    }
+    ++others.unanswered;
     order.number = ++last_number_;
+    unanswered_.emplace(order.number, order.executor);
     RecordSent(order.number,
                {.of = of, .bytes = bytes, .sent = now, .carried = {}});
     taken.push_back(std::move(order));
@@ -135,12 +145,33 @@
   }
   const auto found = in_flight_.find(order.number);
   if (found != in_flight_.end()) Release(found);
+  OnAnswered(order.number);
+}
+
+void start_queue::OnAnswered(std::uint64_t number) {
+  const auto answered = unanswered_.find(number);
+  if (answered == unanswered_.end()) return;
+  const auto found = by_executor_.find(answered->second);
+  unanswered_.erase(answered);
+  executor_starts& others = found->second;
+  --others.unanswered;
+  const auto next = std::ranges::min_element(others.behind, {}, UrgencyOf);
+  if (next != others.behind.end()) {
+    start_order order = std::move(*next);
+    others.behind.erase(next);
+    Add(std::move(order));
+  } else if (others.unanswered == 0) {
+    by_executor_.erase(found);
+  }
 }
 
 start_queue_levels start_queue::Levels() const {
   start_queue_levels levels{.backlog_bytes = backlog_bytes_,
                             .bytes_in_flight = bytes_in_flight_};
   for (const lane& one : lanes_) levels.waiting += one.waiting.size();
+  for (const auto& [id, starts] : by_executor_) {
+    levels.behind_others += starts.behind.size();
+  }
   return levels;
 }
 
--- a/src/waxwingfront/fleet/start_queue.h
+++ b/src/waxwingfront/fleet/start_queue.h
@@ -1,8 +1,9 @@
 // Starts on their way to the executors, limited to what the link of this
-// process carries.
+// process carries and to what its connections to each executor carry at once.
 //
-// What is sent beyond that waits in the sockets, where urgent starts, holds and
-// lease renewals cannot overtake it, until the deadlines of the starts pass.
+// What is sent beyond that waits in the sockets or for a connection, where
+// urgent starts, holds and lease renewals cannot overtake it, until the
+// deadlines of the starts pass.
 #ifndef WAXWINGFRONT_FLEET_START_QUEUE_H_
 #define WAXWINGFRONT_FLEET_START_QUEUE_H_
 
@@ -12,6 +13,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "waxwingfront/core/clock.h"
@@ -37,6 +39,8 @@
 struct start_queue_levels {
   // Starts that may be sent as soon as the link has room for them.
   std::size_t waiting = 0;
+  // Starts that wait for the response to another one from the same executor.
+  std::size_t behind_others = 0;
   // Size of the starts of short tasks that are placed and were not sent yet.
   std::size_t backlog_bytes = 0;
   // Size of the starts that were sent and may not have left the link yet.
@@ -59,14 +63,22 @@
   // only wait for those of others.
   bool IsFull() const;
 
+  // Sets how many starts one executor may get at once, at least 1; nothing for
+  // no limit.
+  void SetMaxPerExecutor(std::optional<std::size_t> starts) {
+    max_per_executor_ = starts;
+  }
+
   // Adds a start behind those of its urgency that were placed no later.
   void Add(start_order order);
   // Removes and returns the starts to be sent now: those of interrupted
   // long-running tasks first, then those of new ones, then those of short
-  // tasks. None is sent while a more urgent one waits for the link. Each is in
-  // flight until its first response or failure. An unanswered one leaves the
-  // link earlier: once the link had the time to carry it at its nominal speed,
-  // and an executor has responded to a later start or none has responded for
+  // tasks. None is sent while a more urgent one waits for the link, or while
+  // its executor has not responded to enough others, which the most urgent of
+  // those behind them follows. Each is in flight until its first response or
+  // failure. For the limit of the link, an unanswered one leaves the link
+  // earlier: once the link had the time to carry it at its nominal speed, and
+  // an executor has responded to a later start or none has responded for
   // `max_silence`.
   std::vector<start_order> Take(core::monotonic_time now);
   // Handles a response to a start, or its failure.
@@ -80,6 +92,11 @@
   start_queue_levels Levels() const;
 
  private:
+  // Starts for one executor.
+  struct executor_starts {
+    std::size_t unanswered = 0;
+    std::deque<start_order> behind;
+  };
   struct lane {
     std::deque<start_order> waiting;
     std::size_t bytes_in_flight = 0;
@@ -96,6 +113,11 @@
   using sent_starts = std::map<std::uint64_t, sent_start>;
 
   static urgency UrgencyOf(const start_order& order);
+  // Inserts the start behind those that were placed no later.
+  static void Insert(std::deque<start_order>& waiting, start_order order);
+  // The executor has responded to the start, or will not: the next one for it
+  // may be sent.
+  void OnAnswered(std::uint64_t number);
   // Takes as many starts as the link has room for.
   void TakeFrom(urgency of, core::monotonic_time now,
                 std::vector<start_order>& taken);
@@ -116,6 +138,10 @@
   std::size_t bytes_in_flight_ = 0;
   // When a link of nominal speed has carried all starts in flight.
   core::monotonic_time all_carried_{};
+  std::optional<std::size_t> max_per_executor_;
+  std::map<std::string, executor_starts> by_executor_;
+  // Executors of the unanswered starts by the number of the order.
+  std::map<std::uint64_t, std::string> unanswered_;
   std::uint64_t last_number_ = 0;
   // Highest number of a start that an executor responded to, and when one last
   // responded.
