Write small requests at once

Each call of the HTTP client took two iterations of the event loop: one until its bytes were known to be written, one until its response was read. On a leader whose loop is 0.25 s late that halves the orders which go to one executor in a second. A request that fits into the socket, as nearly all do, is now written without waiting for an iteration; only what the socket does not take is left to the loop.

--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -161,28 +161,42 @@
           }
           failure_code ignored;
           link->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+          link->socket.non_blocking(true, ignored);
           link->RestartStep(core::Now());
           self->Write(link);
         });
   }
 
   void Write(const connection_ptr& link) {
-    link->stage = call_stage::kWriting;
-    http::async_write(link->socket, link->request,
-                      [self = shared_from_this(), link](
-                          const failure_code& error, std::size_t sent) {
-                        self->totals.sent_bytes += sent;
-                        if (error) {
-                          self->Fail(*link, error);
-                          return;
-                        }
-                        link->RestartStep(core::Now());
-                        link->stage = call_stage::kReading;
-                        link->parser.emplace();
-                        link->parser->body_limit(kMaxResponseBytes);
-                        link->parser->eager(true);
-                        self->Read(link);
-                      });
+    failure_code error;
+    totals.sent_bytes += link->BeginWrite(error);
+    if (error == asio::error::would_block) {
+      http::async_write(link->socket, *link->serializer,
+                        [self = shared_from_this(), link](
+                            const failure_code& failure, std::size_t sent) {
+                          self->totals.sent_bytes += sent;
+                          self->OnWritten(link, failure);
+                        });
+    } else if (error) {
+      loop.Post([self = shared_from_this(), link, error] {
+        self->OnWritten(link, error);
+      });
+    } else {
+      OnWritten(link, error);
+    }
+  }
+
+  void OnWritten(const connection_ptr& link, const failure_code& error) {
+    if (error) {
+      Fail(*link, error);
+      return;
+    }
+    link->RestartStep(core::Now());
+    link->stage = call_stage::kReading;
+    link->parser.emplace();
+    link->parser->body_limit(kMaxResponseBytes);
+    link->parser->eager(true);
+    Read(link);
   }
 
   void Read(const connection_ptr& link) {
--- a/src/waxwingfront/net/detail/client_connection.cc
+++ b/src/waxwingfront/net/detail/client_connection.cc
@@ -49,6 +49,12 @@
   extended = false;
 }
 
+std::size_t client_connection::BeginWrite(boost::system::error_code& error) {
+  stage = call_stage::kWriting;
+  serializer.emplace(request);
+  return boost::beast::http::write(socket, *serializer, error);
+}
+
 void client_connection::RestartStep(core::monotonic_time now) {
   if (!done) return;
   extended = false;
--- a/src/waxwingfront/net/detail/client_connection.h
+++ b/src/waxwingfront/net/detail/client_connection.h
@@ -29,6 +29,10 @@
   // Begins a call at `now`, whose callbacks it takes.
   void Begin(http_call& call, std::function<void(core::result<http_reply>)> end,
              core::monotonic_time now);
+  // Sends as much of the request as the socket takes at once, so that a small
+  // one needs no further iteration of the event loop. Returns the bytes sent;
+  // `error` is `would_block` if `serializer` has to send more.
+  std::size_t BeginWrite(boost::system::error_code& error);
   // Restarts the step timeout after the call has completed a step.
   void RestartStep(core::monotonic_time now);
   // Returns how many bytes to read from the socket at once.
@@ -39,6 +43,9 @@
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   boost::beast::http::request<boost::beast::http::string_body> request;
+  std::optional<
+      boost::beast::http::request_serializer<boost::beast::http::string_body>>
+      serializer;
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
       parser;
