--- a/src/waxwingfront/fleet/load_monitor.cc
+++ b/src/waxwingfront/fleet/load_monitor.cc
@@ -50,6 +50,7 @@
         log(events),
         connections(metrics.Counter("waxwingfront_connections_opened_total")),
         resets(metrics.Counter("waxwingfront_connections_reset_total")),
+        expired(metrics.Counter("waxwingfront_calls_expired_total")),
         processor(metrics) {
     for (std::size_t i = 0; i < kLoadStages; ++i) {
       histograms[i] = &metrics.Histogram(kStageMetrics[i]);
@@ -89,6 +90,7 @@
     if (hooks.processor != nullptr) processor.Update(*hooks.processor);
     connections.Add(calls.connections - last_calls.connections);
     resets.Add(calls.resets - last_calls.resets);
+    expired.Add(calls.expired - last_calls.expired);
     if (hooks.leading()) Write(calls, processor_ms);
     totals = {};
     last_calls = calls;
@@ -118,6 +120,7 @@
         {"starts", Total(load_stage::kStart).count},
         {"start_longest_ms", Ms(Total(load_stage::kStart).longest)},
         {"starts_waiting", number(levels.starts.waiting)},
+        {"starts_behind_others", number(levels.starts.behind_others)},
         {"start_backlog_kb", kb(levels.starts.backlog_bytes, 0)},
         {"starts_in_flight_kb", kb(levels.starts.bytes_in_flight, 0)},
         {"unstored_jobs", number(levels.unpersisted_jobs)},
@@ -126,7 +129,10 @@
         {"out_of_contact", number(levels.executors_out_of_contact)},
         {"calls_in_flight", number(calls.in_flight)},
         {"calls_failed", number(calls.failed - last_calls.failed)},
+        {"calls_waiting", number(calls.waiting)},
+        {"calls_expired", number(calls.expired - last_calls.expired)},
         {"connections", number(calls.connections - last_calls.connections)},
+        {"connections_idle", number(calls.idle)},
         {"connection_resets", number(calls.resets - last_calls.resets)},
         {"sent_kb", kb(calls.sent_bytes, last_calls.sent_bytes)},
         {"received_kb", kb(calls.received_bytes, last_calls.received_bytes)}};
@@ -141,6 +147,7 @@
   logging::event_log& log;
   metrics::counter& connections;
   metrics::counter& resets;
+  metrics::counter& expired;
   processor_report processor;
   std::array<metrics::histogram*, kLoadStages> histograms{};
   std::array<stage_totals, kLoadStages> totals{};
--- a/src/waxwingfront/net/async_http_client.cc
+++ b/src/waxwingfront/net/async_http_client.cc
@@ -87,8 +87,12 @@
         continue;
       }
       found->second.calls.OnEnd(next->call.turn);
-      loop.Post([done = std::move(next->done), address] {
-        done(core::Failure(core::error_code::kUnreachable,
+      if (!in_time) ++totals.expired;
+      loop.Post([done = std::move(next->done), address, in_time] {
+        done(in_time ? core::Failure(core::error_code::kNotRun,
+                                     address + ": the call was withdrawn")
+                     : core::Failure(
+                           core::error_code::kOverloaded,
                            address + ": no connection became free in time"));
       });
     }
@@ -157,28 +161,42 @@
           }
           failure_code ignored;
           link->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-          self->OnProgress(*link);
+          link->socket.non_blocking(true, ignored);
+          link->RestartStep(core::Now());
           self->Write(link);
         });
   }
 
   void Write(const connection_ptr& link) {
-    link->stage = call_stage::kWriting;
-    http::async_write(link->socket, link->request,
-                      [self = shared_from_this(), link](
-                          const failure_code& error, std::size_t sent) {
-                        self->totals.sent_bytes += sent;
-                        if (error) {
-                          self->Fail(*link, error);
-                          return;
-                        }
-                        self->OnProgress(*link);
-                        link->stage = call_stage::kReading;
-                        link->parser.emplace();
-                        link->parser->body_limit(kMaxResponseBytes);
-                        link->parser->eager(true);
-                        self->Read(link);
-                      });
+    failure_code error;
+    totals.sent_bytes += link->BeginWrite(error);
+    if (error == asio::error::would_block) {
+      http::async_write(link->socket, *link->serializer,
+                        [self = shared_from_this(), link](
+                            const failure_code& failure, std::size_t sent) {
+                          self->totals.sent_bytes += sent;
+                          self->OnWritten(link, failure);
+                        });
+    } else if (error) {
+      loop.Post([self = shared_from_this(), link, error] {
+        self->OnWritten(link, error);
+      });
+    } else {
+      OnWritten(link, error);
+    }
+  }
+
+  void OnWritten(const connection_ptr& link, const failure_code& error) {
+    if (error) {
+      Fail(*link, error);
+      return;
+    }
+    link->RestartStep(core::Now());
+    link->stage = call_stage::kReading;
+    link->parser.emplace();
+    link->parser->body_limit(kMaxResponseBytes);
+    link->parser->eager(true);
+    Read(link);
   }
 
   void Read(const connection_ptr& link) {
@@ -192,7 +210,7 @@
                             } else if (link->parser->is_done()) {
                               self->Finish(link);
                             } else {
-                              self->OnProgress(*link);
+                              link->RestartStep(core::Now());
                               self->Read(link);
                             }
                           });
@@ -263,28 +281,9 @@
     link.stage = call_stage::kIdle;
   }
 
-  // Restarts the step timeout after the call has completed a step.
-  void OnProgress(connection& link) const {
-    if (!link.done) return;
-    link.extended = false;
-    link.step_deadline =
-        std::min(core::Now() + link.timeout, link.call_deadline);
-  }
-
   void BeginCall(const connection_ptr& link, http_call& call, callback done) {
-    const core::monotonic_time now = core::Now();
     ++totals.in_flight;
-    link->begun = now;
-    link->done = std::move(done);
-    link->on_late_response = std::move(call.on_late_response);
-    link->timeout = call.timeout;
-    link->late_response_timeout = call.late_response_timeout;
-    link->call_deadline =
-        now + (call.total_timeout > core::milliseconds(0)
-                   ? std::max(call.timeout, call.total_timeout)
-                   : 2 * call.timeout);
-    link->step_deadline = now + call.timeout;
-    link->extended = false;
+    link->Begin(call, std::move(done), core::Now());
     WatchDeadline(link);
   }
 
