Stop no run because of another incarnation's entry

Callers would see long-running tasks stand still: while an executor's entry is of another incarnation than the one that responds, all runs on it were stopped at once if the entry says that it drains.

Cause: `StaysFor` returned 0, which means "leaves now", also while the clock or the matching entry was not known.

Change: it returns nothing then, and neither stops nor reservations follow until the executor has responded as the one that its entry describes. An entry that drains and does not tell how long still counts as 0.

Measured: the new case in leaving_executor_test fails before and passes now.

--- a/src/waxwingfront/fleet/executor_state.cc
+++ b/src/waxwingfront/fleet/executor_state.cc
@@ -61,10 +61,10 @@
   return Available(now) && now >= unhealthy_until;
 }
 
-core::milliseconds executor_state::StaysFor(core::monotonic_time now) const {
-  if (!clock || !MatchesEntry() || info.leaves_at_ms == 0) {
-    return core::milliseconds(0);
-  }
+std::optional<core::milliseconds> executor_state::StaysFor(
+    core::monotonic_time now) const {
+  if (!clock || !MatchesEntry()) return std::nullopt;
+  if (info.leaves_at_ms == 0) return core::milliseconds(0);
   return core::milliseconds(
       std::max<std::int64_t>(0, info.leaves_at_ms - LatestClock(*clock, now)));
 }
--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -213,8 +213,10 @@
   std::uint64_t ForgettableEnd(core::monotonic_time now) const {
     return HeldRecently(now) ? acknowledged : 0;
   }
-  // Returns how long it certainly stays if it drains; 0 if that is not known.
-  core::milliseconds StaysFor(core::monotonic_time now) const;
+  // Returns how long it certainly stays if it drains: 0 if its entry does not
+  // tell, nothing while its clock is unknown or the entry is of another
+  // incarnation.
+  std::optional<core::milliseconds> StaysFor(core::monotonic_time now) const;
   // True if its free capacity is reserved for another job.
   bool ReservedForOtherJob(const job_state* job,
                            core::monotonic_time now) const {
--- a/src/waxwingfront/fleet/interrupted_tasks.cc
+++ b/src/waxwingfront/fleet/interrupted_tasks.cc
@@ -16,14 +16,15 @@
 
 void AddLeaving(const executor_state& executor, core::monotonic_time now,
                 std::vector<interrupted_task>& found) {
-  const auto stays =
-      std::chrono::duration_cast<std::chrono::seconds>(executor.StaysFor(now));
+  const std::optional<core::milliseconds> stays = executor.StaysFor(now);
+  if (!stays) return;
   for (task_state* const task : executor.active) {
     if (!MayStillRun(*task)) continue;
-    found.push_back({.task = task,
-                     .restartable_at = now + kStopTime,
-                     .leaving = true,
-                     .stays = stays});
+    found.push_back(
+        {.task = task,
+         .restartable_at = now + kStopTime,
+         .leaving = true,
+         .stays = std::chrono::floor<std::chrono::seconds>(*stays)});
   }
 }
 
--- a/src/waxwingfront/fleet/rebalancer.cc
+++ b/src/waxwingfront/fleet/rebalancer.cc
@@ -77,20 +77,22 @@
 }
 
 void rebalancer::Evacuate(moment at) {
-  std::vector<executor_state*> draining;
+  struct leaving_executor {
+    executor_state* executor;
+    core::milliseconds stays;
+  };
+  std::vector<leaving_executor> draining;
   for (auto& [id, executor] : state_.executors) {
-    if (executor.info.draining && executor.long_running_count > 0) {
-      draining.push_back(&executor);
-    }
+    if (!executor.info.draining || executor.long_running_count == 0) continue;
+    const auto stays = executor.StaysFor(at.now);
+    if (stays) draining.push_back({&executor, *stays});
   }
   if (draining.empty()) return;
-  std::ranges::stable_sort(draining, {}, [at](const executor_state* executor) {
-    return executor->StaysFor(at.now);
-  });
+  std::ranges::stable_sort(draining, {}, &leaving_executor::stays);
   std::map<const schema::fleet_step*, std::int64_t> places =
       CountFreePlaces(state_, at.now);
-  for (executor_state* const executor : draining) {
-    const bool leaves = executor->StaysFor(at.now) <= options_.stop_lead;
+  for (const auto& [executor, stays] : draining) {
+    const bool leaves = stays <= options_.stop_lead;
     const std::vector<task_state*> active = executor->active;
     for (task_state* const task : active) {
       if (!task->Spec().long_running() ||
--- a/tests/waxwingfront/fleet/leaving_executor_test.cc
+++ b/tests/waxwingfront/fleet/leaving_executor_test.cc
@@ -33,10 +33,12 @@
   static std::string Job(int index) { return "job" + std::to_string(index); }
 
   // The executor reports that it drains and leaves at `leaves_at_ms`.
-  void Drain(const std::string& executor, std::int64_t leaves_at_ms) {
+  void Drain(const std::string& executor, std::int64_t leaves_at_ms,
+             bool other_incarnation = false) {
     fleet::executor_info info = fixture_.Core().FindExecutor(executor)->info;
     info.draining = true;
     info.leaves_at_ms = leaves_at_ms;
+    if (other_incarnation) ++info.born_ms;
     fixture_.Core().SetExecutor(info);
   }
 
@@ -136,6 +138,18 @@
   CHECK(service.Moved(job));
 }
 
+// Guards against stops of all runs on an executor whose clock and time to leave
+// are not known yet.
+TEST_CASE("the entry of another incarnation stops no run", "[fleet]") {
+  full_service service(2);
+  const std::string job = full_service::Job(0);
+  const std::string executor = service.ExecutorOf(job);
+  constexpr bool kOtherIncarnation = true;
+  service.Drain(executor, 3 * kLeavesAtMs, kOtherIncarnation);
+  service.PlayUntil(6000);
+  CHECK_FALSE(service.Moved(job));
+}
+
 TEST_CASE("tasks of the executor that leaves first move first", "[fleet]") {
   full_service service(3);
   const std::string later = full_service::Job(0);
