Stop tasks on draining executors as early as stops take here and now

Cause: tasks without another place were stopped 1.5 s before their executor leaves, however long stops take. A leader has one connection for the orders to an executor, so that the stops there leave in turn. With a slow event loop, the last of six and more came when the executor had left, and the end of such a run counts only once the lease has lapsed.

Change: `stop_times` measures the turns of stops, from the response to the one before to the next one, and the time from there until the end is known, as moving means and deviations. Round trips of holds bound the turns from below, so that a new leader need not stop anything first. The lead is what the runs on the executor need together, from 1.5 s as before to 6 s at most. Executors with more tasks are therefore stopped earlier, so that fewer stops fall in one second. `task_moved` has `lead_ms`.

Measured: the new case in leaving_executor_test failed before (six of eight ends were not known when the executor left).

--- a/src/waxwingfront/fleet/decision_log.cc
+++ b/src/waxwingfront/fleet/decision_log.cc
@@ -114,16 +114,19 @@
                            {"took_ms", std::int64_t{took.count()}}});
 }
 
-void decision_log::Moved(const task_state& task,
-                         std::optional<core::milliseconds> stays) {
-  log_.Write("task_moved",
-             {{"job", task.job->Id()},
-              {"step", std::int64_t{task.step}},
-              {"task", std::int64_t{task.index}},
-              {"run", std::int64_t{task.run}},
-              {"executor", task.executor},
-              {"pace", std::int64_t{task.pace_percent}},
-              {"stays_ms", stays ? std::int64_t{stays->count()} : 0}});
+void decision_log::Moved(const task_state& task, const executor_state& executor,
+                         const stop_times& stops, moment at) {
+  const core::milliseconds stays =
+      executor.StaysFor(at.now).value_or(core::milliseconds(0));
+  const core::milliseconds lead = stops.LeadFor(executor.long_running_count);
+  log_.Write("task_moved", {{"job", task.job->Id()},
+                            {"step", std::int64_t{task.step}},
+                            {"task", std::int64_t{task.index}},
+                            {"run", std::int64_t{task.run}},
+                            {"executor", task.executor},
+                            {"pace", std::int64_t{task.pace_percent}},
+                            {"stays_ms", std::int64_t{stays.count()}},
+                            {"lead_ms", std::int64_t{lead.count()}}});
 }
 
 void decision_log::StartDelayed(const start_order& order, moment at) {
--- a/src/waxwingfront/fleet/decision_log.h
+++ b/src/waxwingfront/fleet/decision_log.h
@@ -3,7 +3,6 @@
 #define WAXWINGFRONT_FLEET_DECISION_LOG_H_
 
 #include <cstdint>
-#include <optional>
 #include <span>
 
 #include "waxwingfront/core/clock.h"
@@ -34,9 +33,10 @@
   // Logs the times from acceptance to each milestone of the job's first task.
   void JobBegun(const job_state& job);
   void JobFinal(const job_state& job);
-  // `stays` is how long its executor certainly stays if it drains; logged as 0
-  // if it is not known.
-  void Moved(const task_state& task, std::optional<core::milliseconds> stays);
+  // Logs how long its executor certainly stays, if it drains, and how long the
+  // stops there are expected to take.
+  void Moved(const task_state& task, const executor_state& executor,
+             const stop_times& stops, moment at);
   // The start waits for its executor to respond to another hold.
   void StartDelayed(const start_order& order, moment at);
   void RunEnded(const task_state& task, run_outcome outcome);
--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -243,7 +243,9 @@
     const auto taken =
         std::chrono::duration_cast<core::milliseconds>(core::Now() - sent);
     // The executor responds before the wait is over if a run ends.
-    if (has_response && taken >= wait) pace.RecordLateness(taken - wait);
+    if (!has_response || taken < wait) return;
+    pace.RecordLateness(taken - wait);
+    core.Runs().Stops().RecordRoundTrip(taken - wait);
   }
 
   void ReportStage(load_stage stage, core::monotonic_time since) const {
--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -132,6 +132,9 @@
   // empty if none.
   std::string awaited_job;
 
+  // When it last stopped a run, see `stop_times`.
+  core::monotonic_time last_stop_turn{};
+
   // No new tasks are placed on it until then.
   core::monotonic_time avoid_until{};
   // The same because runs of several jobs have failed on it, see
--- a/src/waxwingfront/fleet/fleet_leader.cc
+++ b/src/waxwingfront/fleet/fleet_leader.cc
@@ -98,8 +98,8 @@
       decisions.PermitsVoid(request);
     };
     core.Rebalancer().on_move = [this](const task_state& task, moment at) {
-      const executor_state* const executor = core.FindExecutor(task.executor);
-      decisions.Moved(task, executor->StaysFor(at.now));
+      decisions.Moved(task, *core.FindExecutor(task.executor),
+                      core.Runs().Stops(), at);
     };
   }
 
--- a/src/waxwingfront/fleet/fleet_state.cc
+++ b/src/waxwingfront/fleet/fleet_state.cc
@@ -91,6 +91,7 @@
   task.waiting_since = now;
   if (task.HasBegun()) task.interrupted_since = now;
   task.stop_confirmed = false;
+  task.stop_ordered_at = {};
   task.percent = 0;
   task.pace_percent = kFullPace;
 }
@@ -141,6 +142,8 @@
     return;
   }
   if (task.Phase() != task_phase::kStopping) {
+    const bool running = task.Phase() == task_phase::kRunning;
+    task.stop_ordered_at = running ? now : core::monotonic_time{};
     task.SetPhase(task_phase::kStopping);
     task.stop_confirmed = false;
   }
--- a/src/waxwingfront/fleet/fleet_state.h
+++ b/src/waxwingfront/fleet/fleet_state.h
@@ -16,6 +16,7 @@
 #include "waxwingfront/fleet/executor_state.h"
 #include "waxwingfront/fleet/job_state.h"
 #include "waxwingfront/fleet/start_queue.h"
+#include "waxwingfront/fleet/stop_times.h"
 #include "waxwingfront/fleet/store_queue.h"
 #include "waxwingfront/fleet/types.h"
 
@@ -38,6 +39,7 @@
   std::size_t record_cost = 0;
   store_queue store_backlog;
   start_queue starts;
+  stop_times stops{stop_time_options{}};
   // All other orders.
   orders outgoing;
   // All changes of executor entries until this time are known; empty if
--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -72,6 +72,8 @@
   bool stop_confirmed = false;
   core::monotonic_time stop_confirmed_at{};
   core::monotonic_time stop_sent_at{};
+  // When the stop of the present run was ordered, if it was active then.
+  core::monotonic_time stop_ordered_at{};
   // When it began to wait for its next placement.
   core::monotonic_time waiting_since{};
   // The same, but not changed by runs that never began.
--- a/src/waxwingfront/fleet/rebalancer.cc
+++ b/src/waxwingfront/fleet/rebalancer.cc
@@ -92,7 +92,8 @@
   std::map<const schema::fleet_step*, std::int64_t> places =
       CountFreePlaces(state_, at.now);
   for (const auto& [executor, stays] : draining) {
-    const bool leaves = stays <= options_.stop_lead;
+    const bool leaves =
+        stays <= state_.stops.LeadFor(executor->long_running_count);
     const std::vector<task_state*> active = executor->active;
     for (task_state* const task : active) {
       if (!task->Spec().long_running() ||
--- a/src/waxwingfront/fleet/rebalancer.h
+++ b/src/waxwingfront/fleet/rebalancer.h
@@ -25,9 +25,6 @@
   int max_moves = 6;
   // A task moves only to an executor below this cost, see `sharing_policy`.
   double max_target_cost = 1.5;
-  // How long before an executor leaves its long-running tasks are stopped, so
-  // that their ends are known: the slowest stop takes 0.9 s.
-  core::milliseconds stop_lead{1500};
 };
 
 class rebalancer {
@@ -45,7 +42,8 @@
  private:
   // Stops long-running tasks on draining executors, those first whose executor
   // leaves first: tasks for which capacity is reserved and free elsewhere, and
-  // all on an executor that is about to leave. Others run on.
+  // all on an executor that leaves before later stops would be known to be
+  // over, see `stop_times`. Others run on.
   void Evacuate(moment at);
   bool MayMove(const task_state& task, moment at) const;
 
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -222,6 +222,8 @@
   if (task->stop_confirmed) return;
   task->stop_confirmed = true;
   task->stop_confirmed_at = at.now;
+  executor_state* const executor = state_.FindExecutor(task->executor);
+  if (executor != nullptr) state_.stops.OnConfirmed(*executor, *task, at.now);
 }
 
 void run_tracker::OnPaceFailed(const pace_order& order) {
@@ -286,7 +288,10 @@
 void run_tracker::EndRun(task_state& task, run_outcome outcome, moment at) {
   job_state& job = *task.job;
   executor_state* const executor = state_.FindExecutor(task.executor);
-  if (executor != nullptr) UpdateHealth(*executor, task, outcome, at);
+  if (executor != nullptr) {
+    UpdateHealth(*executor, task, outcome, at);
+    state_.stops.OnEnded(*executor, task, outcome, at.now);
+  }
   if (ReportedByExecutor(outcome)) MarkBegun(job, at);
   if (!task.Spec().long_running()) job.executor_time += task.RunTime(at.now);
   if (on_run_ended) on_run_ended(task, outcome, at);
--- a/src/waxwingfront/fleet/run_tracker.h
+++ b/src/waxwingfront/fleet/run_tracker.h
@@ -48,6 +48,7 @@
       : state_(state), restarts_(state), options_(options), bounds_(bounds) {}
 
   restart_stages& Restarts() { return restarts_; }
+  stop_times& Stops() { return state_.stops; }
 
   // Called with each run that has ended, for logs and estimates.
   std::function<void(const task_state&, run_outcome, moment)> on_run_ended;
--- a/tests/waxwingfront/fleet/leaving_executor_test.cc
+++ b/tests/waxwingfront/fleet/leaving_executor_test.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -17,12 +19,21 @@
 constexpr std::int64_t kLeavesAtMs = 10'000;
 constexpr std::int64_t kStepMs = 100;
 
-// A service that is full of long-running tasks, one on each executor.
+struct service_scene {
+  int executors = 1;
+  int tasks_per_executor = 1;
+  // The stops of one executor leave in turn: time that each takes.
+  std::int64_t stop_turn_ms = 0;
+};
+
+// A service that is full of long-running tasks.
 class full_service {
  public:
-  explicit full_service(int executors) {
-    for (int i = 0; i < executors; ++i) {
-      fixture_.AddExecutor(Executor(i), kExecutorCpu);
+  explicit full_service(int executors)
+      : full_service(service_scene{.executors = executors}) {}
+  explicit full_service(const service_scene& scene) : scene_(scene) {
+    for (int i = 0; i < scene.executors; ++i) AddExecutor(i);
+    for (int i = 0; i < scene.executors * scene.tasks_per_executor; ++i) {
       schema::fleet_job job = JobOf(Job(i), 1, kTaskCpu);
       job.mutable_steps(0)->set_long_running(true);
       fixture_.Core().Submit(job, At(0));
@@ -31,6 +42,13 @@
   }
 
   static std::string Job(int index) { return "job" + std::to_string(index); }
+  static std::string Executor(int index) { return "e" + std::to_string(index); }
+
+  void AddExecutor(int index) {
+    const std::int64_t cpu =
+        kExecutorCpu + (scene_.tasks_per_executor - 1) * kTaskCpu;
+    fixture_.AddExecutor(Executor(index), cpu, now_ms_);
+  }
 
   // The executor reports that it drains and leaves at `leaves_at_ms`.
   void Drain(const std::string& executor, std::int64_t leaves_at_ms,
@@ -47,6 +65,9 @@
     for (; now_ms_ < until_ms; now_ms_ += kStepMs) {
       for (const auto& [id, runs] : std::map(running_)) Report(id);
       const fleet::orders orders = fixture_.StepAccepted(now_ms_);
+      for (const fleet::stop_order& stop : orders.stops) {
+        lines_[stop.executor].waiting.push_back({stop, now_ms_});
+      }
       for (const fleet::start_order& start : orders.starts) {
         running_[start.executor].push_back({.task = start.task,
                                             .run = start.run,
@@ -54,7 +75,7 @@
                                             .percent = 100});
         started_at_[start.task.job] = now_ms_;
       }
-      for (const fleet::stop_order& stop : orders.stops) Stop(stop);
+      for (auto& [id, line] : lines_) Serve(line);
     }
   }
 
@@ -80,9 +101,34 @@
     return (started > stopped->second ? started : now_ms_) - stopped->second;
   }
   bool Moved(const std::string& job) const { return stopped_at_.contains(job); }
+  // Returns the number of runs on the executor whose end the leader has not
+  // seen.
+  std::size_t OpenRuns(const std::string& executor) {
+    return fixture_.Core().FindExecutor(executor)->active.size();
+  }
 
  private:
-  static std::string Executor(int index) { return "e" + std::to_string(index); }
+  struct waiting_stop {
+    fleet::stop_order order;
+    std::int64_t ordered_ms;
+  };
+  struct stop_line {
+    std::deque<waiting_stop> waiting;
+    std::int64_t last_done_ms = 0;
+  };
+
+  void Serve(stop_line& line) {
+    while (!line.waiting.empty()) {
+      const waiting_stop next = line.waiting.front();
+      const std::int64_t done_ms =
+          std::max(line.last_done_ms, next.ordered_ms) + scene_.stop_turn_ms;
+      if (done_ms > now_ms_) return;
+      line.last_done_ms = done_ms;
+      line.waiting.pop_front();
+      Stop(next.order);
+      fixture_.Core().Runs().OnStopResponse(next.order, true, At(now_ms_));
+    }
+  }
 
   void Report(const std::string& id) {
     fixture_.Report(id, now_ms_, running_[id], ended_[id]);
@@ -101,8 +147,10 @@
     stopped_at_[stop.task.job] = now_ms_;
   }
 
+  service_scene scene_;
   fleet_fixture fixture_;
   std::int64_t now_ms_ = kStepMs;
+  std::map<std::string, stop_line> lines_;
   std::map<std::string, std::vector<fleet::running_report>> running_;
   std::map<std::string, std::vector<fleet::ended_report>> ended_;
   std::map<std::string, std::int64_t> started_at_;
@@ -138,6 +186,25 @@
   CHECK(service.Moved(job));
 }
 
+// Guards against ends that are known only when the lease has lapsed because
+// the last stops leave when their executor has left.
+TEST_CASE("stops that take longer the more there are begin earlier",
+          "[fleet]") {
+  constexpr int kTasks = 8;
+  full_service service(service_scene{
+      .executors = 2, .tasks_per_executor = kTasks, .stop_turn_ms = 400});
+  service.AddExecutor(2);
+  service.Drain(full_service::Executor(0), 2 * kLeavesAtMs);
+  service.PlayUntil(kLeavesAtMs);
+  REQUIRE(service.OpenRuns(full_service::Executor(0)) == 0);
+  constexpr std::int64_t kNextLeavesAtMs = 2 * kLeavesAtMs;
+  service.Drain(full_service::Executor(1), kNextLeavesAtMs);
+  service.PlayUntil(kNextLeavesAtMs - 6000);
+  CHECK(service.OpenRuns(full_service::Executor(1)) == kTasks);
+  service.PlayUntil(kNextLeavesAtMs);
+  CHECK(service.OpenRuns(full_service::Executor(1)) == 0);
+}
+
 // Guards against stops of all runs on an executor whose clock and time to leave
 // are not known yet.
 TEST_CASE("the entry of another incarnation stops no run", "[fleet]") {
