--- a/src/waxwingfront/fleet/executor_state.h
+++ b/src/waxwingfront/fleet/executor_state.h
@@ -132,6 +132,9 @@
   // empty if none.
   std::string awaited_job;
 
+  // When it last stopped a run, see `stop_times`.
+  core::monotonic_time last_stop_turn{};
+
   // No new tasks are placed on it until then.
   core::monotonic_time avoid_until{};
   // The same because runs of several jobs have failed on it, see
@@ -213,8 +216,10 @@
   std::uint64_t ForgettableEnd(core::monotonic_time now) const {
     return HeldRecently(now) ? acknowledged : 0;
   }
-  // Returns how long it certainly stays if it drains; 0 if that is not known.
-  core::milliseconds StaysFor(core::monotonic_time now) const;
+  // Returns how long it certainly stays if it drains: 0 if its entry does not
+  // tell, nothing while its clock is unknown or the entry is of another
+  // incarnation.
+  std::optional<core::milliseconds> StaysFor(core::monotonic_time now) const;
   // True if its free capacity is reserved for another job.
   bool ReservedForOtherJob(const job_state* job,
                            core::monotonic_time now) const {
