Let best-effort tasks wait for a good executor for 2 s at most

Cause: BestEffortCost was infinite while the budgets of an executor bore less than half of the task's pace, however long the task had waited and though no other executor could take it.

Change: after 2 s, the wait for a rack while nothing of the job runs, a step of which nothing runs takes the executor that bears the largest share of its pace, however small. Further tasks of the step take one that bears a tenth, so that tasks which hardly work do not fill the memory. These costs are above all others, so that executors within their budgets are still preferred. The only task of a step that runs gets paces below a tenth, and goes on from 0 as soon as its budget bears a hundredth; both were rounded to a standstill.

It works because each wait now ends by the clock and not by what the model has learnt. Budgets, cuts and the guard on targets are unchanged.

--- a/src/waxwingfront/fleet/job_state.h
+++ b/src/waxwingfront/fleet/job_state.h
@@ -153,6 +153,7 @@
   std::uint32_t failed_run = 0;
 
   bool Done() const { return succeeded == tasks.size(); }
+  std::size_t CountActive() const { return tasks.size() - waiting - succeeded; }
 };
 
 // Sums of estimated times along the longest path through an occurrence's steps.
--- a/src/waxwingfront/fleet/locality.cc
+++ b/src/waxwingfront/fleet/locality.cc
@@ -3,15 +3,14 @@
 #include <chrono>
 #include <limits>
 
+#include "waxwingfront/fleet/placement.h"
+
 namespace waxwingfront::fleet {
 namespace {
 
 // Share of the added time that a task waits for a close executor. If none gets
 // free in that time, the wait comes on top of the added time.
 constexpr double kMaxWaitShare = 0.5;
-// Longest wait while nothing of the job runs. The platform considers a job lost
-// that stands still for 3 s beside idle executors.
-constexpr core::milliseconds kMaxIdleWait{2000};
 // Cost of one additional task duration: a whole executor's processors.
 constexpr double kRemoteCost = 1.0;
 
--- a/src/waxwingfront/fleet/placement.h
+++ b/src/waxwingfront/fleet/placement.h
@@ -28,6 +28,11 @@
 // similar ones are placed together; short compared with their lifetime.
 inline constexpr core::milliseconds kBatchingWindow{300};
 
+// Longest wait of a task for a better placement while nothing of its job runs.
+// The platform considers a job lost that stands still for 3 s beside idle
+// executors.
+inline constexpr core::milliseconds kMaxIdleWait{2000};
+
 // Returns a value that changes whenever costs for the task's step may have
 // become finite on unchanged executors; nothing if that may happen any time.
 using placement_epoch = std::function<std::optional<std::uint64_t>(
--- a/src/waxwingfront/fleet/planner.cc
+++ b/src/waxwingfront/fleet/planner.cc
@@ -195,11 +195,13 @@
       if (selected != nullptr) step.last_failed_search = {};
       return;
     }
-    if (!same_cost) {
-      FindCandidates(step, task, scope, at);
-    } else {
+    if (same_cost) {
       candidates_.UpdateSelected(CostAt(*selected, task, scope, at.now));
+      // For those, each task has to have waited for itself.
+      same_cost = !candidates_.AreLastResort();
+      if (!same_cost) step.last_failed_search = {};
     }
+    if (!same_cost) FindCandidates(step, task, scope, at);
     executor_state* const executor = candidates_.SelectCheapest(task);
     if (executor == nullptr) {
       step.last_failed_search.rejected_by_cost =
--- a/src/waxwingfront/fleet/sharing_policy.cc
+++ b/src/waxwingfront/fleet/sharing_policy.cc
@@ -1,10 +1,10 @@
 #include "waxwingfront/fleet/sharing_policy.h"
 
 #include <algorithm>
-#include <cmath>
 #include <cstdlib>
 #include <limits>
 
+#include "waxwingfront/fleet/best_effort_wait.h"
 #include "waxwingfront/fleet/placement.h"
 #include "waxwingfront/fleet/tail_latency.h"
 
@@ -22,21 +22,16 @@
 // placements, the report interval and delay for paces.
 constexpr double kPlacementAheadSeconds = 1.5;
 constexpr double kPaceAheadSeconds = 1.2;
-// Minimum share of its full pace that the budgets must allow for a best-effort
-// task beside serving ones. Jobs have time for twice their work.
-constexpr double kMinPace = 0.5;
 // Interference of a task below this is ignored: half of the scatter of single
 // tail latency readings (0.06 on recorded days).
 constexpr double kMinInterference = 0.03;
 
 // Costs are in shares of an executor's processors. Overcommitted processors
 // slow down best-effort tasks, by a sixth at twice the capacity on recorded
-// days; interference uses up budget that heavier tasks may need; and a slow
-// pace makes its job late.
+// days; and interference uses up budget that heavier tasks may need.
 constexpr double kLoadSlope = 0.5;
 constexpr double kOvercommitSlope = 0.3;
 constexpr double kInterferenceSlope = 2.0;
-constexpr double kSlowPaceCost = 0.5;
 // Cost of using an executor without serving tasks for a task that could run
 // elsewhere.
 constexpr double kFreeExecutorCost = 0.3;
@@ -67,9 +62,7 @@
 // Paces rise only while the affected tail latencies are below this share of
 // their target.
 constexpr double kPaceRiseMaxRatio = 0.8;
-// Paces are rounded down to a multiple of this many percent; a rise has to be
-// larger to justify an order.
-constexpr int kPaceRounding = 10;
+// A rise by fewer percent does not justify an order.
 constexpr int kMinPaceRise = 20;
 
 double Capacity(const executor_state& executor) {
@@ -169,7 +162,10 @@
 std::optional<std::uint64_t> sharing_policy::Epoch(
     const task_state& task, core::monotonic_time now) const {
   if (task.Spec().fills()) {
-    return model_.SolveCount() * kFeasibilityLevels + Feasibility(task, now);
+    const std::uint64_t level =
+        model_.SolveCount() * kFeasibilityLevels + Feasibility(task, now);
+    return level * kBestEffortStages +
+           static_cast<std::uint64_t>(BestEffortStageOf(task, now));
   }
   if (!task.Spec().long_running()) return 0;
   return static_cast<std::uint64_t>(StageOf(task, now)) * 2 +
@@ -217,9 +213,9 @@
     pace = std::min(
         pace, budget.headroom / (budget.used[cached.feasibility] + added));
   }
-  if (pace < kMinPace) return kInfiniteCost;
+  if (pace < MinPaceOf(task, now)) return kInfiniteCost;
   return cost + tolerance_cost + kInterferenceSlope * highest +
-         kSlowPaceCost * (1.0 - pace);
+         SlowPaceCost(pace);
 }
 
 const sharing_view& sharing_policy::View(const executor_state& executor,
@@ -373,12 +369,11 @@
 
 void sharing_policy::SetPace(executor_state& executor, task_state& task,
                              double target) {
-  const int steps =
-      static_cast<int>(std::floor(target * kFullPace / kPaceRounding));
-  const int percent = std::clamp(steps * kPaceRounding, 0, kFullPace);
+  const int percent = PacePercent(task, target);
   const int change = percent - task.pace_percent;
-  const bool extreme =
-      percent == 0 || percent == kFullPace || task.pace_percent == kUnknownPace;
+  const bool extreme = percent == 0 || percent == kFullPace ||
+                       task.pace_percent == kUnknownPace ||
+                       (task.pace_percent == 0 && IsOnlyOneOfStep(task));
   if (change == 0 || (!extreme && change > 0 && change < kMinPaceRise)) return;
   if (change > 0 && !MayRaisePace(executor, task)) return;
   task.pace_percent = percent;
--- a/src/waxwingfront/fleet/step_candidates.cc
+++ b/src/waxwingfront/fleet/step_candidates.cc
@@ -1,7 +1,9 @@
 #include "waxwingfront/fleet/step_candidates.h"
 
+#include <algorithm>
 #include <cmath>
 
+#include "waxwingfront/fleet/best_effort_wait.h"
 #include "waxwingfront/fleet/placement.h"
 
 namespace waxwingfront::fleet {
@@ -33,6 +35,13 @@
   return best;
 }
 
+bool step_candidates::AreLastResort() const {
+  return !candidates_.empty() &&
+         std::ranges::all_of(candidates_, [](const candidate& one) {
+           return one.cost >= kLastResortCost;
+         });
+}
+
 void step_candidates::UpdateSelected(double cost) {
   if (std::isinf(cost)) {
     candidates_.erase(candidates_.begin() +
--- a/src/waxwingfront/fleet/step_candidates.h
+++ b/src/waxwingfront/fleet/step_candidates.h
@@ -27,6 +27,8 @@
   // Selects and returns the cheapest candidate for the task; null if there is
   // none.
   executor_state* SelectCheapest(const task_state& task);
+  // True if there are only candidates of `kLastResortCost` and more.
+  bool AreLastResort() const;
   // Updates the cost of the last selected candidate; removes it if the cost is
   // infinite.
   void UpdateSelected(double cost);
