Do not take the leader's own lateness for a full link

Cause: a start counted as in flight on the link until its response was processed. With 125 KB in flight at 10 Mbit/s and responses that are processed 250 ms late, 500 KB a second are sent. Class: a measure that takes the observer's own lateness for the peer's or the link's.

Change: unread_responses estimates how many bytes of starts wait for the leader to read their responses: those that are read between two looks, or within the time by which the driver's timers fire late, but for the largest. As many may be unanswered beyond the limit, once the link had the time to carry them at its nominal speed. If a round comes late for starts that wait, starts for that time go out ahead, within the same bytes.

Why this holds for slow links: a leader that is not late reads responses one by one, so it gets nothing, and a slow link yields fewer responses within the leader's lateness, so starts wait for it longer by that lateness at most. A property states this for links down to a quarter of their speed.

--- a/src/waxwingfront/fleet/executor_driver.cc
+++ b/src/waxwingfront/fleet/executor_driver.cc
@@ -102,8 +102,11 @@
         std::chrono::ceil<core::milliseconds>(slot.not_before - now);
     loop.After(delay, [self = shared_from_this(), id, due = now + delay] {
       if (self->closed) return;
-      self->pace.RecordLateness(
-          std::chrono::duration_cast<core::milliseconds>(core::Now() - due));
+      const core::monotonic_time now = core::Now();
+      const auto late =
+          std::chrono::duration_cast<core::milliseconds>(now - due);
+      self->pace.RecordLateness(late);
+      self->core.RecordLateness(late, now);
       self->slots[id].scheduled = false;
       self->Pump(id);
     });
--- a/src/waxwingfront/fleet/fleet_core.h
+++ b/src/waxwingfront/fleet/fleet_core.h
@@ -198,6 +198,10 @@
   // Returns the orders to be sent now. Further starts become available when
   // those sent before get their responses, and at `NextStarts`.
   orders TakeOrders(moment at);
+  // See `start_queue::RecordLateness`.
+  void RecordLateness(core::milliseconds lateness, core::monotonic_time now) {
+    state_.starts.RecordLateness(lateness, now);
+  }
   // See `start_queue::NextRoom`.
   std::optional<core::monotonic_time> NextStarts() const {
     return state_.starts.NextRoom();
--- a/src/waxwingfront/fleet/start_queue.cc
+++ b/src/waxwingfront/fleet/start_queue.cc
@@ -27,7 +27,9 @@
 start_queue::start_queue(start_queue_options options)
     : options_(options),
       max_in_flight_(BytesOnLink(options.link_mbps, options.max_link_time)),
-      max_backlog_(BytesOnLink(options.link_mbps, options.max_backlog_time)) {}
+      max_backlog_(BytesOnLink(options.link_mbps, options.max_backlog_time)),
+      unread_({.max_bytes = BytesOnLink(options.link_mbps, options.max_silence)
+                                .value_or(0)}) {}
 
 void start_queue::OnPlaced(task_state& task) {
   if (task.Spec().long_running()) return;
@@ -55,11 +57,13 @@
 
 std::vector<start_order> start_queue::Take(core::monotonic_time now) {
   ReleaseCarried(now);
+  bytes_ahead_ = std::min(unread_.Room(), BytesMissed(now));
   std::vector<start_order> taken;
   for (const urgency of : {kInterrupted, kLongRunning, kShort}) {
     TakeFrom(of, now, taken);
     if (!lanes_[of].waiting.empty()) break;
   }
+  next_room_ = NextRoom();
   return taken;
 }
 
@@ -75,7 +79,8 @@
     const std::size_t bytes = BytesOf(from.waiting.front());
     // A start that is larger than the limit is sent alone.
     if (max_in_flight_ && from.bytes_in_flight > 0 &&
-        from.bytes_in_flight + bytes > *max_in_flight_) {
+        from.bytes_in_flight + bytes > *max_in_flight_ &&
+        bytes_in_flight_ + bytes > *max_in_flight_ + bytes_ahead_) {
       return;
     }
     start_order order = std::move(from.waiting.front());
@@ -109,17 +114,30 @@
 core::monotonic_time start_queue::LeavesLink(
     const sent_starts::value_type& start) const {
   const auto& [number, sent] = start;
-  if (number < last_answered_) return sent.carried;
+  if (number < last_answered_ || sent.bytes <= unread_.Room()) {
+    return sent.carried;
+  }
   return std::max(sent.carried,
                   std::max(sent.sent, last_response_) + options_.max_silence);
 }
 
 void start_queue::ReleaseCarried(core::monotonic_time now) {
+  unread_.EndReading(now);
+  unread_.RemoveBefore(last_answered_);
   while (!in_flight_.empty() && LeavesLink(*in_flight_.begin()) <= now) {
-    Release(in_flight_.begin());
+    const auto first = in_flight_.begin();
+    const auto& [number, sent] = *first;
+    if (number > last_answered_) unread_.Add(number, sent.bytes);
+    Release(first);
   }
 }
 
+std::size_t start_queue::BytesMissed(core::monotonic_time now) const {
+  if (!next_room_ || *next_room_ >= now) return 0;
+  const auto late = std::chrono::floor<core::milliseconds>(now - *next_room_);
+  return BytesOnLink(options_.link_mbps, late).value_or(0);
+}
+
 std::optional<core::monotonic_time> start_queue::NextRoom() const {
   const bool waits = std::ranges::any_of(
       lanes_, [](const lane& one) { return !one.waiting.empty(); });
@@ -129,12 +147,17 @@
 
 void start_queue::OnResponse(const start_order& order, start_outcome outcome,
                              core::monotonic_time now) {
+  std::size_t bytes = unread_.Remove(order.number);
+  const auto found = in_flight_.find(order.number);
+  if (found != in_flight_.end()) {
+    bytes = found->second.bytes;
+    Release(found);
+  }
   if (SentByExecutor(outcome)) {
     last_answered_ = std::max(last_answered_, order.number);
     last_response_ = now;
+    unread_.OnRead(bytes);
   }
-  const auto found = in_flight_.find(order.number);
-  if (found != in_flight_.end()) Release(found);
 }
 
 start_queue_levels start_queue::Levels() const {
--- a/src/waxwingfront/fleet/start_queue.h
+++ b/src/waxwingfront/fleet/start_queue.h
@@ -17,6 +17,7 @@
 #include "waxwingfront/core/clock.h"
 #include "waxwingfront/fleet/job_state.h"
 #include "waxwingfront/fleet/types.h"
+#include "waxwingfront/fleet/unread_responses.h"
 
 namespace waxwingfront::fleet {
 
@@ -66,13 +67,19 @@
   // tasks. None is sent while a more urgent one waits for the link. Each is in
   // flight until its first response or failure. An unanswered one leaves the
   // link earlier: once the link had the time to carry it at its nominal speed,
-  // and an executor has responded to a later start or none has responded for
-  // `max_silence`.
+  // and an executor has responded to a later start, its response may have
+  // arrived unread, or no executor has responded for `max_silence`.
   std::vector<start_order> Take(core::monotonic_time now);
   // Handles a response to a start, or its failure.
   void OnResponse(const start_order& order, start_outcome outcome,
                   core::monotonic_time now);
 
+  // Records that a timer of this process fired so much later than requested:
+  // responses are read as late.
+  void RecordLateness(core::milliseconds lateness, core::monotonic_time now) {
+    unread_.RecordLateness(lateness, now);
+  }
+
   // Returns when `Take` may return starts that wait now, without any response
   // in between; nothing if none wait.
   std::optional<core::monotonic_time> NextRoom() const;
@@ -102,6 +109,8 @@
   void RecordSent(std::uint64_t number, sent_start start);
   void Release(sent_starts::iterator start);
   void ReleaseCarried(core::monotonic_time now);
+  // Returns what a link of nominal speed has carried since starts had room.
+  std::size_t BytesMissed(core::monotonic_time now) const;
   // Returns when the unanswered start is taken to have left the link.
   core::monotonic_time LeavesLink(const sent_starts::value_type& start) const;
 
@@ -114,6 +123,13 @@
   // By the number of the order.
   sent_starts in_flight_;
   std::size_t bytes_in_flight_ = 0;
+  // When the starts that wait would have had room.
+  std::optional<core::monotonic_time> next_room_;
+  // What may be in flight beyond the limit of one urgency until the next call
+  // of `Take`, which is likely to be late as well.
+  std::size_t bytes_ahead_ = 0;
+  // Unanswered starts that have left the link.
+  unread_responses unread_;
   // When a link of nominal speed has carried all starts in flight.
   core::monotonic_time all_carried_{};
   std::uint64_t last_number_ = 0;
