Hold no busy connection against an executor, and keep gangs together

The review of the starts that go out in turn found, by reading: a start that expired while its run was being stopped still kept tasks from its executor for 2 s; one for an executor that is out of contact, leaves or drains waited for the next hold; a member of a gang could go back to its place while the others ran.

A start goes out again only to an executor that may still get it, and not for gangs, whose run ends as before. Files formatted as the linter wants them.

--- a/src/waxwingfront/fleet/executor_connections.cc
+++ b/src/waxwingfront/fleet/executor_connections.cc
@@ -25,10 +25,9 @@
 }
 
 std::optional<std::size_t> OrdersAtOnce(const manifest& current) {
-  const bool stated =
-      std::ranges::any_of(current.services, [](const service_spec& service) {
-        return service.max_connections > 0;
-      });
+  const bool stated = std::ranges::any_of(
+      current.services,
+      [](const service_spec& service) { return service.max_connections > 0; });
   if (!stated) return std::nullopt;
   return ConnectionsPerExecutor(current) - 1;
 }
--- a/src/waxwingfront/fleet/fleet_core.cc
+++ b/src/waxwingfront/fleet/fleet_core.cc
@@ -355,14 +355,13 @@
 
 bool fleet_core::MayBeSentAgain(const start_order& order, start_outcome outcome,
                                 core::monotonic_time now) {
+  const bool awaits_hold = deadlines_.AwaitsHold(order, now);
   const bool delayed_here =
-      outcome == start_outcome::kConnectionsBusy ||
-      (outcome == start_outcome::kNotSent && deadlines_.AwaitsHold(order, now));
-  if (!delayed_here) return false;
-  const task_state* const task = state_.FindTask(order.task);
-  return task != nullptr && task->run == order.run &&
-         task->executor == order.executor &&
-         task->Phase() == task_phase::kStarting;
+      outcome == start_outcome::kConnectionsBusy
+          ? awaits_hold || deadlines_.MayStart(order, now)
+          : outcome == start_outcome::kNotSent && awaits_hold;
+  // The other members of a gang would wait for this one.
+  return delayed_here && !state_.FindTask(order.task)->Spec().gang();
 }
 
 void fleet_core::OnHold(std::string_view executor, const hold_report& report,
--- a/src/waxwingfront/fleet/run_tracker.cc
+++ b/src/waxwingfront/fleet/run_tracker.cc
@@ -203,7 +203,8 @@
   if (outcome == start_outcome::kNotPermitted) {
     task->job->StepOf(*task).permits.RemoveTicket(order.executor);
     task->job->needs_permits = true;
-  } else if (executor != nullptr && outcome != start_outcome::kNotSent) {
+  } else if (executor != nullptr && outcome != start_outcome::kNotSent &&
+             outcome != start_outcome::kConnectionsBusy) {
     const bool no_capacity = outcome == start_outcome::kNoCapacity;
     executor->avoid_until =
         at.now +
