--- a/src/waxwingfront/fleet/start_queue.cc
+++ b/src/waxwingfront/fleet/start_queue.cc
@@ -46,7 +46,8 @@
 }
 
 void start_queue::Add(start_order order) {
-  Insert(lanes_[UrgencyOf(order)].waiting, std::move(order));
+  lane& urgency_lane = lanes_[UrgencyOf(order)];
+  Insert(urgency_lane.waiting, std::move(order));
 }
 
 void start_queue::Insert(std::deque<start_order>& waiting, start_order order) {
